The whole path, thin: instances, homes, loads, configuration on the log

Change: a workspace of four packages; the instance as a core without I/O, with a package for each peer around it; stand-ins of engine, weight store, log service, instance list and plain service; make demo and make test. Tests cover only the configuration's fold so far; the promises under failure, the decisions and the command line follow.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+
+PACKAGES = packages/ashhoist packages/ashhoist-cli packages/ashhoist-standins packages/ashhoist-bench
+
+.PHONY: demo serve test lint format venv bench bench-decisions bench-capacity soak
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt \
+		$(addprefix -e ,$(PACKAGES)) hypothesis mypy ruff
+	touch $@
+
+demo: venv
+	$(BIN)/python -m ashhoist_bench.demo
+
+serve: venv
+	$(BIN)/python -m ashhoist_bench.demo --serve
+
+test: venv lint
+	$(BIN)/python -m tests
+
+lint: venv
+	$(BIN)/ruff format --check --quiet packages tests
+	$(BIN)/ruff check --quiet packages tests
+	$(BIN)/mypy --no-error-summary packages/*/src
+
+format: venv
+	$(BIN)/ruff format packages tests
+	$(BIN)/ruff check --fix packages tests
--- /dev/null
+++ b/packages/ashhoist-bench/src/ashhoist_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, load tool and benches of ashhoist."""
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/configuration.py
@@ -0,0 +1,293 @@
+"""Configuration as a deterministic fold over the records of the log.
+
+Every instance applies the same records in offset order and so computes the same
+state and the same verdict on each change. Nothing here does I/O or reads a
+clock.
+"""
+
+import base64
+import hashlib
+import json
+import zlib
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+STREAM = "configuration"
+NO_OFFSET = -1
+MUST_NOT_EXIST = -1
+VERDICTS_KEPT = 4096
+CHUNK_BYTES = 48_000
+
+
+class Verdict(StrEnum):
+    """What the fold decided about a change."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """The verdict on one operation."""
+
+    verdict: Verdict
+    offset: int
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change that an operator asks for.
+
+    Parameters
+    ----------
+    operation : str
+        Unique; a change that appears on the log twice counts once.
+    spec : dict or None
+        None deletes the resource.
+    based_on : int or None
+        The resource version that the operator had seen, `MUST_NOT_EXIST` if
+        there must be none yet, None to overwrite whatever is there.
+    """
+
+    operation: str
+    kind: str
+    name: str
+    spec: dict[str, Any] | None
+    based_on: int | None = None
+
+    def to_record(self) -> dict[str, Any]:
+        """Return the record that is appended to the log."""
+        return {
+            "operation": self.operation,
+            "kind": self.kind,
+            "name": self.name,
+            "spec": self.spec,
+            "based_on": self.based_on,
+        }
+
+    @classmethod
+    def from_record(cls, record: Any) -> "Change | None":
+        """Return the change in a record, or None if it is malformed."""
+        if not isinstance(record, dict):
+            return None
+        operation, kind = record.get("operation"), record.get("kind")
+        name, spec = record.get("name"), record.get("spec")
+        based_on = record.get("based_on")
+        if not (isinstance(operation, str) and isinstance(kind, str)):
+            return None
+        if not isinstance(name, str) or not isinstance(spec, dict | None):
+            return None
+        if isinstance(based_on, bool) or not isinstance(based_on, int | None):
+            return None
+        return cls(operation, kind, name, spec, based_on)
+
+
+@dataclass(frozen=True, slots=True)
+class Resource:
+    """A resource in force. Its version is the offset that last changed it."""
+
+    kind: str
+    name: str
+    spec: dict[str, Any]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One change of one resource, for watches."""
+
+    offset: int
+    kind: str
+    name: str
+    resource: Resource | None
+
+
+@dataclass(slots=True)
+class Configuration:
+    """The state after all records up to `offset`."""
+
+    offset: int = NO_OFFSET
+    by_kind: dict[str, dict[str, Resource]] = field(default_factory=dict)
+    weights_by_version: dict[str, str] = field(default_factory=dict)
+    decisions_by_operation: "OrderedDict[str, Decision]" = field(
+        default_factory=OrderedDict
+    )
+
+    def get(self, kind: str, name: str) -> Resource | None:
+        """Return a resource in force, or None."""
+        return self.by_kind.get(kind, {}).get(name)
+
+    def of_kind(self, kind: str) -> dict[str, Resource]:
+        """Return the resources of a kind by name."""
+        return self.by_kind.get(kind, {})
+
+    def apply(self, offset: int, record: Any) -> Event | None:
+        """Apply the record at `offset`.
+
+        Records at or below the applied offset are skipped, so that the state
+        never goes back, whoever brings them.
+
+        Returns
+        -------
+        Event or None
+            The change that came into force, if one did.
+        """
+        if offset <= self.offset:
+            return None
+        self.offset = offset
+        change = Change.from_record(record)
+        if change is None or change.operation in self.decisions_by_operation:
+            return None
+        decision = self._decide(offset, change)
+        self._remember(change.operation, decision)
+        if decision.verdict is not Verdict.ACCEPTED:
+            return None
+        return self._put(offset, change)
+
+    def _decide(self, offset: int, change: Change) -> Decision:
+        current = self.get(change.kind, change.name)
+        version = current.version if current else MUST_NOT_EXIST
+        if change.based_on is not None and change.based_on != version:
+            detail = f"based on version {change.based_on}, but it is {version}"
+            return Decision(Verdict.CONFLICT, offset, detail)
+        detail = self._invalid(change, current)
+        if detail:
+            return Decision(Verdict.INVALID, offset, detail)
+        return Decision(Verdict.ACCEPTED, offset)
+
+    def _invalid(self, change: Change, current: Resource | None) -> str:
+        if change.spec is None and current is None:
+            return "it does not exist"
+        if change.kind == "base-models" and change.spec is None:
+            return self._user_of_base_model(change.name)
+        if change.kind != "adapters" or change.spec is None:
+            return ""
+        if self.get("base-models", str(change.spec.get("base_model"))) is None:
+            return f"base model {change.spec.get('base_model')!r} does not exist"
+        for version, weights in _weights(change.name, change.spec):
+            if self.weights_by_version.get(version, weights) != weights:
+                return f"{version} has other weights; a version cannot change"
+        return ""
+
+    def _user_of_base_model(self, name: str) -> str:
+        for kind in ("adapters", "upstreams"):
+            for resource in self.of_kind(kind).values():
+                if resource.spec.get("base_model") == name:
+                    return f"used by {kind} {resource.name}"
+        return ""
+
+    def _put(self, offset: int, change: Change) -> Event:
+        by_name = self.by_kind.setdefault(change.kind, {})
+        if change.spec is None:
+            del by_name[change.name]
+            return Event(offset, change.kind, change.name, None)
+        resource = Resource(change.kind, change.name, change.spec, offset)
+        by_name[change.name] = resource
+        if change.kind == "adapters":
+            self.weights_by_version.update(_weights(change.name, change.spec))
+        return Event(offset, change.kind, change.name, resource)
+
+    def _remember(self, operation: str, decision: Decision) -> None:
+        self.decisions_by_operation[operation] = decision
+        if len(self.decisions_by_operation) > VERDICTS_KEPT:
+            self.decisions_by_operation.popitem(last=False)
+
+    def to_chunks(self, written_at: str = "") -> list[dict[str, Any]]:
+        """Return the whole state as records of bounded size for the log.
+
+        Parameters
+        ----------
+        written_at : str
+            Wall-clock time in ISO form, to judge the snapshot's age.
+        """
+        state = {
+            "resources": [
+                [item.kind, item.name, item.spec, item.version]
+                for kind in sorted(self.by_kind)
+                for item in sorted(self.by_kind[kind].values(), key=lambda r: r.name)
+            ],
+            "weights": sorted(self.weights_by_version.items()),
+            "decisions": [
+                [operation, decision.verdict.value, decision.offset, decision.detail]
+                for operation, decision in self.decisions_by_operation.items()
+            ],
+        }
+        packed = zlib.compress(json.dumps(state, sort_keys=True).encode(), 6)
+        data = base64.b85encode(packed).decode()
+        digest = hashlib.sha256(data.encode()).hexdigest()
+        parts = [
+            data[start : start + CHUNK_BYTES]
+            for start in range(0, len(data), CHUNK_BYTES)
+        ]
+        return [
+            {
+                "snapshot": self.offset,
+                "digest": digest,
+                "index": index,
+                "count": len(parts),
+                "data": part,
+                "written_at": written_at,
+            }
+            for index, part in enumerate(parts)
+        ]
+
+
+def from_chunks(chunks: list[Any]) -> Configuration | None:
+    """Return the newest complete snapshot among chunks, or None.
+
+    Chunks may be doubled, out of order, malformed, or miss parts; a snapshot
+    counts only if its digest fits.
+    """
+    data_by_index: dict[tuple[int, str], dict[int, str]] = {}
+    counts: dict[tuple[int, str], int] = {}
+    for chunk in chunks:
+        if not _is_chunk(chunk):
+            continue
+        key = (chunk["snapshot"], chunk["digest"])
+        data_by_index.setdefault(key, {})[chunk["index"]] = chunk["data"]
+        counts[key] = chunk["count"]
+    for key in sorted(counts, reverse=True):
+        parts = data_by_index[key]
+        if set(parts) != set(range(counts[key])):
+            continue
+        data = "".join(parts[index] for index in range(counts[key]))
+        if hashlib.sha256(data.encode()).hexdigest() != key[1]:
+            continue
+        return _restore(key[0], json.loads(zlib.decompress(base64.b85decode(data))))
+    return None
+
+
+def _is_chunk(chunk: Any) -> bool:
+    if not isinstance(chunk, dict):
+        return False
+    numbers = ("snapshot", "index", "count")
+    return all(isinstance(chunk.get(key), int) for key in numbers) and all(
+        isinstance(chunk.get(key), str) for key in ("digest", "data")
+    )
+
+
+def _restore(offset: int, state: Any) -> Configuration:
+    configuration = Configuration(offset)
+    for kind, name, spec, version in state["resources"]:
+        by_name = configuration.by_kind.setdefault(kind, {})
+        by_name[name] = Resource(kind, name, spec, version)
+    configuration.weights_by_version = dict(state["weights"])
+    for operation, verdict, at, detail in state["decisions"]:
+        configuration.decisions_by_operation[operation] = Decision(
+            Verdict(verdict), at, detail
+        )
+    return configuration
+
+
+def _weights(name: str, spec: dict[str, Any]) -> Iterator[tuple[str, str]]:
+    versions = spec.get("versions")
+    if not isinstance(versions, dict):
+        return
+    for version, value in versions.items():
+        weights = value.get("weights") if isinstance(value, dict) else None
+        yield f"{name}@{version}", str(weights)
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/engines/__init__.py
@@ -0,0 +1,8 @@
+"""Talks to model engines; every assumption about their protocol stands here.
+
+The protocol is written down in ``docs/peers.md``.
+"""
+
+from .client import EngineClient
+
+__all__ = ["EngineClient"]
