--- a/packages/ashhoist/src/ashhoist/core.py
+++ b/packages/ashhoist/src/ashhoist/core.py
@@ -301,8 +301,8 @@
         """Take in the platform's instance list."""
         now = self.clock.monotonic()
         self.listed = True
-        leaving = self.membership.apply_list(endpoints, now)
-        self.homes.leave(leaving)
+        self.membership.apply_list(endpoints, now)
+        self.homes.set_leaving(self.membership.upstreams_leaving())
         self._changed_views = True
         entries = self.membership.instances(now)
         self.budget.instances = max(1, len(entries))
@@ -335,7 +335,11 @@
             loads = self.homes.changed_loads()
             self._take_loads(loads)
         return messages.Heartbeat(
-            self.stopping, self.changes.state.offset, self.keeper_choice.name, loads
+            self.stopping,
+            self.changes.state.offset,
+            self.keeper_choice.name,
+            loads,
+            sorted(self.membership.upstreams_leaving()),
         )
 
     def _take_loads(self, loads: list[Any]) -> None:
@@ -373,6 +377,11 @@
         self._take_loads(item.loads)
         if item.leaving and not was_leaving:
             self._changed_views = True
+        told = {str(name) for name in item.leaving_upstreams}
+        if not told <= self.membership.leaving_upstreams:
+            self.membership.leaving_upstreams |= told
+            self.homes.set_leaving(self.membership.upstreams_leaving())
+            self._changed_views = True
         self._ask_peer(now)
 
     def _on_residency(
@@ -472,7 +481,6 @@
         self, peer: str, incarnation: str, item: messages.GrantReturned
     ) -> None:
         self.keeper.finish(item.number, item.used)
-        self._grant_loads()
 
     def _on_fetch(
         self, peer: str, incarnation: str, item: messages.FetchConfiguration
@@ -847,7 +855,6 @@
         source = self._grant_sources.pop(key, self.name)
         if source == self.name:
             self.keeper.finish(returned.grant, returned.used)
-            self._grant_loads()
             return
         item = messages.GrantReturned(returned.grant, returned.used)
         self.outside.send_to(source, item)
@@ -857,9 +864,13 @@
     ) -> None:
         now = self.clock.monotonic()
         self.keeper.want(Want(home, upstream, adapter, benefit, now))
-        self._grant_loads()
 
-    def _grant_loads(self) -> None:
+    def settle(self) -> None:
+        """Grant the loads that are due; call it after each round of messages.
+
+        It is no part of taking in a wish, as a grant that cannot be used leads
+        to the next wish at once.
+        """
         now = self.clock.monotonic()
         self.keeper.set_share(self.keeper_choice.share(now))
         for grant in self.keeper.next_grants(now):
@@ -894,7 +905,7 @@
         self.keeper_choice.update(now)
         if self.claims_read:
             self.homes.tick()
-        self._grant_loads()
+        self.settle()
         self._send_appends()
         if self._beat_at is None or now - self._beat_at >= self.settings.heartbeat:
             self._beat_at = now
--- a/packages/ashhoist/src/ashhoist/core_task.py
+++ b/packages/ashhoist/src/ashhoist/core_task.py
@@ -60,6 +60,10 @@
         """Begin to read the log."""
         self.core.start()
 
+    def settle(self) -> None:
+        """Grant the loads that are due."""
+        self.core.settle()
+
     def tick(self) -> None:
         """Do what is due by time."""
         self.core.tick()
--- a/packages/ashhoist/src/ashhoist/home.py
+++ b/packages/ashhoist/src/ashhoist/home.py
@@ -611,6 +611,9 @@
     def _return_grant(self, adapter: AdapterVersion, used: bool) -> None:
         grant = self._grants.pop(adapter, None)
         if grant is not None:
+            if not used:
+                # Asked for again only later, or wish and grant would circle.
+                self._wanted[adapter] = self.clock.monotonic()
             self._actions.append(
                 ReturnGrant(self.settings.upstream, adapter, grant, used)
             )
--- a/packages/ashhoist/src/ashhoist/homes.py
+++ b/packages/ashhoist/src/ashhoist/homes.py
@@ -267,13 +267,14 @@
         for home in self.by_upstream.values():
             home.entry_lost([name])
 
-    def leave(self, upstreams: list[str]) -> None:
-        """Note that upstreams are leaving."""
-        for name in upstreams:
-            home = self.by_upstream.get(name)
-            if home is not None:
+    def set_leaving(self, upstreams: set[str]) -> None:
+        """Take in which upstreams are leaving; all others stay."""
+        for name, home in self.by_upstream.items():
+            if name in upstreams:
                 home.leave()
                 self._carry_out(home)
+            else:
+                home.leaving = name not in self.settings
 
     # Orders and what engines say
 
--- a/packages/ashhoist/src/ashhoist/membership.py
+++ b/packages/ashhoist/src/ashhoist/membership.py
@@ -41,16 +41,12 @@
     listed_at: dict[str, timedelta] = field(default_factory=dict)
     incarnations: dict[str, str] = field(default_factory=dict)
     leaving_by_word: dict[str, str] = field(default_factory=dict)
+    leaving_upstreams: set[str] = field(default_factory=set)
     keepers: dict[str, str] = field(default_factory=dict)
 
-    def apply_list(self, endpoints: Iterable[Endpoint], now: timedelta) -> list[str]:
-        """Take in the platform's list; return the upstreams that now leave."""
+    def apply_list(self, endpoints: Iterable[Endpoint], now: timedelta) -> None:
+        """Take in the platform's list."""
         new = {endpoint.name: endpoint for endpoint in endpoints}
-        leaving = [
-            name
-            for name, endpoint in new.items()
-            if endpoint.kind != "entry" and endpoint.leaving and not self.leaving(name)
-        ]
         for name in new:
             self.listed_at.setdefault(name, now)
         for name in set(self.listed_at) - set(new):
@@ -58,8 +54,20 @@
             self.heard_at.pop(name, None)
             self.incarnations.pop(name, None)
             self.leaving_by_word.pop(name, None)
+        for name, endpoint in new.items():
+            before = self.by_name.get(name)
+            if before is not None and before.leaving and not endpoint.leaving:
+                self.leaving_upstreams.discard(name)
         self.by_name = new
-        return leaving
+
+    def upstreams_leaving(self) -> set[str]:
+        """Return the upstreams that leave, by the list or an instance's word."""
+        listed = {
+            name
+            for name, endpoint in self.by_name.items()
+            if endpoint.kind != "entry" and endpoint.leaving
+        }
+        return listed | self.leaving_upstreams
 
     def heard(self, name: str, incarnation: str, leaving: bool, now: timedelta) -> None:
         """Note a heartbeat of an instance."""
@@ -74,7 +82,8 @@
         """Return whether a member is leaving, by the list or its own word."""
         endpoint = self.by_name.get(name)
         listed = endpoint is not None and endpoint.leaving
-        return listed or name in self.leaving_by_word
+        told = name in self.leaving_by_word or name in self.leaving_upstreams
+        return listed or told
 
     def alive(self, name: str, now: timedelta) -> bool:
         """Return whether an instance answers, as far as is known here."""
--- a/packages/ashhoist/src/ashhoist/messages.py
+++ b/packages/ashhoist/src/ashhoist/messages.py
@@ -68,12 +68,16 @@
         Whom the sender regards as keeper of the load budget.
     loads : list
         One `UpstreamLoad` as a list for each upstream whose load has changed.
+    leaving_upstreams : list
+        Names of the upstreams that leave, for instances that do not see the
+        platform's list.
     """
 
     leaving: bool
     offset: int
     keeper: str
     loads: list
+    leaving_upstreams: list
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ashhoist/src/ashhoist/tasks.py
+++ b/packages/ashhoist/src/ashhoist/tasks.py
@@ -93,6 +93,7 @@
                 break
         else:
             self.handle(message)
+        self.guarded(self.settle)
         now = time.monotonic()
         if now >= self._tick_at:
             self._tick_at = now + self._interval
@@ -122,5 +123,8 @@
     def closed(self) -> None:
         """Close what the task owns. Runs on the task's thread."""
 
+    def settle(self) -> None:
+        """Do what is due after a round of messages."""
+
     def tick(self) -> None:
         """Do what is due by time."""
