Broken variants make their scenarios fail; a lost home no longer costs the upstream

Change: twelve variants with one rule broken each; reasons that concern only the home keep the upstream eligible; an engine without a home that may give orders refuses cold adapters at once (no_orders) and the entry looks elsewhere.

--- a/packages/ashhoist-standins/src/ashhoist_standins/scenario.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/scenario.py
@@ -109,11 +109,19 @@
         names = [
             name
             for name, node in sorted(self.world.nodes.items())
-            if not node.stopping and not node.frozen
-        ]
+            if node.core.ready and not node.frozen
+        ] or sorted(self.world.nodes)
         self.turn += 1
         return names[self.turn % len(names)]
 
+    def named(self, text: str) -> str:
+        """Return an instance's name; ``home:e0`` is the home of that upstream."""
+        kind, separator, upstream = text.partition(":")
+        if kind != "home" or not separator:
+            return text
+        nodes = [self.world.nodes[name] for name in sorted(self.world.nodes)]
+        return nodes[0].core.homes.home_of(upstream) or ""
+
     def expect(self, holds: bool, text: str) -> None:
         """Note an expectation that does not hold."""
         if not holds:
@@ -277,20 +285,23 @@
 
 @command("kill")
 def _kill(scenario: Scenario, words: list[str]) -> None:
-    if words[0] in scenario.world.nodes:
-        scenario.world.kill(words[0])
+    name = scenario.named(words[0])
+    if name in scenario.world.nodes:
+        scenario.world.kill(name)
 
 
 @command("stop")
 def _stop(scenario: Scenario, words: list[str]) -> None:
-    if words[0] in scenario.world.nodes:
-        scenario.world.stop(words[0])
+    name = scenario.named(words[0])
+    if name in scenario.world.nodes:
+        scenario.world.stop(name)
 
 
 @command("freeze")
 def _freeze(scenario: Scenario, words: list[str]) -> None:
-    if words[0] in scenario.world.nodes:
-        scenario.world.freeze(words[0])
+    name = scenario.named(words[0])
+    if name in scenario.world.nodes:
+        scenario.world.freeze(name)
 
 
 @command("thaw")
--- a/packages/ashhoist-standins/src/ashhoist_standins/world.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/world.py
@@ -17,7 +17,7 @@
 from ashhoist.actions import Order, OrderResult
 from ashhoist.claims import Authority
 from ashhoist.clock import ZERO, ManualClock
-from ashhoist.configuration import Change
+from ashhoist.configuration import Change, Verdict
 from ashhoist.core import CoreSettings, Instance
 from ashhoist.failures import Failure, Outcome, Reason, Step, not_run
 from ashhoist.home import EngineState
@@ -743,7 +743,20 @@
             broken += self._broken_by(asked)
         for name, at in self.leaving_at.items():
             broken += self._late_work(name, at)
-        return broken
+        return broken + self._double_winners()
+
+    def _double_winners(self) -> list[str]:
+        """Return the races of operators that more than one of them won."""
+        winners: Counter[str] = Counter()
+        for operation, decision in self.decided.items():
+            won = getattr(decision, "verdict", None) is Verdict.ACCEPTED
+            if operation.startswith("race-") and won:
+                winners[operation.rpartition("-")[0]] += 1
+        return [
+            f"{name} was won {count} times"
+            for name, count in winners.items()
+            if count > 1
+        ]
 
     def _broken_by(self, asked: Asked) -> list[str]:
         request = asked.request
--- a/packages/ashhoist/src/ashhoist/entry.py
+++ b/packages/ashhoist/src/ashhoist/entry.py
@@ -26,10 +26,13 @@
 EXPIRE_GRACE = timedelta(milliseconds=500)
 MOST_ATTEMPTS = 6
 FREE_RETRIES = frozenset({Reason.HOME_MOVED, Reason.NO_HOME})
+SAME_UPSTREAM = frozenset({Reason.HOME_MOVED, Reason.NO_HOME, Reason.HOME_LOST})
+"""The upstream is as good as before; only its home has changed."""
 RETRIED = frozenset(
     {
         Reason.HOME_MOVED,
         Reason.NO_HOME,
+        Reason.NO_ORDERS,
         Reason.UPSTREAM_LEAVING,
         Reason.UPSTREAM_REFUSED,
         Reason.UPSTREAM_UNREACHABLE,
@@ -355,7 +358,7 @@
         self._outside.count("retries", failure.reason)
         call.last = failure
         call.home = ""
-        if failure.reason in FREE_RETRIES:
+        if failure.reason in SAME_UPSTREAM:
             self._wait(call, failure)
             return
         call.tried.add(call.upstream)
--- a/packages/ashhoist/src/ashhoist/failures.py
+++ b/packages/ashhoist/src/ashhoist/failures.py
@@ -49,6 +49,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     NO_UPSTREAM = "no_upstream"
     NO_HOME = "no_home"
+    NO_ORDERS = "no_orders"
     QUEUE_FULL = "queue_full"
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
--- a/packages/ashhoist/src/ashhoist/home.py
+++ b/packages/ashhoist/src/ashhoist/home.py
@@ -257,10 +257,13 @@
         if backoff is not None and backoff.failures >= LOAD_TRIES:
             if backoff.until > now:
                 return self._load_failure(backoff.until - now)
-        if self.authority is None and job.adapter not in self.slots.by_adapter:
+        may_order = self.authority is not None and (
+            self.authority.checks_fence or now < self.authority.valid_until
+        )
+        if not may_order and job.adapter not in self.slots.by_adapter:
             detail = "no instance may give orders now; only resident adapters run"
             return not_run(
-                Reason.NO_HOME, Step.LOAD, self.settings.upstream, detail, WANT_EVERY
+                Reason.NO_ORDERS, Step.LOAD, self.settings.upstream, detail, WANT_EVERY
             )
         return None
 
--- /dev/null
+++ b/tests/test_checkers.py
@@ -0,0 +1,235 @@
+"""The checkers work: with each rule broken on purpose, a scenario fails."""
+
+import itertools
+import unittest
+from typing import Any
+from unittest import mock
+
+from ashhoist.claims import Authority
+from ashhoist.configuration import Change, Configuration, Decision, Verdict
+from ashhoist.core import Instance
+from ashhoist.entry import Entry
+from ashhoist.failures import Failure, Outcome, Reason, Step
+from ashhoist.homes import Homes
+from ashhoist.keys import KeyFold
+from ashhoist.membership import Membership
+from ashhoist.outside import CallerRequest
+from ashhoist.slots import Slot, SlotState, SlotTable
+from ashhoist_standins import EngineModel
+from ashhoist_standins.scenario import Scenario, ScenarioError
+from ashhoist_standins.world import World
+from tests.test_promises import compose, trouble_of
+
+real_resolve = Instance.resolve
+real_unload = EngineModel._unload
+
+
+LATE_UNLOAD = """
+zones 1
+instances 2
+engine e0 zone-0 slots 1 fences
+declare 2
+ask a0
+wait 3s
+delay 20s
+ask a1
+wait 1s
+kill home:e0
+delay 1ms
+wait 6s
+ask a0 tokens 900 stream timeout 60s
+wait 60s
+expect whole = 3
+"""
+HOME_DIES_IN_DISPATCH = """
+zones 2
+instances 2
+service s0 zone-0
+declare 0
+book once from i1
+wait 25ms
+kill home:s0
+wait 20s
+expect unknown = 1
+expect runs = 1
+"""
+
+
+def broken_by(promise: str, *failures: str) -> list[str]:
+    found = []
+    for failure in failures:
+        lines = compose(promise, trouble_of(failure))
+        found += Scenario(1).run("\n".join(lines))
+    return found
+
+
+class BrokenVariantTests(unittest.TestCase):
+    def test_version_ignored(self) -> None:
+        def resolve(core: Instance, request: CallerRequest) -> Any:
+            name = request.model.partition("@")[0]
+            plain = CallerRequest(request.request_id, name, request.service)
+            return real_resolve(core, plain)
+
+        with mock.patch.object(Instance, "resolve", resolve):
+            found = broken_by("adapter_and_version", "popularity_shift")
+        self.assertIn("asked a0@v1, got a0@v2", " ".join(found))
+
+    def test_eviction_in_flight(self) -> None:
+        def evictable(table: SlotTable) -> list[Slot]:
+            slots = table.by_adapter.values()
+            return [slot for slot in slots if slot.state is SlotState.RESIDENT]
+
+        def unload(engine: EngineModel, adapter: str, idle: bool, done: Any) -> None:
+            real_unload(engine, adapter, False, done)
+
+        with (
+            mock.patch.object(SlotTable, "evictable", evictable),
+            mock.patch.object(EngineModel, "_unload", unload),
+        ):
+            found = broken_by("no_unload_under_request", "popularity_shift")
+        self.assertIn("under a request", " ".join(found))
+
+    def test_fences_and_leases_ignored(self) -> None:
+        def unload(engine: EngineModel, adapter: str, idle: bool, done: Any) -> None:
+            real_unload(engine, adapter, False, done)
+
+        with (
+            mock.patch.object(Authority, "may_order", lambda *_: True),
+            mock.patch.object(EngineModel, "_order_error", lambda *_: ""),
+            mock.patch.object(EngineModel, "_unload", unload),
+        ):
+            found = Scenario(1).run(LATE_UNLOAD)
+        self.assertIn("under a request", " ".join(found))
+
+    def test_cut_answer_passed_off_as_whole(self) -> None:
+        def broken(entry: Entry, call: Any, reason: Reason) -> None:
+            entry.end(call.job.id, call.home, call.index)
+
+        def failed(entry: Entry, job_id: Any, source: str, failure: Any) -> None:
+            call = entry.calls.get(job_id[0])
+            if call is not None and call.headed:
+                entry.end(job_id, source, call.index)
+
+        with (
+            mock.patch.object(Entry, "_broken", broken),
+            mock.patch.object(Entry, "failed", failed),
+        ):
+            found = broken_by("whole_own_answers", "engine_restarts_empty")
+        self.assertIn("got '", " ".join(found))
+
+    def test_doubled_pieces_accepted(self) -> None:
+        def data(entry: Entry, job_id: Any, source: str, *piece: Any) -> None:
+            call = entry.calls.get(job_id[0])
+            if call is not None:
+                call.index = max(call.index, piece[0] + piece[1])
+                from ashhoist.outside import ReplyData
+
+                entry._outside.reply(job_id[0], ReplyData(piece[2]))
+                entry._outside.reply(job_id[0], ReplyData(piece[2]))
+
+        with mock.patch.object(Entry, "data", data):
+            found = broken_by("whole_own_answers", "instance_killed")
+        self.assertIn("got '", " ".join(found))
+
+    def test_unknown_told_as_not_run(self) -> None:
+        def broken(entry: Entry, call: Any, reason: Reason) -> None:
+            failure = Failure(reason, Outcome.NOT_RUN, Step.ANSWER)
+            entry._fail(call, failure)
+
+        with mock.patch.object(Entry, "_broken", broken):
+            found = Scenario(1).run(HOME_DIES_IN_DISPATCH)
+        self.assertIn("told not run, but ran", " ".join(found))
+
+    def test_not_repeatable_is_tried_again(self) -> None:
+        with mock.patch.object(Entry, "_may_retry", lambda *_: True):
+            found = broken_by("at_most_once", "answers_lost_after_effect")
+        self.assertIn("ran 2 times", " ".join(found))
+
+    def test_repeated_key_is_not_recognised(self) -> None:
+        with mock.patch.object(KeyFold, "holder", lambda *_: None):
+            with mock.patch("ashhoist.keys._verdict", lambda *_: None):
+                found = broken_by("at_most_once", "popularity_shift")
+        self.assertIn("times", " ".join(found))
+
+    def test_leaving_is_ignored(self) -> None:
+        with (
+            mock.patch.object(Homes, "set_leaving", lambda *_: None),
+            mock.patch.object(Membership, "leaving", lambda *_: False),
+        ):
+            found = broken_by("leaving_upstream", "popularity_shift")
+        self.assertIn("was leaving and got work", " ".join(found))
+
+    def test_planned_stop_does_not_wait(self) -> None:
+        with mock.patch.object(Instance, "idle", True):
+            found = broken_by("planned_stop", "popularity_shift")
+        self.assertIn("cut off a request", " ".join(found))
+
+    def test_both_racing_operators_win(self) -> None:
+        accepted = Decision(Verdict.ACCEPTED, 0)
+        with mock.patch.object(Configuration, "_decide", lambda *_: accepted):
+            found = broken_by("configuration", "operators_race")
+        self.assertIn("was won 2 times", " ".join(found))
+
+    def test_configuration_goes_back(self) -> None:
+        def adopt(changes: Any, newest: Configuration) -> None:
+            changes.state = newest
+
+        world = World(["zone-0"])
+        node = world.add_node("i0", "zone-0")
+        world.run(world.list_lag * 4)
+        for number in range(3):
+            world.change("i0", Change(f"o{number}", "base-models", f"b{number}", {}))
+            world.run(world.list_lag)
+        chunks = node.core.changes.state.to_chunks()
+        world.change("i0", Change("late", "base-models", "late", {}))
+        world.run(world.list_lag)
+        with mock.patch("ashhoist.changes.Changes._adopt", adopt):
+            node.core.records("snapshots", [(9, chunk) for chunk in chunks], True)
+            world.run(world.list_lag)
+        self.assertIn("went back", " ".join(world.broken_promises()))
+
+
+class UnbrokenTests(unittest.TestCase):
+    def test_late_unload_of_a_dead_home_is_refused(self) -> None:
+        self.assertEqual(Scenario(1).run(LATE_UNLOAD), [])
+
+    def test_home_that_dies_in_dispatch_leaves_the_outcome_unknown(self) -> None:
+        self.assertEqual(Scenario(1).run(HOME_DIES_IN_DISPATCH), [])
+
+    def test_old_snapshot_does_not_bring_configuration_back(self) -> None:
+        world = World(["zone-0"])
+        node = world.add_node("i0", "zone-0")
+        world.run(world.list_lag * 4)
+        world.change("i0", Change("one", "base-models", "one", {}))
+        world.run(world.list_lag)
+        chunks = node.core.changes.state.to_chunks()
+        world.change("i0", Change("two", "base-models", "two", {}))
+        world.run(world.list_lag)
+        node.core.records("snapshots", [(9, chunk) for chunk in chunks], True)
+        self.assertEqual(world.broken_promises(), [])
+        self.assertIsNotNone(node.core.changes.state.get("base-models", "two"))
+
+
+class LanguageTests(unittest.TestCase):
+    def test_unknown_command_names_the_line(self) -> None:
+        with self.assertRaisesRegex(ScenarioError, "line 2: 'jump e0': unknown"):
+            Scenario().run("zones 1\njump e0")
+
+    def test_wrong_duration_is_an_error(self) -> None:
+        for text in ("wait 5", "wait s", "wait -1s"):
+            with self.subTest(text), self.assertRaises(ScenarioError):
+                Scenario().run(text)
+
+    def test_same_seed_gives_the_same_run(self) -> None:
+        lines = "\n".join(compose("whole_own_answers", trouble_of("instance_killed")))
+        ends = []
+        for _ in range(2):
+            scenario = Scenario(3)
+            scenario.run(lines)
+            asked = scenario.world.asked.values()
+            ends.append([(item.request.request_id, item.ended_at) for item in asked])
+        self.assertEqual(*itertools.islice(ends, 2))
+
+
+if __name__ == "__main__":
+    unittest.main()
