A refusal after an attempt that may have run is not told as not run

Cause: a repeatable request whose home was lost (outcome unknown) was tried again; when that attempt was refused, the caller was told not_run although the first attempt had run. Ruled out: a late answer of the first home (the run began after the cut). Change: the call keeps the worst outcome of earlier attempts and a final not_run is told as that. Also: placements grow with the number of holders so that a hot adapter spreads beyond three engines; minimum residency is taken out; links are dialled within a context manager.

--- a/packages/ashhoist-cli/src/ashhoist_cli/main.py
+++ b/packages/ashhoist-cli/src/ashhoist_cli/main.py
@@ -318,7 +318,15 @@
             for name, known in sorted(found["instances"].items())
         ]
         print(output.rows(header, lines, self.output))
-        columns = ("upstream", "zone", "home", "running", "waiting", "slots", "adapters")
+        columns = (
+            "upstream",
+            "zone",
+            "home",
+            "running",
+            "waiting",
+            "slots",
+            "adapters",
+        )
         lines = [
             [
                 name,
--- a/packages/ashhoist/src/ashhoist/entry.py
+++ b/packages/ashhoist/src/ashhoist/entry.py
@@ -5,7 +5,7 @@
 (late, doubled, foreign, out of order) never reaches the caller.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from .admission import RetryBudget
@@ -74,6 +74,8 @@
         Number of the next event or byte that the caller shall get.
     resuming : bool
         True if its stream is now read from the engine directly.
+    earlier : Outcome
+        What is known of the attempts before the current one, at the worst.
     """
 
     request: CallerRequest
@@ -91,6 +93,7 @@
     waiting_since: timedelta | None = None
     next_try: timedelta = timedelta()
     paid_retries: int = 0
+    earlier: Outcome = Outcome.NOT_RUN
     last: Failure | None = None
 
 
@@ -356,6 +359,8 @@
             self._fail(call, failure)
             return
         self._outside.count("retries", failure.reason)
+        if failure.outcome is not Outcome.NOT_RUN:
+            call.earlier = failure.outcome
         call.last = failure
         call.home = ""
         if failure.reason in SAME_UPSTREAM:
@@ -379,6 +384,9 @@
 
     def _fail(self, call: Call, failure: Failure) -> None:
         del self.calls[call.request.request_id]
+        if failure.outcome is Outcome.NOT_RUN:
+            # This attempt was not run, but one before it may have been.
+            failure = replace(failure, outcome=call.earlier)
         kind = "refusals" if failure.outcome is Outcome.NOT_RUN else "failures"
         self._outside.count(kind, failure.reason)
         self._outside.reply(call.request.request_id, ReplyFailure(failure))
--- a/packages/ashhoist/src/ashhoist/instances/links.py
+++ b/packages/ashhoist/src/ashhoist/instances/links.py
@@ -47,9 +47,9 @@
 class _Dialled:
     """The end of a dial."""
 
-    def __init__(self, peer: str, link: Link | None) -> None:
+    def __init__(self, peer: str, reached: bool) -> None:
         self.peer = peer
-        self.link = link
+        self.reached = reached
 
 
 class Links(Task):
@@ -227,9 +227,9 @@
 
     def _dial(self, endpoint: Endpoint) -> None:
         token = min(self._tokens)
-        link = None
+        dialled = False
         try:
-            connection = connect(
+            with connect(
                 f"ws://{endpoint.address}/",
                 additional_headers={"Authorization": f"Bearer {token}"},
                 open_timeout=DIAL_TIMEOUT.total_seconds(),
@@ -238,20 +238,20 @@
                 ping_interval=None,
                 proxy=None,
                 user_agent_header=None,
-            )
-            link = self._greet(connection)
-            if link is None:
-                connection.close()
+            ) as connection:
+                link = self._greet(connection)
+                dialled = link is not None
+                self.send(_Dialled(endpoint.name, dialled))
+                if link is not None:
+                    self._run(link)
         except (OSError, TimeoutError, WebSocketException):
-            pass
-        self.send(_Dialled(endpoint.name, link))
-        if link is not None:
-            self._run(link)
+            if not dialled:
+                self.send(_Dialled(endpoint.name, False))
 
     @handles(_Dialled)
     def _dialled(self, dialled: _Dialled) -> None:
         self._dialling.discard(dialled.peer)
-        if dialled.link is not None:
+        if dialled.reached:
             self._failures.pop(dialled.peer, None)
             return
         failures = self._failures.get(dialled.peer, 0) + 1
--- a/packages/ashhoist/src/ashhoist/policies.py
+++ b/packages/ashhoist/src/ashhoist/policies.py
@@ -22,7 +22,6 @@
     Priority.URGENT: 20.0,
 }
 AGEING = timedelta(seconds=10)
-MIN_RESIDENCY = timedelta(seconds=2)
 FAR_ZONE_SECONDS = 0.002
 PACKING_SECONDS = 0.25
 NEXT_CHOICE_SECONDS = 0.1
@@ -215,14 +214,9 @@
     def victim(
         self, slots: Sequence[Slot], benefit: float, demand: Demand, now: timedelta
     ) -> Slot | None:
-        """Choose the slot of the least demand; recency decides between equals.
-
-        A slot that was filled only just now is spared while another can go, so
-        that two adapters do not throw each other out in turn.
-        """
-        settled = [slot for slot in slots if now - slot.since >= MIN_RESIDENCY]
+        """Choose the slot of the least demand; recency decides between equals."""
         return min(
-            settled or slots,
+            slots,
             key=lambda slot: (demand.value(slot.adapter, now), slot.last_used),
             default=None,
         )
--- a/packages/ashhoist/src/ashhoist/residency.py
+++ b/packages/ashhoist/src/ashhoist/residency.py
@@ -97,8 +97,12 @@
     def placements(
         self, group: str, adapter: AdapterVersion, usable: frozenset[str]
     ) -> list[UpstreamView]:
-        """Return the views of the upstreams that an adapter may be placed on."""
+        """Return the views of the upstreams that an adapter may be placed on.
+
+        They are more than hold it already, so that a hot one can spread on.
+        """
         ring = self.rings.setdefault(group, Ring())
         ring.rebuild(usable)
-        names = ring.choose(str(adapter), PLACEMENT_CHOICES)
+        held = len(self.upstreams_by_adapter.get(adapter, ()))
+        names = ring.choose(str(adapter), PLACEMENT_CHOICES + held)
         return [self.views[name] for name in names]
