Work that grows with instances runs four times a second; patience before no_orders

And a home that had only just been taken over refused cold adapters although its claim was on its way. Change: a slow tick of 250 ms for claims, keeper and share; no_orders only after three seconds without authority, then also for what is queued.

--- a/packages/ashhoist-standins/src/ashhoist_standins/world.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/world.py
@@ -313,6 +313,8 @@
         before = self._offsets.get(node.incarnation, -1)
         if state.offset < before:
             self.violations.append(f"configuration of {node.name} went back")
+        if state.offset == before:
+            return
         self._offsets[node.incarnation] = state.offset
         for kind in state.by_kind.values():
             for resource in kind.values():
--- a/packages/ashhoist/src/ashhoist/core.py
+++ b/packages/ashhoist/src/ashhoist/core.py
@@ -32,6 +32,7 @@
 
 SNAPSHOT_KEY = "snapshot-writer"
 SNAPSHOT_PATIENCE = timedelta(seconds=20)
+SLOW_TICK = timedelta(milliseconds=250)
 ASK_PEER_EVERY = timedelta(seconds=1)
 APPEND_PRIORITIES = {
     claims.STREAM: AppendPriority.CLAIM,
@@ -151,6 +152,7 @@
         self._offsets: dict[str, int] = {}
         self._peers: set[str] = set()
         self._beat_at: timedelta | None = None
+        self._slow_at: timedelta | None = None
         self._asked_at: timedelta | None = None
         self._snapshot_due_since: timedelta | None = None
         self._changed_views = True
@@ -872,7 +874,6 @@
         to the next wish at once.
         """
         now = self.clock.monotonic()
-        self.keeper.set_share(self.keeper_choice.share(now))
         for grant in self.keeper.next_grants(now):
             if grant.home == self.name:
                 self._grant_sources[grant.upstream, grant.adapter] = self.name
@@ -900,17 +901,25 @@
         """Do what is due by time; call it every few tens of milliseconds."""
         now = self.clock.monotonic()
         self.entry.tick()
-        self.changes.tick()
-        self.key_recorder.tick(now)
-        self.keeper_choice.update(now)
-        if self.claims_read:
-            self.homes.tick()
+        self.homes.tick()
         self.settle()
         self._send_appends()
+        if self._slow_at is None or now - self._slow_at >= SLOW_TICK:
+            self._slow_at = now
+            self._slow_tick(now)
         if self._beat_at is None or now - self._beat_at >= self.settings.heartbeat:
             self._beat_at = now
             self._beat(now)
 
+    def _slow_tick(self, now: timedelta) -> None:
+        """Do what grows with the number of instances or upstreams."""
+        self.changes.tick()
+        self.key_recorder.tick(now)
+        self.keeper_choice.update(now)
+        self.keeper.set_share(self.keeper_choice.share(now))
+        if self.claims_read:
+            self.homes.tend_claims()
+
     def _beat(self, now: timedelta) -> None:
         heartbeat = self._heartbeat()
         for peer in self._peers:
--- a/packages/ashhoist/src/ashhoist/home.py
+++ b/packages/ashhoist/src/ashhoist/home.py
@@ -43,6 +43,7 @@
 WANT_EVERY = timedelta(seconds=1)
 READ_BACK_EVERY = timedelta(seconds=1)
 DEMAND_HALF_LIFE = timedelta(minutes=10)
+ORDERS_PATIENCE = timedelta(seconds=3)
 BACKOFF_FIRST = timedelta(seconds=1)
 BACKOFF_LONGEST = timedelta(seconds=60)
 LOAD_TRIES = 2
@@ -124,6 +125,7 @@
         self.demand = Demand(DEMAND_HALF_LIFE)
         self.times = ServiceTimes()
         self.authority: Authority | None = None
+        self._without_since = clock.monotonic()
         self.incarnation = ""
         self.leaving = False
         self.releasing = False
@@ -255,16 +257,33 @@
         if backoff is not None and backoff.failures >= LOAD_TRIES:
             if backoff.until > now:
                 return self._load_failure(backoff.until - now)
-        may_order = self.authority is not None and (
-            self.authority.checks_fence or now < self.authority.valid_until
-        )
-        if not may_order and job.adapter not in self.slots.by_adapter:
-            detail = "no instance may give orders now; only resident adapters run"
-            return not_run(
-                Reason.NO_ORDERS, Step.LOAD, self.settings.upstream, detail, WANT_EVERY
-            )
+        if job.adapter not in self.slots.by_adapter and self._without_orders(now):
+            return self._no_orders()
         return None
 
+    def _without_orders(self, now: timedelta) -> bool:
+        """Return whether no orders can be given, and not just for a moment.
+
+        A home that has only now been taken over gets its claim soon; work for
+        absent adapters waits for that long.
+        """
+        if self.authority is None:
+            since = self._without_since
+        elif self.authority.checks_fence:
+            return False
+        else:
+            since = self.authority.valid_until
+        return now - since > ORDERS_PATIENCE
+
+    def _no_orders(self) -> Failure:
+        return not_run(
+            Reason.NO_ORDERS,
+            Step.LOAD,
+            self.settings.upstream,
+            "no instance may give orders now; only resident adapters run",
+            ORDERS_PATIENCE,
+        )
+
     def _load_failure(self, wait: timedelta) -> Failure:
         return not_run(
             Reason.LOAD_FAILED,
@@ -308,9 +327,19 @@
         if now - self._looked_at >= WANT_EVERY:
             self._looked_at = now
             self._stop_draining()
+            self._refuse_without_orders(now)
         if self._read_back_at is not None and self._read_back_at <= now:
             self._read_back(now)
 
+    def _refuse_without_orders(self, now: timedelta) -> None:
+        if not self.settings.engine or not self._without_orders(now):
+            return
+        for job in self.queue:
+            if job.adapter not in self.slots.by_adapter:
+                self.queue.remove(job.id)
+                self._void_if_not_run(job, self._no_orders())
+                self._actions.append(Tell(job, self._no_orders()))
+
     def _advance(self, now: timedelta) -> None:
         self._dispatch_ready(now)
         if not self.settings.engine:
@@ -502,6 +531,7 @@
             self._unload_done(order, result, now)
         if result is OrderResult.STALE_FENCE:
             self.authority = None
+            self._without_since = now
             self._actions.append(HomeLost(self.settings.upstream))
         self._advance(now)
 
@@ -655,6 +685,8 @@
         gained = authority is not None and (
             self.authority is None or self.authority.token != authority.token
         )
+        if authority is None and self.authority is not None:
+            self._without_since = now
         self.authority = authority
         if gained:
             self.releasing = False
--- a/packages/ashhoist/src/ashhoist/homes.py
+++ b/packages/ashhoist/src/ashhoist/homes.py
@@ -370,8 +370,8 @@
         """Note that an append was surely not made."""
         self._pending.pop(operation, None)
 
-    def tick(self) -> None:
-        """Claim, renew and do what is due by time."""
+    def tend_claims(self) -> None:
+        """Claim what has no home, and renew what is held."""
         now = self.clock.monotonic()
         for operation, pending in list(self._pending.items()):
             if now - pending.sent_at >= CLAIM_TIMEOUT:
@@ -379,6 +379,9 @@
         if not self.stopping:
             self._claim_due(now)
         self._renew_due(now)
+
+    def tick(self) -> None:
+        """Do what is due by time in all homes."""
         for name in list(self.by_upstream):
             home = self.by_upstream[name]
             home.tick()
