--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,20 @@
 format: venv
 	$(BIN)/ruff format packages tests
 	$(BIN)/ruff check --fix packages tests
+
+bench: venv
+	scripts/bench.sh $(BIN) all 8
+
+bench-decisions: venv
+	$(BIN)/python -m ashhoist_bench.report --cost
+	$(BIN)/python -m ashhoist_bench.report --ablations
+
+bench-capacity: venv
+	$(BIN)/python -m ashhoist_bench.capacity
+	scripts/bench.sh $(BIN) idle 2
+	scripts/bench.sh $(BIN) idle 4
+	scripts/bench.sh $(BIN) idle 8
+	scripts/bench.sh $(BIN) idle 16
+
+soak: venv
+	$(BIN)/python -m ashhoist_bench.soak
--- a/packages/ashhoist/src/ashhoist/configuration.py
+++ b/packages/ashhoist/src/ashhoist/configuration.py
@@ -8,6 +8,7 @@
 import base64
 import hashlib
 import json
+import sys
 import zlib
 from collections import OrderedDict
 from collections.abc import Iterator
@@ -89,13 +90,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Resource:
-    """A resource in force. Its version is the offset that last changed it."""
+    """A resource in force. Its version is the offset that last changed it.
+
+    The spec is kept as text, as that takes a third of the memory of nested
+    dicts and tens of thousands of adapters are idle.
+    """
 
     kind: str
     name: str
-    spec: dict[str, Any]
+    text: str
     version: int
 
+    @property
+    def spec(self) -> dict[str, Any]:
+        """Return the spec as plain data."""
+        return json.loads(self.text)
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
@@ -109,11 +119,18 @@
 
 @dataclass(slots=True)
 class Configuration:
-    """The state after all records up to `offset`."""
+    """The state after all records up to `offset`.
+
+    Attributes
+    ----------
+    retired_weights : dict
+        Weights by version of the versions that are no longer declared, so that
+        a version never comes back with other weights.
+    """
 
     offset: int = NO_OFFSET
     by_kind: dict[str, dict[str, Resource]] = field(default_factory=dict)
-    weights_by_version: dict[str, str] = field(default_factory=dict)
+    retired_weights: dict[str, str] = field(default_factory=dict)
     decisions_by_operation: "OrderedDict[str, Decision]" = field(
         default_factory=OrderedDict
     )
@@ -169,8 +186,10 @@
             return ""
         if self.get("base-models", str(change.spec.get("base_model"))) is None:
             return f"base model {change.spec.get('base_model')!r} does not exist"
+        known = dict(_weights(change.name, current.spec)) if current else {}
         for version, weights in _weights(change.name, change.spec):
-            if self.weights_by_version.get(version, weights) != weights:
+            before = known.get(version) or self.retired_weights.get(version)
+            if before is not None and before != weights:
                 return f"{version} has other weights; a version cannot change"
         return ""
 
@@ -182,15 +201,23 @@
         return ""
 
     def _put(self, offset: int, change: Change) -> Event:
-        by_name = self.by_kind.setdefault(change.kind, {})
+        kind = sys.intern(change.kind)
+        by_name = self.by_kind.setdefault(kind, {})
+        before = by_name.pop(change.name, None)
+        if kind == "adapters" and before is not None:
+            self._retire(before, change.spec or {})
         if change.spec is None:
-            del by_name[change.name]
-            return Event(offset, change.kind, change.name, None)
-        resource = Resource(change.kind, change.name, change.spec, offset)
+            return Event(offset, kind, change.name, None)
+        text = json.dumps(change.spec, sort_keys=True, separators=(",", ":"))
+        resource = Resource(kind, change.name, text, offset)
         by_name[change.name] = resource
-        if change.kind == "adapters":
-            self.weights_by_version.update(_weights(change.name, change.spec))
-        return Event(offset, change.kind, change.name, resource)
+        return Event(offset, kind, change.name, resource)
+
+    def _retire(self, before: Resource, spec: dict[str, Any]) -> None:
+        kept = dict(_weights(before.name, spec))
+        for version, weights in _weights(before.name, before.spec):
+            if version not in kept:
+                self.retired_weights[version] = weights
 
     def _remember(self, operation: str, decision: Decision) -> None:
         self.decisions_by_operation[operation] = decision
@@ -207,11 +234,11 @@
         """
         state = {
             "resources": [
-                [item.kind, item.name, item.spec, item.version]
+                [item.kind, item.name, item.text, item.version]
                 for kind in sorted(self.by_kind)
                 for item in sorted(self.by_kind[kind].values(), key=lambda r: r.name)
             ],
-            "weights": sorted(self.weights_by_version.items()),
+            "retired": sorted(self.retired_weights.items()),
             "decisions": [
                 [operation, decision.verdict.value, decision.offset, decision.detail]
                 for operation, decision in self.decisions_by_operation.items()
@@ -273,10 +300,11 @@
 
 def _restore(offset: int, state: Any) -> Configuration:
     configuration = Configuration(offset)
-    for kind, name, spec, version in state["resources"]:
+    for kind, name, text, version in state["resources"]:
+        kind = sys.intern(kind)
         by_name = configuration.by_kind.setdefault(kind, {})
-        by_name[name] = Resource(kind, name, spec, version)
-    configuration.weights_by_version = dict(state["weights"])
+        by_name[name] = Resource(kind, name, text, version)
+    configuration.retired_weights = dict(state["retired"])
     for operation, verdict, at, detail in state["decisions"]:
         configuration.decisions_by_operation[operation] = Decision(
             Verdict(verdict), at, detail
--- a/packages/ashhoist/src/ashhoist/core.py
+++ b/packages/ashhoist/src/ashhoist/core.py
@@ -32,6 +32,7 @@
 
 SNAPSHOT_KEY = "snapshot-writer"
 SNAPSHOT_PATIENCE = timedelta(seconds=20)
+HEARTBEATS_AT_ONCE = 8
 SLOW_TICK = timedelta(milliseconds=250)
 ASK_PEER_EVERY = timedelta(seconds=1)
 APPEND_PRIORITIES = {
@@ -129,9 +130,7 @@
         self.keeper = LoadKeeper(
             settings.loads_per_second, settings.loads_at_once, settings.load_timeout
         )
-        self.keeper_choice = KeeperChoice(
-            self.membership, settings.zones, settings.suspect_after
-        )
+        self.keeper_choice = KeeperChoice(self.membership, settings.zones)
         self.key_recorder = keys.KeyRecorder(
             keys.KeyFold(KEY_WINDOW),
             clock,
@@ -152,6 +151,7 @@
         self._offsets: dict[str, int] = {}
         self._peers: set[str] = set()
         self._beat_at: timedelta | None = None
+        self._beats = 0
         self._slow_at: timedelta | None = None
         self._asked_at: timedelta | None = None
         self._snapshot_due_since: timedelta | None = None
@@ -324,12 +324,14 @@
     def peer_down(self, peer: str) -> None:
         """Note that the link to an instance is gone."""
         self._peers.discard(peer)
+        self.membership.link_lost(peer, self.clock.monotonic())
         self.entry.home_lost(peer)
         self.homes.entry_lost(peer)
         self.keeper.forget(peer)
 
     def _heartbeat(self, all_loads: bool = False) -> messages.Heartbeat:
         if all_loads:
+            self._take_loads(self.homes.changed_loads())
             loads = [
                 self.homes.load_of(name, home).to_list()
                 for name, home in self.homes.by_upstream.items()
@@ -433,6 +435,7 @@
             self.homes.cancel(job.upstream, job.id)
 
     def _on_started(self, peer: str, incarnation: str, item: messages.Started) -> None:
+        self._take_loads([item.load])
         self.entry.started((item.request_id, item.attempt), peer)
 
     def _on_head(self, peer: str, incarnation: str, item: messages.Head) -> None:
@@ -733,7 +736,8 @@
         if job.entry == self.name:
             self.entry.started(job.id, self.name)
         else:
-            started = messages.Started(job.request_id, job.attempt)
+            load = self.homes.load_list(job.upstream)
+            started = messages.Started(job.request_id, job.attempt, load)
             self.outside.send_to(job.entry, started)
 
     def record_key(self, job: Job) -> None:
@@ -916,14 +920,15 @@
         """Do what grows with the number of instances or upstreams."""
         self.changes.tick()
         self.key_recorder.tick(now)
-        self.keeper_choice.update(now)
-        self.keeper.set_share(self.keeper_choice.share(now))
         if self.claims_read:
             self.homes.tend_claims()
 
     def _beat(self, now: timedelta) -> None:
-        heartbeat = self._heartbeat()
-        for peer in self._peers:
+        self.keeper_choice.update(now)
+        self.keeper.set_share(self.keeper_choice.share(now))
+        few = len(self._peers) <= HEARTBEATS_AT_ONCE
+        heartbeat = self._heartbeat(all_loads=not few)
+        for peer in self._beat_peers():
             self.outside.send_to(peer, heartbeat)
         for peer in list(self._peers):
             if not self.membership.in_contact(peer, now):
@@ -932,6 +937,17 @@
         self._ask_peer(now)
         self._snapshot(now)
 
+    def _beat_peers(self) -> list[str]:
+        """Return whom to send a heartbeat now: of many, some in turn."""
+        peers = sorted(self._peers)
+        count = len(peers)
+        self.membership.stretch = max(1.0, count / HEARTBEATS_AT_ONCE)
+        if count <= HEARTBEATS_AT_ONCE:
+            return peers
+        start = self._beats * HEARTBEATS_AT_ONCE
+        self._beats += 1
+        return [peers[(start + step) % count] for step in range(HEARTBEATS_AT_ONCE)]
+
     def _snapshot(self, now: timedelta) -> None:
         """Write a snapshot if one is due; the first in rank does it at once."""
         if not self.changes.snapshot_due():
--- a/packages/ashhoist/src/ashhoist/core_task.py
+++ b/packages/ashhoist/src/ashhoist/core_task.py
@@ -19,7 +19,8 @@
 from .tasks import Task, handles
 from .types import Job
 
-TICK = timedelta(milliseconds=50)
+BUSY_SECONDS = 0.05
+IDLE_SECONDS = 0.25
 MEASURE_EVERY = timedelta(seconds=1)
 
 
@@ -32,7 +33,7 @@
     def __init__(
         self, log: Logger, settings: CoreSettings, clock: Clock, metrics: Metrics
     ) -> None:
-        super().__init__("core", log, TICK)
+        super().__init__("core", log, timedelta(seconds=BUSY_SECONDS))
         self._clock = clock
         self._metrics = metrics
         self.core = Instance(settings, clock, self)
@@ -60,6 +61,10 @@
         """Begin to read the log."""
         self.core.start()
 
+    def interval(self) -> float:
+        """Return a longer interval while nothing is in flight."""
+        return IDLE_SECONDS if self.core.idle else BUSY_SECONDS
+
     def settle(self) -> None:
         """Grant the loads that are due."""
         self.core.settle()
--- a/packages/ashhoist/src/ashhoist/daemon.py
+++ b/packages/ashhoist/src/ashhoist/daemon.py
@@ -97,7 +97,9 @@
     def _make_tasks(self) -> None:
         settings, clock = self.settings, self.clock
         name, core_settings = self._own.name, self._core_settings()
-        self.transfers = TransferTask(logs.get("transfers", instance=name))
+        self.transfers = TransferTask(
+            logs.get("transfers", instance=name), self.metrics.count
+        )
         self.core = CoreTask(
             logs.get("core", instance=name), core_settings, clock, self.metrics
         )
--- a/packages/ashhoist/src/ashhoist/homes.py
+++ b/packages/ashhoist/src/ashhoist/homes.py
@@ -136,6 +136,7 @@
     _pending: dict[str, _PendingClaim] = field(default_factory=dict)
     _sent_at: dict[str, timedelta] = field(default_factory=dict)
     _reads: dict[str, timedelta] = field(default_factory=dict)
+    _near: list[str] = field(default_factory=list)
     _told: dict[str, UpstreamLoad] = field(default_factory=dict)
     _renewed_at: timedelta = timedelta()
     _kept_at: timedelta = timedelta()
@@ -195,6 +196,12 @@
                 self.by_upstream[name].leave()
                 self._carry_out(self.by_upstream[name])
         self.settings = settings
+        own = self.membership.own
+        self._near = [
+            name
+            for name, item in settings.items()
+            if item.engine and (item.zone, item.region) == (own.zone, own.region)
+        ]
         self.policy = policy
         for name, home in self.by_upstream.items():
             home.policy = policy
@@ -390,11 +397,9 @@
 
     def _claim_due(self, now: timedelta) -> None:
         pending = {name for item in self._pending.values() for name in item.upstreams}
-        for name, settings in self.settings.items():
-            own = self.membership.own
-            if (settings.zone, settings.region) != (own.zone, own.region):
-                continue
-            if not settings.engine or name in pending:
+        own = self.membership.own
+        for name in self._near:
+            if name in pending:
                 continue
             if self.holder_of(name) is not None or self._first(name) != own.name:
                 continue
@@ -484,6 +489,10 @@
             home.times.load // timedelta(milliseconds=1),
         )
 
+    def load_list(self, upstream: str) -> list[Any]:
+        """Return a load in the form that travels between instances."""
+        return self.load_of(upstream, self.by_upstream[upstream]).to_list()
+
     # Actions
 
     def _carry_out(self, home: Home) -> None:
--- a/packages/ashhoist/src/ashhoist/instance_list/client.py
+++ b/packages/ashhoist/src/ashhoist/instance_list/client.py
@@ -12,7 +12,7 @@
 from ..transfers import Transfer, TransferEnd, WholeSink
 from ..types import Endpoint
 
-POLL_EVERY = timedelta(milliseconds=500)
+POLL_EVERY = timedelta(seconds=1)
 POLL_TIMEOUT = timedelta(seconds=3)
 
 
--- a/packages/ashhoist/src/ashhoist/instances/links.py
+++ b/packages/ashhoist/src/ashhoist/instances/links.py
@@ -28,7 +28,7 @@
 from ..types import Endpoint
 from ._link import Link
 
-TICK = timedelta(milliseconds=200)
+TICK = timedelta(milliseconds=400)
 DIAL_TIMEOUT = timedelta(seconds=2)
 HELLO_TIMEOUT = timedelta(seconds=3)
 FINISH_TIMEOUT = timedelta(seconds=2)
--- a/packages/ashhoist/src/ashhoist/loads.py
+++ b/packages/ashhoist/src/ashhoist/loads.py
@@ -138,18 +138,12 @@
 
     Each instance names its keeper in its heartbeats. A keeper grants the shares
     of the zones that name it and no other. An instance that loses its keeper
-    names none for `contact` before it names the next, so that the old keeper
-    has stopped granting the zone's share by then.
-
-    Parameters
-    ----------
-    contact : timedelta
-        Silence after which a zone's share is no longer granted.
+    names none for as long as silence counts as loss before it names the next, so
+    that the old keeper has stopped granting the zone's share by then.
     """
 
     membership: Membership
     zones: int
-    contact: timedelta
     name: str = ""
     lost_at: timedelta | None = None
 
@@ -168,7 +162,7 @@
         if self.lost_at is None or self.name:
             self.name = ""
             self.lost_at = now
-        if now - self.lost_at >= self.contact:
+        if now - self.lost_at >= self.membership.patience:
             self.name = best
             self.lost_at = None
         return self.name
@@ -183,8 +177,7 @@
         for name, endpoint in self.membership.by_name.items():
             if endpoint.kind != "entry" or endpoint.region != own.region:
                 continue
-            heard_at = self.membership.heard_at.get(name)
-            if name == own.name or heard_at is None or now - heard_at > self.contact:
+            if name == own.name or not self.membership.in_contact(name, now):
                 continue
             keeper = self.membership.keepers.get(name, "")
             (named if keeper == own.name else other).add(endpoint.zone)
--- a/packages/ashhoist/src/ashhoist/log_service/client.py
+++ b/packages/ashhoist/src/ashhoist/log_service/client.py
@@ -20,7 +20,7 @@
 READ_LIMIT = 1000
 RETRY_FIRST = timedelta(milliseconds=200)
 RETRY_LONGEST = timedelta(seconds=2)
-TICK = timedelta(milliseconds=50)
+TICK = timedelta(milliseconds=400)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ashhoist/src/ashhoist/membership.py
+++ b/packages/ashhoist/src/ashhoist/membership.py
@@ -7,10 +7,16 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import lru_cache
 
 from .types import Endpoint
 
+SCORES_KEPT = 65_536
+LINK_GRACE = timedelta(seconds=1)
+"""An instance whose link broke has so long to link again."""
 
+
+@lru_cache(maxsize=SCORES_KEPT)
 def rendezvous_score(key: str, name: str) -> int:
     """Return the weight of `name` for `key`; the highest wins."""
     digest = hashlib.blake2b(f"{key}|{name}".encode(), digest_size=8).digest()
@@ -31,11 +37,17 @@
     own : Endpoint
         This instance.
     suspect_after : timedelta
-        Silence after which an instance counts as lost.
+        Silence after which an instance counts as lost, in a small deployment.
+
+    Attributes
+    ----------
+    stretch : float
+        How many times rarer heartbeats are because there are many instances.
     """
 
     own: Endpoint
     suspect_after: timedelta
+    stretch: float = 1.0
     by_name: dict[str, Endpoint] = field(default_factory=dict)
     heard_at: dict[str, timedelta] = field(default_factory=dict)
     listed_at: dict[str, timedelta] = field(default_factory=dict)
@@ -78,6 +90,17 @@
         if leaving:
             self.leaving_by_word[name] = incarnation
 
+    @property
+    def patience(self) -> timedelta:
+        """Return the silence after which an instance counts as lost."""
+        return self.suspect_after * self.stretch
+
+    def link_lost(self, name: str, now: timedelta) -> None:
+        """Note that the link to an instance broke: a sign worth much silence."""
+        heard = self.heard_at.get(name)
+        if heard is not None:
+            self.heard_at[name] = min(heard, now - self.patience + LINK_GRACE)
+
     def leaving(self, name: str) -> bool:
         """Return whether a member is leaving, by the list or its own word."""
         endpoint = self.by_name.get(name)
@@ -92,14 +115,14 @@
         if name not in self.by_name:
             return False
         since = self.heard_at.get(name, self.listed_at[name])
-        return now - since <= self.suspect_after
+        return now - since <= self.patience
 
     def in_contact(self, name: str, now: timedelta) -> bool:
         """Return whether an instance has been heard within the last while."""
         if name == self.own.name:
             return True
         heard = self.heard_at.get(name)
-        return heard is not None and now - heard <= self.suspect_after
+        return heard is not None and now - heard <= self.patience
 
     def instances(
         self, now: timedelta, zone: str | None = None, region: str | None = None
--- a/packages/ashhoist/src/ashhoist/messages.py
+++ b/packages/ashhoist/src/ashhoist/messages.py
@@ -159,10 +159,18 @@
 @message(6)
 @dataclass(frozen=True, slots=True)
 class Started:
-    """The home is about to send the request upstream; it may run from now."""
+    """The home is about to send the request upstream; it may run from now.
+
+    Parameters
+    ----------
+    load : list
+        The `UpstreamLoad` of the upstream, as a list: whom an instance works
+        with it knows best.
+    """
 
     request_id: str
     attempt: int
+    load: list
 
 
 @message(7)
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -23,6 +23,7 @@
     "bad_frames": ("Frames between instances that were not accepted", ("reason",)),
     "links_closed": ("Links between instances closed here", ("reason",)),
     "link_bytes": ("Bytes between instances", ("direction",)),
+    "transfer_bytes": ("Bytes of HTTP to the outside", ("kind",)),
     "loads": ("Adapter loads that ended", ("result",)),
     "appends": ("Appends to the log", ("stream", "result")),
     "http_requests": ("HTTP requests of callers and operators", ("status",)),
--- a/packages/ashhoist/src/ashhoist/tasks.py
+++ b/packages/ashhoist/src/ashhoist/tasks.py
@@ -81,7 +81,7 @@
 
     def _run_once(self) -> None:
         try:
-            message = self._mailbox.get(timeout=self._interval)
+            message = self._mailbox.get(timeout=self.interval())
         except queue.Empty:
             message = None
         for _ in range(DRAIN_LIMIT):
@@ -96,7 +96,7 @@
         self.guarded(self.settle)
         now = time.monotonic()
         if now >= self._tick_at:
-            self._tick_at = now + self._interval
+            self._tick_at = now + self.interval()
             self.guarded(self.tick)
 
     def handle(self, message: Any) -> None:
@@ -123,6 +123,10 @@
     def closed(self) -> None:
         """Close what the task owns. Runs on the task's thread."""
 
+    def interval(self) -> float:
+        """Return the seconds until `tick` is due while messages keep away."""
+        return self._interval
+
     def settle(self) -> None:
         """Do what is due after a round of messages."""
 
--- a/packages/ashhoist/src/ashhoist/transfers.py
+++ b/packages/ashhoist/src/ashhoist/transfers.py
@@ -7,7 +7,7 @@
 import selectors
 import socket
 import time
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any, Protocol
@@ -89,6 +89,11 @@
     once: bool = False
     may_start: Any = None
 
+    @property
+    def kind(self) -> str:
+        """Return what the transfer is for, as a metric's label."""
+        return self.id[0] if isinstance(self.id, tuple) else str(self.id)
+
 
 @dataclass(frozen=True, slots=True)
 class Abort:
@@ -113,6 +118,7 @@
         self.headers: dict[str, str] = {}
         self.headed = False
         self.status = 0
+        self.bytes_moved = 0
         self.curl = pycurl.Curl()
         self._dirty = dirty
         self._set_up(transfer)
@@ -169,15 +175,28 @@
         unsent = code in NO_BYTE_SENT or (
             code != 0 and self.curl.getinfo(pycurl.REQUEST_SIZE) == 0
         )
+        self.bytes_moved = int(
+            self.curl.getinfo(pycurl.REQUEST_SIZE)
+            + self.curl.getinfo(pycurl.HEADER_SIZE)
+            + self.curl.getinfo(pycurl.SIZE_DOWNLOAD_T)
+            + self.curl.getinfo(pycurl.SIZE_UPLOAD_T)
+        )
         self.transfer.sink.flush()
         self.transfer.sink.done(TransferEnd(code == 0, not unsent, self.status, detail))
 
 
 class TransferTask(Task):
-    """Owns the multi handle and all its connections."""
+    """Owns the multi handle and all its connections.
+
+    Parameters
+    ----------
+    count : callable or None
+        Counts the bytes of transfers by kind.
+    """
 
-    def __init__(self, log: Logger) -> None:
+    def __init__(self, log: Logger, count: Callable[..., None] | None = None) -> None:
         super().__init__("transfers", log, timedelta(seconds=1))
+        self._count = count
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
@@ -280,6 +299,9 @@
         self._handles.pop(handle.transfer.id, None)
         self._dirty.pop(handle, None)
         self.guarded(handle.finish, code, detail)
+        if self._count is not None:
+            kind = handle.transfer.kind
+            self._count("transfer_bytes", kind, amount=handle.bytes_moved)
         self._remove(handle)
 
     def _remove(self, handle: _Handle) -> None:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -135,7 +135,7 @@
         endpoints = [Endpoint(f"i{n}", f"zone-{n}", "r", "x") for n in range(3)]
         membership = Membership(endpoints[int(own[1])], seconds(3))
         membership.apply_list(endpoints, ZERO)
-        return KeeperChoice(membership, 3, seconds(3))
+        return KeeperChoice(membership, 3)
 
     def test_shares_of_both_sides_of_a_cut_never_exceed_the_whole(self) -> None:
         choices = {name: self.choice(name) for name in ("i0", "i1", "i2")}
