--- a/packages/ashhoist-bench/src/ashhoist_bench/load.py
+++ b/packages/ashhoist-bench/src/ashhoist_bench/load.py
@@ -36,6 +36,7 @@
     outcome: str
     reason: str = ""
     problem: str = ""
+    request_id: str = ""
 
 
 @dataclass(slots=True)
@@ -118,7 +119,9 @@
     if status != 200 or b"event: error" in text:
         problem = _problem(text)
         outcome = problem.get("outcome", "unknown")
-        return Result(asked, seconds, outcome, problem.get("reason", str(status)))
+        reason = problem.get("reason", str(status))
+        request_id = found.get("x-ashhoist-request-id", "")
+        return Result(asked, seconds, outcome, reason, "", request_id)
     problem_text = check_answer(asked, found, text)
     return Result(asked, seconds, "whole", "", problem_text)
 
--- a/packages/ashhoist-standins/src/ashhoist_standins/engine.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/engine.py
@@ -107,6 +107,8 @@
 
     Attributes
     ----------
+    started : list of tuple
+        Request id and attempt of all that was ever taken.
     steps, filled : int
         Steps run so far, and requests summed over them: their quotient over
         `max_batch` is the batch efficiency.
--- a/packages/ashhoist/src/ashhoist/daemon.py
+++ b/packages/ashhoist/src/ashhoist/daemon.py
@@ -278,8 +278,13 @@
         self.close()
         return clean
 
+    def abort(self) -> None:
+        """End as a failure would: all connections break, nothing is handed over."""
+        self.links.abort()
+        self.close()
+
     def close(self) -> None:
-        """End all tasks at once, as a failure would."""
+        """End all tasks at once; nothing is handed over."""
         self._http.shutdown()
         self._http.server_close()
         for task in (
--- a/packages/ashhoist/src/ashhoist/instances/links.py
+++ b/packages/ashhoist/src/ashhoist/instances/links.py
@@ -132,6 +132,11 @@
             link.close()
         self._server.shutdown()
 
+    def abort(self) -> None:
+        """Break all links at once."""
+        for link in list(self._links.values()):
+            link.close()
+
     def send_to(self, peer: str, message: Any) -> bool:
         """Send a message to an instance; return False if there is no link."""
         link = self._links.get(peer)
