--- a/packages/ashhoist-bench/src/ashhoist_bench/soak.py
+++ b/packages/ashhoist-bench/src/ashhoist_bench/soak.py
@@ -12,6 +12,7 @@
 from ashhoist.exceptions import ConnectError
 from ashhoist_cli import Client
 
+from .decisions import part
 from .deployment import CALLER_TOKEN, OPERATOR_TOKEN, Deployment, Shape, wait_for
 from .load import Asked, Load, Popularity, Results
 
@@ -20,6 +21,7 @@
 FAULT_EVERY = (4.0, 10.0)
 BOOKING_EVERY = 0.5
 CHANGE_EVERY = 2.0
+LOOK_EVERY_SECONDS = 0.005
 LISTED_AFTER_KILL_SECONDS = 2.0
 
 
@@ -37,6 +39,7 @@
         self.cut_off = 0
         self.reverted = 0
         self.accepted: dict[str, int] = {}
+        self.in_force: list[float] = []
         self.booked = 0
         self._births = len(self.live)
         self._lock = threading.Lock()
@@ -90,9 +93,23 @@
     def _change(self) -> None:
         name = f"model-{len(self.accepted)}"
         path = f"/apis/v1/base-models/{name}"
+        started = time.monotonic()
         answer = self.client(OPERATOR_TOKEN).request("PUT", path, {"spec": {}})
-        if answer.status == 200:
-            self.accepted[name] = answer.json()["resourceVersion"]
+        if answer.status != 200:
+            return
+        version = answer.json()["resourceVersion"]
+        self.accepted[name] = version
+        while not self._in_force(version):
+            time.sleep(LOOK_EVERY_SECONDS)
+        self.in_force.append(time.monotonic() - started)
+
+    def _in_force(self, version: int) -> bool:
+        with self._lock:
+            daemons = [self.deployment.daemons[name] for name in self.live]
+        return all(
+            daemon.read(lambda core: core.changes.state.offset) >= version
+            for daemon in daemons
+        )
 
     # Faults
 
@@ -205,6 +222,7 @@
             "reasons": dict(self.results.reasons()),
             "bookings": self.booked,
             "changes accepted": len(self.accepted),
+            "change in force p50, p99": _quantiles(self.in_force),
             "doubled bookings": doubles,
             "wrong answers": len(self.results.problems()),
             "unloads under a request": len(violations),
@@ -218,6 +236,11 @@
         return not any(bad) and not self.reverted
 
 
+def _quantiles(values: list[float]) -> str:
+    ordered = sorted(values)
+    return f"{part(ordered, 0.5):.3f} s, {part(ordered, 0.99):.3f} s"
+
+
 def main() -> int:
     """Run the soak."""
     parser = argparse.ArgumentParser(description=__doc__)
