--- a/packages/ashhoist-standins/src/ashhoist_standins/world.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/world.py
@@ -137,7 +137,7 @@
 
     def _deliver(self, other: "Node", message: Any) -> None:
         if self.name in other.peers:
-            other.call(other.core.message, self.name, self.incarnation, message)
+            other.call(other.core.inbound.message, self.name, self.incarnation, message)
 
     def drop(self, peer: str) -> None:
         """Close the link to an instance."""
@@ -159,7 +159,7 @@
         if not self.world.connected(self.name, address):
             failure = not_run(Reason.UPSTREAM_UNREACHABLE, Step.DISPATCH, address)
             self.world.later(
-                HOP, self.call, self.core.dispatch_done, job.id, 0, failure
+                HOP, self.call, self.core.answers.dispatch_done, job.id, 0, failure
             )
             return
         if address in self.world.services:
@@ -524,11 +524,19 @@
             }
             reason = reasons.get(taken.error, Reason.UPSTREAM_REFUSED)
             failure = not_run(reason, Step.DISPATCH, address)
-            self.later(HOP, node.call, node.core.dispatch_done, job.id, 0, failure)
+            self.later(
+                HOP, node.call, node.core.answers.dispatch_done, job.id, 0, failure
+            )
             return
         self._readers[address, job.id].append(_Reader(node, job, 0, False))
         self.later(
-            HOP, node.call, node.core.dispatch_head, job.id, 200, {}, engine.incarnation
+            HOP,
+            node.call,
+            node.core.answers.dispatch_head,
+            job.id,
+            200,
+            {},
+            engine.incarnation,
         )
 
     def _note_work(self, node: Node, address: str) -> None:
@@ -552,7 +560,9 @@
             failure = Failure(
                 Reason.ANSWER_CUT, Outcome.FAILED, Step.ANSWER, address, "gone"
             )
-            self.later(HOP, node.call, node.core.resumed_done, job, index, failure)
+            self.later(
+                HOP, node.call, node.core.answers.resumed_done, job, index, failure
+            )
             return
         reader = _Reader(node, job, index, True)
         self._readers[address, job.id].append(reader)
@@ -573,19 +583,35 @@
             data = run.token(reader.index).encode()
             if reader.resumed:
                 self.later(
-                    HOP, node.call, core.resumed_data, job, reader.index, 1, data
+                    HOP,
+                    node.call,
+                    core.answers.resumed_data,
+                    job,
+                    reader.index,
+                    1,
+                    data,
                 )
             else:
                 self.later(
-                    HOP, node.call, core.dispatch_data, job.id, reader.index, 1, data
+                    HOP,
+                    node.call,
+                    core.answers.dispatch_data,
+                    job.id,
+                    reader.index,
+                    1,
+                    data,
                 )
             reader.index += 1
         if not run.ended:
             return
         if reader.resumed:
-            self.later(HOP, node.call, core.resumed_done, job, reader.index, None)
+            self.later(
+                HOP, node.call, core.answers.resumed_done, job, reader.index, None
+            )
         else:
-            self.later(HOP, node.call, core.dispatch_done, job.id, reader.index, None)
+            self.later(
+                HOP, node.call, core.answers.dispatch_done, job.id, reader.index, None
+            )
 
     def restart(self, name: str) -> None:
         """Restart an engine empty; open answers are cut."""
@@ -603,11 +629,21 @@
         failure = Failure(Reason.ANSWER_CUT, Outcome.FAILED, Step.ANSWER, address)
         if reader.resumed:
             self.later(
-                HOP, node.call, node.core.resumed_done, job, reader.index, failure
+                HOP,
+                node.call,
+                node.core.answers.resumed_done,
+                job,
+                reader.index,
+                failure,
             )
         else:
             self.later(
-                HOP, node.call, node.core.dispatch_done, job.id, reader.index, failure
+                HOP,
+                node.call,
+                node.core.answers.dispatch_done,
+                job.id,
+                reader.index,
+                failure,
             )
 
     def take_order(self, node: Node, order: Order, address: str) -> None:
@@ -673,7 +709,12 @@
             service.lost_answers -= 1
             failure = Failure(Reason.ANSWER_CUT, Outcome.UNKNOWN, Step.ANSWER, address)
             self.later(
-                LOST_ANSWER, node.call, node.core.dispatch_done, job.id, 0, failure
+                LOST_ANSWER,
+                node.call,
+                node.core.answers.dispatch_done,
+                job.id,
+                0,
+                failure,
             )
             return
         self.later(service.seconds, self._served, node, job, address)
@@ -682,12 +723,14 @@
         core = node.core
         if not self.connected(node.name, address):
             failure = Failure(Reason.ANSWER_CUT, Outcome.UNKNOWN, Step.ANSWER, address)
-            self.later(LOST_ANSWER, node.call, core.dispatch_done, job.id, 0, failure)
+            self.later(
+                LOST_ANSWER, node.call, core.answers.dispatch_done, job.id, 0, failure
+            )
             return
         data = f"done {job.request_id}".encode()
-        node.call(core.dispatch_head, job.id, 200, {}, "")
-        node.call(core.dispatch_data, job.id, 0, len(data), data)
-        node.call(core.dispatch_done, job.id, len(data), None)
+        node.call(core.answers.dispatch_head, job.id, 200, {}, "")
+        node.call(core.answers.dispatch_data, job.id, 0, len(data), data)
+        node.call(core.answers.dispatch_done, job.id, len(data), None)
 
     # Callers and operators
 
--- a/packages/ashhoist/src/ashhoist/core_task.py
+++ b/packages/ashhoist/src/ashhoist/core_task.py
@@ -16,6 +16,7 @@
 from .metrics import Metrics
 from .outside import JobId, Reply, ReplyEnd, ReplyFailure
 from .services import ServiceClient
+from .status import summary
 from .tasks import Task, handles
 from .types import Job
 
@@ -67,7 +68,7 @@
 
     def settle(self) -> None:
         """Grant the loads that are due."""
-        self.core.settle()
+        self.core.grants.settle()
 
     def tick(self) -> None:
         """Do what is due by time."""
@@ -95,25 +96,25 @@
 
     @handles(bridge.DispatchHead)
     def _dispatch_head(self, item: bridge.DispatchHead) -> None:
-        self.core.dispatch_head(
+        self.core.answers.dispatch_head(
             item.job_id, item.status, item.headers, item.incarnation
         )
 
     @handles(bridge.DispatchData)
     def _dispatch_data(self, item: bridge.DispatchData) -> None:
-        self.core.dispatch_data(item.job_id, item.index, item.count, item.data)
+        self.core.answers.dispatch_data(item.job_id, item.index, item.count, item.data)
 
     @handles(bridge.DispatchDone)
     def _dispatch_done(self, item: bridge.DispatchDone) -> None:
-        self.core.dispatch_done(item.job_id, item.count, item.failure)
+        self.core.answers.dispatch_done(item.job_id, item.count, item.failure)
 
     @handles(bridge.ResumedData)
     def _resumed_data(self, item: bridge.ResumedData) -> None:
-        self.core.resumed_data(item.job, item.index, item.count, item.data)
+        self.core.answers.resumed_data(item.job, item.index, item.count, item.data)
 
     @handles(bridge.ResumedDone)
     def _resumed_done(self, item: bridge.ResumedDone) -> None:
-        self.core.resumed_done(item.job, item.count, item.failure)
+        self.core.answers.resumed_done(item.job, item.count, item.failure)
 
     @handles(bridge.OrderDone)
     def _order_done(self, item: bridge.OrderDone) -> None:
@@ -163,7 +164,7 @@
     def _peer_messages(self, item: bridge.PeerMessages) -> None:
         for message in item.messages:
             try:
-                self.core.message(item.peer, item.incarnation, message)
+                self.core.inbound.message(item.peer, item.incarnation, message)
             except ValueError as error:
                 self.count("bad_frames", "value")
                 self.log.warning("bad message", peer=item.peer, why=str(error))
@@ -275,9 +276,9 @@
                 self.observe("batch_fill", value)
             for result, number in measures.loads.items():
                 self._metrics.count("loads", result, amount=number)
-        status = core.status_summary()
+        figures = summary(core)
         gauge("open_calls", len(core.entry.calls))
         gauge("configuration_offset", core.changes.state.offset)
-        gauge("log_lag_seconds", status.log_lag)
-        gauge("instances_in_contact", status.in_contact)
+        gauge("log_lag_seconds", figures.log_lag)
+        gauge("instances_in_contact", figures.in_contact)
         gauge("ready", 1 if core.ready else 0)
--- a/packages/ashhoist/src/ashhoist/homes.py
+++ b/packages/ashhoist/src/ashhoist/homes.py
@@ -77,9 +77,40 @@
     action: ClaimAction
 
 
+class AnswersSide(Protocol):
+    """Tells the entries what became of their jobs."""
+
+    def tell_failed(self, job: Job, failure: Failure) -> None:
+        """Tell a job's entry that it failed."""
+
+    def tell_started(self, job: Job) -> None:
+        """Tell a job's entry that it is about to be sent."""
+
+
+class GrantsSide(Protocol):
+    """Passes wishes for loads on to the keeper."""
+
+    def want_load(self, wanted: actions.WantLoad) -> None:
+        """Pass a wanted load to the keeper."""
+
+    def drop_want(self, dropped: actions.DropWant) -> None:
+        """Withdraw a wanted load."""
+
+    def return_grant(self, returned: actions.ReturnGrant) -> None:
+        """Return a grant to whom it came from."""
+
+
 class HomeOwner(Protocol):
     """What `Homes` needs of the instance."""
 
+    @property
+    def answers(self) -> AnswersSide:
+        """Return what tells the entries."""
+
+    @property
+    def grants(self) -> GrantsSide:
+        """Return what asks for loads."""
+
     def append(
         self,
         priority: AppendPriority,
@@ -92,27 +123,12 @@
     def new_operation(self) -> str:
         """Return an operation id that is used once."""
 
-    def tell_failed(self, job: Job, failure: Failure) -> None:
-        """Tell a job's entry that it failed."""
-
-    def tell_started(self, job: Job) -> None:
-        """Tell a job's entry that it is about to be sent."""
-
     def record_key(self, job: Job) -> None:
         """Record the key of a job."""
 
     def void_key(self, job: Job) -> None:
         """Void the key of a job that was not run."""
 
-    def want_load(self, wanted: actions.WantLoad) -> None:
-        """Pass a wanted load to the keeper."""
-
-    def drop_want(self, dropped: actions.DropWant) -> None:
-        """Withdraw a wanted load."""
-
-    def return_grant(self, returned: actions.ReturnGrant) -> None:
-        """Return a grant to whom it came from."""
-
     def residency_changed(self, change: actions.ResidencyChanged) -> None:
         """Tell everybody what an upstream holds."""
 
@@ -315,7 +331,7 @@
         """Take in a granted load."""
         home = self.by_upstream.get(upstream)
         if home is None:
-            self.owner.return_grant(
+            self.owner.grants.return_grant(
                 actions.ReturnGrant(upstream, adapter, grant, False)
             )
             return
@@ -533,12 +549,12 @@
     actions.Dispatch: Homes._dispatch,
     actions.CancelDispatch: Homes._cancel,
     actions.HomeLost: Homes._home_lost,
-    actions.Tell: lambda homes, a: homes.owner.tell_failed(a.job, a.failure),
-    actions.TellStarted: lambda homes, a: homes.owner.tell_started(a.job),
+    actions.Tell: lambda homes, a: homes.owner.answers.tell_failed(a.job, a.failure),
+    actions.TellStarted: lambda homes, a: homes.owner.answers.tell_started(a.job),
     actions.RecordKey: lambda homes, a: homes.owner.record_key(a.job),
     actions.VoidKey: lambda homes, a: homes.owner.void_key(a.job),
-    actions.WantLoad: lambda homes, a: homes.owner.want_load(a),
-    actions.DropWant: lambda homes, a: homes.owner.drop_want(a),
-    actions.ReturnGrant: lambda homes, a: homes.owner.return_grant(a),
+    actions.WantLoad: lambda homes, a: homes.owner.grants.want_load(a),
+    actions.DropWant: lambda homes, a: homes.owner.grants.drop_want(a),
+    actions.ReturnGrant: lambda homes, a: homes.owner.grants.return_grant(a),
     actions.ResidencyChanged: lambda homes, a: homes.owner.residency_changed(a),
 }
--- a/packages/ashhoist/src/ashhoist/operators/app.py
+++ b/packages/ashhoist/src/ashhoist/operators/app.py
@@ -24,6 +24,7 @@
 from ..failures import Failure, Outcome, Reason, Step, not_run
 from ..resources import models_by_kind, validate
 from ..settings import NAME_PATTERN
+from ..status import status as status_of
 from ._openapi import document
 
 PREFIX = "/apis/v1/"
@@ -78,8 +79,8 @@
     def _route(self, request: Request) -> Response | Failure:
         kind, _, name = request.path.removeprefix(PREFIX).partition("/")
         if kind == "status" and request.method == "GET":
-            status = self._read(lambda core: core.status())
-            return web.json_response(asdict(status))
+            found = self._read(status_of)
+            return web.json_response(asdict(found))
         if kind == "operations" and request.method == "GET":
             return self._operation(name)
         if kind not in models_by_kind:
@@ -287,7 +288,7 @@
     resource = core.changes.state.get(kind, name)
     if resource is None:
         return None
-    status = core.status()
+    status = status_of(core)
     behind = [
         other
         for other, known in status.instances.items()
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -14,13 +14,14 @@
 from ashhoist.keys import KeyFold
 from ashhoist.membership import Membership
 from ashhoist.outside import CallerRequest
+from ashhoist.routes import Routes
 from ashhoist.slots import Slot, SlotState, SlotTable
 from ashhoist_standins import EngineModel
 from ashhoist_standins.scenario import Scenario, ScenarioError
 from ashhoist_standins.world import World
 from tests.test_promises import compose, trouble_of
 
-real_resolve = Instance.resolve
+real_resolve = Routes.resolve
 real_unload = EngineModel._unload
 
 
@@ -126,12 +127,12 @@
 
 class BrokenVariantTests(unittest.TestCase):
     def test_version_ignored(self) -> None:
-        def resolve(core: Instance, request: CallerRequest) -> Any:
+        def resolve(core: Routes, request: CallerRequest) -> Any:
             name = request.model.partition("@")[0]
             plain = CallerRequest(request.request_id, name, request.service)
             return real_resolve(core, plain)
 
-        with mock.patch.object(Instance, "resolve", resolve):
+        with mock.patch.object(Routes, "resolve", resolve):
             found = broken_by("adapter_and_version", "popularity_shift")
         self.assertIn("asked a0@v1, got a0@v2", " ".join(found))
 
