A cancelled request no longer keeps its place at the home for ever

Cause: cancelling ends the transfer without a last call to its sink, so the home went on counting the request as running: the slot stayed pinned and the batch one smaller, until the home moved. Found by the new test of a slow caller, after which an unrelated request ran into its deadline. Ruled out: the engine (its batch was empty), the flow window (held). Change: the home is told once the engine has answered the cancel, and at once for services. Also: a test of flow control and one of TLS; the stand-in engine shows cache events late and with gaps, a lagging load report, and takes role orders.

--- a/packages/ashhoist-standins/src/ashhoist_standins/engine.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/engine.py
@@ -6,6 +6,7 @@
 
 import json
 import threading
+from collections import deque
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future
 from contextlib import nullcontext
@@ -24,6 +25,8 @@
 from .weight_store import WeightStoreModel
 
 ENDED_KEPT = 512
+HISTORY_KEPT = 256
+PREFIXES_CACHED = 64
 STREAM_WAIT_SECONDS = 10.0
 PREFIX_LETTERS = 256
 
@@ -125,6 +128,7 @@
     now: timedelta = ZERO
     incarnation: str = ""
     leaving: bool = False
+    role: str = "both"
     fail_loads: int = 0
     failing_adapters: set[str] = field(default_factory=set)
     steps: int = 0
@@ -141,6 +145,12 @@
     started: list[tuple[str, int]] = field(default_factory=list)
     fence: tuple[int, int] = (-1, -1)
     step_ends_at: timedelta | None = None
+    events_lag: timedelta = timedelta(milliseconds=500)
+    events_gap: int = 10
+    cache_events: list[tuple[timedelta, str, bool]] = field(default_factory=list)
+    load_history: deque[tuple[timedelta, int, int]] = field(
+        default_factory=lambda: deque(maxlen=HISTORY_KEPT)
+    )
     orders: int = 0
     guard: Any = field(default_factory=nullcontext)
     _restarts: int = 0
@@ -195,12 +205,16 @@
 
     def _cache(self, prefix: str) -> None:
         self.prefixes[prefix] = None
-        if len(self.prefixes) > 64:
-            del self.prefixes[next(iter(self.prefixes))]
+        self.cache_events.append((self.now, prefix, True))
+        if len(self.prefixes) > PREFIXES_CACHED:
+            oldest = next(iter(self.prefixes))
+            del self.prefixes[oldest]
+            self.cache_events.append((self.now, oldest, False))
 
     def _end_step(self) -> list[Run]:
         self.steps += 1
         self.filled += len(self.batch)
+        self.load_history.append((self.now, len(self.batch), len(self.waiting)))
         produced = list(self.batch)
         for run in produced:
             run.produced += 1
@@ -226,6 +240,10 @@
         if error:
             finished(error)
             return
+        if body["kind"] == "role":
+            self.role = str(body.get("role", ""))
+            finished("")
+            return
         adapter = body["adapter"]
         if body["kind"] == "unload":
             self._unload(adapter, body.get("only_if_idle", False), finished)
@@ -309,6 +327,25 @@
         self.now = max(self.now, now)
         return produced
 
+    def events(self, after: int) -> list[dict[str, Any]]:
+        """Return cache events after a number: late, and some are missing."""
+        shown_before = self.now - self.events_lag
+        return [
+            {"number": number, "prefix": prefix, "cached": cached}
+            for number, (at, prefix, cached) in enumerate(self.cache_events)
+            if number > after
+            and at <= shown_before
+            and (number + 1) % self.events_gap != 0
+        ]
+
+    def report(self) -> dict[str, int]:
+        """Return the load as it was a while ago."""
+        shown = {"running": 0, "waiting": 0}
+        for at, running, waiting in self.load_history:
+            if at <= self.now - self.events_lag:
+                shown = {"running": running, "waiting": waiting}
+        return shown
+
     def restart(self) -> None:
         """Restart empty: everything that ran or was loaded is gone."""
         self._restarts += 1
@@ -395,6 +432,13 @@
         if path.startswith("/v1/streams/"):
             request_id, attempt = path.removeprefix("/v1/streams/").split("/")
             return self._stream_again(request, (request_id, int(attempt)))
+        if path == "/v1/events":
+            with self._changed:
+                after = int(request.args.get("after", -1))
+                return json_response({"events": self.model.events(after)})
+        if path == "/v1/load":
+            with self._changed:
+                return json_response(self.model.report())
         if path == "/control/restart":
             self.restart()
             return json_response({})
--- a/packages/ashhoist-standins/src/ashhoist_standins/scenario.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/scenario.py
@@ -275,6 +275,11 @@
     )
 
 
+@command("vanish")
+def _vanish(scenario: Scenario, words: list[str]) -> None:
+    scenario.world.vanish()
+
+
 @command("wait")
 def _wait(scenario: Scenario, words: list[str]) -> None:
     scenario.world.run(duration(words[0]))
@@ -435,6 +440,11 @@
         "race_conflicts": sum(
             1 for decision in races if decision.verdict is Verdict.CONFLICT
         ),
+        "busy": sum(
+            len(home.running) + len(home.recording) + len(home.queue)
+            for node in ready
+            for home in node.core.homes.by_upstream.values()
+        ),
         "store_at_once": world.store.most_at_once,
         "runs": sum(
             sum(service.runs_by_request.values()) for service in world.services.values()
--- a/packages/ashhoist-standins/src/ashhoist_standins/world.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/world.py
@@ -176,6 +176,10 @@
         engine = self.world.engines.get(address)
         if engine is not None and self.world.connected(self.name, address):
             self.world.later(HOP, engine.cancel, job.id)
+        failure = Failure(Reason.CALLER_LEFT, Outcome.UNKNOWN, Step.ANSWER, address)
+        self.world.later(
+            2 * HOP, self.call, self.core.answers.dispatch_done, job.id, 0, failure
+        )
 
     def pause(self, job_id: JobId, paused: bool) -> None:
         """Ignore flow control: the fake callers take everything."""
@@ -743,6 +747,15 @@
         node.call(node.core.submit, request)
         return asked
 
+    def vanish(self) -> None:
+        """Let the callers of all open requests go."""
+        for request_id, asked in self.asked.items():
+            node = self.nodes.get(asked.instance)
+            if asked.ended or node is None:
+                continue
+            asked.ended = True
+            node.call(node.core.caller_left, request_id)
+
     def replied(self, request_id: str, reply: Reply) -> None:
         """Take a piece of an answer."""
         asked = self.asked[request_id]
--- a/packages/ashhoist/src/ashhoist/answers.py
+++ b/packages/ashhoist/src/ashhoist/answers.py
@@ -28,7 +28,7 @@
     def __init__(self, core: "Instance") -> None:
         self._core = core
         self.jobs: dict[JobId, Job] = {}
-        self._flows: dict[JobId, Flow] = defaultdict(Flow)
+        self.flows: dict[JobId, Flow] = defaultdict(Flow)
 
     def submit(self, job: Job) -> None:
         """Take in a job for a home here."""
@@ -42,7 +42,7 @@
     def tell_failed(self, job: Job, failure: Failure) -> None:
         """Tell a job's entry that it failed."""
         self.jobs.pop(job.id, None)
-        self._flows.pop(job.id, None)
+        self.flows.pop(job.id, None)
         if job.entry == self._core.name:
             self._core.entry.failed(job.id, self._core.name, failure)
             return
@@ -91,7 +91,7 @@
         job = self.jobs.get(job_id)
         if job is None:
             return
-        flow = self._flows[job_id]
+        flow = self.flows[job_id]
         flow.open_bytes += len(data)
         if flow.open_bytes > self._core.settings.window_bytes and not flow.paused:
             flow.paused = True
@@ -115,7 +115,7 @@
             return
         if failure is None:
             self.jobs.pop(job_id, None)
-            self._flows.pop(job_id, None)
+            self.flows.pop(job_id, None)
             if job.entry == self._core.name:
                 self._core.entry.end(job_id, self._core.name, count)
             else:
@@ -125,7 +125,7 @@
 
     def credited(self, job_id: JobId, count: int) -> None:
         """Note that the entry has taken so many bytes."""
-        flow = self._flows.get(job_id)
+        flow = self.flows.get(job_id)
         if flow is None:
             return
         flow.open_bytes -= count
--- a/packages/ashhoist/src/ashhoist/engines/client.py
+++ b/packages/ashhoist/src/ashhoist/engines/client.py
@@ -9,6 +9,7 @@
 from ..actions import Order, OrderResult
 from ..claims import Authority
 from ..clock import ZERO, Clock
+from ..failures import Failure, Outcome, Reason, Step
 from ..home import EngineState
 from ..tasks import Task
 from ..transfers import Abort, Pause, Transfer, TransferEnd, WholeSink
@@ -97,11 +98,18 @@
                 ("cancel", *job.id),
                 "DELETE",
                 f"{address}/v1/streams/{job.request_id}/{job.attempt}",
-                WholeSink(lambda end, headers, body: None),
+                WholeSink(lambda end, headers, body: self._cancelled(job)),
                 timeout=CANCEL_TIMEOUT,
             )
         )
 
+    def _cancelled(self, job: Job) -> None:
+        """Tell the home, which holds the slot until the engine has let go."""
+        failure = Failure(
+            Reason.CALLER_LEFT, Outcome.UNKNOWN, Step.ANSWER, job.upstream
+        )
+        self._send(bridge.DispatchDone(job.id, 0, failure))
+
     def pause(self, job_id: tuple[str, int], paused: bool) -> None:
         """Stop or go on reading a job's answer."""
         self._transfers.send(Pause(("job", *job_id), paused))
--- a/packages/ashhoist/src/ashhoist/services/client.py
+++ b/packages/ashhoist/src/ashhoist/services/client.py
@@ -99,3 +99,7 @@
     def cancel(self, job: Job) -> None:
         """Give up on a job; the service may have run it."""
         self._transfers.send(Abort(("job", *job.id)))
+        failure = Failure(
+            Reason.CALLER_LEFT, Outcome.UNKNOWN, Step.ANSWER, job.upstream
+        )
+        self._send(bridge.DispatchDone(job.id, 0, failure))
--- a/tests/test_border.py
+++ b/tests/test_border.py
@@ -3,15 +3,19 @@
 import json
 import re
 import socket
+import ssl
 import threading
 import unittest
 from datetime import timedelta
+from pathlib import Path
 from typing import Any
 
 from websockets.exceptions import ConnectionClosed, InvalidStatus
 from websockets.sync.client import connect
+from werkzeug.wrappers import Response
 
 from ashhoist import messages
+from ashhoist.core import Instance
 from ashhoist.exceptions import AddressInUseError, ConnectError
 from ashhoist.web import HttpServer
 from ashhoist_bench.deployment import (
@@ -23,8 +27,45 @@
     wait_for,
 )
 from ashhoist_cli import Answer, Client
+from ashhoist_standins import EngineTiming
 
 COMPLETIONS = "/v1/completions"
+DATA = Path(__file__).parent / "data"
+
+
+def paused_bytes(core: Instance) -> int:
+    flows = core.answers.flows.values()
+    return max((flow.open_bytes for flow in flows if flow.paused), default=0)
+
+
+def all_idle(core: Instance) -> bool:
+    return core.idle
+
+
+class TlsTests(unittest.TestCase):
+    def test_callers_are_answered_over_tls(self) -> None:
+        server = HttpServer(
+            "127.0.0.1:0",
+            Response("over TLS"),
+            2,
+            timedelta(seconds=5),
+            DATA / "test-certificate.pem",
+            DATA / "test-key.pem",
+        )
+        thread = threading.Thread(target=server.serve_forever, args=(0.05,))
+        thread.start()
+        context = ssl.create_default_context(cafile=DATA / "test-certificate.pem")
+        host, port = server.address.split(":")
+        with socket.create_connection((host, int(port))) as plain:
+            with context.wrap_socket(plain, server_hostname=host) as secure:
+                secure.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+                found = b""
+                while part := secure.recv(4096):
+                    found += part
+        server.shutdown()
+        thread.join()
+        server.server_close()
+        self.assertTrue(found.endswith(b"over TLS"))
 
 
 class BorderTests(unittest.TestCase):
@@ -152,6 +193,8 @@
         stream.close()
         models = [engine.model for engine in self.deployment.engines]
         wait_for(lambda: not any(model.batch for model in models), "an empty batch")
+        daemons = self.deployment.daemons.values()
+        wait_for(lambda: all(d.read(all_idle) for d in daemons), "idle homes")
 
     def test_vanished_caller_of_a_whole_answer_frees_its_place(self) -> None:
         body = json.dumps(
@@ -163,6 +206,36 @@
             connection.sendall(self.head(len(body)) + body)
             wait_for(lambda: any(model.batch for model in models), "a full batch")
         wait_for(lambda: not any(model.batch for model in models), "an empty batch")
+        daemons = self.deployment.daemons.values()
+        wait_for(lambda: all(d.read(all_idle) for d in daemons), "idle homes")
+
+    def test_slow_caller_stops_only_its_own_stream(self) -> None:
+        body = json.dumps(
+            {"model": "adapter-0", "prompt": "x", "max_tokens": 200_000, "stream": True}
+        ).encode()
+        daemons = self.deployment.daemons.values()
+        host, port = self.deployment.daemons["instance-0"].callers_address.split(":")
+        timing = self.deployment.engines[0].model.timing
+        for engine in self.deployment.engines:
+            engine.model.timing = EngineTiming(*[timedelta(microseconds=200)] * 4)
+        with socket.create_connection((host, int(port))) as connection:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            connection.sendall(self.head(len(body)) + body)
+            wait_for(
+                lambda: any(daemon.read(paused_bytes) for daemon in daemons),
+                "a stream to be paused",
+            )
+            answer = self.ask(model="adapter-0", prompt="x", max_tokens=3)
+            self.assertEqual(answer.status, 200)
+            most = max(daemon.read(paused_bytes) for daemon in daemons)
+            window = self.deployment.daemons["instance-0"].settings.limits
+            self.assertLess(most, 4 * window.stream_window_bytes)
+        for engine in self.deployment.engines:
+            engine.model.timing = timing
+        models = [engine.model for engine in self.deployment.engines]
+        wait_for(lambda: not any(model.batch for model in models), "an empty batch")
+        daemons = self.deployment.daemons.values()
+        wait_for(lambda: all(d.read(all_idle) for d in daemons), "idle homes")
 
     def test_service_passes_any_method_and_recognises_a_repeated_key(self) -> None:
         answer = self.caller.request("DELETE", "/services/lobby/seat?row=1")
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -62,6 +62,25 @@
 wait 9s
 expect whole >= 9
 """
+CALLERS_VANISH = """
+zones 2
+instances 2
+engine e0 zone-0 slots 1 fences
+service s0 zone-1
+declare 3
+ask a0 tokens 900 stream times 3
+ask a0 tokens 900 times 3
+ask a1
+book k
+wait 2s
+expect busy >= 6
+vanish
+wait 5s
+expect busy = 0
+ask a2
+wait 10s
+expect whole >= 1
+"""
 LATE_UNLOAD = """
 zones 1
 instances 2
@@ -259,6 +278,9 @@
         for seed in range(4):
             self.assertEqual(Scenario(seed).run(GRANT_LOST_IN_A_CUT), [])
 
+    def test_vanished_callers_leave_nothing_behind_at_the_homes(self) -> None:
+        self.assertEqual(Scenario(1).run(CALLERS_VANISH), [])
+
     def test_cut_stream_is_told_as_failed(self) -> None:
         self.assertEqual(Scenario(1).run(ENGINE_RESTARTS_IN_STREAM), [])
 
