An aborted instance breaks its callers' connections

Ruled out: the deadline in the entry (its task had ended with the instance). Change: the HTTP server knows its open connections and can break them.

--- a/packages/ashhoist/src/ashhoist/daemon.py
+++ b/packages/ashhoist/src/ashhoist/daemon.py
@@ -281,6 +281,7 @@
     def abort(self) -> None:
         """End as a failure would: all connections break, nothing is handed over."""
         self.links.abort()
+        self._http.abort()
         self.close()
 
     def close(self) -> None:
--- a/packages/ashhoist/src/ashhoist/web.py
+++ b/packages/ashhoist/src/ashhoist/web.py
@@ -176,6 +176,7 @@
         listener.close()
         self._pool = ThreadPoolExecutor(connections, thread_name_prefix="http")
         self._places = threading.BoundedSemaphore(connections)
+        self._open: set[socket.socket] = set()
 
     @property
     def address(self) -> str:
@@ -194,12 +195,22 @@
             return
         self._pool.submit(self._serve, request, client_address)
 
+    def abort(self) -> None:
+        """Break all connections at once, as the end of the process would."""
+        for connection in list(self._open):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+
     def _serve(self, request: Any, client_address: Any) -> None:
+        self._open.add(request)
         try:
             self.finish_request(request, client_address)
         except Exception:
             self.handle_error(request, client_address)
         finally:
+            self._open.discard(request)
             self._places.release()
             self.shutdown_request(request)
 
