A malformed record on the log stops no instance

Cause: the fold checked only who may replace what. A record that did not come through the border (another release, a defect) could be accepted with fields missing, and then broke resolving or the upstreams at every instance. Change: the fold checks the fields that the code relies on, the same at every instance; such records get the verdict invalid. Dead names removed.

--- a/packages/ashhoist-standins/src/ashhoist_standins/scenario.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/scenario.py
@@ -74,7 +74,6 @@
     seed: int = 0
     world: World = field(init=False)
     failures: list[str] = field(default_factory=list)
-    started_at: timedelta = timedelta()
     changes: int = 0
     turn: int = 0
 
--- a/packages/ashhoist-standins/src/ashhoist_standins/world.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/world.py
@@ -46,7 +46,6 @@
 LINK_EVERY = timedelta(milliseconds=200)
 LIST_EVERY = timedelta(milliseconds=500)
 LOST_ANSWER = timedelta(seconds=3)
-MS = timedelta(milliseconds=1)
 
 
 @dataclass(slots=True)
--- a/packages/ashhoist/src/ashhoist/clock.py
+++ b/packages/ashhoist/src/ashhoist/clock.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 ZERO = timedelta()
-SECOND = timedelta(seconds=1)
 
 
 class Clock(Protocol):
--- a/packages/ashhoist/src/ashhoist/configuration.py
+++ b/packages/ashhoist/src/ashhoist/configuration.py
@@ -21,6 +21,40 @@
 MUST_NOT_EXIST = -1
 VERDICTS_KEPT = 4096
 CHUNK_BYTES = 48_000
+NONE = type(None)
+FIELDS_BY_KIND: dict[str, dict[str, tuple[type, ...]]] = {
+    "adapters": {
+        "base_model": (str,),
+        "versions": (dict,),
+        "default_version": (str,),
+        "priority": (str,),
+        "team": (str,),
+    },
+    "upstreams": {
+        "type": (str,),
+        "address": (str,),
+        "availability_zone": (str,),
+        "region": (str,),
+        "base_model": (str, NONE),
+        "service": (str, NONE),
+        "slots": (int,),
+        "max_batch": (int,),
+        "checks_fence": (bool,),
+    },
+    "policies": {
+        "policy": (str,),
+        "stall_weight": (float, int),
+        "priority_weights": (dict,),
+        "team_shares": (dict,),
+        "queue_length": (int,),
+    },
+}
+"""What the code relies on in a spec, whoever wrote the record.
+
+The border checks far more, but its models may differ between releases, and
+every instance must come to the same verdict."""
+PRIORITIES = frozenset({"low", "normal", "high", "urgent"})
+POLICIES = frozenset({"weighted", "naive"})
 
 
 class Verdict(StrEnum):
@@ -182,8 +216,11 @@
             return "it does not exist"
         if change.kind == "base-models" and change.spec is None:
             return self._user_of_base_model(change.name)
-        if change.kind != "adapters" or change.spec is None:
+        if change.spec is None:
             return ""
+        problem = _shape_problem(change.kind, change.spec)
+        if problem or change.kind != "adapters":
+            return problem
         if self.get("base-models", str(change.spec.get("base_model"))) is None:
             return f"base model {change.spec.get('base_model')!r} does not exist"
         known = dict(_weights(change.name, current.spec)) if current else {}
@@ -312,6 +349,42 @@
     return configuration
 
 
+def _shape_problem(kind: str, spec: dict[str, Any]) -> str:
+    """Return what the code could not work with in a spec, or an empty text."""
+    for field_name, accepted in FIELDS_BY_KIND.get(kind, {}).items():
+        if not isinstance(spec.get(field_name), accepted):
+            return f"{field_name} is missing or of the wrong type"
+    if kind == "adapters":
+        return _adapter_problem(spec)
+    if kind == "upstreams" and (spec["max_batch"] < 1 or spec["slots"] < 1):
+        return "slots and max_batch are at least 1"
+    if kind == "policies":
+        return _policy_problem(spec)
+    return ""
+
+
+def _adapter_problem(spec: dict[str, Any]) -> str:
+    if spec["default_version"] not in spec["versions"]:
+        return "default_version must be one of versions"
+    if spec["priority"] not in PRIORITIES:
+        return f"unknown priority {spec['priority']!r}"
+    for value in spec["versions"].values():
+        if not isinstance(value, dict) or not isinstance(value.get("weights"), str):
+            return "each version needs weights"
+    return ""
+
+
+def _policy_problem(spec: dict[str, Any]) -> str:
+    if spec["policy"] not in POLICIES:
+        return f"unknown policy {spec['policy']!r}"
+    if not set(spec["priority_weights"]) <= PRIORITIES:
+        return "unknown priority in priority_weights"
+    numbers = [*spec["priority_weights"].values(), *spec["team_shares"].values()]
+    if not all(isinstance(number, int | float) for number in numbers):
+        return "weights and shares are numbers"
+    return ""
+
+
 def _weights(name: str, spec: dict[str, Any]) -> Iterator[tuple[str, str]]:
     versions = spec.get("versions")
     if not isinstance(versions, dict):
--- a/packages/ashhoist/src/ashhoist/core.py
+++ b/packages/ashhoist/src/ashhoist/core.py
@@ -36,7 +36,6 @@
 SNAPSHOT_PATIENCE = timedelta(seconds=20)
 HEARTBEATS_AT_ONCE = 8
 SLOW_TICK = timedelta(milliseconds=250)
-ASK_PEER_EVERY = timedelta(seconds=1)
 APPEND_PRIORITIES = {
     claims.STREAM: AppendPriority.CLAIM,
     CONFIGURATION: AppendPriority.CONFIGURATION,
--- a/packages/ashhoist/src/ashhoist/home.py
+++ b/packages/ashhoist/src/ashhoist/home.py
@@ -59,7 +59,6 @@
     max_batch: int = 16
     queue_length: int = 256
     send_bound: timedelta = timedelta(seconds=2)
-    checks_fence: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/ashhoist/src/ashhoist/homes.py
+++ b/packages/ashhoist/src/ashhoist/homes.py
@@ -239,7 +239,6 @@
                 settings.max_batch,
                 settings.queue_length,
                 self.timing.send_bound,
-                settings.checks_fence,
             ),
             self.policy,
             self.clock,
