An instance that starts in a log outage takes the claims from a peer too

Cause: it took the configuration from a peer, but was not ready until the log had answered, as the claims came from the log alone. Change: a peer that is asked for configuration also sends the claims; they are adopted only while the log has not been read, and their leases count from then. Also a scenario of flapping links.

--- a/packages/ashhoist/src/ashhoist/claims.py
+++ b/packages/ashhoist/src/ashhoist/claims.py
@@ -142,6 +142,30 @@
             self.by_upstream[claim.upstream] = claim
         return changed
 
+    def to_list(self) -> list[list[Any]]:
+        """Return the claims in the form that travels between instances."""
+        return [
+            [claim.upstream, claim.holder, claim.token, claim.released]
+            for claim in self.by_upstream.values()
+        ]
+
+    def adopt(self, offset: int, claims: list[Any], read_at: timedelta) -> bool:
+        """Take in the claims of an instance that has read further.
+
+        When their holders last showed a sign is not known here, so their
+        leases count from now.
+        """
+        if offset <= self.offset:
+            return False
+        self.offset = offset
+        for upstream, holder, token, released in claims:
+            current = self.by_upstream.get(upstream)
+            if current is None or token >= current.token:
+                self.by_upstream[upstream] = Claim(
+                    upstream, holder, token, read_at, read_at + self.wait, released
+                )
+        return True
+
     def _apply_one(
         self,
         name: str,
--- a/packages/ashhoist/src/ashhoist/inbound.py
+++ b/packages/ashhoist/src/ashhoist/inbound.py
@@ -156,6 +156,9 @@
     def _on_fetch(
         self, peer: str, incarnation: str, item: messages.FetchConfiguration
     ) -> None:
+        claims = self._core.homes.claims
+        state = messages.ClaimsState(claims.offset, claims.to_list())
+        self._core.outside.send_to(peer, state)
         found = self._core.changes.records_after(item.after)
         if found is not None:
             pairs = [[offset, record] for offset, record in found]
@@ -164,6 +167,20 @@
         for chunk in self._core.changes.state.to_chunks():
             self._core.outside.send_to(peer, messages.ConfigurationSnapshot(chunk))
 
+    def _on_claims(
+        self, peer: str, incarnation: str, item: messages.ClaimsState
+    ) -> None:
+        """Take claims from a peer, but only while the log has not been read."""
+        if self._core.claims_read:
+            return
+        now = self._core.clock.monotonic()
+        if not all(
+            isinstance(claim, list) and len(claim) == 4 for claim in item.claims
+        ):
+            raise messages.FrameError("malformed claims")
+        if self._core.homes.claims.adopt(item.offset, item.claims, now):
+            self._core.claims_read = True
+
     def _on_records(
         self, peer: str, incarnation: str, item: messages.ConfigurationRecords
     ) -> None:
@@ -213,6 +230,7 @@
     messages.LoadGranted: Inbound._on_granted,
     messages.GrantReturned: Inbound._on_returned,
     messages.FetchConfiguration: Inbound._on_fetch,
+    messages.ClaimsState: Inbound._on_claims,
     messages.ConfigurationRecords: Inbound._on_records,
     messages.ConfigurationSnapshot: Inbound._on_snapshot,
 }
--- a/packages/ashhoist/src/ashhoist/messages.py
+++ b/packages/ashhoist/src/ashhoist/messages.py
@@ -301,6 +301,21 @@
     chunk: dict
 
 
+@message(19)
+@dataclass(frozen=True, slots=True)
+class ClaimsState:
+    """The claims in force, for an instance that starts while the log is down.
+
+    Parameters
+    ----------
+    claims : list
+        Upstream, holder, token and whether it is released, for each claim.
+    """
+
+    offset: int
+    claims: list
+
+
 Message = Any
 
 
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -91,6 +91,57 @@
 wait 20s
 expect whole = 2
 """
+STARTED_IN_A_LOG_OUTAGE = """
+zones 1
+instances 2
+engine e0 zone-0 fences
+declare 2
+ask a0
+wait 2s
+log down
+wait 5s
+instance i9 zone-0
+wait 5s
+expect ready = 3
+expect offsets = 1
+expect one_holder = 1
+ask a0 from i9
+ask a1 from i9
+wait 5s
+expect whole = 3
+log up
+wait 5s
+adapter a7 v1
+wait 2s
+expect offsets = 1
+expect adapters = 3
+"""
+FLAPPING_LINKS = """
+zones 2
+instances 4
+engine e0 zone-0 fences
+engine e1 zone-1
+declare 3
+ask a0 tokens 400 stream times 2
+wait 500ms
+cut zone-0 zone-1
+wait 700ms
+heal
+wait 600ms
+cut zone-0 zone-1
+wait 4s
+heal
+ask a1 tokens 60 stream
+wait 400ms
+cut i0 i1
+wait 5s
+heal
+ask a2
+wait 25s
+expect open = 0
+expect one_holder = 2
+expect whole >= 3
+"""
 CALLERS_VANISH = """
 zones 2
 instances 2
@@ -310,6 +361,13 @@
     def test_configuration_outlives_the_retention_of_the_log(self) -> None:
         self.assertEqual(Scenario(1).run(CONFIGURATION_OUTLIVES_RETENTION), [])
 
+    def test_instance_started_in_a_log_outage_takes_its_state_from_a_peer(self) -> None:
+        self.assertEqual(Scenario(1).run(STARTED_IN_A_LOG_OUTAGE), [])
+
+    def test_flapping_links_break_no_promise(self) -> None:
+        for seed in range(3):
+            self.assertEqual(Scenario(seed).run(FLAPPING_LINKS), [])
+
     def test_vanished_callers_leave_nothing_behind_at_the_homes(self) -> None:
         self.assertEqual(Scenario(1).run(CALLERS_VANISH), [])
 
