Log lines of requests carry the request's id

Change: the end without a whole answer and a resumed stream at info, sending upstream and whole answers at debug.

--- a/packages/ashhoist/src/ashhoist/core_task.py
+++ b/packages/ashhoist/src/ashhoist/core_task.py
@@ -215,6 +215,12 @@
 
     def dispatch(self, job: Job, address: str) -> None:
         """Send a job to its upstream."""
+        self.log.debug(
+            "request sent upstream",
+            request=job.request_id,
+            attempt=job.attempt,
+            upstream=job.upstream,
+        )
         if job.adapter is None:
             self._services.dispatch(job, address)
         else:
@@ -222,6 +228,12 @@
 
     def resume(self, job: Job, address: str, index: int) -> None:
         """Go on with a stream of an engine from an event number."""
+        self.log.info(
+            "stream goes on from the engine",
+            request=job.request_id,
+            upstream=job.upstream,
+            index=index,
+        )
         self._engines.resume(job, address, index)
 
     def cancel(self, job: Job, address: str) -> None:
@@ -251,6 +263,18 @@
             replies = self._replies.get(request_id)
         if replies is not None:
             replies.put(reply)
+        if isinstance(reply, ReplyFailure):
+            failure = reply.failure
+            self.log.info(
+                "request has no whole answer",
+                request=request_id,
+                reason=failure.reason.value,
+                outcome=failure.outcome.value,
+                step=failure.step.value,
+                peer=failure.peer,
+            )
+        elif isinstance(reply, ReplyEnd):
+            self.log.debug("request answered", request=request_id)
 
     def count(self, metric: str, *labels: str) -> None:
         """Count one event."""
