One body for an order; one way to tell a refusal that frees its key

The value of an order was written out in the engine client, the world and the decision bench; a home told a refusal and freed its key in two places; a doc comment said 'the worst' where the last earlier attempt counts.

--- a/packages/ashhoist-bench/src/ashhoist_bench/decisions.py
+++ b/packages/ashhoist-bench/src/ashhoist_bench/decisions.py
@@ -16,7 +16,7 @@
 from ashhoist import actions
 from ashhoist.claims import Authority
 from ashhoist.clock import ZERO, ManualClock
-from ashhoist.engines import parse_state
+from ashhoist.engines import order_body, parse_state
 from ashhoist.failures import Failure, Reason, Step, not_run
 from ashhoist.home import Home, HomeSettings
 from ashhoist.loads import LoadKeeper, Want
@@ -314,15 +314,7 @@
             result = results.get(error) or actions.OrderResult(error)
             self.later(DELTA_DELAY, self._ordered, name, order, result)
 
-        body = {
-            "kind": order.kind.value,
-            "adapter": str(order.adapter),
-            "incarnation": order.incarnation,
-            "fence": order.token,
-            "number": order.number,
-            "only_if_idle": True,
-        }
-        engine.order(body, finished)
+        engine.order(order_body(order), finished)
 
     def _ordered(self, name: str, order: Any, result: actions.OrderResult) -> None:
         self.homes[name].order_done(order.number, result)
--- a/packages/ashhoist-standins/src/ashhoist_standins/world.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/world.py
@@ -19,7 +19,7 @@
 from ashhoist.clock import ZERO, ManualClock
 from ashhoist.configuration import Change, Verdict
 from ashhoist.core import CoreSettings, Instance
-from ashhoist.engines import parse_state
+from ashhoist.engines import order_body, parse_state
 from ashhoist.failures import Failure, Outcome, Reason, Step, not_run
 from ashhoist.homes import HomesTiming
 from ashhoist.messages import decode, encode
@@ -669,17 +669,7 @@
                 return
             self.later(HOP, node.call, node.core.order_done, order, result)
 
-        engine.order(
-            {
-                "kind": order.kind.value,
-                "adapter": str(order.adapter),
-                "incarnation": order.incarnation,
-                "fence": order.token,
-                "number": order.number,
-                "only_if_idle": True,
-            },
-            finished,
-        )
+        engine.order(order_body(order), finished)
 
     def read_engine(
         self, node: Node, upstream: str, address: str, fence: tuple[int, int]
--- a/packages/ashhoist/src/ashhoist/engines/__init__.py
+++ b/packages/ashhoist/src/ashhoist/engines/__init__.py
@@ -3,6 +3,6 @@
 The protocol is written down in ``docs/peers.md``.
 """
 
-from .client import EngineClient, parse_state
+from .client import EngineClient, order_body, parse_state
 
-__all__ = ["EngineClient", "parse_state"]
+__all__ = ["EngineClient", "order_body", "parse_state"]
--- a/packages/ashhoist/src/ashhoist/engines/client.py
+++ b/packages/ashhoist/src/ashhoist/engines/client.py
@@ -116,15 +116,6 @@
 
     def send_order(self, order: Order, address: str, authority: Authority) -> None:
         """Send an order; it leaves only while the authority for it holds."""
-        body = {
-            "kind": order.kind.value,
-            "adapter": str(order.adapter),
-            "weights": order.weights,
-            "fence": order.token,
-            "number": order.number,
-            "incarnation": order.incarnation,
-            "only_if_idle": True,
-        }
         self._transfers.send(
             Transfer(
                 ("order", order.upstream, order.token, order.number),
@@ -132,7 +123,7 @@
                 f"{address}/v1/orders",
                 WholeSink(lambda end, headers, data: self._ordered(order, end, data)),
                 {"Content-Type": "application/json"},
-                json.dumps(body).encode(),
+                json.dumps(order_body(order)).encode(),
                 self._load_timeout,
                 once=True,
                 may_start=lambda: authority.may_order(
@@ -194,6 +185,19 @@
         return None
 
 
+def order_body(order: Order) -> dict[str, Any]:
+    """Return an order as the value that is sent to the engine."""
+    return {
+        "kind": order.kind.value,
+        "adapter": str(order.adapter),
+        "weights": order.weights,
+        "fence": order.token,
+        "number": order.number,
+        "incarnation": order.incarnation,
+        "only_if_idle": True,
+    }
+
+
 def parse_state(state: Any) -> EngineState:
     """Return an engine's state from the value that it answers.
 
--- a/packages/ashhoist/src/ashhoist/entry.py
+++ b/packages/ashhoist/src/ashhoist/entry.py
@@ -75,7 +75,7 @@
     resuming : bool
         True if its stream is now read from the engine directly.
     earlier : Outcome
-        What is known of the attempts before the current one, at the worst.
+        What is known of the last earlier attempt that may have run.
     """
 
     request: CallerRequest
--- a/packages/ashhoist/src/ashhoist/home.py
+++ b/packages/ashhoist/src/ashhoist/home.py
@@ -307,6 +307,10 @@
     def _refuse(self, job: Job, reason: Reason, step: Step) -> None:
         retry_after = self.times.service if reason is Reason.QUEUE_FULL else None
         failure = not_run(reason, step, self.settings.upstream, "", retry_after)
+        self._tell_refused(job, failure)
+
+    def _tell_refused(self, job: Job, failure: Failure) -> None:
+        """Tell a job's entry that it was refused, and free its key."""
         self._void_if_not_run(job, failure)
         self._actions.append(Tell(job, failure))
 
@@ -336,8 +340,7 @@
         for job in self.queue:
             if job.adapter not in self.slots.by_adapter:
                 self.queue.remove(job.id)
-                self._void_if_not_run(job, self._no_orders())
-                self._actions.append(Tell(job, self._no_orders()))
+                self._tell_refused(job, self._no_orders())
 
     def _advance(self, now: timedelta) -> None:
         self._dispatch_ready(now)
