--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/adapter.py
@@ -0,0 +1,20 @@
+"""The name of an adapter: the base model's, and its own."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Adapter:
+    """An adapter of a base model; the base model itself has no name."""
+
+    model: str
+    name: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.model}/{self.name}" if self.name else self.model
+
+    @classmethod
+    def parse(cls, text: str) -> "Adapter":
+        """Return the adapter in ``MODEL/NAME`` or ``MODEL``."""
+        model, _, name = text.partition("/")
+        return cls(model.strip(), name.strip())
--- a/packages/ashhoist/src/ashhoist/bridge.py
+++ b/packages/ashhoist/src/ashhoist/bridge.py
@@ -124,30 +124,6 @@
     endpoints: list[Endpoint]
 
 
-@dataclass(frozen=True, slots=True)
-class PeerUp:
-    """The link to an instance is up."""
-
-    peer: str
-    incarnation: str
-
-
-@dataclass(frozen=True, slots=True)
-class PeerDown:
-    """The link to an instance is gone."""
-
-    peer: str
-
-
-@dataclass(frozen=True, slots=True)
-class PeerMessages:
-    """Messages of an instance, in their order."""
-
-    peer: str
-    incarnation: str
-    messages: list[Any]
-
-
 @dataclass(frozen=True, slots=True)
 class ChangeConfiguration:
     """An operator's change. The future gets a `Decision` or a `Failure`."""
@@ -197,9 +173,6 @@
     "Event",
     "Listed",
     "OrderDone",
-    "PeerDown",
-    "PeerMessages",
-    "PeerUp",
     "Read",
     "Records",
     "Reply",
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/control/changes.py
@@ -0,0 +1,40 @@
+"""What records of the log change, in the product's own terms."""
+
+from dataclasses import dataclass
+
+from ..adapter import Adapter
+from ..routing import ServingConfiguration
+from ..upstreams import Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPut:
+    """A whole configuration."""
+
+    configuration: ServingConfiguration
+
+
+@dataclass(frozen=True, slots=True)
+class VersionNamed:
+    """A version of an adapter that requests must now get."""
+
+    adapter: Adapter
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamPut:
+    """The newest record of an upstream."""
+
+    upstream: Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamEnded:
+    """An upstream has gone."""
+
+    upstream_id: str
+    offset: int
+
+
+Change = ConfigurationPut | VersionNamed | UpstreamPut | UpstreamEnded
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -0,0 +1,488 @@
+"""What one instance believes, without sockets and threads.
+
+Everything comes in as a call and goes out through `Outside`, so that tests run
+many instances on one manual clock with small fakes between them.
+"""
+
+from collections.abc import Callable
+from dataclasses import astuple, dataclass
+from datetime import timedelta
+from typing import Any
+
+from ..adapter import Adapter
+from ..clock import ZERO, Clock
+from ..failures import Reason
+from ..logs import Logger
+from ..metrics import Metrics
+from ..orders import (
+    AppendClaim,
+    Claim,
+    EngineReport,
+    Lease,
+    LeaseTiming,
+    Order,
+    OrderAnswer,
+)
+from ..placement import Residency
+from ..placement.asks import (
+    NoLongerWanted,
+    Refusal,
+    Target,
+    UseBegan,
+    UseEnded,
+    Wanted,
+)
+from ..routing.in_force import InForce
+from ..store import AppendResult, Newest, Record, Topic, Unavailable
+from ..store.follower import Followed, FollowerState
+from ..types import Endpoint
+from ..upstreams import Directory, Health
+from . import messages
+from .agent import Agent
+from .changes import Change, ConfigurationPut, UpstreamEnded, UpstreamPut, VersionNamed
+from .knowledge import SHARED_TOPICS, Knowledge
+from .leadership import Leadership, reason_of
+from .outside import Outside
+from .peers import InstanceRecord, Peers, rank
+
+BEAT_EVERY = timedelta(milliseconds=500)
+LEASE_KEY = "orders"
+
+Decode = Callable[[Topic, Record], Change | None]
+
+
+@dataclass(frozen=True, slots=True)
+class CoreSettings:
+    """What the core needs to know from the settings."""
+
+    name: str
+    zone: str
+    address: str
+    life: str
+    seeds: tuple[str, ...] = ()
+    lease: LeaseTiming = LeaseTiming()
+
+
+class Core:
+    """The whole belief of one instance. One thread calls it."""
+
+    def __init__(
+        self,
+        settings: CoreSettings,
+        decode: Decode,
+        in_force: InForce,
+        directory: Directory,
+        residency: Residency,
+        health: Health,
+        outside: Outside,
+        clock: Clock,
+        metrics: Metrics,
+        log: Logger,
+    ) -> None:
+        self._settings = settings
+        self._decode = decode
+        self._in_force = in_force
+        self._directory = directory
+        self._residency = residency
+        self._health = health
+        self._outside = outside
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        holder = f"{settings.name}@{settings.address}"
+        self.lease = Lease(LEASE_KEY, holder, settings.life, settings.lease, clock)
+        self.knowledge = Knowledge()
+        self.peers = Peers(settings.name)
+        self.agent = Agent(settings.zone)
+        self.leadership = Leadership(
+            settings.name,
+            holder,
+            self.lease,
+            directory,
+            outside,
+            self._tell,
+            self._tell_all,
+            clock,
+            metrics,
+            log,
+        )
+        self.leader: str | None = None
+        self._leader_token = -1
+        self._listed = False
+        self.stopping = False
+        self._beat_at = ZERO
+        self._links: tuple[str, ...] = ()
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        known = self._in_force.table is not None and self._listed
+        return known and not self.stopping
+
+    @property
+    def settled(self) -> bool:
+        """Return whether a planned stop has handed everything over."""
+        return self.stopping and self.lease.released
+
+    # Start and stop
+
+    def start(self) -> None:
+        """Register, and begin to link to the others."""
+        self._outside.register()
+        self._relink()
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self.stopping = True
+        self.lease.stop()
+        self._outside.unregister()
+        self._beat(self._clock.monotonic())
+
+    def instances(self, records: list[InstanceRecord]) -> None:
+        """Take in which instances are registered."""
+        for record in records:
+            self.peers.registered(record)
+        self._relink()
+
+    def _relink(self) -> None:
+        endpoints = self.peers.to_link(self.leader)
+        known = {endpoint.address for endpoint in endpoints}
+        if not self.peers.linked():
+            endpoints += [
+                Endpoint("", "", "", address)
+                for address in self._settings.seeds
+                if address not in known and address != self._settings.address
+            ]
+        addresses = tuple(sorted(endpoint.address for endpoint in endpoints))
+        if addresses == self._links:
+            return
+        self._links = addresses
+        self._outside.link(endpoints)
+
+    # What the log says
+
+    def follower_state(self, state: FollowerState) -> None:
+        """Take in that the log was lost or is there again."""
+
+    def followed(self, followed: Followed) -> None:
+        """Take in records that were read from the log."""
+        now = self._clock.monotonic()
+        topic = followed.topic
+        for record in followed.records:
+            self._take_record(topic, record)
+        if followed.whole:
+            listed = {record.key for record in followed.records}
+            self._drop_unlisted(topic, listed, followed.end)
+        self.knowledge.reached(topic, followed.end, now)
+        if topic is Topic.UPSTREAMS:
+            self._listed = True
+            self._apply_upstreams()
+
+    def _take_record(self, topic: Topic, record: Record) -> None:
+        if not self.knowledge.take(topic, record):
+            return
+        change = self._decode(topic, record)
+        if change is None:
+            return
+        self._apply(change)
+
+    def _drop_unlisted(self, topic: Topic, listed: set[str], end: int) -> None:
+        self.knowledge.drop_ended(topic, listed, end)
+        if topic is not Topic.UPSTREAMS:
+            return
+        for upstream in self._directory.missing_from(listed, end):
+            self._apply(UpstreamEnded(upstream, end - 1))
+
+    def _apply(self, change: Change) -> None:
+        now = self._clock.monotonic()
+        if isinstance(change, ConfigurationPut):
+            self._put_configuration(change)
+        elif isinstance(change, VersionNamed):
+            if self._in_force.name_version(change.adapter, change.version, now):
+                self._log.info(
+                    "version named",
+                    adapter=str(change.adapter),
+                    version=change.version,
+                )
+        elif isinstance(change, UpstreamPut):
+            self._put_upstream(change)
+        elif isinstance(change, UpstreamEnded):
+            self._end_upstream(change, now)
+
+    def _put_configuration(self, change: ConfigurationPut) -> None:
+        if not self._in_force.put(change.configuration):
+            return
+        self._log.info("configuration in force", version=self._in_force.version)
+        self._metrics.gauge("configuration_offset", self._in_force.version)
+        self._apply_upstreams()
+
+    def _put_upstream(self, change: UpstreamPut) -> None:
+        upstream = change.upstream
+        if not self._directory.put(upstream):
+            return
+        self._log.info(
+            "upstream changed",
+            upstream=upstream.id,
+            service=upstream.service,
+            address=upstream.address,
+            state=upstream.state,
+            offset=upstream.offset,
+        )
+        self._apply_upstreams()
+
+    def _end_upstream(self, change: UpstreamEnded, now: timedelta) -> None:
+        if not self._directory.end(change.upstream_id, change.offset, now):
+            return
+        self._log.info(
+            "upstream ended", upstream=change.upstream_id, offset=change.offset
+        )
+        self._residency.forget(change.upstream_id)
+        self._health.forget(change.upstream_id)
+        self._outside.forget_upstream(change.upstream_id)
+        self._apply_upstreams()
+
+    def _apply_upstreams(self) -> None:
+        table = self._in_force.table
+        self.leadership.set_upstreams(None if table is None else table.configuration)
+
+    # The lease
+
+    def lease_read(self, result: Newest | Unavailable) -> None:
+        """Take in the newest claims."""
+        self.lease.read(result)
+        self._follow_lease()
+
+    def lease_appended(self, action: AppendClaim, result: AppendResult) -> None:
+        """Take in how a claim's append ended."""
+        self.lease.appended(action, result)
+        self._follow_lease()
+
+    def _follow_lease(self) -> None:
+        table = self._in_force.table
+        before = self.leadership.leads
+        self.leadership.follow_lease(None if table is None else table.configuration)
+        if before and not self.leadership.leads and self.leader == self._settings.name:
+            self.leader = None
+
+    # Links
+
+    def peer_up(self, peer: str) -> None:
+        """Take in that there is a link to an instance."""
+        now = self._clock.monotonic()
+        self.peers.up(peer, now)
+        self._log.info("instance linked", peer=peer)
+        own = self._settings
+        self._outside.send_to(peer, messages.Introduce(own.name, own.zone, own.address))
+        self._outside.send_to(peer, self._own_beat())
+        self.leadership.introduce(peer)
+        self._relink()
+
+    def peer_down(self, peer: str) -> None:
+        """Take in that a link is gone."""
+        self.peers.down(peer, self._clock.monotonic())
+        self._log.info("instance lost", peer=peer)
+        self.leadership.instance_gone(peer)
+        if self.leader == peer:
+            self.leader = None
+        self._relink()
+
+    def peer_message(self, peer: str, message: Any) -> None:
+        """Take in a message of a linked instance."""
+        handler = self._HANDLERS.get(type(message))
+        if handler is None:
+            self._metrics.count("bad_frames", "unexpected")
+            return
+        handler(self, peer, message)
+
+    def _introduced(self, peer: str, message: messages.Introduce) -> None:
+        now = self._clock.monotonic()
+        self.peers.introduced(message.name, message.zone, message.address, now)
+
+    def _beaten(self, peer: str, beat: messages.Beat) -> None:
+        now = self._clock.monotonic()
+        self.peers.beat(peer, beat, now)
+        if beat.claim:
+            self.lease.heard(Claim(*beat.claim))
+        if beat.leading >= 0 and self.leader != peer:
+            self._led(peer, messages.Leading(beat.leading))
+        elif beat.leading < 0 and self.leader == peer:
+            self.leader = None
+        for topic in SHARED_TOPICS:
+            offset = beat.offsets.get(str(topic), -1)
+            after = self.knowledge.pull_due(topic, offset, now)
+            if after is not None:
+                self._log.info(
+                    "records pulled", topic=topic, peer=peer, after=after, to=offset
+                )
+                self._outside.send_to(peer, messages.Pull(str(topic), after))
+
+    def _pulled(self, peer: str, pull: messages.Pull) -> None:
+        topic = Topic(pull.topic)
+        rows = [
+            [record.offset, record.key, record.value]
+            for record in self.knowledge.after(topic, pull.after)
+        ]
+        if rows:
+            self._outside.send_to(peer, messages.Relay(pull.topic, rows))
+
+    def _relayed(self, peer: str, relay: messages.Relay) -> None:
+        topic = Topic(relay.topic)
+        for offset, key, value in relay.records:
+            self._take_record(topic, Record(offset, key, value))
+        self.knowledge.relayed(topic, self._clock.monotonic())
+        if topic is Topic.UPSTREAMS:
+            self._listed = True
+            self._apply_upstreams()
+
+    def _led(self, peer: str, message: messages.Leading) -> None:
+        if message.token < self._leader_token:
+            return
+        fresh = self.leader != peer or message.token != self._leader_token
+        self._leader_token = message.token
+        self.leader = peer
+        if not fresh:
+            return
+        self._log.info("orders come from", peer=peer, token=message.token)
+        self._tell(peer, self.agent.all_uses())
+        now = self._clock.monotonic()
+        for wanted in self.agent.open.values():
+            self._tell(peer, self.agent.ask(wanted, now))
+
+    def _held(self, peer: str, holds: messages.Holds) -> None:
+        held = {Adapter(model, name): int(v) for model, name, v in holds.adapters}
+        self._residency.put(holds.token, holds.upstream, held)
+
+    def _asked(self, peer: str, ask: messages.Ask) -> None:
+        self.leadership.asked(peer, ask)
+
+    def _withdrawn(self, peer: str, message: messages.Withdraw) -> None:
+        self.leadership.withdrawn(message.id)
+
+    def _used(self, peer: str, uses: messages.Uses) -> None:
+        self.leadership.used(uses)
+
+    def _granted(self, peer: str, granted: messages.Granted) -> None:
+        wanted = self.agent.granted(granted.id, granted.upstream)
+        upstream = self._directory.view.by_id.get(granted.upstream)
+        if wanted is None:
+            return
+        if upstream is None:
+            self.agent.ended(UseEnded(granted.upstream, wanted.adapter))
+            wanted.answer.set_result(Refusal(Reason.NO_UPSTREAM))
+            return
+        version = granted.version or None
+        wanted.answer.set_result(Target(upstream.id, upstream.address, version))
+
+    def _declined(self, peer: str, declined: messages.Declined) -> None:
+        wanted = self.agent.open.pop(declined.id, None)
+        if wanted is None:
+            return
+        wait = timedelta(milliseconds=declined.retry_after_ms)
+        wanted.answer.set_result(Refusal(reason_of(declined.reason), wait))
+
+    _HANDLERS: dict[type, Callable[["Core", str, Any], None]] = {
+        messages.Introduce: _introduced,
+        messages.Beat: _beaten,
+        messages.Pull: _pulled,
+        messages.Relay: _relayed,
+        messages.Leading: _led,
+        messages.Holds: _held,
+        messages.Ask: _asked,
+        messages.Withdraw: _withdrawn,
+        messages.Uses: _used,
+        messages.Granted: _granted,
+        messages.Declined: _declined,
+    }
+
+    def _tell(self, instance: str, message: Any) -> None:
+        if instance == self._settings.name:
+            self.peer_message(instance, message)
+            return
+        self._outside.send_to(instance, message)
+
+    def _tell_all(self, message: Any) -> None:
+        for peer in self.peers.linked():
+            self._outside.send_to(peer, message)
+        self.peer_message(self._settings.name, message)
+
+    # Requests of this instance
+
+    def wanted(self, wanted: Wanted) -> None:
+        """Take in a request that needs an adapter."""
+        self.agent.open[wanted.id] = wanted
+        if self.leader is not None:
+            self._tell(self.leader, self.agent.ask(wanted, self._clock.monotonic()))
+
+    def no_longer_wanted(self, message: NoLongerWanted) -> None:
+        """Take in that a request has ended while it waited."""
+        wanted = self.agent.open.pop(message.id, None)
+        if wanted is not None and self.leader is not None:
+            self._tell(self.leader, messages.Withdraw(message.id))
+
+    def use_began(self, use: UseBegan) -> None:
+        """Count a use of an adapter."""
+        self.agent.began(use)
+
+    def use_ended(self, use: UseEnded) -> None:
+        """Count the end of a use."""
+        self.agent.ended(use)
+
+    # Engines
+
+    def order_answered(self, order: Order, answer: OrderAnswer) -> None:
+        """Take in how an order ended."""
+        self.leadership.answered(order, answer)
+
+    def reported(self, upstream: str, report: EngineReport | None) -> None:
+        """Take in what an engine holds."""
+        self.leadership.reported(upstream, report)
+
+    # Time
+
+    def settle(self) -> None:
+        """Do what is due after a round of messages."""
+        uses = self.agent.uses()
+        if uses is not None and self.leader is not None:
+            self._tell(self.leader, uses)
+        self.leadership.plan()
+
+    def tick(self) -> None:
+        """Do what is due by time."""
+        now = self._clock.monotonic()
+        self._follow_lease()
+        self._set_rank()
+        action = self.lease.due()
+        if action is not None:
+            self._outside.lease_call(action)
+        if now - self._beat_at >= BEAT_EVERY:
+            self._beat(now)
+            self._look_after_peers(now)
+        self.settle()
+
+    def _set_rank(self) -> None:
+        own = rank(LEASE_KEY, self._settings.name)
+        others = [rank(LEASE_KEY, name) for name in self.peers.linked()]
+        self.lease.set_rank(sum(other < own for other in others))
+
+    def _look_after_peers(self, now: timedelta) -> None:
+        for peer in self.peers.silent(now):
+            self._log.info("instance silent", peer=peer)
+            self._outside.drop(peer)
+        self.peers.forget_lost(now)
+        self._relink()
+
+    def _beat(self, now: timedelta) -> None:
+        self._beat_at = now
+        beat = self._own_beat()
+        for peer in self.peers.linked():
+            self._outside.send_to(peer, beat)
+
+    def _own_beat(self) -> messages.Beat:
+        claim = self.lease.claim
+        return messages.Beat(
+            self.stopping,
+            self.leadership.token,
+            self._in_force.version,
+            self.knowledge.offsets(),
+            list(astuple(claim)) if claim is not None else [],
+        )
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/control/leadership.py
@@ -0,0 +1,225 @@
+"""What this instance does while it holds the lease on orders."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from ..adapter import Adapter
+from ..clock import Clock
+from ..failures import Reason
+from ..logs import Logger
+from ..metrics import Metrics
+from ..orders import EngineReport, Lease, Order, OrderAnswer
+from ..placement.scheduler import (
+    AskReport,
+    Placed,
+    Refused,
+    Scheduler,
+    SchedulerAction,
+    Serving,
+)
+from ..placement.wants import Want
+from ..routing import ServingConfiguration
+from ..upstreams import Directory
+from .messages import Ask, Declined, Granted, Holds, Leading, Uses
+from .outside import Outside
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class Leadership:
+    """The scheduler, while there is one, and its talk with the instances.
+
+    Parameters
+    ----------
+    tell : callable
+        Takes the name of an instance, this one included, and a message.
+    tell_all : callable
+        Takes a message for all instances, this one included.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        holder: str,
+        lease: Lease,
+        directory: Directory,
+        outside: Outside,
+        tell: Callable[[str, Any], None],
+        tell_all: Callable[[Any], None],
+        clock: Clock,
+        metrics: Metrics,
+        log: Logger,
+    ) -> None:
+        self._own = own
+        self._holder = holder
+        self._lease = lease
+        self._directory = directory
+        self._outside = outside
+        self._tell = tell
+        self._tell_all = tell_all
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self.scheduler: Scheduler | None = None
+        self._token = -1
+
+    @property
+    def leads(self) -> bool:
+        """Return whether this instance schedules now."""
+        return self.scheduler is not None
+
+    @property
+    def token(self) -> int:
+        """Return the token under which this instance schedules, or -1."""
+        return self._token if self.scheduler is not None else -1
+
+    # Taking and losing the lease
+
+    def follow_lease(self, configuration: ServingConfiguration | None) -> None:
+        """Begin or end scheduling as the lease says."""
+        claim = self._lease.claim
+        held = self._lease.held and claim is not None
+        if not held:
+            self._end()
+            return
+        assert claim is not None
+        if self.scheduler is None or claim.token != self._token:
+            self._begin(claim.token)
+        self.set_upstreams(configuration)
+
+    def _begin(self, token: int) -> None:
+        self._token = token
+        self.scheduler = Scheduler(
+            self._holder,
+            self._lease.fence,
+            self._act,
+            self._clock,
+            self._metrics,
+            self._log,
+        )
+        self._log.info("lease held", token=token)
+        self._tell_all(Leading(token))
+
+    def _end(self) -> None:
+        if self.scheduler is None:
+            return
+        self._log.info("lease no longer held", token=self._token)
+        self.scheduler = None
+
+    def set_upstreams(self, configuration: ServingConfiguration | None) -> None:
+        """Tell the scheduler which engines there are."""
+        if self.scheduler is None or configuration is None:
+            return
+        capacities = {
+            name: engine.adapter_places
+            for name, engine in configuration.engine_services().items()
+        }
+        found = [
+            upstream
+            for name in capacities
+            for upstream in self._directory.view.of(name)
+        ]
+        self.scheduler.set_upstreams(capacities, found)
+
+    def introduce(self, peer: str) -> None:
+        """Tell an instance that was just linked who leads, and what is held."""
+        if self.scheduler is None:
+            return
+        self._tell(peer, Leading(self._token))
+        for engine in self.scheduler.engines.values():
+            if engine.known:
+                self._tell(peer, self._holds(engine.id, engine.serving()))
+
+    # What instances ask
+
+    def asked(self, instance: str, ask: Ask) -> None:
+        """Take in a request that waits at an instance."""
+        if self.scheduler is None:
+            return
+        now = self._clock.monotonic()
+        self.scheduler.want(
+            Want(
+                ask.id,
+                instance,
+                ask.service,
+                Adapter(ask.model, ask.name),
+                ask.oldest_version,
+                ask.worth,
+                ask.late_worth,
+                now,
+                now + ask.aim_left_ms * MILLISECOND,
+                now + ask.left_ms * MILLISECOND,
+                ask.zone,
+                frozenset(ask.tried),
+            )
+        )
+
+    def withdrawn(self, want_id: str) -> None:
+        """Take in that a request no longer waits."""
+        if self.scheduler is not None:
+            self.scheduler.withdraw(want_id)
+
+    def used(self, uses: Uses) -> None:
+        """Take in what an instance uses."""
+        if self.scheduler is None:
+            return
+        for upstream, model, name, began, ended in uses.uses:
+            self.scheduler.used(upstream, Adapter(model, name), began, ended)
+
+    def answered(self, order: Order, answer: OrderAnswer) -> None:
+        """Take in how an order ended."""
+        if self.scheduler is not None:
+            self.scheduler.answered(order.upstream, order, answer)
+
+    def reported(self, upstream: str, report: EngineReport | None) -> None:
+        """Take in what an engine holds."""
+        if self.scheduler is not None:
+            self.scheduler.reported(upstream, report)
+
+    def instance_gone(self, instance: str) -> None:
+        """Forget what waited at an instance that can't be reached."""
+        if self.scheduler is None:
+            return
+        for want in self.scheduler.wants.of_instance(instance):
+            self.scheduler.withdraw(want.id)
+
+    def plan(self) -> None:
+        """Send the orders that are due."""
+        if self.scheduler is not None:
+            self.scheduler.plan()
+
+    # What the scheduler wants done
+
+    def _act(self, action: SchedulerAction) -> None:
+        if isinstance(action, Order):
+            self._outside.order(action)
+        elif isinstance(action, AskReport):
+            self._outside.report(action)
+        elif isinstance(action, Placed):
+            self._placed(action)
+        elif isinstance(action, Refused):
+            self._refused(action)
+        elif isinstance(action, Serving):
+            self._tell_all(self._holds(action.upstream, action.held))
+
+    def _placed(self, action: Placed) -> None:
+        want = action.want
+        self._tell(want.instance, Granted(want.id, action.upstream, action.version))
+
+    def _refused(self, action: Refused) -> None:
+        want = action.want
+        wait = int(action.retry_after / MILLISECOND)
+        self._tell(want.instance, Declined(want.id, action.reason, wait))
+
+    def _holds(self, upstream: str, held: dict[Adapter, int]) -> Holds:
+        rows = [[key.model, key.name, version] for key, version in held.items()]
+        return Holds(self._token, upstream, rows)
+
+
+def reason_of(text: str) -> Reason:
+    """Return the reason of that name, or a general one."""
+    try:
+        return Reason(text)
+    except ValueError:
+        return Reason.NO_UPSTREAM
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -0,0 +1,140 @@
+"""The messages between instances that serve on a platform."""
+
+from dataclasses import dataclass
+
+from ..messages import message
+
+
+@message(40)
+@dataclass(frozen=True, slots=True)
+class Introduce:
+    """The first message on a link: who is there, and where it is reached."""
+
+    name: str
+    zone: str
+    address: str
+
+
+@message(41)
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """Sign of life, with how much the sender has read.
+
+    Parameters
+    ----------
+    configuration : int
+        Version in force at the sender.
+    offsets : dict
+        By topic, the offset of the newest record that the sender knows.
+    leading : int
+        The token of the lease that the sender holds, or -1.
+    claim : list
+        The newest claim it knows: key, holder, life, fence, offset, released,
+        before; empty if it knows none.
+    """
+
+    stopping: bool
+    leading: int
+    configuration: int
+    offsets: dict
+    claim: list
+
+
+@message(42)
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """Ask for the newest records of a topic behind an offset."""
+
+    topic: str
+    after: int
+
+
+@message(43)
+@dataclass(frozen=True, slots=True)
+class Relay:
+    """Records as the sender has read them: lists of offset, key and value."""
+
+    topic: str
+    records: list
+
+
+@message(44)
+@dataclass(frozen=True, slots=True)
+class Leading:
+    """The sender holds the lease on orders."""
+
+    token: int
+
+
+@message(45)
+@dataclass(frozen=True, slots=True)
+class Holds:
+    """All adapters that an engine serves: lists of model, name, version."""
+
+    token: int
+    upstream: str
+    adapters: list
+
+
+@message(46)
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A request of the sender waits for an adapter.
+
+    Parameters
+    ----------
+    oldest_version : int
+        Of the adapter; an older one does not do.
+    worth, late_worth : float
+        What an answer in time, or a late one, is worth.
+    tried : list
+        Upstreams that have refused or failed the request.
+    """
+
+    id: str
+    service: str
+    model: str
+    name: str
+    oldest_version: int
+    worth: float
+    late_worth: float
+    aim_left_ms: int
+    left_ms: int
+    zone: str
+    tried: list
+
+
+@message(47)
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """A request no longer waits."""
+
+    id: str
+
+
+@message(48)
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A request may be sent to an engine that serves its adapter."""
+
+    id: str
+    upstream: str
+    version: int
+
+
+@message(49)
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """A request is not going to get its adapter in time."""
+
+    id: str
+    reason: str
+    retry_after_ms: int
+
+
+@message(50)
+@dataclass(frozen=True, slots=True)
+class Uses:
+    """Uses of adapters: lists of upstream, model, name, begun, ended."""
+
+    uses: list
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/control/outside.py
@@ -0,0 +1,38 @@
+"""What the control core asks of its surroundings."""
+
+from typing import Any, Protocol
+
+from ..orders import LeaseAction, Order
+from ..placement.scheduler import AskReport
+from ..types import Endpoint
+
+
+class Outside(Protocol):
+    """Carries out what `Core` decides; nothing here waits."""
+
+    def send_to(self, peer: str, message: Any) -> bool:
+        """Send a message to an instance; False if there is no link."""
+
+    def drop(self, peer: str) -> None:
+        """Break the link to an instance that is silent."""
+
+    def link(self, endpoints: list[Endpoint]) -> None:
+        """Say which instances there should be links to."""
+
+    def lease_call(self, action: LeaseAction) -> None:
+        """Make a store call for the lease."""
+
+    def register(self) -> None:
+        """Register this instance on the log, and read who else is there."""
+
+    def unregister(self) -> None:
+        """Remove this instance from the log."""
+
+    def order(self, order: Order) -> None:
+        """Send an order to an engine."""
+
+    def report(self, request: AskReport) -> None:
+        """Ask an engine what it holds."""
+
+    def forget_upstream(self, upstream: str) -> None:
+        """Drop what is kept for an upstream that has gone."""
--- a/packages/ashhoist/src/ashhoist/core_task.py
+++ b/packages/ashhoist/src/ashhoist/core_task.py
@@ -9,7 +9,7 @@
 from .clock import Clock
 from .core import CoreSettings, Instance
 from .engines import EngineClient
-from .instances import Links
+from .instances import Links, news
 from .instances.links import Peers
 from .log_service import Follow, LogTask, StartAppend
 from .logs import Logger
@@ -150,18 +150,18 @@
         ]
         self._links.send(Peers(peers))
 
-    @handles(bridge.PeerUp)
-    def _peer_up(self, item: bridge.PeerUp) -> None:
+    @handles(news.PeerUp)
+    def _peer_up(self, item: news.PeerUp) -> None:
         self.log.info("link up", peer=item.peer)
         self.core.peer_up(item.peer, item.incarnation)
 
-    @handles(bridge.PeerDown)
-    def _peer_down(self, item: bridge.PeerDown) -> None:
+    @handles(news.PeerDown)
+    def _peer_down(self, item: news.PeerDown) -> None:
         self.log.info("link down", peer=item.peer)
         self.core.peer_down(item.peer)
 
-    @handles(bridge.PeerMessages)
-    def _peer_messages(self, item: bridge.PeerMessages) -> None:
+    @handles(news.PeerMessages)
+    def _peer_messages(self, item: news.PeerMessages) -> None:
         for message in item.messages:
             try:
                 self.core.inbound.message(item.peer, item.incarnation, message)
--- a/packages/ashhoist/src/ashhoist/failures.py
+++ b/packages/ashhoist/src/ashhoist/failures.py
@@ -69,6 +69,7 @@
     KEY_REQUIRED = "key_required"
     LOG_UNAVAILABLE = "log_unavailable"
     RETRY_BUDGET = "retry_budget"
+    NO_PLACE = "no_place"
     CONFLICT = "conflict"
     IN_USE = "in_use"
     INVALID = "invalid"
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -0,0 +1,286 @@
+"""The caller's side of a request: one kept connection, many requests."""
+
+import socket
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import h11
+
+from ..clock import Clock
+from .sockets import has_left, send_all, wait_readable
+
+READ_SIZE = 65536
+HEADER_ROOM = 65536
+LINGER = timedelta(milliseconds=300)
+
+Headers = list[tuple[str, str]]
+
+
+class CallerGoneError(Exception):
+    """The caller's connection broke or ended."""
+
+
+class MalformedRequestError(Exception):
+    """What came is not an acceptable request.
+
+    Parameters
+    ----------
+    status : int
+        The HTTP status that says so.
+    """
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.detail = detail
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request as it came.
+
+    Parameters
+    ----------
+    target : str
+        Path and query, unchanged.
+    headers : list of (str, str)
+        In their order and spelling.
+    received_at : timedelta
+        When its first byte was seen, on the monotonic clock.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    received_at: timedelta
+    values: dict[str, str] = field(default_factory=dict)
+
+    def value(self, name: str) -> str:
+        """Return a header's value by its name in lower case, or nothing."""
+        return self.values.get(name, "")
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take over it."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4_194_304
+    header_time: timedelta = timedelta(seconds=3)
+    idle_time: timedelta = timedelta(seconds=15)
+
+
+class CallerConnection:
+    """One connection of a caller; used by one thread at a time.
+
+    Parameters
+    ----------
+    peer : socket.socket
+        Non-blocking.
+    """
+
+    def __init__(self, peer: socket.socket, clock: Clock) -> None:
+        self._peer = peer
+        self._clock = clock
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_ROOM)
+        self._watched = True
+        self.idle_since = clock.monotonic()
+        self.answered = 0
+        self.keep = True
+
+    def fileno(self) -> int:
+        """Return the socket's descriptor."""
+        return self._peer.fileno()
+
+    # Reading
+
+    def read_request(self, limits: CallerLimits) -> Request:
+        """Read the next request whole.
+
+        Raises
+        ------
+        CallerGoneError
+            If the connection ends first.
+        MalformedRequestError
+            If it is none, too large, or too slow.
+        """
+        begun = self._clock.monotonic()
+        until = begun + limits.header_time
+        head = self._read_head(until)
+        if sum(len(name) + len(value) for name, value in head.headers) > (
+            limits.header_bytes
+        ):
+            raise MalformedRequestError(431, "headers too large")
+        body = self._read_body(limits)
+        pairs = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in head.headers.raw_items()
+        ]
+        return Request(
+            head.method.decode("ascii"),
+            head.target.decode("latin-1"),
+            pairs,
+            body,
+            begun,
+            {name.lower(): value for name, value in pairs},
+        )
+
+    def _read_head(self, until: timedelta) -> h11.Request:
+        event = self._next_event(until)
+        if isinstance(event, h11.Request):
+            return event
+        raise CallerGoneError
+
+    def _read_body(self, limits: CallerLimits) -> bytes:
+        until = self._clock.monotonic() + limits.idle_time
+        if self._http.they_are_waiting_for_100_continue:
+            self._send(
+                self._http.send(h11.InformationalResponse(status_code=100, headers=[])),
+                until,
+            )
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._next_event(until)
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                raise CallerGoneError
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > limits.body_bytes:
+                raise MalformedRequestError(413, "body too large")
+
+    def _next_event(self, until: timedelta) -> h11.Event:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise MalformedRequestError(
+                    error.error_status_hint, str(error)
+                ) from None
+            if event is h11.NEED_DATA:
+                self._receive(until)
+                continue
+            if isinstance(event, type) or isinstance(event, h11.ConnectionClosed):
+                raise CallerGoneError
+            return event
+
+    def _receive(self, until: timedelta) -> None:
+        try:
+            data = self._peer.recv(READ_SIZE)
+        except BlockingIOError:
+            if not wait_readable([self.fileno()], until, self._clock):
+                raise MalformedRequestError(408, "request came too slowly") from None
+            return
+        except OSError:
+            raise CallerGoneError from None
+        self._http.receive_data(data)
+
+    @property
+    def has_more(self) -> bool:
+        """Return whether bytes of a next request have been read already."""
+        return bool(self._http.trailing_data[0])
+
+    # Watching
+
+    @property
+    def watched(self) -> int | None:
+        """Return the descriptor to watch for the caller's leaving, or None."""
+        return self.fileno() if self._watched else None
+
+    def left(self) -> bool:
+        """Return whether the caller has closed the connection.
+
+        Bytes of a next request that came early are no sign of leaving; from
+        then on the connection is not watched, as it would stay readable.
+        """
+        if has_left(self._peer):
+            return True
+        self._watched = False
+        return False
+
+    # Answering
+
+    def respond(
+        self, status: int, headers: Headers, body: bytes, until: timedelta
+    ) -> None:
+        """Send a whole answer.
+
+        Raises
+        ------
+        CallerGoneError
+            If the connection is gone.
+        """
+        framed = [*headers, ("Content-Length", str(len(body)))]
+        self._begin(status, framed)
+        data = self._head_bytes + (self._http.send(h11.Data(data=body)) or b"")
+        data += self._http.send(h11.EndOfMessage()) or b""
+        self._send(data, until)
+
+    def start(self, status: int, headers: Headers, until: timedelta) -> None:
+        """Send the head of an answer whose length is not known."""
+        self._begin(status, [*headers, ("Transfer-Encoding", "chunked")])
+        self._send(self._head_bytes, until)
+
+    def send(self, data: bytes, until: timedelta) -> None:
+        """Send a piece of the answer."""
+        self._send(self._http.send(h11.Data(data=data)) or b"", until)
+
+    def finish(self, until: timedelta) -> None:
+        """Send the end of the answer."""
+        self._send(self._http.send(h11.EndOfMessage()) or b"", until)
+
+    def _begin(self, status: int, headers: Headers) -> None:
+        if not self.keep:
+            headers = [*headers, ("Connection", "close")]
+        event = h11.Response(status_code=status, headers=headers)
+        try:
+            self._head_bytes = self._http.send(event) or b""
+        except h11.LocalProtocolError:
+            raise CallerGoneError from None
+
+    def _send(self, data: bytes | None, until: timedelta) -> None:
+        if not data:
+            return
+        try:
+            sent = send_all(self._peer, data, until, self._clock)
+        except OSError:
+            raise CallerGoneError from None
+        if sent < len(data):
+            raise CallerGoneError
+
+    # Ending
+
+    def next(self) -> bool:
+        """Make ready for the next request; return False if there is none."""
+        self.answered += 1
+        self._watched = True
+        if not self.keep or self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        self.idle_since = self._clock.monotonic()
+        return True
+
+    def close(self) -> None:
+        """Close in order: what was sent still arrives."""
+        try:
+            self._peer.shutdown(socket.SHUT_WR)
+            self._drain()
+        except OSError:
+            pass
+        self._peer.close()
+
+    def _drain(self) -> None:
+        """Read what came too much, so that the close is not a reset."""
+        until = self._clock.monotonic() + LINGER
+        while wait_readable([self.fileno()], until, self._clock):
+            if not self._peer.recv(READ_SIZE):
+                return
+
+    def abort(self) -> None:
+        """Break the connection so that the answer can't be taken for whole."""
+        self._peer.close()
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/http/client.py
@@ -0,0 +1,104 @@
+"""Calls with a whole answer, for control traffic: one connection, one at a time."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..clock import Clock
+from .upstream import (
+    Broken,
+    End,
+    Head,
+    NotSent,
+    Piece,
+    UpstreamConnection,
+    Waiting,
+    Why,
+)
+
+CONNECT_TIME = timedelta(seconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer."""
+
+    head: Head
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return self.head.status
+
+
+class Client:
+    """One kept connection to one address. Used by one thread at a time.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    """
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self.address = address
+        self._clock = clock
+        self._connection: UpstreamConnection | None = None
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        patience: timedelta,
+    ) -> Reply | NotSent | Broken:
+        """Make a call; a connection that fails is not used again."""
+        until = self._clock.monotonic() + patience
+        connection = self._open(until)
+        if isinstance(connection, NotSent):
+            return connection
+        full = [("Host", self.address), *headers, ("Content-Length", str(len(body)))]
+        failed = connection.send(method, target, full, body, until)
+        result = failed if failed is not None else self._receive(connection, until)
+        if not isinstance(result, Reply) or not connection.next():
+            self.close()
+        return result
+
+    def _open(self, until: timedelta) -> UpstreamConnection | NotSent:
+        if self._connection is not None and self._connection.reusable():
+            return self._connection
+        self.close()
+        connection = UpstreamConnection(self.address, self._clock)
+        limit = min(until, self._clock.monotonic() + CONNECT_TIME)
+        failed = connection.connect(limit)
+        if failed is not None:
+            return failed
+        self._connection = connection
+        return connection
+
+    def _receive(
+        self, connection: UpstreamConnection, until: timedelta
+    ) -> Reply | Broken:
+        head: Head | None = None
+        parts: list[bytes] = []
+        while True:
+            event = connection.next_event()
+            if isinstance(event, Head):
+                head = event
+            elif isinstance(event, Piece):
+                parts.append(event.data)
+            elif isinstance(event, End):
+                assert head is not None
+                return Reply(head, b"".join(parts))
+            elif isinstance(event, Waiting):
+                if not connection.wait(until):
+                    return Broken(Why.TIMEOUT)
+            else:
+                return event
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/http/upstream.py
@@ -0,0 +1,267 @@
+"""The upstream's side of a request: what was sent, what came, what is sure.
+
+Three ends are told apart, as only the first allows another try of a request
+that must not run twice: no byte of the request has left (`NotSent`), the
+connection ended or spoke nonsense after that (`Broken`), and an answer came.
+"""
+
+import socket
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import StrEnum
+
+import h11
+
+from ..clock import Clock
+from .sockets import send_all, tune, wait_readable
+
+READ_SIZE = 65536
+HEAD_ROOM = 65536
+NO_EXPIRY = timedelta(days=1)
+EXPIRY_MARGIN = timedelta(milliseconds=700)
+"""A kept connection is not used in the last part of the time the peer states."""
+
+
+class Why(StrEnum):
+    """Why an exchange ended without a whole answer."""
+
+    CONNECT = "connect"
+    CLOSED = "closed"
+    RESET = "reset"
+    MALFORMED = "malformed"
+    TIMEOUT = "timeout"
+    CUT = "cut"
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request has left this process."""
+
+    why: Why
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The request was sent, at least in part, and no whole answer came."""
+
+    why: Why
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    values: dict[str, str] = field(default_factory=dict)
+
+    def value(self, name: str) -> str:
+        """Return a header's value by its name in lower case, or nothing."""
+        return self.values.get(name, "")
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """Bytes of an answer's body."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """The end of a whole answer."""
+
+
+class Waiting:
+    """Nothing has come yet."""
+
+
+WAITING = Waiting()
+Event = Head | Piece | End | Broken | Waiting
+
+
+class UpstreamConnection:
+    """One connection to an upstream; used by one thread at a time.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    """
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self.address = address
+        self._clock = clock
+        self._peer: socket.socket | None = None
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_ROOM)
+        self._request: h11.Request | None = None
+        self._early = False
+        self._framed = True
+        self.used = 0
+        self.expires_at = clock.monotonic() + NO_EXPIRY
+
+    def fileno(self) -> int:
+        """Return the socket's descriptor, or -1."""
+        return self._peer.fileno() if self._peer is not None else -1
+
+    def connect(self, until: timedelta) -> NotSent | None:
+        """Open the connection.
+
+        Parameters
+        ----------
+        until : timedelta
+            On the monotonic clock.
+        """
+        host, _, port = self.address.rpartition(":")
+        peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        left = (until - self._clock.monotonic()).total_seconds()
+        try:
+            peer.settimeout(max(left, 0.001))
+            peer.connect((host, int(port)))
+            tune(peer)
+        except OSError:
+            peer.close()
+            return NotSent(Why.CONNECT)
+        self._peer = peer
+        return None
+
+    # Sending
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        until: timedelta,
+    ) -> NotSent | Broken | None:
+        """Send a request whole."""
+        assert self._peer is not None
+        request = h11.Request(method=method, target=target, headers=headers)
+        self._request = request
+        data = self._http.send(request) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        self.used += 1
+        try:
+            sent = send_all(self._peer, data, until, self._clock)
+        except OSError:
+            return Broken(Why.RESET)
+        if sent == len(data):
+            return None
+        return Broken(Why.TIMEOUT) if sent else NotSent(Why.TIMEOUT)
+
+    # Receiving
+
+    def next_event(self) -> Event:
+        """Return the next part of the answer that has come, without waiting."""
+        assert self._peer is not None
+        while True:
+            event = self._parsed()
+            if not isinstance(event, Waiting):
+                return event
+            try:
+                data = self._peer.recv(READ_SIZE)
+            except BlockingIOError:
+                return WAITING
+            except OSError:
+                return Broken(Why.RESET)
+            try:
+                self._http.receive_data(data)
+            except RuntimeError:
+                return Broken(Why.CLOSED)
+
+    def _parsed(self) -> Event:
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError:
+            rest, closed = self._http.trailing_data
+            return Broken(Why.CLOSED if closed and not rest else Why.MALFORMED)
+        if event is h11.NEED_DATA:
+            return WAITING
+        if isinstance(event, h11.Response):
+            return self._head(event)
+        if isinstance(event, h11.Data):
+            return Piece(bytes(event.data))
+        if isinstance(event, h11.EndOfMessage):
+            return End()
+        if isinstance(event, h11.InformationalResponse):
+            return self._parsed()
+        return Broken(Why.CLOSED)
+
+    def _head(self, event: h11.Response) -> Head:
+        pairs = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in event.headers.raw_items()
+        ]
+        values = {name.lower(): value for name, value in pairs}
+        self._framed = "content-length" in values or "transfer-encoding" in values
+        self._keep_until(values.get("keep-alive", ""))
+        return Head(event.status_code, pairs, values)
+
+    def _keep_until(self, keep_alive: str) -> None:
+        for part in keep_alive.split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() != "timeout" or not value.isdigit():
+                continue
+            kept = timedelta(seconds=int(value)) - EXPIRY_MARGIN
+            self.expires_at = self._clock.monotonic() + kept
+
+    def wait(self, until: timedelta) -> bool:
+        """Wait until something has come; return False when time is up."""
+        return bool(wait_readable([self.fileno()], until, self._clock))
+
+    def expect_another(self) -> bool:
+        """Read on for the answer that is due, behind one that was too much.
+
+        Returns
+        -------
+        bool
+            False if the connection can't carry another answer.
+        """
+        if self._http.our_state is not h11.DONE or not self._framed:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        assert self._request is not None
+        left_over, _ = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_ROOM)
+        self._http.send(
+            h11.Request(
+                method=self._request.method,
+                target=self._request.target,
+                headers=[("Host", "again"), ("Content-Length", "0")],
+            )
+        )
+        self._http.send(h11.EndOfMessage())
+        if left_over:
+            self._http.receive_data(left_over)
+        return True
+
+    # Keeping
+
+    def reusable(self) -> bool:
+        """Return whether the connection may carry a next request.
+
+        Bytes that are there already belong to no request of ours.
+        """
+        if self._peer is None or self._http.trailing_data[0]:
+            return False
+        if self._clock.monotonic() >= self.expires_at:
+            return False
+        return not wait_readable([self.fileno()], timedelta(), self._clock)
+
+    def next(self) -> bool:
+        """Make ready for a next request; return False if that can't be."""
+        done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        if not done or not self._framed:
+            return False
+        self._http.start_next_cycle()
+        return self.reusable()
+
+    def close(self) -> None:
+        """Close; an upstream that still works on a request drops it."""
+        if self._peer is not None:
+            self._peer.close()
+            self._peer = None
--- a/packages/ashhoist/src/ashhoist/instances/__init__.py
+++ b/packages/ashhoist/src/ashhoist/instances/__init__.py
@@ -1,5 +1,6 @@
 """Talks to the other instances: one websocket link for each pair."""
 
-from .links import Links
+from . import news
+from .links import Links, Peers
 
-__all__ = ["Links"]
+__all__ = ["Links", "Peers", "news"]
--- a/packages/ashhoist/src/ashhoist/instances/links.py
+++ b/packages/ashhoist/src/ashhoist/instances/links.py
@@ -1,7 +1,8 @@
 """The links to all other instances: who dials whom, and what is sent where.
 
 Of each pair the instance with the smaller name dials, so both sides agree on
-whether there is a link.
+whether there is a link. The other side dials too once it has waited for a while:
+the first may not know of it.
 """
 
 import random
@@ -20,12 +21,13 @@
 from websockets.sync.connection import Connection
 from websockets.sync.server import Server, ServerConnection, serve
 
-from .. import bridge, messages
+from .. import messages
 from ..clock import Clock
 from ..exceptions import AddressInUseError
 from ..logs import Logger
 from ..tasks import Task, handles
 from ..types import Endpoint
+from . import news
 from ._link import Link
 
 TICK = timedelta(milliseconds=400)
@@ -35,21 +37,26 @@
 FINISH_LOOK_SECONDS = 0.01
 RETRY_FIRST = timedelta(milliseconds=200)
 RETRY_LONGEST = timedelta(seconds=3)
+OTHERS_TURN = timedelta(seconds=1.5)
+"""How long the side that need not dial waits for the other side to do so."""
 
 
 class Peers:
-    """The instances that there should be links to, as a message."""
+    """The instances that there should be links to, as a message.
+
+    An endpoint without a name is an address to ask, of an instance not yet known.
+    """
 
     def __init__(self, endpoints: list[Endpoint]) -> None:
-        self.by_name = {endpoint.name: endpoint for endpoint in endpoints}
+        self.by_address = {endpoint.address: endpoint for endpoint in endpoints}
 
 
 class _Dialled:
-    """The end of a dial."""
+    """The end of a dial; `peer` is who answered, or empty."""
 
-    def __init__(self, peer: str, reached: bool) -> None:
+    def __init__(self, address: str, peer: str) -> None:
+        self.address = address
         self.peer = peer
-        self.reached = reached
 
 
 class Links(Task):
@@ -89,6 +96,8 @@
         self._links: dict[str, Link] = {}
         self._lock = threading.Lock()
         self._peers: dict[str, Endpoint] = {}
+        self._names: dict[str, str] = {}
+        self._unlinked_since: dict[str, timedelta] = {}
         self._dialling: set[str] = set()
         self._retry_at: dict[str, timedelta] = {}
         self._failures: dict[str, int] = {}
@@ -192,7 +201,7 @@
         )
 
     def _deliver(self, peer: str, incarnation: str, items: list[Any]) -> None:
-        self._send_core(bridge.PeerMessages(peer, incarnation, items))
+        self._send_core(news.PeerMessages(peer, incarnation, items))
 
     def _run(self, link: Link) -> None:
         """Serve a link until it closes; the newest link to a peer stays."""
@@ -201,8 +210,8 @@
             self._links[link.peer] = link
         if before is not None:
             before.close()
-            self._send_core(bridge.PeerDown(link.peer))
-        self._send_core(bridge.PeerUp(link.peer, link.incarnation))
+            self._send_core(news.PeerDown(link.peer))
+        self._send_core(news.PeerUp(link.peer, link.incarnation))
         writer = threading.Thread(target=link.write, daemon=True)
         writer.start()
         link.read()
@@ -211,28 +220,36 @@
             if current:
                 del self._links[link.peer]
         if current:
-            self._send_core(bridge.PeerDown(link.peer))
+            self._send_core(news.PeerDown(link.peer))
 
     # Dialling
 
     @handles(Peers)
     def _peers_changed(self, peers: Peers) -> None:
-        self._peers = peers.by_name
+        self._peers = peers.by_address
 
     def tick(self) -> None:
         """Dial the peers to which there is no link."""
         now = self._clock.monotonic()
-        for name, endpoint in self._peers.items():
-            if name <= self._own.name or name in self._links:
+        for address, endpoint in self._peers.items():
+            if not self._due(address, endpoint, now):
                 continue
-            if name in self._dialling or self._retry_at.get(name, now) > now:
-                continue
-            self._dialling.add(name)
+            self._dialling.add(address)
             threading.Thread(target=self._dial, args=(endpoint,), daemon=True).start()
 
+    def _due(self, address: str, endpoint: Endpoint, now: timedelta) -> bool:
+        name = endpoint.name or self._names.get(address, "")
+        if name in self._links or name == self._own.name:
+            self._unlinked_since.pop(address, None)
+            return False
+        since = self._unlinked_since.setdefault(address, now)
+        if address in self._dialling or self._retry_at.get(address, now) > now:
+            return False
+        return name > self._own.name or not name or now - since >= OTHERS_TURN
+
     def _dial(self, endpoint: Endpoint) -> None:
         token = min(self._tokens)
-        dialled = False
+        peer = ""
         try:
             with connect(
                 f"ws://{endpoint.address}/",
@@ -245,22 +262,24 @@
                 user_agent_header=None,
             ) as connection:
                 link = self._greet(connection)
-                dialled = link is not None
-                self.send(_Dialled(endpoint.name, dialled))
+                peer = link.peer if link is not None else ""
+                self.send(_Dialled(endpoint.address, peer))
                 if link is not None:
                     self._run(link)
         except (OSError, TimeoutError, WebSocketException):
-            if not dialled:
-                self.send(_Dialled(endpoint.name, False))
+            if not peer:
+                self.send(_Dialled(endpoint.address, ""))
 
     @handles(_Dialled)
     def _dialled(self, dialled: _Dialled) -> None:
-        self._dialling.discard(dialled.peer)
-        if dialled.reached:
-            self._failures.pop(dialled.peer, None)
+        address = dialled.address
+        self._dialling.discard(address)
+        if dialled.peer:
+            self._names[address] = dialled.peer
+            self._failures.pop(address, None)
             return
-        failures = self._failures.get(dialled.peer, 0) + 1
-        self._failures[dialled.peer] = failures
+        failures = self._failures.get(address, 0) + 1
+        self._failures[address] = failures
         wait = min(RETRY_FIRST * 2 ** min(failures, 6), RETRY_LONGEST)
         wait *= self._random.uniform(0.5, 1.0)
-        self._retry_at[dialled.peer] = self._clock.monotonic() + wait
+        self._retry_at[address] = self._clock.monotonic() + wait
--- a/packages/ashhoist/src/ashhoist/logs.py
+++ b/packages/ashhoist/src/ashhoist/logs.py
@@ -1,8 +1,10 @@
 """Logs: short sentences with a fixed prefix for each part."""
 
 import logging
+import queue
 import sys
-from typing import Any
+import threading
+from typing import Any, TextIO
 
 import structlog
 from structlog.typing import EventDict
@@ -11,8 +13,52 @@
 """A bound `structlog` logger."""
 
 
-def configure(json_lines: bool = False, level: str = "info") -> None:
-    """Set up the format of all logs, on standard error.
+MOST_LINES_WAITING = 4096
+
+
+class LineWriter:
+    """Writes lines on a thread of its own, so that no caller waits for a pipe.
+
+    Lines beyond what may wait are dropped; how many is told with the next line.
+
+    Parameters
+    ----------
+    file : TextIO
+        Where lines go.
+    """
+
+    def __init__(self, file: TextIO) -> None:
+        self._file = file
+        self._lines: queue.Queue[str] = queue.Queue(MOST_LINES_WAITING)
+        self.dropped = 0
+        threading.Thread(target=self._run, name="logs", daemon=True).start()
+
+    def msg(self, message: str) -> None:
+        """Take a line."""
+        try:
+            self._lines.put_nowait(message)
+        except queue.Full:
+            self.dropped += 1
+
+    log = debug = info = warn = warning = error = critical = msg
+    fatal = failure = exception = msg
+
+    def _run(self) -> None:
+        told = 0
+        while True:
+            line = self._lines.get()
+            if self.dropped > told:
+                line += f'\n{{"event": "logs: lines dropped", "all": {self.dropped}}}'
+                told = self.dropped
+            self._file.write(line + "\n")
+            if self._lines.empty():
+                self._file.flush()
+
+
+def configure(
+    json_lines: bool = False, level: str = "info", file: TextIO | None = None
+) -> None:
+    """Set up the format of all logs.
 
     Parameters
     ----------
@@ -20,6 +66,8 @@
         One JSON object a line in place of text for a person.
     level : str
         The lowest level that is shown.
+    file : TextIO or None
+        Written to by a thread of its own; None is standard error, directly.
     """
     renderer: Any = structlog.dev.ConsoleRenderer(colors=False)
     if json_lines:
@@ -35,11 +83,18 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=_factory(file),
         cache_logger_on_first_use=False,
     )
 
 
+def _factory(file: TextIO | None) -> Any:
+    if file is None:
+        return structlog.PrintLoggerFactory(file=sys.stderr)
+    writer = LineWriter(file)
+    return lambda *_: writer
+
+
 def get(part: str, **context: Any) -> Logger:
     """Return the logger of a part. Its lines start with ``part:``."""
     return structlog.get_logger(part=part, **context)
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -15,6 +15,7 @@
 SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
 
 COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
+    "orders": ("Orders to engines that ended", ("kind", "answer")),
     "refusals": ("Requests refused before they ran", ("reason",)),
     "failures": ("Requests that may have run and have no whole answer", ("reason",)),
     "retries": ("Requests tried again", ("reason",)),
@@ -29,6 +30,7 @@
     "http_requests": ("HTTP requests of callers and operators", ("status",)),
 }
 HISTOGRAMS = {
+    "request_seconds": "Time from a request's first byte to its end",
     "load_stall_seconds": "Time that requests waited for their adapter",
     "queue_seconds": "Time that requests waited before they were sent",
     "batch_fill": "Running requests over the largest batch, when one is sent",
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/orders/__init__.py
@@ -0,0 +1,24 @@
+"""Who may give orders to engines, and what is known of orders given."""
+
+from .lease import (
+    AppendClaim,
+    Claim,
+    Lease,
+    LeaseAction,
+    LeaseTiming,
+    ReadClaims,
+)
+from .order import EngineReport, Order, OrderAnswer, OrderKind
+
+__all__ = [
+    "AppendClaim",
+    "Claim",
+    "EngineReport",
+    "Lease",
+    "LeaseAction",
+    "LeaseTiming",
+    "Order",
+    "OrderAnswer",
+    "OrderKind",
+    "ReadClaims",
+]
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -0,0 +1,331 @@
+"""The lease on giving orders, kept on the shared log.
+
+Engines here check no fencing tokens, so the authority to order is a time: it
+counts from before the holder's last renewal was sent, on its steady clock. A
+successor waits that time from the moment at which it learnt of the renewal,
+which is later; and its claim is appended only if the topic has not grown, so a
+renewal in between makes it fail. The same machine may claim again at once: its
+earlier process has ended.
+"""
+
+from dataclasses import dataclass, replace
+from datetime import timedelta
+
+import cbor2
+
+from ..clock import ZERO, Clock
+from ..store import (
+    Appended,
+    AppendResult,
+    ConditionFailed,
+    Newest,
+    Record,
+    Unavailable,
+)
+
+RETRY_PAUSE = timedelta(milliseconds=150)
+STALE_KNOWLEDGE = timedelta(seconds=1)
+RANK_PAUSE = timedelta(milliseconds=120)
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTiming:
+    """The times of a lease.
+
+    Parameters
+    ----------
+    term : timedelta
+        How long a renewal lasts.
+    renew_every : timedelta
+        How often the holder renews.
+    send_margin : timedelta
+        So long before the end no order is sent any more.
+    clock_margin : timedelta
+        What a successor waits besides, for clocks that run unevenly.
+    turn : timedelta
+        No machine orders again within this time of another one's order that
+        came after its own.
+    """
+
+    term: timedelta = timedelta(milliseconds=2500)
+    renew_every: timedelta = timedelta(milliseconds=800)
+    send_margin: timedelta = timedelta(milliseconds=300)
+    clock_margin: timedelta = timedelta(milliseconds=100)
+    turn: timedelta = timedelta(seconds=3)
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """One record of a lease.
+
+    Parameters
+    ----------
+    key : str
+        The lease's key on the topic.
+    holder : str
+        The machine's name.
+    life : str
+        The holder's process; new with each start.
+    fence : int
+        The offset of the holder's first claim in a row; -1 in that record.
+    offset : int
+        Where the record itself stands.
+    before : str
+        The machine that held the lease before this one.
+    """
+
+    key: str
+    holder: str
+    life: str
+    fence: int = -1
+    offset: int = -1
+    released: bool = False
+    before: str = ""
+
+    @property
+    def token(self) -> int:
+        """Return the fencing token."""
+        return self.fence if self.fence >= 0 else self.offset
+
+    def encode(self) -> bytes:
+        """Return the form on the log."""
+        return cbor2.dumps(
+            [self.holder, self.life, self.fence, self.released, self.before]
+        )
+
+    @classmethod
+    def decode(cls, record: Record) -> "Claim | None":
+        """Return the claim in a record, or None if it is none."""
+        try:
+            holder, life, fence, released, before = cbor2.loads(record.value or b"")
+        except (ValueError, TypeError, cbor2.CBORDecodeError):
+            return None
+        return cls(record.key, holder, life, fence, record.offset, released, before)
+
+
+@dataclass(frozen=True, slots=True)
+class ReadClaims:
+    """Ask for the newest claims."""
+
+
+@dataclass(frozen=True, slots=True)
+class AppendClaim:
+    """Append a claim, only where the topic ends at `at`."""
+
+    claim: Claim
+    at: int
+    sent_at: timedelta
+
+
+LeaseAction = ReadClaims | AppendClaim
+
+
+class Lease:
+    """One lease, as one instance sees it. Asks for one store call at a time.
+
+    Parameters
+    ----------
+    key : str
+        The lease's key on the topic.
+    own : str
+        This machine's name.
+    life : str
+        This process.
+    """
+
+    def __init__(
+        self, key: str, own: str, life: str, timing: LeaseTiming, clock: Clock
+    ) -> None:
+        self.key = key
+        self._own = own
+        self._life = life
+        self._timing = timing
+        self._clock = clock
+        self._claim: Claim | None = None
+        self._known_since = ZERO
+        self._end: int | None = None
+        self._pending = False
+        self._next_try = ZERO
+        self._renewed_at: timedelta | None = None
+        self._orders_from = ZERO
+        self._unsure: AppendClaim | None = None
+        self._stopping = False
+        self._rank = 0
+
+    # What others need to know
+
+    @property
+    def claim(self) -> Claim | None:
+        """Return the newest claim known."""
+        return self._claim
+
+    def fence(self) -> int | None:
+        """Return the fencing token if an order may be sent now, else None."""
+        claim = self._claim
+        now = self._clock.monotonic()
+        if claim is None or self._renewed_at is None or not self._mine(claim):
+            return None
+        if claim.released or now < self._orders_from:
+            return None
+        until = self._renewed_at + self._timing.term - self._timing.send_margin
+        return claim.token if now < until else None
+
+    @property
+    def held(self) -> bool:
+        """Return whether this process holds the lease, by its own clock."""
+        claim = self._claim
+        if claim is None or self._renewed_at is None or not self._mine(claim):
+            return False
+        ends = self._renewed_at + self._timing.term
+        return not claim.released and self._clock.monotonic() < ends
+
+    def _mine(self, claim: Claim) -> bool:
+        return claim.holder == self._own and claim.life == self._life
+
+    def set_rank(self, rank: int) -> None:
+        """Set how many instances should try to claim before this one."""
+        self._rank = rank
+
+    def stop(self) -> None:
+        """Release the lease and claim it no more."""
+        self._stopping = True
+
+    @property
+    def released(self) -> bool:
+        """Return whether nothing is left to release."""
+        return not self.held
+
+    # What to do next
+
+    def due(self) -> LeaseAction | None:
+        """Return the store call that is due, if any; it counts as begun."""
+        now = self._clock.monotonic()
+        if self._pending or now < self._next_try:
+            return None
+        action = self._due(now)
+        self._pending = action is not None
+        return action
+
+    def _due(self, now: timedelta) -> LeaseAction | None:
+        if self._end is None or self._unsure is not None:
+            return ReadClaims()
+        if self.held:
+            return self._due_as_holder(now)
+        if self._stopping:
+            return None
+        if now < self._claimable_from():
+            return None
+        return self._append(self._first_claim(), now)
+
+    def _due_as_holder(self, now: timedelta) -> AppendClaim | None:
+        assert self._claim is not None and self._renewed_at is not None
+        if self._stopping:
+            return self._append(self._renewal(released=True), now)
+        if now < self._renewed_at + self._timing.renew_every:
+            return None
+        return self._append(self._renewal(), now)
+
+    def _claimable_from(self) -> timedelta:
+        claim = self._claim
+        if claim is None or claim.released:
+            return self._known_since + RANK_PAUSE * self._rank
+        if claim.holder == self._own:
+            return self._known_since
+        wait = self._timing.term + self._timing.clock_margin
+        return self._known_since + wait + RANK_PAUSE * self._rank
+
+    def _first_claim(self) -> Claim:
+        claim = self._claim
+        before = ""
+        if claim is not None:
+            before = claim.before if claim.holder == self._own else claim.holder
+        return Claim(self.key, self._own, self._life, before=before)
+
+    def _renewal(self, released: bool = False) -> Claim:
+        assert self._claim is not None
+        return replace(self._claim, fence=self._claim.token, released=released)
+
+    def _append(self, claim: Claim, now: timedelta) -> AppendClaim:
+        assert self._end is not None
+        return AppendClaim(claim, self._end, now)
+
+    # What comes back
+
+    def read(self, result: Newest | Unavailable) -> None:
+        """Take in the answer to `ReadClaims`."""
+        self._pending = False
+        now = self._clock.monotonic()
+        if isinstance(result, Unavailable):
+            self._next_try = now + RETRY_PAUSE
+            return
+        self._end = result.end
+        unsure, self._unsure = self._unsure, None
+        found = self._newest(result)
+        if found is None:
+            return
+        before = self._claim
+        self._take(found, now)
+        if unsure is None or found.offset != unsure.at or not self._mine(found):
+            return
+        if unsure.claim.fence < 0:
+            self._begin(before, now)
+        self._renewed_at = unsure.sent_at
+
+    def _newest(self, result: Newest) -> Claim | None:
+        for record in result.records:
+            if record.key == self.key:
+                return Claim.decode(record)
+        return None
+
+    def _take(self, claim: Claim, now: timedelta) -> None:
+        if self._claim is not None and claim.offset <= self._claim.offset:
+            return
+        if self._claim is None or not self._mine(claim):
+            self._renewed_at = None
+        self._claim = claim
+        self._known_since = now
+
+    def heard(self, claim: Claim) -> None:
+        """Take in a claim that another instance knows of."""
+        now = self._clock.monotonic()
+        if self._mine(claim):
+            return
+        if self._claim is not None and claim.offset <= self._claim.offset:
+            return
+        self._take(claim, now)
+        if self._end is not None:
+            self._end = max(self._end, claim.offset + 1)
+
+    def appended(self, action: AppendClaim, result: AppendResult) -> None:
+        """Take in how an append ended."""
+        self._pending = False
+        now = self._clock.monotonic()
+        if isinstance(result, Appended):
+            before = self._claim
+            self._claim = replace(action.claim, offset=result.offset)
+            self._end = result.offset + 1
+            self._known_since = now
+            if action.claim.fence < 0:
+                self._begin(before, now)
+            self._renewed_at = action.sent_at
+            return
+        self._next_try = now + RETRY_PAUSE
+        if isinstance(result, ConditionFailed):
+            self._end = None
+            return
+        if isinstance(result, Unavailable):
+            return
+        self._unsure = action
+
+    def _begin(self, before: Claim | None, now: timedelta) -> None:
+        """Set when the first order may be sent, behind the claim `before`.
+
+        If this machine held the lease right before the last holder, its own
+        last order may be a moment ago.
+        """
+        returns = (
+            before is not None
+            and before.holder != self._own
+            and before.before == self._own
+        )
+        self._orders_from = now + self._timing.turn if returns else now
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/orders/order.py
@@ -0,0 +1,76 @@
+"""An order to an engine, its answers, and what an engine reports of itself."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from ..adapter import Adapter
+
+
+class OrderKind(StrEnum):
+    """What an engine is ordered to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One order.
+
+    Parameters
+    ----------
+    upstream : str
+        The engine's present life; another one refuses the order.
+    expected : int
+        The engine's order count at which alone the order is valid, so that an
+        order that is carried out late changes nothing once a newer one was.
+    version : int or None
+        Of the adapter; None asks for the newest.
+    """
+
+    upstream: str
+    address: str
+    kind: OrderKind
+    adapter: Adapter
+    expected: int
+    holder: str
+    fence: int
+    version: int | None = None
+
+
+class OrderAnswer(StrEnum):
+    """What is known of an order once its exchange has ended."""
+
+    ACCEPTED = "accepted"
+    """It is being carried out."""
+    HOLDS = "holds"
+    """What it asks for is so."""
+    CONFLICT = "conflict"
+    """Another order count, or too much under way; nothing was done."""
+    REFUSED = "refused"
+    """It will never be carried out in this form."""
+    NOT_SENT = "not_sent"
+    """No byte has left."""
+    UNKNOWN = "unknown"
+    """It was sent and got no answer: done, done later, or never."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an engine says it holds, as it stood a little while ago.
+
+    Parameters
+    ----------
+    order_count : int
+        How many orders it has taken.
+    adapters, coming : dict
+        Versions by adapter.
+    """
+
+    order_count: int
+    models: tuple[str, ...] = ()
+    adapters: dict[Adapter, int] = field(default_factory=dict)
+    coming: dict[Adapter, int] = field(default_factory=dict)
+    busy: bool = False
+    running: int = 0
+    waiting: int = 0
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/placement/asks.py
@@ -0,0 +1,79 @@
+"""What requests ask of placement, and the answers."""
+
+from concurrent.futures import Future
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..adapter import Adapter
+from ..failures import Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Where an attempt goes.
+
+    Parameters
+    ----------
+    upstream : str
+        The id of its present life.
+    version : int or None
+        The adapter version that it must have.
+    """
+
+    upstream: str
+    address: str
+    version: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request is not sent anywhere.
+
+    Parameters
+    ----------
+    retry_after : timedelta or None
+        When it is worth coming back.
+    """
+
+    reason: Reason
+    retry_after: timedelta | None = None
+    peer: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """A request that needs an adapter; `answer` gets a `Target` or `Refusal`."""
+
+    id: str
+    service: str
+    adapter: Adapter
+    oldest_version: int
+    worth: float
+    late_worth: float
+    aim_at: timedelta
+    limit: timedelta
+    tried: tuple[str, ...]
+    answer: "Future[Target | Refusal]"
+
+
+@dataclass(frozen=True, slots=True)
+class NoLongerWanted:
+    """A request has ended while it waited."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class UseBegan:
+    """A request goes to an engine that was known to serve its adapter."""
+
+    upstream: str
+    adapter: Adapter
+
+
+@dataclass(frozen=True, slots=True)
+class UseEnded:
+    """A request at an engine has ended."""
+
+    upstream: str
+    adapter: Adapter
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -0,0 +1,277 @@
+"""One engine as the holder of the lease sees it: its places, copies and orders.
+
+Each order names the engine's order count. So an order that got no answer is
+sent again as it was: if the first was taken, the second is refused, and either
+way the first can't be carried out later, behind newer ones.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import StrEnum
+
+from ..adapter import Adapter
+from ..orders.order import EngineReport, Order, OrderAnswer, OrderKind
+from ..upstreams import Upstream
+
+COLD_LOAD = timedelta(milliseconds=250)
+WARM_LOAD = timedelta(milliseconds=25)
+FIRST_LOOK_SHARE = 0.95
+LOOK_AGAIN = timedelta(milliseconds=20)
+REPORT_LAG = timedelta(milliseconds=350)
+MOST_COMING = 4
+MOST_COPIES = 36
+SMOOTHING = 0.2
+REFUSED_PAUSE = timedelta(milliseconds=500)
+SLOWEST_LOAD = timedelta(seconds=6)
+
+
+class PlaceState(StrEnum):
+    """What is known of one place of an engine."""
+
+    COMING = "coming"
+    SERVING = "serving"
+    GOING = "going"
+
+
+@dataclass(slots=True)
+class EnginePlace:
+    """One place and the adapter in it.
+
+    Parameters
+    ----------
+    users : int
+        Requests known to use it.
+    look_at : timedelta
+        When to ask whether the load has ended.
+    """
+
+    adapter: Adapter
+    version: int
+    state: PlaceState
+    since: timedelta
+    look_at: timedelta
+    cold: bool = True
+    users: int = 0
+    used_at: timedelta = timedelta()
+
+
+@dataclass(frozen=True, slots=True)
+class EngineNews:
+    """What changed at an engine with an answer."""
+
+    loaded: Adapter | None = None
+    took: timedelta = timedelta()
+    cold: bool = False
+    serving_changed: bool = False
+
+
+class Engine:
+    """The state of one engine.
+
+    Parameters
+    ----------
+    capacity : int
+        Adapters that it can hold at once.
+    """
+
+    def __init__(self, upstream: Upstream, capacity: int) -> None:
+        self.upstream = upstream
+        self.capacity = capacity
+        self.places: dict[Adapter, EnginePlace] = {}
+        self.copies: OrderedDict[Adapter, int] = OrderedDict()
+        self.order_count: int | None = None
+        self.sending: Order | None = None
+        self.report_at: timedelta | None = timedelta()
+        self.reporting = False
+        self.resend: Order | None = None
+        self.paused_until = timedelta()
+        self.running = 0
+        self.cold_load = COLD_LOAD
+        self.warm_load = WARM_LOAD
+
+    # What it has room for
+
+    @property
+    def id(self) -> str:
+        """Return the upstream's id."""
+        return self.upstream.id
+
+    @property
+    def known(self) -> bool:
+        """Return whether its places are known for sure."""
+        return self.order_count is not None and self.resend is None
+
+    @property
+    def free(self) -> int:
+        """Return how many places hold nothing."""
+        return self.capacity - len(self.places)
+
+    @property
+    def coming(self) -> int:
+        """Return how many adapters are on their way."""
+        return sum(place.state is PlaceState.COMING for place in self.places.values())
+
+    def can_order(self, now: timedelta) -> bool:
+        """Return whether an order may be sent to it now."""
+        if not self.known or self.sending is not None or self.reporting:
+            return False
+        return self.report_at is None and now >= self.paused_until
+
+    def serving(self) -> dict[Adapter, int]:
+        """Return the versions of the adapters that it serves."""
+        return {
+            place.adapter: place.version
+            for place in self.places.values()
+            if place.state is PlaceState.SERVING
+        }
+
+    def has_copy(self, adapter: Adapter, version: int) -> bool:
+        """Return whether it keeps a copy that loads fast."""
+        return self.copies.get(adapter, -1) >= version
+
+    def load_time(self, adapter: Adapter, version: int) -> timedelta:
+        """Return how long a load is expected to take."""
+        warm = self.has_copy(adapter, version)
+        return self.warm_load if warm else self.cold_load
+
+    # Orders
+
+    def begin(self, order: Order) -> None:
+        """Note that an order is about to be sent."""
+        self.sending = order
+
+    def answered(self, answer: OrderAnswer, now: timedelta) -> EngineNews:
+        """Take in how the order under way ended."""
+        order, self.sending = self.sending, None
+        assert order is not None
+        if answer is OrderAnswer.UNKNOWN:
+            self.resend = order
+            return EngineNews()
+        repeated = self.resend is not None
+        self.resend = None
+        if answer is OrderAnswer.NOT_SENT:
+            self.resend = order if repeated else None
+            self.paused_until = now + REFUSED_PAUSE
+            return EngineNews()
+        if answer in (OrderAnswer.CONFLICT, OrderAnswer.REFUSED):
+            return self._refused(order, answer, now)
+        if order.kind is OrderKind.LOAD:
+            return self._load_answered(order, answer, now)
+        return self._unloaded(order)
+
+    def _refused(self, order: Order, answer: OrderAnswer, now: timedelta) -> EngineNews:
+        """Read what it holds: the picture of it was wrong."""
+        self.order_count = None
+        self.report_at = now + REPORT_LAG
+        if answer is OrderAnswer.REFUSED:
+            self.paused_until = now + REFUSED_PAUSE
+        place = self.places.get(order.adapter)
+        if place is not None and place.state is PlaceState.GOING:
+            place.state = PlaceState.SERVING
+            return EngineNews(serving_changed=True)
+        return EngineNews()
+
+    def _load_answered(
+        self, order: Order, answer: OrderAnswer, now: timedelta
+    ) -> EngineNews:
+        place = self.places.get(order.adapter)
+        version = order.version if order.version is not None else 1
+        if place is None or place.state is not PlaceState.COMING:
+            place = self._coming(order, version, now)
+            assert self.order_count is not None
+            self.order_count = order.expected + 1
+        if answer is OrderAnswer.ACCEPTED:
+            place.look_at = max(place.look_at, now + LOOK_AGAIN)
+            return EngineNews()
+        return self._loaded(place, now)
+
+    def _coming(self, order: Order, version: int, now: timedelta) -> EnginePlace:
+        cold = not self.has_copy(order.adapter, version)
+        expected = self.load_time(order.adapter, version) * FIRST_LOOK_SHARE
+        place = EnginePlace(
+            order.adapter,
+            version,
+            PlaceState.COMING,
+            now,
+            now + expected,
+            cold,
+            used_at=now,
+        )
+        self.places[order.adapter] = place
+        return place
+
+    def _loaded(self, place: EnginePlace, now: timedelta) -> EngineNews:
+        took = now - place.since
+        place.state = PlaceState.SERVING
+        place.used_at = now
+        self._note_load(took, place.cold)
+        self._copied(place.adapter, place.version)
+        return EngineNews(place.adapter, took, place.cold, True)
+
+    def _note_load(self, took: timedelta, cold: bool) -> None:
+        took = min(took, SLOWEST_LOAD)
+        if cold:
+            self.cold_load += (took - self.cold_load) * SMOOTHING
+        else:
+            self.warm_load += (took - self.warm_load) * SMOOTHING
+
+    def _copied(self, adapter: Adapter, version: int) -> None:
+        self.copies[adapter] = version
+        self.copies.move_to_end(adapter)
+        while len(self.copies) > MOST_COPIES:
+            self.copies.popitem(last=False)
+
+    def _unloaded(self, order: Order) -> EngineNews:
+        self.order_count = order.expected + 1
+        place = self.places.pop(order.adapter, None)
+        if place is not None:
+            self._copied(place.adapter, place.version)
+        return EngineNews(serving_changed=False)
+
+    def leave(self, adapter: Adapter) -> None:
+        """Note that a place is about to be emptied: nobody is sent there now."""
+        self.places[adapter].state = PlaceState.GOING
+
+    # Reports
+
+    def report_due(self, now: timedelta) -> bool:
+        """Return whether the engine has to be asked what it holds."""
+        if self.reporting or self.sending is not None or self.report_at is None:
+            return False
+        return now >= max(self.report_at, self.paused_until)
+
+    def reported(self, report: EngineReport | None, now: timedelta) -> EngineNews:
+        """Take in what the engine says it holds; None if it did not answer."""
+        self.reporting = False
+        if report is None:
+            self.report_at = now + REFUSED_PAUSE
+            return EngineNews()
+        self.report_at = None
+        self.resend = None
+        self.order_count = report.order_count
+        self.running = report.running
+        known = self.places
+        self.places = {}
+        for adapter, version in report.adapters.items():
+            self._restore(known, adapter, version, PlaceState.SERVING, now)
+        for adapter, version in report.coming.items():
+            self._restore(known, adapter, version, PlaceState.COMING, now)
+        return EngineNews(serving_changed=True)
+
+    def _restore(
+        self,
+        known: dict[Adapter, EnginePlace],
+        adapter: Adapter,
+        version: int,
+        state: PlaceState,
+        now: timedelta,
+    ) -> None:
+        before = known.get(adapter)
+        place = EnginePlace(adapter, version, state, now, now, used_at=now)
+        if before is not None:
+            place.users = before.users
+            place.used_at = before.used_at
+        self.places[adapter] = place
+        if state is PlaceState.SERVING:
+            self._copied(adapter, version)
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/process_settings.py
@@ -0,0 +1,126 @@
+"""The settings of an instance that serves on a platform: one INI file."""
+
+import json
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated, Any
+
+from pydantic import BaseModel, BeforeValidator, Field, ValidationError
+
+from .exceptions import SettingsError
+from .settings import (
+    Address,
+    Duration,
+    LogSettings,
+    Name,
+    _Section,
+    read_sections,
+    wrong_settings,
+)
+
+
+def _items(value: Any) -> Any:
+    if not isinstance(value, str):
+        return value
+    return tuple(part.strip() for part in value.split(",") if part.strip())
+
+
+def _table(value: Any) -> Any:
+    return json.loads(value or "{}") if isinstance(value, str) else value
+
+
+Addresses = Annotated[tuple[Address, ...], BeforeValidator(_items)]
+Regions = Annotated[dict[str, str], BeforeValidator(_table)]
+
+
+class InstanceSection(_Section):
+    """Who this instance is, and where it listens."""
+
+    name: Name
+    availability_zone: Name
+    region: Name
+    callers: Address
+    readiness: Address
+    instances: Address
+    metrics: Address | None = None
+    seeds: Addresses = ()
+    zones: Regions = Field(default_factory=dict)
+
+
+class StoreSection(_Section):
+    """Where the shared log is, and how it is read."""
+
+    address: Address
+    configuration_wait: Duration = timedelta(seconds=5)
+    upstreams_pause: Duration = timedelta(milliseconds=800)
+
+
+class BoundsSection(_Section):
+    """What the platform promises and demands."""
+
+    drain: Duration = timedelta(seconds=2)
+    stop: Duration = timedelta(seconds=8)
+    lease: Duration = timedelta(seconds=3)
+    version: Duration = timedelta(seconds=5)
+    configuration: Duration = timedelta(seconds=2)
+    contact: Duration = timedelta(seconds=3)
+
+
+class RetrySection(_Section):
+    """The budget for second sends, over all instances."""
+
+    ratio: float = Field(default=0.2, ge=0, le=1)
+    extra: float = Field(default=0, ge=0)
+    window: Duration = timedelta(seconds=10)
+
+
+class LoadSection(_Section):
+    """Bounds on loads from the weight store, over all instances."""
+
+    window: Duration = timedelta(seconds=5)
+    overage: float = Field(default=1.1, ge=1)
+
+
+class LimitSection(_Section):
+    """What the machine allows the process."""
+
+    memory_mb: int = Field(default=300, ge=64)
+    descriptors: int = Field(default=4096, ge=256)
+    threads: int = Field(default=384, ge=8)
+
+
+class ProcessSettings(BaseModel):
+    """All settings of an instance on a platform."""
+
+    model_config = _Section.model_config
+
+    instance: InstanceSection
+    store: StoreSection
+    bounds: BoundsSection = BoundsSection()
+    retries: RetrySection = RetrySection()
+    loads: LoadSection = LoadSection()
+    limits: LimitSection = LimitSection()
+    logs: LogSettings = LogSettings()
+
+
+def load(path: Path) -> ProcessSettings:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    SettingsError
+        With one line for each wrong setting.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{path}: cannot be read: {error}"]) from None
+    return parse(text)
+
+
+def parse(text: str) -> ProcessSettings:
+    """Check the text of a settings file. Raises as `load` does."""
+    try:
+        return ProcessSettings.model_validate(read_sections(text))
+    except ValidationError as error:
+        raise SettingsError(wrong_settings(error)) from None
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -0,0 +1,55 @@
+"""One open request of a caller, and what is known of its attempts."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from ..adapter import Adapter
+from ..http import Request
+from ..routing import Route
+
+
+@dataclass(frozen=True, slots=True)
+class Sizes:
+    """How large a generation is, in tokens."""
+
+    tokens_in: int = 0
+    tokens_out: int = 0
+
+    @property
+    def weight(self) -> int:
+        """Return the work it stands for: a token out costs ten in."""
+        return self.tokens_in + 10 * self.tokens_out
+
+
+@dataclass(slots=True)
+class Call:
+    """One open request.
+
+    Parameters
+    ----------
+    limit : timedelta
+        When it ends: the route's time or the caller's, whichever is first.
+    may_have_run : bool
+        True once an attempt was sent and not refused expressly.
+    """
+
+    id: str
+    request: Request
+    route: Route
+    service: str
+    limit: timedelta
+    adapter: Adapter | None = None
+    sizes: Sizes = Sizes()
+    prompt_parts: tuple[str, ...] = ()
+    sends: int = 0
+    runs: int = 0
+    may_have_run: bool = False
+    tried: set[str] = field(default_factory=set)
+    waited: timedelta = timedelta()
+    first_event_at: timedelta | None = None
+    last_event_id: str = ""
+
+    @property
+    def received_at(self) -> timedelta:
+        """Return when its first byte was seen."""
+        return self.request.received_at
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -0,0 +1,46 @@
+"""Choosers say where a request goes next. One for each sort of service."""
+
+from typing import Protocol
+
+from ..failures import Reason
+from ..http import CallerConnection
+from ..placement.asks import Refusal, Target
+from ..upstreams import Balancer, Directory, Health
+from .attempt import CallerLeft, OutOfTime, Result
+from .call import Call
+
+Choice = Target | Refusal | CallerLeft | OutOfTime
+
+
+class Chooser(Protocol):
+    """Chooses upstreams for requests; used from many threads."""
+
+    def choose(self, call: Call, caller: CallerConnection) -> Choice:
+        """Return where `call` goes next; may wait."""
+
+    def ended(self, call: Call, target: Target, result: Result | None) -> None:
+        """Take in how an attempt ended; None stands for a whole stream."""
+
+
+class PlainChooser:
+    """Chooses for plain services: the upstream with the least work."""
+
+    def __init__(
+        self, directory: Directory, balancer: Balancer, health: Health
+    ) -> None:
+        self._directory = directory
+        self._balancer = balancer
+        self._health = health
+
+    def choose(self, call: Call, caller: CallerConnection) -> Choice:
+        """Return the upstream for `call`, or why there is none."""
+        found = self._directory.view.of(call.service)
+        upstream = self._balancer.choose(found, call.tried)
+        if upstream is None:
+            return Refusal(Reason.NO_UPSTREAM)
+        self._balancer.begin(upstream.id)
+        return Target(upstream.id, upstream.address)
+
+    def ended(self, call: Call, target: Target, result: Result | None) -> None:
+        """Take in how an attempt ended."""
+        self._balancer.end(target.upstream)
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/requests/dialect.py
@@ -0,0 +1,67 @@
+"""The names of the headers that requests and answers carry.
+
+The defaults are the project's own. A platform that names them otherwise passes
+its own `Dialect`; nothing else in the product knows a header's name.
+"""
+
+from dataclasses import dataclass
+
+SINGLE_CONNECTION = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern one connection only and are never passed on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Dialect:
+    """Header names, each in the spelling that is sent.
+
+    Parameters
+    ----------
+    request_id : str
+        Echoed by upstreams; tells a surplus answer from the one that is due.
+    seal : str
+        Set by upstreams on their answers; empty where they set none.
+    adapter : str
+        ``MODEL/ADAPTER``, or only the model.
+    token_counts : str
+        Of the prompt, and most out, divided by a comma.
+    prompt_parts : str
+        ``ID:TOKENS`` by commas, in order.
+    foreign : frozenset of str
+        In lower case: further headers that a caller must not set.
+    """
+
+    request_id: str = "Ashhoist-Request-Id"
+    deadline_ms: str = "Ashhoist-Deadline-Ms"
+    seal: str = ""
+    adapter: str = "Ashhoist-Adapter"
+    token_counts: str = "Ashhoist-Token-Counts"
+    prompt_parts: str = "Ashhoist-Prompt-Parts"
+    length_guess: str = "Ashhoist-Length-Guess"
+    last_event_id: str = "Last-Event-ID"
+    not_run: str = "Ashhoist-Not-Run"
+    retry_after: str = "Retry-After"
+    expect_instance: str = "Ashhoist-Expect-Incarnation"
+    expect_version: str = "Ashhoist-Expect-Version"
+    urgency: str = "Ashhoist-Urgency"
+    foreign: frozenset[str] = frozenset()
+
+    def own_headers(self) -> frozenset[str]:
+        """Return, in lower case, the headers that only the system sets."""
+        own = {
+            self.expect_instance.lower(),
+            self.expect_version.lower(),
+            self.urgency.lower(),
+        }
+        return frozenset(own | self.foreign)
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -0,0 +1,202 @@
+"""Takes requests off callers' connections and answers each."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+from ..adapter import Adapter
+from ..clock import Clock
+from ..failures import Reason
+from ..http import CallerConnection, CallerGoneError, MalformedRequestError, Request
+from ..http.caller import CallerLimits
+from ..logs import Logger
+from ..metrics import Metrics
+from ..routing import Route, RouteTable, Service
+from .call import Call, Sizes
+from .choosers import Chooser
+from .dialect import Dialect
+from .serving import Ending, Serving
+
+ANSWER_TIME = timedelta(seconds=2)
+REQUESTS_IN_A_ROW = 1000
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class Handler:
+    """The entry of callers' requests. Used from many threads.
+
+    Parameters
+    ----------
+    table : callable
+        Returns the routes in force, or None while none are known.
+    choosers : dict of str to Chooser
+        ``engine`` and ``plain``.
+    closing : callable
+        Returns whether answers shall close their connections.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        serving: Serving,
+        table: Callable[[], RouteTable | None],
+        choosers: dict[str, Chooser],
+        closing: Callable[[], bool],
+        clock: Clock,
+        metrics: Metrics,
+        log: Logger,
+        source: random.Random,
+    ) -> None:
+        self._dialect = dialect
+        self._serving = serving
+        self._table = table
+        self._choosers = choosers
+        self._closing = closing
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._random = source
+
+    def limits(self) -> CallerLimits:
+        """Return what a caller may send by the configuration in force."""
+        table = self._table()
+        if table is None:
+            return CallerLimits()
+        limits = table.configuration.limits
+        return CallerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_time,
+            limits.idle_time,
+        )
+
+    def serve(self, caller: CallerConnection) -> bool:
+        """Answer what has come; return whether the connection is kept."""
+        try:
+            kept = self._serve_one(caller)
+            while kept and caller.has_more:
+                kept = self._serve_one(caller)
+        except CallerGoneError:
+            kept = False
+        except Exception:
+            self._log.exception("request failed by a defect")
+            self._metrics.count("failures", Reason.INVALID)
+            caller.abort()
+            return False
+        if not kept:
+            caller.close()
+        return kept
+
+    def _serve_one(self, caller: CallerConnection) -> bool:
+        try:
+            request = caller.read_request(self.limits())
+        except MalformedRequestError as error:
+            self._metrics.count("refusals", Reason.BAD_REQUEST)
+            self._log.info(
+                "request refused", reason=Reason.BAD_REQUEST, detail=error.detail
+            )
+            caller.keep = False
+            self._say(caller, error.status, Reason.BAD_REQUEST, "")
+            return False
+        caller.keep = caller.keep and not self._closing()
+        self._answer(caller, request)
+        return caller.next()
+
+    def _answer(self, caller: CallerConnection, request: Request) -> None:
+        table = self._table()
+        request_id = request.value(self._dialect.request_id.lower())
+        if table is None:
+            self._refuse(caller, 503, Reason.UNSETTLED, request_id)
+            return
+        route = table.find(request.value("host"), request.target)
+        if route is None:
+            self._refuse(caller, 404, Reason.NOT_FOUND, request_id)
+            return
+        call = self._call(table, route, request, request_id)
+        chooser = self._chooser(table.configuration.services.get(call.service))
+        ending = self._serving.run(call, caller, chooser)
+        self._note(call, ending)
+
+    def _chooser(self, service: Service | None) -> Chooser:
+        engine = service is not None and service.engine is not None
+        return self._choosers["engine" if engine else "plain"]
+
+    def _call(
+        self, table: RouteTable, route: Route, request: Request, request_id: str
+    ) -> Call:
+        dialect = self._dialect
+        limit = request.received_at + route.timeout
+        told = request.value(dialect.deadline_ms.lower())
+        if told.isdigit():
+            limit = min(limit, request.received_at + int(told) * MILLISECOND)
+        service = self._service(table, route)
+        adapter = request.value(dialect.adapter.lower())
+        return Call(
+            id=request_id,
+            request=request,
+            route=route,
+            service=service,
+            limit=limit,
+            adapter=Adapter.parse(adapter) if adapter else None,
+            sizes=_sizes(request.value(dialect.token_counts.lower())),
+            prompt_parts=_parts(request.value(dialect.prompt_parts.lower())),
+        )
+
+    def _service(self, table: RouteTable, route: Route) -> str:
+        if len(route.services) == 1:
+            return route.services[0].service
+        weights = [part.weight for part in route.services]
+        [chosen] = self._random.choices(route.services, weights)
+        return chosen.service
+
+    def _refuse(
+        self, caller: CallerConnection, status: int, reason: Reason, request_id: str
+    ) -> None:
+        self._metrics.count("refusals", reason)
+        self._log.info("request refused", request=request_id, reason=reason)
+        self._say(caller, status, reason, request_id)
+
+    def _say(
+        self, caller: CallerConnection, status: int, reason: Reason, request_id: str
+    ) -> None:
+        headers = [("Content-Type", "text/plain")]
+        if request_id:
+            headers.append((self._dialect.request_id, request_id))
+        if status == 503:
+            headers.append((self._dialect.retry_after, "0.5"))
+        until = self._clock.monotonic() + ANSWER_TIME
+        caller.respond(status, headers, f"{reason}\n".encode(), until)
+
+    def _note(self, call: Call, ending: Ending) -> None:
+        now = self._clock.monotonic()
+        took = (now - call.received_at) / MILLISECOND
+        first = None
+        if call.first_event_at is not None:
+            first = round((call.first_event_at - call.received_at) / MILLISECOND)
+        self._metrics.observe("request_seconds", took / 1000)
+        self._log.info(
+            "request ended",
+            request=call.id,
+            route=call.route.name,
+            adapter=str(call.adapter or ""),
+            status=ending.status,
+            reason=ending.reason,
+            sends=call.sends,
+            waited_ms=round(call.waited / MILLISECOND),
+            first_ms=first,
+            took_ms=round(took),
+        )
+
+
+def _sizes(text: str) -> Sizes:
+    counts = [part.strip() for part in text.split(",")]
+    numbers = [int(part) for part in counts if part.isdigit()]
+    if len(numbers) != 2:
+        return Sizes()
+    return Sizes(*numbers)
+
+
+def _parts(text: str) -> tuple[str, ...]:
+    return tuple(
+        part.partition(":")[0].strip() for part in text.split(",") if part.strip()
+    )
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -0,0 +1,289 @@
+"""Serves one call: chooses, sends, tries again where that is allowed, answers."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..clock import Clock
+from ..failures import Reason
+from ..http import CallerConnection, CallerGoneError, Head
+from ..logs import Logger
+from ..metrics import Metrics
+from ..placement.asks import Refusal, Target
+from ..upstreams import Health
+from .attempt import (
+    Answered,
+    Attempts,
+    CallerLeft,
+    MayHaveRun,
+    NotRun,
+    OutOfTime,
+    Result,
+    Streaming,
+)
+from .budget import RetryBudget
+from .call import Call
+from .choosers import Chooser
+from .dialect import SINGLE_CONNECTION, Dialect
+from .relay import Relay, WholeStream
+
+NOT_RUN_STATUS = 503
+BROKEN_STATUS = 502
+TIMEOUT_STATUS = 504
+REFUSED_SENDS = 3
+"""Sends of one request that upstreams may refuse expressly."""
+DEFAULT_RETRY_AFTER = timedelta(milliseconds=250)
+SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How a call ended, for its log line and its counters."""
+
+    status: int
+    reason: str
+    not_run: bool = False
+
+
+class Serving:
+    """The loop over the attempts of a call. Used from many threads."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        attempts: Attempts,
+        budget: RetryBudget,
+        health: Health,
+        clock: Clock,
+        metrics: Metrics,
+        log: Logger,
+    ) -> None:
+        self._dialect = dialect
+        self._attempts = attempts
+        self._budget = budget
+        self._health = health
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+
+    def run(self, call: Call, caller: CallerConnection, chooser: Chooser) -> Ending:
+        """Serve `call` to its end; its caller has been answered or has left."""
+        self._budget.requested(call.service)
+        relay = Relay(call, caller, self._attempts, self._clock)
+        head: Head | None = None
+        while True:
+            target = chooser.choose(call, caller)
+            if isinstance(target, CallerLeft):
+                return self._left(caller)
+            if isinstance(target, OutOfTime):
+                return self._out_of_time(call, caller, relay)
+            if isinstance(target, Refusal):
+                return self._refuse(call, caller, relay, target)
+            result = self._attempt(call, target, caller)
+            if isinstance(result, Streaming):
+                if head is None or not relay.begun:
+                    head = self._head(result.head)
+                leg = relay.run(result, head)
+                if isinstance(leg, WholeStream):
+                    self._whole(call, target, result, chooser)
+                    return Ending(head.status, "whole")
+                result.connection.close()
+                result = leg
+            chooser.ended(call, target, result)
+            self._note(call, target, result)
+            if self._again(call, result, relay):
+                continue
+            return self._end(call, caller, relay, result)
+
+    # One attempt
+
+    def _attempt(self, call: Call, target: Target, caller: CallerConnection) -> Result:
+        call.sends += 1
+        call.tried.add(target.upstream)
+        return self._attempts.send(call, target, caller, call.route.streams)
+
+    def _whole(
+        self, call: Call, target: Target, result: Streaming, chooser: Chooser
+    ) -> None:
+        self._attempts.give_back(target, result.connection)
+        chooser.ended(call, target, None)
+        self._note_time(call, target)
+
+    def _note_time(self, call: Call, target: Target) -> None:
+        took = self._clock.monotonic() - call.received_at
+        self._health.answered(target.upstream, took)
+
+    def _note(self, call: Call, target: Target, result: Result) -> None:
+        """Take in what an attempt says of its upstream, and of the call."""
+        if isinstance(result, MayHaveRun | OutOfTime):
+            call.may_have_run = True
+            call.runs += 1
+            self._health.failed(target.upstream)
+        if isinstance(result, NotRun) and not result.arrived:
+            self._health.failed(target.upstream, unreachable=True)
+        if isinstance(result, Answered):
+            call.runs += 1
+            self._note_answer(call, target, result)
+        if isinstance(result, Answered) and result.head.status < SERVER_ERROR:
+            return
+        self._log.info(
+            "attempt ended",
+            request=call.id,
+            upstream=target.upstream,
+            address=target.address,
+            send=call.sends,
+            result=type(result).__name__,
+            reason=_reason_of(result),
+            last_event=call.last_event_id,
+        )
+
+    def _note_answer(self, call: Call, target: Target, result: Answered) -> None:
+        if result.head.status >= SERVER_ERROR:
+            self._health.failed(target.upstream)
+            return
+        self._note_time(call, target)
+
+    # Another attempt
+
+    def _again(self, call: Call, result: Result, relay: Relay) -> bool:
+        """Return whether another attempt is allowed, and worth its place."""
+        if isinstance(result, CallerLeft | OutOfTime):
+            return False
+        if self._clock.monotonic() >= call.limit:
+            return False
+        if isinstance(result, NotRun) and not result.arrived:
+            allowed = call.sends < call.route.attempts + REFUSED_SENDS
+            return allowed and self._count_retry(call, result)
+        if isinstance(result, NotRun):
+            refused = call.sends - call.runs
+            allowed = refused <= REFUSED_SENDS and self._may_run_again(call)
+            return allowed and self._pay(call, result)
+        if isinstance(result, Answered) and result.head.status < SERVER_ERROR:
+            return False
+        allowed = call.route.repeatable and self._may_run_again(call)
+        return allowed and self._pay(call, result)
+
+    def _may_run_again(self, call: Call) -> bool:
+        return call.runs < max(call.route.attempts, 1)
+
+    def _pay(self, call: Call, result: Result) -> bool:
+        if self._budget.allow(call.service):
+            return self._count_retry(call, result)
+        self._metrics.count("refusals", Reason.RETRY_BUDGET)
+        self._log.info("retry budget empty", request=call.id, service=call.service)
+        return False
+
+    def _count_retry(self, call: Call, result: Result) -> bool:
+        self._metrics.count("retries", _reason_of(result))
+        return True
+
+    # Ends
+
+    def _end(
+        self, call: Call, caller: CallerConnection, relay: Relay, result: Result
+    ) -> Ending:
+        if isinstance(result, CallerLeft):
+            return self._left(caller)
+        if isinstance(result, OutOfTime):
+            return self._out_of_time(call, caller, relay)
+        if isinstance(result, Answered):
+            return self._pass_answer(call, caller, relay, result)
+        if isinstance(result, NotRun):
+            return self._refuse(call, caller, relay, Refusal(result.reason))
+        reason = _reason_of(result)
+        return self._answer(call, caller, relay, BROKEN_STATUS, reason)
+
+    def _pass_answer(
+        self, call: Call, caller: CallerConnection, relay: Relay, result: Answered
+    ) -> Ending:
+        if relay.begun:
+            caller.abort()
+            return Ending(BROKEN_STATUS, "cut")
+        status = result.head.status
+        if status in (408, 421, 429, 503) and not call.route.repeatable:
+            # The upstream does not say that it has not run: no such promise.
+            reason = Reason.UPSTREAM_ERROR
+            return self._answer(call, caller, relay, BROKEN_STATUS, reason)
+        head = self._head(result.head)
+        try:
+            caller.respond(status, head.headers, result.body, self._limit(call))
+        except CallerGoneError:
+            return self._left(caller)
+        return Ending(status, "whole" if status < SERVER_ERROR else "upstream_error")
+
+    def _refuse(
+        self,
+        call: Call,
+        caller: CallerConnection,
+        relay: Relay,
+        refusal: Refusal,
+    ) -> Ending:
+        if call.may_have_run:
+            return self._answer(call, caller, relay, BROKEN_STATUS, refusal.reason)
+        wait = refusal.retry_after
+        if wait is None:
+            wait = DEFAULT_RETRY_AFTER
+        headers = [(self._dialect.retry_after, f"{wait.total_seconds():.3f}")]
+        return self._answer(
+            call, caller, relay, NOT_RUN_STATUS, refusal.reason, headers
+        )
+
+    def _out_of_time(
+        self, call: Call, caller: CallerConnection, relay: Relay
+    ) -> Ending:
+        if not call.sends:
+            return self._refuse(call, caller, relay, Refusal(Reason.DEADLINE))
+        return self._answer(call, caller, relay, TIMEOUT_STATUS, Reason.DEADLINE)
+
+    def _answer(
+        self,
+        call: Call,
+        caller: CallerConnection,
+        relay: Relay,
+        status: int,
+        reason: Reason,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> Ending:
+        not_run = status == NOT_RUN_STATUS
+        self._metrics.count("refusals" if not_run else "failures", reason)
+        if relay.begun:
+            caller.abort()
+            return Ending(status, reason, False)
+        body = f"{reason}\n".encode()
+        all_headers = [
+            (self._dialect.request_id, call.id),
+            ("Content-Type", "text/plain"),
+            *(headers or []),
+        ]
+        try:
+            caller.respond(status, all_headers, body, self._limit(call))
+        except CallerGoneError:
+            return self._left(caller)
+        return Ending(status, reason, not_run)
+
+    def _left(self, caller: CallerConnection) -> Ending:
+        self._metrics.count("failures", Reason.CALLER_LEFT)
+        caller.abort()
+        return Ending(0, Reason.CALLER_LEFT)
+
+    def _limit(self, call: Call) -> timedelta:
+        return max(call.limit, self._clock.monotonic()) + timedelta(milliseconds=500)
+
+    def _head(self, head: Head) -> Head:
+        """Return an upstream's head as it goes to the caller."""
+        headers = [
+            (name, value)
+            for name, value in head.headers
+            if name.lower() not in SINGLE_CONNECTION
+            and name.lower() != "content-length"
+        ]
+        return Head(head.status, headers, head.values)
+
+
+def _reason_of(result: object) -> Reason:
+    if isinstance(result, NotRun | MayHaveRun):
+        return result.reason
+    if isinstance(result, OutOfTime):
+        return Reason.DEADLINE
+    if isinstance(result, CallerLeft):
+        return Reason.CALLER_LEFT
+    return Reason.UPSTREAM_ERROR
--- a/packages/ashhoist/src/ashhoist/settings.py
+++ b/packages/ashhoist/src/ashhoist/settings.py
@@ -189,16 +189,31 @@
 
 def parse(text: str) -> Settings:
     """Check the text of a settings file. Raises as `load` does."""
+    try:
+        return Settings.model_validate(read_sections(text))
+    except ValidationError as error:
+        raise SettingsError(wrong_settings(error)) from None
+
+
+def read_sections(text: str) -> dict[str, dict[str, str]]:
+    """Return the sections of an INI text.
+
+    Raises
+    ------
+    SettingsError
+        If the text is no INI.
+    """
     parser = configparser.ConfigParser(interpolation=None)
     try:
         parser.read_string(text)
     except configparser.Error as error:
         raise SettingsError([str(error).replace("\n", " ")]) from None
-    by_section = {name: dict(parser[name]) for name in parser.sections()}
-    try:
-        return Settings.model_validate(by_section)
-    except ValidationError as error:
-        raise SettingsError([_line(problem) for problem in error.errors()]) from None
+    return {name: dict(parser[name]) for name in parser.sections()}
+
+
+def wrong_settings(error: ValidationError) -> list[str]:
+    """Return one line for each wrong setting."""
+    return [_line(problem) for problem in error.errors()]
 
 
 def _line(problem: Any) -> str:
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/store/__init__.py
@@ -0,0 +1,36 @@
+"""What must last: the log that all instances share, as a port.
+
+Whoever runs ashhoist gives it a `SharedLog`. Topics keep the newest record of
+each key for good.
+"""
+
+from .follower import Follower, Pace
+from .port import (
+    Appended,
+    AppendResult,
+    ConditionFailed,
+    Gone,
+    Newest,
+    Record,
+    Records,
+    SharedLog,
+    Topic,
+    Unavailable,
+    Unknown,
+)
+
+__all__ = [
+    "AppendResult",
+    "Appended",
+    "ConditionFailed",
+    "Follower",
+    "Gone",
+    "Newest",
+    "Pace",
+    "Record",
+    "Records",
+    "SharedLog",
+    "Topic",
+    "Unavailable",
+    "Unknown",
+]
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/store/follower.py
@@ -0,0 +1,142 @@
+"""Reads one topic from its newest records on, at its own pace."""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..clock import Clock
+from ..logs import Logger
+from .port import Gone, Newest, Record, Records, SharedLog, Topic, Unavailable
+
+FIRST_PAUSE = timedelta(milliseconds=250)
+LONGEST_PAUSE = timedelta(seconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How a topic is read.
+
+    Parameters
+    ----------
+    wait : timedelta
+        How long the log may hold a read that finds nothing.
+    pause : timedelta
+        Between two reads.
+    """
+
+    wait: timedelta
+    pause: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Followed:
+    """Records that a follower has read.
+
+    Parameters
+    ----------
+    whole : bool
+        True if these are the newest of all keys: what is not named has gone.
+    """
+
+    topic: Topic
+    records: tuple[Record, ...]
+    end: int
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class FollowerState:
+    """The log was lost, or is there again."""
+
+    topic: Topic
+    available: bool
+
+
+Deliver = Callable[[Followed | FollowerState], None]
+
+
+class Follower:
+    """A loop over one topic. Runs on a thread of its own.
+
+    Parameters
+    ----------
+    deliver : callable
+        Takes what was read; called from the follower's thread.
+    """
+
+    def __init__(
+        self,
+        topic: Topic,
+        log_of_records: SharedLog,
+        pace: Pace,
+        deliver: Deliver,
+        clock: Clock,
+        log: Logger,
+    ) -> None:
+        self._topic = topic
+        self._records = log_of_records
+        self._pace = pace
+        self._deliver = deliver
+        self._clock = clock
+        self._log = log
+        self._next: int | None = None
+        self._available: bool | None = None
+        self._failures = 0
+        self._stopping = threading.Event()
+
+    def run(self) -> None:
+        """Follow the topic until `stop`."""
+        while not self._stopping.is_set():
+            self._stopping.wait(self.step().total_seconds())
+        self._records.close()
+
+    def step(self) -> timedelta:
+        """Make one call; return how long to pause before the next."""
+        if self._next is None:
+            return self._start()
+        result = self._records.read(self._topic, self._next, self._pace.wait)
+        if isinstance(result, Unavailable):
+            return self._failed(result)
+        self._answered()
+        if isinstance(result, Gone):
+            self._log.info("history gone", topic=self._topic, at=self._next)
+            self._next = None
+            return timedelta()
+        self._take(result)
+        return self._pace.pause
+
+    def _start(self) -> timedelta:
+        result = self._records.newest(self._topic)
+        if isinstance(result, Unavailable):
+            return self._failed(result)
+        self._answered()
+        assert isinstance(result, Newest)
+        self._next = result.end
+        self._deliver(Followed(self._topic, result.records, result.end, True))
+        return self._pace.pause
+
+    def _take(self, result: Records) -> None:
+        if not result.records:
+            return
+        self._next = result.records[-1].offset + 1
+        self._deliver(Followed(self._topic, result.records, result.end, False))
+
+    def _failed(self, result: Unavailable) -> timedelta:
+        self._failures += 1
+        if self._available is not False:
+            self._available = False
+            self._log.warning("log lost", topic=self._topic, detail=result.detail)
+            self._deliver(FollowerState(self._topic, False))
+        return min(FIRST_PAUSE * 2 ** min(self._failures - 1, 4), LONGEST_PAUSE)
+
+    def _answered(self) -> None:
+        self._failures = 0
+        if self._available is not True:
+            self._available = True
+            self._log.info("log there", topic=self._topic)
+            self._deliver(FollowerState(self._topic, True))
+
+    def stop(self) -> None:
+        """End after the call under way."""
+        self._stopping.set()
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/store/port.py
@@ -0,0 +1,96 @@
+"""The shared log as the product sees it."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import StrEnum
+from typing import Protocol
+
+
+class Topic(StrEnum):
+    """The topics that the product reads; the last two are its own."""
+
+    CONFIGURATION = "configuration"
+    UPSTREAMS = "upstreams"
+    LEASES = "leases"
+    INSTANCES = "instances"
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One record; without a value it drops its key."""
+
+    offset: int
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Records:
+    """Records in order, and where the topic ends."""
+
+    records: tuple[Record, ...]
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class Newest:
+    """The newest record of each key. `end` is where the topic ended."""
+
+    records: tuple[Record, ...]
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """The records asked for are no longer kept."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The log did not answer, or turned this instance away; nothing was done."""
+
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """An append got no answer: it is done, will be done, or never."""
+
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """An append was done at this offset."""
+
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConditionFailed:
+    """The topic did not end where the append wanted; nothing was done."""
+
+    end: int
+
+
+AppendResult = Appended | ConditionFailed | Unavailable | Unknown
+
+
+class SharedLog(Protocol):
+    """One connection to the log. Used by one thread at a time."""
+
+    def read(
+        self, topic: Topic, start: int, wait: timedelta
+    ) -> Records | Gone | Unavailable:
+        """Return records from an offset on; wait so long for the first."""
+
+    def newest(self, topic: Topic) -> Newest | Unavailable:
+        """Return the newest record of each key."""
+
+    def append(
+        self, topic: Topic, key: str, value: bytes, at: int | None
+    ) -> AppendResult:
+        """Append a record, if wanted only where the topic ends at `at`."""
+
+    def close(self) -> None:
+        """Close the connection."""
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/upstreams/__init__.py
@@ -0,0 +1,7 @@
+"""The upstreams: which exist, which are well, which takes a plain request."""
+
+from .balance import Balancer
+from .directory import Directory, Upstream, UpstreamState
+from .health import Health
+
+__all__ = ["Balancer", "Directory", "Health", "Upstream", "UpstreamState"]
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -0,0 +1,147 @@
+"""The upstreams that exist, by the newest record of each.
+
+Records come from the platform and from other instances, in any order. Each
+carries the offset at which it was written, and a lower offset never replaces a
+higher one, nor does it bring back an upstream whose end was read.
+"""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import StrEnum
+from types import MappingProxyType
+
+REMEMBER_ENDED = timedelta(minutes=2)
+
+
+class UpstreamState(StrEnum):
+    """What an upstream says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """One life of an upstream.
+
+    Parameters
+    ----------
+    id : str
+        New with every start of the upstream.
+    address : str
+        ``IP:PORT``; may belong to another upstream later.
+    adapters : mapping
+        Versions of the adapters it says it holds, by model and adapter.
+    offset : int
+        Where its newest record stands on the log.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    state: UpstreamState = UpstreamState.READY
+    slots: int = 1
+    models: tuple[str, ...] = ()
+    adapters: dict[tuple[str, str], int] = field(default_factory=dict)
+    offset: int = -1
+
+    @property
+    def takes_work(self) -> bool:
+        """Return whether new requests may be sent to it."""
+        return self.state is UpstreamState.READY
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryView:
+    """What requests see of the directory; never changes."""
+
+    by_id: MappingProxyType[str, Upstream]
+    by_service: MappingProxyType[str, tuple[Upstream, ...]]
+
+    def of(self, service: str) -> tuple[Upstream, ...]:
+        """Return the upstreams of a service that take new work."""
+        return self.by_service.get(service, ())
+
+
+class Directory:
+    """All known upstreams. One task owns it; others read `view`."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, Upstream] = {}
+        self._ended: dict[str, tuple[int, timedelta]] = {}
+        self.offset = -1
+        self.view = _view({})
+
+    def put(self, upstream: Upstream) -> bool:
+        """Take in a record; return whether something a request sees changed."""
+        self.offset = max(self.offset, upstream.offset)
+        ended = self._ended.get(upstream.id)
+        if ended is not None and ended[0] >= upstream.offset:
+            return False
+        known = self._by_id.get(upstream.id)
+        if known is not None and known.offset >= upstream.offset:
+            return False
+        self._by_id[upstream.id] = upstream
+        self._ended.pop(upstream.id, None)
+        if known is not None and _same(known, upstream):
+            return False
+        self._publish()
+        return True
+
+    def end(self, upstream_id: str, offset: int, now: timedelta) -> bool:
+        """Take in that an upstream has gone; return whether it was known."""
+        self.offset = max(self.offset, offset)
+        known = self._by_id.get(upstream_id)
+        if known is not None and known.offset >= offset:
+            return False
+        self._ended[upstream_id] = (offset, now)
+        self._forget_ended(now)
+        if known is None:
+            return False
+        del self._by_id[upstream_id]
+        self._publish()
+        return True
+
+    def missing_from(self, listed: set[str], end: int) -> list[str]:
+        """Return the upstreams that a whole list, as of `end`, does not name."""
+        return [
+            upstream.id
+            for upstream in self._by_id.values()
+            if upstream.id not in listed and upstream.offset < end
+        ]
+
+    def all(self) -> dict[str, Upstream]:
+        """Return all known upstreams by id."""
+        return dict(self._by_id)
+
+    def _forget_ended(self, now: timedelta) -> None:
+        for upstream_id, (_, ended_at) in list(self._ended.items()):
+            if now - ended_at > REMEMBER_ENDED:
+                del self._ended[upstream_id]
+
+    def _publish(self) -> None:
+        self.view = _view(self._by_id)
+
+
+def _same(one: Upstream, other: Upstream) -> bool:
+    return (
+        one.state is other.state
+        and one.address == other.address
+        and one.service == other.service
+        and one.zone == other.zone
+        and one.slots == other.slots
+        and one.models == other.models
+        and one.adapters == other.adapters
+    )
+
+
+def _view(by_id: dict[str, Upstream]) -> DirectoryView:
+    by_service: dict[str, list[Upstream]] = {}
+    for upstream in by_id.values():
+        if upstream.takes_work:
+            by_service.setdefault(upstream.service, []).append(upstream)
+    return DirectoryView(
+        MappingProxyType(dict(by_id)),
+        MappingProxyType({name: tuple(found) for name, found in by_service.items()}),
+    )
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -28,7 +28,33 @@
     "websockets",
     "werkzeug",
 }
-WITH_INPUT_OUTPUT = {"core_task", "daemon", "tasks", "transfers", "web", "clock"}
+WITH_INPUT_OUTPUT = {
+    "clock",
+    "core_task",
+    "daemon",
+    "logs",
+    "probes",
+    "process",
+    "tasks",
+    "transfers",
+    "web",
+}
+DECISION_ROOMS = ("routing", "placement", "orders", "control")
+ROOM_MODULES_WITH_INPUT_OUTPUT = {"task", "engines"}
+"""In ``control``: the task around the core, and its talk with engines."""
+
+ROOMS_BELOW = {
+    "http": set(),
+    "store": set(),
+    "routing": set(),
+    "upstreams": set(),
+    "orders": {"store"},
+    "placement": {"orders", "upstreams"},
+    "control": {"http", "instances", "orders", "placement", "routing", "store"}
+    | {"upstreams"},
+    "requests": {"http", "placement", "routing", "upstreams"},
+}
+"""Which rooms a room may import; so there is no ring."""
 
 
 def imported(path: Path) -> set[str]:
@@ -42,6 +68,15 @@
     return found
 
 
+def imported_rooms(path: Path) -> set[str]:
+    """Return the neighbours of a room's module: what stands behind two dots."""
+    return {
+        (node.module or "").split(".")[0]
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.ImportFrom) and node.level == 2
+    }
+
+
 class ImportTests(unittest.TestCase):
     def test_decision_code_imports_no_peer_and_no_input_output(self) -> None:
         for path in SOURCE.glob("*.py"):
@@ -50,6 +85,22 @@
             with self.subTest(path.name):
                 self.assertEqual(imported(path) & (PEERS | INPUT_OUTPUT), set())
 
+    def test_decision_rooms_do_no_input_and_output(self) -> None:
+        for room in DECISION_ROOMS:
+            for path in (SOURCE / room).glob("*.py"):
+                if path.stem in ROOM_MODULES_WITH_INPUT_OUTPUT:
+                    continue
+                with self.subTest(f"{room}/{path.name}"):
+                    self.assertEqual(imported(path) & INPUT_OUTPUT, set())
+
+    def test_rooms_import_only_the_rooms_below_them(self) -> None:
+        rooms = set(ROOMS_BELOW)
+        for room, below in ROOMS_BELOW.items():
+            for path in (SOURCE / room).glob("*.py"):
+                with self.subTest(f"{room}/{path.name}"):
+                    found = imported_rooms(path) & rooms
+                    self.assertEqual(found - below - {room}, set())
+
     def test_peers_import_no_other_peer(self) -> None:
         for peer in PEERS:
             for path in (SOURCE / peer).glob("*.py"):
