Instances register before they read who else is there

Both ends had read the register before the other was in it. Ruled out: the links (no drop logged), the lease (held from -10 s on).

Change: append first, then read. The adapters of an upstream's record are no longer kept: nothing read them, and each load changed the record.

--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -105,8 +105,10 @@
 
     def _register(self) -> None:
         log = self._register_log
-        found = log.newest(Topic.INSTANCES)
+        # First the own record, then the others': of two instances that start
+        # at once, at least one sees the other.
         log.append(Topic.INSTANCES, self._own.name, self._own.encode(), None)
+        found = log.newest(Topic.INSTANCES)
         if isinstance(found, Unavailable):
             self._log.warning("register not read", detail=found.detail)
             return
--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -5,7 +5,7 @@
 higher one, nor does it bring back an upstream whose end was read.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
 from types import MappingProxyType
@@ -30,8 +30,6 @@
         New with every start of the upstream.
     address : str
         ``IP:PORT``; may belong to another upstream later.
-    adapters : mapping
-        Versions of the adapters it says it holds, by model and adapter.
     offset : int
         Where its newest record stands on the log.
     """
@@ -43,7 +41,6 @@
     state: UpstreamState = UpstreamState.READY
     slots: int = 1
     models: tuple[str, ...] = ()
-    adapters: dict[tuple[str, str], int] = field(default_factory=dict)
     offset: int = -1
 
     @property
@@ -132,7 +129,6 @@
         and one.zone == other.zone
         and one.slots == other.slots
         and one.models == other.models
-        and one.adapters == other.adapters
     )
 
 
