Engines that hold no base model get one; granted places that nobody used are free again

Besides, a place granted to a request that had just left stayed in use for ever, and an unload that waits for its requests (202) freed its place at once.

Change: empty engines are ordered to load the base model with the most demand, paced; a lost order is asked again with the count it has if it was taken; uses of grants that come too late are ended; an unload keeps its place until done.

--- a/packages/ashhoist/src/ashhoist/control/agent.py
+++ b/packages/ashhoist/src/ashhoist/control/agent.py
@@ -36,12 +36,9 @@
             list(wanted.tried),
         )
 
-    def granted(self, want_id: str, upstream: str) -> Wanted | None:
-        """Take in that a request may be sent; it counts as a use at once."""
-        wanted = self.open.pop(want_id, None)
-        if wanted is not None:
-            self._under_way[upstream, wanted.adapter] += 1
-        return wanted
+    def granted(self, upstream: str, adapter: Adapter) -> None:
+        """Count a use that the holder has granted, and so knows of."""
+        self._under_way[upstream, adapter] += 1
 
     def began(self, use: UseBegan) -> None:
         """Count a use that the holder does not know of yet."""
--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -362,12 +362,17 @@
         self.leadership.used(uses)
 
     def _granted(self, peer: str, granted: messages.Granted) -> None:
-        wanted = self.agent.granted(granted.id, granted.upstream)
+        adapter = Adapter(granted.model, granted.name)
+        self.agent.granted(granted.upstream, adapter)
+        wanted = self.agent.open.pop(granted.id, None)
         upstream = self._directory.view.by_id.get(granted.upstream)
-        if wanted is None:
+        waits = wanted is not None and wanted.answer.set_running_or_notify_cancel()
+        if wanted is None or not waits or upstream is None:
+            # Nobody goes there after all; the holder counts on hearing so.
+            self.agent.ended(UseEnded(granted.upstream, adapter))
+        if wanted is None or not waits:
             return
         if upstream is None:
-            self.agent.ended(UseEnded(granted.upstream, wanted.adapter))
             wanted.answer.set_result(Refusal(Reason.NO_UPSTREAM))
             return
         version = granted.version or None
@@ -378,7 +383,8 @@
         if wanted is None:
             return
         wait = timedelta(milliseconds=declined.retry_after_ms)
-        wanted.answer.set_result(Refusal(reason_of(declined.reason), wait))
+        if wanted.answer.set_running_or_notify_cancel():
+            wanted.answer.set_result(Refusal(reason_of(declined.reason), wait))
 
     _HANDLERS: dict[type, Callable[["Core", str, Any], None]] = {
         messages.Introduce: _introduced,
--- a/packages/ashhoist/src/ashhoist/control/engines.py
+++ b/packages/ashhoist/src/ashhoist/control/engines.py
@@ -12,7 +12,7 @@
 from ..orders import EngineReport, Order, OrderAnswer
 from ..placement.scheduler import AskReport
 
-ORDER_PATIENCE = timedelta(milliseconds=500)
+ORDER_PATIENCE = timedelta(milliseconds=250)
 REPORT_PATIENCE = timedelta(milliseconds=700)
 
 
--- a/packages/ashhoist/src/ashhoist/control/leadership.py
+++ b/packages/ashhoist/src/ashhoist/control/leadership.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from ..adapter import Adapter
-from ..clock import Clock
+from ..clock import ZERO, Clock
 from ..failures import Reason
 from ..logs import Logger
 from ..metrics import Metrics
@@ -25,6 +25,7 @@
 from .outside import Outside
 
 MILLISECOND = timedelta(milliseconds=1)
+TELL_EVERY = timedelta(seconds=2)
 
 
 class Leadership:
@@ -63,6 +64,7 @@
         self._log = log
         self.scheduler: Scheduler | None = None
         self._token = -1
+        self._told_at = ZERO
 
     @property
     def leads(self) -> bool:
@@ -111,16 +113,11 @@
         """Tell the scheduler which engines there are."""
         if self.scheduler is None or configuration is None:
             return
-        capacities = {
-            name: engine.adapter_places
-            for name, engine in configuration.engine_services().items()
-        }
+        settings = configuration.engine_services()
         found = [
-            upstream
-            for name in capacities
-            for upstream in self._directory.view.of(name)
+            upstream for name in settings for upstream in self._directory.view.of(name)
         ]
-        self.scheduler.set_upstreams(capacities, found)
+        self.scheduler.set_upstreams(settings, found)
 
     def introduce(self, peer: str) -> None:
         """Tell an instance that was just linked who leads, and what is held."""
@@ -186,8 +183,13 @@
 
     def plan(self) -> None:
         """Send the orders that are due."""
-        if self.scheduler is not None:
-            self.scheduler.plan()
+        if self.scheduler is None:
+            return
+        self.scheduler.plan()
+        now = self._clock.monotonic()
+        if now - self._told_at >= TELL_EVERY:
+            self._told_at = now
+            self.scheduler.tell()
 
     # What the scheduler wants done
 
@@ -205,7 +207,11 @@
 
     def _placed(self, action: Placed) -> None:
         want = action.want
-        self._tell(want.instance, Granted(want.id, action.upstream, action.version))
+        adapter = want.adapter
+        granted = Granted(
+            want.id, action.upstream, adapter.model, adapter.name, action.version
+        )
+        self._tell(want.instance, granted)
 
     def _refused(self, action: Refused) -> None:
         want = action.want
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -119,6 +119,8 @@
 
     id: str
     upstream: str
+    model: str
+    name: str
     version: int
 
 
--- a/packages/ashhoist/src/ashhoist/orders/order.py
+++ b/packages/ashhoist/src/ashhoist/orders/order.py
@@ -63,12 +63,15 @@
     ----------
     order_count : int
         How many orders it has taken.
+    models, model_copies : tuple of str
+        Base models that it holds, and those it has copies of close by.
     adapters, coming : dict
         Versions by adapter.
     """
 
     order_count: int
     models: tuple[str, ...] = ()
+    model_copies: tuple[str, ...] = ()
     adapters: dict[Adapter, int] = field(default_factory=dict)
     coming: dict[Adapter, int] = field(default_factory=dict)
     busy: bool = False
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from enum import StrEnum
 
@@ -18,6 +18,8 @@
 WARM_LOAD = timedelta(milliseconds=25)
 FIRST_LOOK_SHARE = 0.95
 LOOK_AGAIN = timedelta(milliseconds=20)
+LOOK_AT_MODEL = timedelta(milliseconds=60)
+LOOK_AT_GOING = timedelta(milliseconds=100)
 REPORT_LAG = timedelta(milliseconds=350)
 MOST_COMING = 4
 MOST_COPIES = 36
@@ -43,7 +45,9 @@
     users : int
         Requests known to use it.
     look_at : timedelta
-        When to ask whether the load has ended.
+        When to ask whether the load or unload has ended.
+    taken : bool
+        True once the engine has taken the order to unload it.
     """
 
     adapter: Adapter
@@ -52,6 +56,7 @@
     since: timedelta
     look_at: timedelta
     cold: bool = True
+    taken: bool = False
     users: int = 0
     used_at: timedelta = timedelta()
 
@@ -66,6 +71,20 @@
     serving_changed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class LostOrder:
+    """An order that got no answer; it is sent again until one is known.
+
+    Parameters
+    ----------
+    counted : bool
+        True if it is sent with the count that holds if the first was taken.
+    """
+
+    order: Order
+    counted: bool = False
+
+
 class Engine:
     """The state of one engine.
 
@@ -84,9 +103,12 @@
         self.sending: Order | None = None
         self.report_at: timedelta | None = timedelta()
         self.reporting = False
-        self.resend: Order | None = None
+        self.lost: LostOrder | None = None
         self.paused_until = timedelta()
         self.running = 0
+        self.models: set[str] = set(upstream.models)
+        self.model_copies: set[str] = set()
+        self.model_coming: EnginePlace | None = None
         self.cold_load = COLD_LOAD
         self.warm_load = WARM_LOAD
 
@@ -100,7 +122,7 @@
     @property
     def known(self) -> bool:
         """Return whether its places are known for sure."""
-        return self.order_count is not None and self.resend is None
+        return self.order_count is not None and self.lost is None
 
     @property
     def free(self) -> int:
@@ -112,19 +134,28 @@
         """Return how many adapters are on their way."""
         return sum(place.state is PlaceState.COMING for place in self.places.values())
 
+    @property
+    def changing(self) -> bool:
+        """Return whether a place is on its way in or out."""
+        return any(
+            place.state is not PlaceState.SERVING for place in self.places.values()
+        )
+
     def can_order(self, now: timedelta) -> bool:
         """Return whether an order may be sent to it now."""
         if not self.known or self.sending is not None or self.reporting:
             return False
+        if self.model_coming is not None:
+            return False
         return self.report_at is None and now >= self.paused_until
 
     def serving(self) -> dict[Adapter, int]:
-        """Return the versions of the adapters that it serves."""
-        return {
-            place.adapter: place.version
-            for place in self.places.values()
-            if place.state is PlaceState.SERVING
-        }
+        """Return the versions of what it serves; base models have 0."""
+        held = {Adapter(model): 0 for model in self.models}
+        for place in self.places.values():
+            if place.state is PlaceState.SERVING:
+                held[place.adapter] = place.version
+        return held
 
     def has_copy(self, adapter: Adapter, version: int) -> bool:
         """Return whether it keeps a copy that loads fast."""
@@ -145,20 +176,30 @@
         """Take in how the order under way ended."""
         order, self.sending = self.sending, None
         assert order is not None
+        lost, self.lost = self.lost, None
         if answer is OrderAnswer.UNKNOWN:
-            self.resend = order
+            self.lost = LostOrder(order, lost is not None and lost.counted)
             return EngineNews()
-        repeated = self.resend is not None
-        self.resend = None
         if answer is OrderAnswer.NOT_SENT:
-            self.resend = order if repeated else None
+            self.lost = lost
             self.paused_until = now + REFUSED_PAUSE
             return EngineNews()
+        if answer is OrderAnswer.CONFLICT and not order.adapter.name:
+            return self._model_answered(order, OrderAnswer.ACCEPTED, now)
+        if answer is OrderAnswer.CONFLICT and lost is not None and not lost.counted:
+            counted = replace(order, expected=order.expected + 1)
+            self.lost = LostOrder(counted, True)
+            return EngineNews()
         if answer in (OrderAnswer.CONFLICT, OrderAnswer.REFUSED):
             return self._refused(order, answer, now)
+        if lost is not None and lost.counted:
+            # The engine counted it when it took the one whose answer was lost.
+            order = replace(order, expected=order.expected - 1)
+        if not order.adapter.name:
+            return self._model_answered(order, answer, now)
         if order.kind is OrderKind.LOAD:
             return self._load_answered(order, answer, now)
-        return self._unloaded(order)
+        return self._unload_answered(order, answer, now)
 
     def _refused(self, order: Order, answer: OrderAnswer, now: timedelta) -> EngineNews:
         """Read what it holds: the picture of it was wrong."""
@@ -172,6 +213,25 @@
             return EngineNews(serving_changed=True)
         return EngineNews()
 
+    def _model_answered(
+        self, order: Order, answer: OrderAnswer, now: timedelta
+    ) -> EngineNews:
+        model = order.adapter.model
+        if self.model_coming is None:
+            self.order_count = order.expected + 1
+            cold = model not in self.model_copies
+            self.model_coming = EnginePlace(
+                order.adapter, 0, PlaceState.COMING, now, now, cold
+            )
+        if answer is OrderAnswer.ACCEPTED:
+            self.model_coming.look_at = now + LOOK_AT_MODEL
+            return EngineNews()
+        coming, self.model_coming = self.model_coming, None
+        self.models.add(model)
+        self.model_copies.add(model)
+        took = now - coming.since
+        return EngineNews(order.adapter, took, coming.cold, serving_changed=True)
+
     def _load_answered(
         self, order: Order, answer: OrderAnswer, now: timedelta
     ) -> EngineNews:
@@ -222,16 +282,31 @@
         while len(self.copies) > MOST_COPIES:
             self.copies.popitem(last=False)
 
-    def _unloaded(self, order: Order) -> EngineNews:
-        self.order_count = order.expected + 1
-        place = self.places.pop(order.adapter, None)
-        if place is not None:
-            self._copied(place.adapter, place.version)
-        return EngineNews(serving_changed=False)
+    def _unload_answered(
+        self, order: Order, answer: OrderAnswer, now: timedelta
+    ) -> EngineNews:
+        place = self.places.get(order.adapter)
+        if place is None:
+            self.report_at = now + REPORT_LAG
+            return EngineNews()
+        if not place.taken:
+            # Only the first of the same orders is counted by the engine.
+            place.taken = True
+            self.order_count = order.expected + 1
+        if answer is OrderAnswer.ACCEPTED:
+            # It waits for requests that still use it.
+            place.look_at = now + LOOK_AT_GOING
+            return EngineNews()
+        del self.places[order.adapter]
+        self._copied(place.adapter, place.version)
+        return EngineNews()
 
-    def leave(self, adapter: Adapter) -> None:
-        """Note that a place is about to be emptied: nobody is sent there now."""
-        self.places[adapter].state = PlaceState.GOING
+    def leave(self, adapter: Adapter) -> bool:
+        """Note that a place is about to be emptied; return whether it served."""
+        place = self.places[adapter]
+        served = place.state is PlaceState.SERVING
+        place.state = PlaceState.GOING
+        return served
 
     # Reports
 
@@ -248,9 +323,12 @@
             self.report_at = now + REFUSED_PAUSE
             return EngineNews()
         self.report_at = None
-        self.resend = None
+        self.lost = None
         self.order_count = report.order_count
         self.running = report.running
+        self.models = set(report.models)
+        self.model_copies = set(report.model_copies) | self.models
+        self.model_coming = None
         known = self.places
         self.places = {}
         for adapter, version in report.adapters.items():
--- a/packages/ashhoist/src/ashhoist/placement/popularity.py
+++ b/packages/ashhoist/src/ashhoist/placement/popularity.py
@@ -26,18 +26,25 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._by_adapter: dict[Adapter, _Rate] = {}
+        self._by_model: dict[str, _Rate] = {}
 
     def asked(self, adapter: Adapter) -> None:
         """Count a request."""
         now = self._clock.monotonic()
-        rate = self._by_adapter.get(adapter)
-        if rate is None:
-            self._by_adapter[adapter] = _Rate(1.0, now)
+        if adapter not in self._by_adapter:
             self._forget(now)
-            return
+        self._count(self._by_adapter.setdefault(adapter, _Rate(0.0, now)), now)
+        self._count(self._by_model.setdefault(adapter.model, _Rate(0.0, now)), now)
+
+    def _count(self, rate: _Rate, now: timedelta) -> None:
         rate.count = self._faded(rate, now) + 1.0
         rate.at = now
 
+    def model_rate(self, model: str) -> float:
+        """Return the faded count of a base model and all its adapters."""
+        rate = self._by_model.get(model)
+        return 0.0 if rate is None else self._faded(rate, self._clock.monotonic())
+
     def rate(self, adapter: Adapter) -> float:
         """Return the faded count."""
         rate = self._by_adapter.get(adapter)
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from ..adapter import Adapter
@@ -14,8 +14,10 @@
 from ..logs import Logger
 from ..metrics import Metrics
 from ..orders.order import EngineReport, Order, OrderAnswer, OrderKind
+from ..routing import EngineSettings
 from ..upstreams import Upstream
-from .engine import MOST_COMING, Engine, EngineNews, EnginePlace, PlaceState
+from .engine import MOST_COMING, Engine, EngineNews, PlaceState
+from .models import ModelLoads
 from .popularity import Popularity
 from .wants import Want, WantedAdapter, Wants
 
@@ -97,6 +99,8 @@
         self._clock = clock
         self._metrics = metrics
         self._log = log
+        self._settings: dict[str, EngineSettings] = {}
+        self._models = ModelLoads(clock)
         self.engines: dict[str, Engine] = {}
         self.wants = Wants()
         self.popularity = Popularity(clock)
@@ -106,35 +110,39 @@
         """Return whether loads are under way or requests wait."""
         if len(self.wants):
             return True
-        return any(engine.coming for engine in self.engines.values())
+        return any(engine.changing for engine in self.engines.values())
 
     # What comes in
 
-    def set_upstreams(self, capacities: dict[str, int], found: list[Upstream]) -> None:
+    def set_upstreams(
+        self, settings: dict[str, EngineSettings], found: list[Upstream]
+    ) -> None:
         """Take in the engines that take work now.
 
         Parameters
         ----------
-        capacities : dict
-            Places of an engine, by service.
+        settings : dict
+            Of the engines, by service.
         """
+        self._settings = settings
         present = {upstream.id for upstream in found}
         for gone in set(self.engines) - present:
             del self.engines[gone]
         for upstream in found:
-            capacity = capacities[upstream.service]
-            engine = self.engines.setdefault(upstream.id, Engine(upstream, capacity))
+            engine = self.engines.get(upstream.id)
+            if engine is None:
+                places = settings[upstream.service].adapter_places
+                engine = self.engines[upstream.id] = Engine(upstream, places)
             engine.upstream = upstream
 
     def want(self, want: Want) -> None:
         """Take in a request that waits for its adapter."""
         self.popularity.asked(want.adapter)
-        place = self._serving_place(want)
-        if place is not None:
-            engine, found = place
-            self._send_there(engine, found, want)
+        engine = self._serving_engine(want)
+        if engine is None:
+            self.wants.add(want)
             return
-        self.wants.add(want)
+        self._send_there(engine, want, engine.serving()[want.adapter])
 
     def withdraw(self, want_id: str) -> None:
         """Forget a request that no longer waits."""
@@ -197,33 +205,54 @@
         self._serve_waiting(engine)
 
     def _serve_waiting(self, engine: Engine) -> None:
-        for place in list(engine.places.values()):
-            wanted = self.wants.of(engine.upstream.service, place.adapter)
-            if wanted is None or place.state is not PlaceState.SERVING:
+        for adapter, version in engine.serving().items():
+            wanted = self.wants.of(engine.upstream.service, adapter)
+            if wanted is None:
                 continue
             for want in list(wanted.by_id.values()):
-                if place.version < want.oldest_version or engine.id in want.tried:
+                if version < want.oldest_version or engine.id in want.tried:
                     continue
                 self.wants.remove(want.id)
-                self._send_there(engine, place, want)
+                self._send_there(engine, want, version)
 
-    def _send_there(self, engine: Engine, place: EnginePlace, want: Want) -> None:
-        place.used_at = self._clock.monotonic()
-        place.users += 1
-        self._act(Placed(want, engine.id, place.version))
+    def _send_there(self, engine: Engine, want: Want, version: int) -> None:
+        place = engine.places.get(want.adapter)
+        if place is not None:
+            place.used_at = self._clock.monotonic()
+            place.users += 1
+        self._act(Placed(want, engine.id, version))
 
-    def _serving_place(self, want: Want) -> tuple[Engine, EnginePlace] | None:
+    def _serving_engine(self, want: Want) -> Engine | None:
         for engine in self.engines.values():
-            if engine.upstream.service != want.service:
+            if engine.upstream.service != want.service or engine.id in want.tried:
                 continue
-            place = engine.places.get(want.adapter)
-            if place is None or place.state is not PlaceState.SERVING:
-                continue
-            if place.version < want.oldest_version or engine.id in want.tried:
-                continue
-            return engine, place
+            version = engine.serving().get(want.adapter, -1)
+            if version >= want.oldest_version:
+                return engine
         return None
 
+    def tell(self) -> None:
+        """Log how the engines and the requests that wait stand."""
+        for engine in self.engines.values():
+            places = engine.places.values()
+            self._log.info(
+                "engine state",
+                upstream=engine.id,
+                known=engine.known,
+                sending=engine.sending is not None,
+                free=engine.free,
+                coming=engine.coming,
+                going=sum(place.state is PlaceState.GOING for place in places),
+                used=sum(place.users > 0 for place in places),
+                users=sum(place.users for place in places),
+                copies=len(engine.copies),
+            )
+        self._log.info(
+            "requests wait",
+            requests=len(self.wants),
+            adapters=len(list(self.wants.adapters())),
+        )
+
     # What goes out
 
     def plan(self) -> None:
@@ -235,8 +264,9 @@
             return
         for engine in self.engines.values():
             self._maintain(engine, fence, now)
+        self._bring_models(fence)
         waiting = sorted(
-            self.wants.adapters(),
+            (wanted for wanted in self.wants.adapters() if wanted.adapter.name),
             key=lambda wanted: wanted.worth(now, timedelta(milliseconds=300)),
             reverse=True,
         )
@@ -255,15 +285,31 @@
             return
         if engine.sending is not None or now < engine.paused_until:
             return
-        if engine.resend is not None:
-            self._send(engine, engine.resend, fence)
+        model = engine.model_coming
+        if engine.lost is None and model is not None:
+            if model.look_at <= now:
+                self._load(engine, model.adapter, 0, fence)
+            return
+        if engine.lost is not None:
+            self._send(engine, replace(engine.lost.order, fence=fence))
             return
         if not engine.can_order(now):
             return
         for place in engine.places.values():
-            if place.state is PlaceState.COMING and place.look_at <= now:
+            if place.look_at > now:
+                continue
+            if place.state is PlaceState.COMING:
                 self._load(engine, place.adapter, place.version, fence)
                 return
+            if place.state is PlaceState.GOING:
+                self._unload(engine, place.adapter, fence)
+                return
+
+    def _bring_models(self, fence: int) -> None:
+        """Load a base model on engines that hold none."""
+        for choice in self._models.due(self.engines, self._settings, self.popularity):
+            engine = self.engines[choice.upstream]
+            self._load(engine, Adapter(choice.model), 0, fence)
 
     def _bring(self, wanted: WantedAdapter, fence: int, now: timedelta) -> None:
         """Load a wanted adapter, or make room for it."""
@@ -275,7 +321,7 @@
             for engine in self.engines.values()
             if engine.can_order(now)
             and engine.upstream.service == wanted.service
-            and wanted.adapter.model in engine.upstream.models
+            and wanted.adapter.model in engine.models
             and engine.id not in wanted.tried
             and engine.coming < MOST_COMING
         ]
@@ -352,12 +398,12 @@
             fence,
             version or None,
         )
-        self._send(engine, order, fence)
+        self._send(engine, order)
 
     def _unload(self, engine: Engine, adapter: Adapter, fence: int) -> None:
         assert engine.order_count is not None
-        engine.leave(adapter)
-        self._act(Serving(engine.id, engine.serving()))
+        if engine.leave(adapter):
+            self._act(Serving(engine.id, engine.serving()))
         order = Order(
             engine.id,
             engine.upstream.address,
@@ -367,8 +413,8 @@
             self._holder,
             fence,
         )
-        self._send(engine, order, fence)
+        self._send(engine, order)
 
-    def _send(self, engine: Engine, order: Order, fence: int) -> None:
+    def _send(self, engine: Engine, order: Order) -> None:
         engine.begin(order)
         self._act(order)
--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -6,7 +6,7 @@
 from ..http import CallerConnection
 from ..placement.asks import Refusal, Target
 from ..upstreams import Balancer, Directory, Health
-from .attempt import CallerLeft, OutOfTime, Result
+from .attempt import CallerLeft, OutOfTime
 from .call import Call
 
 Choice = Target | Refusal | CallerLeft | OutOfTime
@@ -18,8 +18,8 @@
     def choose(self, call: Call, caller: CallerConnection) -> Choice:
         """Return where `call` goes next; may wait."""
 
-    def ended(self, call: Call, target: Target, result: Result | None) -> None:
-        """Take in how an attempt ended; None stands for a whole stream."""
+    def ended(self, call: Call, target: Target) -> None:
+        """Take in that an attempt has ended."""
 
 
 class PlainChooser:
@@ -41,6 +41,6 @@
         self._balancer.begin(upstream.id)
         return Target(upstream.id, upstream.address)
 
-    def ended(self, call: Call, target: Target, result: Result | None) -> None:
-        """Take in how an attempt ended."""
+    def ended(self, call: Call, target: Target) -> None:
+        """Take in that an attempt has ended."""
         self._balancer.end(target.upstream)
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -22,7 +22,7 @@
 from ..placement.residency import Place
 from ..routing.in_force import InForce
 from ..upstreams import Balancer, Directory, Health
-from .attempt import CallerLeft, OutOfTime, Result
+from .attempt import CallerLeft, OutOfTime
 from .call import Call
 from .choosers import Choice
 
@@ -61,8 +61,8 @@
 
     def choose(self, call: Call, caller: CallerConnection) -> Choice:
         """Return where `call` goes; waits for its adapter."""
-        if call.adapter is None or not call.adapter.name:
-            return self._of_base_model(call)
+        if call.adapter is None:
+            return self._of_any_engine(call)
         found = self._serving(call)
         if found is None:
             return self._wait(call, caller)
@@ -70,19 +70,14 @@
         self._balancer.begin(found.upstream)
         return found
 
-    def ended(self, call: Call, target: Target, result: Result | None) -> None:
-        """Take in how an attempt ended."""
+    def ended(self, call: Call, target: Target) -> None:
+        """Take in that an attempt has ended."""
         self._balancer.end(target.upstream)
-        if call.adapter is not None and call.adapter.name:
+        if call.adapter is not None:
             self._send(UseEnded(target.upstream, call.adapter))
 
-    def _of_base_model(self, call: Call) -> Choice:
-        model = call.adapter.model if call.adapter is not None else ""
-        found = [
-            upstream
-            for upstream in self._directory.view.of(call.service)
-            if not model or model in upstream.models
-        ]
+    def _of_any_engine(self, call: Call) -> Choice:
+        found = self._directory.view.of(call.service)
         upstream = self._balancer.choose(found, call.tried)
         if upstream is None:
             return Refusal(Reason.NO_UPSTREAM)
@@ -137,10 +132,11 @@
                     self._balancer.begin(result.upstream)
                 return result
             ended = self._pause(call, caller, waker)
-            if ended is not None:
-                self._send(NoLongerWanted(call.id))
-                call.waited += self._clock.monotonic() - began
-                return ended
+            if ended is None or not answer.cancel():
+                continue
+            self._send(NoLongerWanted(call.id))
+            call.waited += self._clock.monotonic() - began
+            return ended
 
     def _pause(
         self, call: Call, caller: CallerConnection, waker: Waker
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -20,7 +20,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WholeStream:
-    """The upstream ended its stream whole."""
+    """The upstream ended its stream whole.
+
+    Parameters
+    ----------
+    status : int
+        What the caller was told.
+    """
+
+    status: int
 
 
 Leg = WholeStream | MayHaveRun | CallerLeft | OutOfTime
@@ -129,7 +137,7 @@
             self._caller.finish(self._limit())
         except CallerGoneError:
             return CallerLeft()
-        return WholeStream()
+        return WholeStream(head.status)
 
     def _limit(self) -> timedelta:
         return max(self._call.limit, self._clock.monotonic())
--- a/packages/ashhoist/src/ashhoist/requests/serving.py
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -69,7 +69,6 @@
         """Serve `call` to its end; its caller has been answered or has left."""
         self._budget.requested(call.service)
         relay = Relay(call, caller, self._attempts, self._clock)
-        head: Head | None = None
         while True:
             target = chooser.choose(call, caller)
             if isinstance(target, CallerLeft):
@@ -78,17 +77,13 @@
                 return self._out_of_time(call, caller, relay)
             if isinstance(target, Refusal):
                 return self._refuse(call, caller, relay, target)
-            result = self._attempt(call, target, caller)
-            if isinstance(result, Streaming):
-                if head is None or not relay.begun:
-                    head = self._head(result.head)
-                leg = relay.run(result, head)
-                if isinstance(leg, WholeStream):
-                    self._whole(call, target, result, chooser)
-                    return Ending(head.status, "whole")
-                result.connection.close()
-                result = leg
-            chooser.ended(call, target, result)
+            try:
+                result = self._attempt(call, target, caller, relay)
+            finally:
+                chooser.ended(call, target)
+            if isinstance(result, WholeStream):
+                self._note_time(call, target)
+                return Ending(result.status, "whole")
             self._note(call, target, result)
             if self._again(call, result, relay):
                 continue
@@ -96,17 +91,20 @@
 
     # One attempt
 
-    def _attempt(self, call: Call, target: Target, caller: CallerConnection) -> Result:
+    def _attempt(
+        self, call: Call, target: Target, caller: CallerConnection, relay: Relay
+    ) -> Result | WholeStream:
         call.sends += 1
         call.tried.add(target.upstream)
-        return self._attempts.send(call, target, caller, call.route.streams)
-
-    def _whole(
-        self, call: Call, target: Target, result: Streaming, chooser: Chooser
-    ) -> None:
-        self._attempts.give_back(target, result.connection)
-        chooser.ended(call, target, None)
-        self._note_time(call, target)
+        result = self._attempts.send(call, target, caller, call.route.streams)
+        if not isinstance(result, Streaming):
+            return result
+        leg = relay.run(result, self._head(result.head))
+        if isinstance(leg, WholeStream):
+            self._attempts.give_back(target, result.connection)
+        else:
+            result.connection.close()
+        return leg
 
     def _note_time(self, call: Call, target: Target) -> None:
         took = self._clock.monotonic() - call.received_at
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -49,7 +49,7 @@
     "routing": set(),
     "upstreams": set(),
     "orders": {"store"},
-    "placement": {"orders", "upstreams"},
+    "placement": {"orders", "routing", "upstreams"},
     "control": {"http", "instances", "orders", "placement", "routing", "store"}
     | {"upstreams"},
     "requests": {"http", "placement", "routing", "upstreams"},
