Requests that nothing is on its way to are refused before half their time

Change: a request is refused, with Retry-After, at 42% of its time unless its load is under way; at 49% where no holder of the lease answers.

--- a/packages/ashhoist/src/ashhoist/control/agent.py
+++ b/packages/ashhoist/src/ashhoist/control/agent.py
@@ -33,6 +33,7 @@
             _left_ms(wanted.aim_at, now),
             _left_ms(wanted.limit, now),
             self._zone,
+            wanted.may_return,
             list(wanted.tried),
         )
 
--- a/packages/ashhoist/src/ashhoist/control/leadership.py
+++ b/packages/ashhoist/src/ashhoist/control/leadership.py
@@ -148,6 +148,7 @@
                 now + ask.aim_left_ms * MILLISECOND,
                 now + ask.left_ms * MILLISECOND,
                 ask.zone,
+                ask.may_return,
                 frozenset(ask.tried),
             )
         )
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -101,6 +101,7 @@
     aim_left_ms: int
     left_ms: int
     zone: str
+    may_return: bool
     tried: list
 
 
--- a/packages/ashhoist/src/ashhoist/placement/asks.py
+++ b/packages/ashhoist/src/ashhoist/placement/asks.py
@@ -52,6 +52,7 @@
     late_worth: float
     aim_at: timedelta
     limit: timedelta
+    may_return: bool
     tried: tuple[str, ...]
     answer: "Future[Target | Refusal]"
 
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -24,6 +24,9 @@
 REST_BEFORE_EVICTION = timedelta(milliseconds=60)
 OTHER_ZONE_COST = 0.05
 COPY_GAIN = 10.0
+HELD_SHARE = 0.42
+"""Of its time, that a request is held at most while nothing is on its way to it."""
+COME_BACK = timedelta(milliseconds=300)
 LEFT_AFTER_LOAD = timedelta(milliseconds=200)
 
 
@@ -276,6 +279,14 @@
     def _give_up(self, now: timedelta) -> None:
         for want in self.wants.ended(now):
             self._act(Refused(want, Reason.NO_PLACE, timedelta(milliseconds=500)))
+        for wanted in self.wants.adapters():
+            if self._on_its_way(wanted, wanted.oldest_version):
+                continue
+            for want in list(wanted.by_id.values()):
+                if now < want.asked_at + (want.limit - want.asked_at) * HELD_SHARE:
+                    continue
+                self.wants.remove(want.id)
+                self._act(Refused(want, Reason.NO_PLACE, COME_BACK))
 
     def _maintain(self, engine: Engine, fence: int, now: timedelta) -> None:
         """Ask what has to be asked: lost orders, reports, loads that should end."""
--- a/packages/ashhoist/src/ashhoist/placement/wants.py
+++ b/packages/ashhoist/src/ashhoist/placement/wants.py
@@ -23,6 +23,8 @@
         What it is worth if it is answered in time.
     aim_at, limit : timedelta
         When it ceases to be in time, and when it ends.
+    may_return : bool
+        Whether the caller has time to come back if it is refused at once.
     tried : frozenset of str
         Upstreams that have refused or failed it.
     """
@@ -38,6 +40,7 @@
     aim_at: timedelta
     limit: timedelta
     zone: str = ""
+    may_return: bool = False
     tried: frozenset[str] = frozenset()
 
 
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -41,6 +41,7 @@
     adapter: Adapter | None = None
     sizes: Sizes = Sizes()
     prompt_parts: tuple[str, ...] = ()
+    first_try: bool = True
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -22,13 +22,16 @@
 from ..placement.residency import Place
 from ..routing.in_force import InForce
 from ..upstreams import Balancer, Directory, Health
-from .attempt import CallerLeft, OutOfTime
+from .attempt import CallerLeft
 from .call import Call
 from .choosers import Choice
 
 OLD_VERSION_GRACE = timedelta(milliseconds=2500)
 WORTH_BY_PRIORITY = (4.2, 3.5, 1.8)
 LATE_SHARE = 0.3
+HELD_SHARE = 0.49
+"""Of its time, that a request waits at most for its adapter."""
+COME_BACK = timedelta(milliseconds=300)
 
 
 class EngineChooser:
@@ -124,6 +127,7 @@
         waker = self._waker()
         answer.add_done_callback(lambda _: waker.wake())
         self._send(self._wanted(call, answer))
+        limit = began + (call.limit - began) * HELD_SHARE
         while True:
             if answer.done():
                 call.waited += self._clock.monotonic() - began
@@ -131,7 +135,7 @@
                 if isinstance(result, Target):
                     self._balancer.begin(result.upstream)
                 return result
-            ended = self._pause(call, caller, waker)
+            ended = self._pause(limit, caller, waker)
             if ended is None or not answer.cancel():
                 continue
             self._send(NoLongerWanted(call.id))
@@ -139,14 +143,14 @@
             return ended
 
     def _pause(
-        self, call: Call, caller: CallerConnection, waker: Waker
-    ) -> CallerLeft | OutOfTime | None:
+        self, limit: timedelta, caller: CallerConnection, waker: Waker
+    ) -> CallerLeft | Refusal | None:
         watched = [waker.fileno()]
         if caller.watched is not None:
             watched.append(caller.watched)
-        ready = wait_readable(watched, call.limit, self._clock)
+        ready = wait_readable(watched, limit, self._clock)
         if not ready:
-            return OutOfTime()
+            return Refusal(Reason.NO_PLACE, COME_BACK)
         if waker.fileno() in ready:
             waker.clear()
             return None
@@ -165,6 +169,7 @@
             worth * LATE_SHARE,
             call.received_at + call.route.aim,
             call.limit,
+            call.first_try and not call.sends,
             tuple(call.tried),
             answer,
         )
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -18,7 +18,8 @@
 from .serving import Ending, Serving
 
 ANSWER_TIME = timedelta(seconds=2)
-REQUESTS_IN_A_ROW = 1000
+FIRST_TRY_SHARE = 0.9
+"""A caller that has less of the route's time has tried before."""
 MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -137,6 +138,7 @@
             route=route,
             service=service,
             limit=limit,
+            first_try=limit - request.received_at >= route.timeout * FIRST_TRY_SHARE,
             adapter=Adapter.parse(adapter) if adapter else None,
             sizes=_sizes(request.value(dialect.token_counts.lower())),
             prompt_parts=_parts(request.value(dialect.prompt_parts.lower())),
