--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -106,6 +106,7 @@
             metrics,
             log,
         )
+        self._seeds = settings.seeds
         self.leader: str | None = None
         self._leader_token = -1
         self._listed = False
@@ -144,13 +145,18 @@
             self.peers.registered(record)
         self._relink()
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take in which instances to ask while none is linked."""
+        self._seeds = seeds
+        self._relink()
+
     def _relink(self) -> None:
         endpoints = self.peers.to_link(self.leader)
         known = {endpoint.address for endpoint in endpoints}
         if not self.peers.linked():
             endpoints += [
                 Endpoint("", "", "", address)
-                for address in self._settings.seeds
+                for address in self._seeds
                 if address not in known and address != self._settings.address
             ]
         addresses = tuple(sorted(endpoint.address for endpoint in endpoints))
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -55,6 +55,13 @@
     result: "Future[Any]" = field(default_factory=Future)
 
 
+@dataclass(frozen=True, slots=True)
+class SeedsChanged:
+    """The settings name other instances to ask first."""
+
+    seeds: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StopOnPlan:
     """Begin a planned stop."""
@@ -271,6 +278,10 @@
     def _look(self, message: Look) -> None:
         message.result.set_result(message.function(self.core))
 
+    @handles(SeedsChanged)
+    def _seeds_changed(self, message: SeedsChanged) -> None:
+        self.core.set_seeds(message.seeds)
+
     @handles(StopOnPlan)
     def _stop_on_plan(self, message: StopOnPlan) -> None:
         self.core.stop()
--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -7,6 +7,7 @@
 
 import selectors
 import socket
+import threading
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import Executor
@@ -19,6 +20,7 @@
 BACKLOG = 1024
 LOOK_EVERY = timedelta(seconds=1)
 ACCEPTED_AT_ONCE = 64
+STOP_TIME = timedelta(seconds=2)
 
 Serve = Callable[[CallerConnection], bool]
 """Answers what has come; returns whether the connection is kept."""
@@ -60,6 +62,8 @@
         self._back: deque[CallerConnection] = deque()
         self._resting: dict[int, CallerConnection] = {}
         self._stopping = False
+        self._ended = threading.Event()
+        self._counting = threading.Lock()
         self._looked_at = clock.monotonic()
         self.busy = 0
 
@@ -75,8 +79,9 @@
         self._selector.register(self._waker.fileno(), selectors.EVENT_READ)
         while not self._stopping:
             self._run_once()
-        self._selector.unregister(self._listening)
+        self._selector.close()
         self._listening.close()
+        self._ended.set()
 
     def _run_once(self) -> None:
         for key, _ in self._selector.select(LOOK_EVERY.total_seconds()):
@@ -113,7 +118,8 @@
 
     def _begin(self, connection: CallerConnection) -> None:
         self._selector.unregister(connection.fileno())
-        self.busy += 1
+        with self._counting:
+            self.busy += 1
         self._executor.submit(self._run_connection, connection)
 
     def _run_connection(self, connection: CallerConnection) -> None:
@@ -121,7 +127,8 @@
         try:
             kept = self._serve(connection)
         finally:
-            self.busy -= 1
+            with self._counting:
+                self.busy -= 1
             if kept:
                 self._back.append(connection)
                 self._waker.wake()
@@ -143,10 +150,12 @@
         """Close the connections that rest; used once the listener has ended."""
         for connection in list(self._resting.values()) + list(self._back):
             connection.abort()
+        self._waker.close()
         self._resting.clear()
         self._back.clear()
 
-    def stop(self) -> None:
-        """Stop listening and watching."""
+    def stop(self, longest: timedelta = STOP_TIME) -> None:
+        """Stop listening and watching; return once that is so."""
         self._stopping = True
         self._waker.wake()
+        self._ended.wait(longest.total_seconds())
--- a/packages/ashhoist/src/ashhoist/http/sockets.py
+++ b/packages/ashhoist/src/ashhoist/http/sockets.py
@@ -86,9 +86,20 @@
             return set()
 
 
-def send_all(peer: socket.socket, data: bytes, until: timedelta, clock: Clock) -> int:
+def send_all(
+    peer: socket.socket,
+    data: bytes,
+    until: timedelta,
+    clock: Clock,
+    stop_on_answer: bool = False,
+) -> int:
     """Send on a non-blocking socket until all is out or time is up.
 
+    Parameters
+    ----------
+    stop_on_answer : bool
+        True to stop once the other side says something while it takes no more.
+
     Returns
     -------
     int
@@ -111,8 +122,11 @@
         if left <= timedelta():
             return sent
         poll = select.poll()
-        poll.register(peer.fileno(), select.POLLOUT)
-        poll.poll(milliseconds(left))
+        watched = select.POLLOUT | (select.POLLIN if stop_on_answer else 0)
+        poll.register(peer.fileno(), watched)
+        for _, events in poll.poll(milliseconds(left)):
+            if events & select.POLLIN and not events & select.POLLOUT:
+                return sent
     return sent
 
 
--- a/packages/ashhoist/src/ashhoist/http/upstream.py
+++ b/packages/ashhoist/src/ashhoist/http/upstream.py
@@ -17,6 +17,8 @@
 
 READ_SIZE = 65536
 HEAD_ROOM = 65536
+LONG_REQUEST = 32_768
+FIRST_FAILURE = 400
 NO_EXPIRY = timedelta(days=1)
 EXPIRY_MARGIN = timedelta(milliseconds=700)
 """A kept connection is not used in the last part of the time the peer states."""
@@ -95,7 +97,9 @@
         self._peer: socket.socket | None = None
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_ROOM)
         self._request: h11.Request | None = None
-        self._early = False
+        self._sent_whole = True
+        self._long = False
+        self._failure = False
         self._framed = True
         self.used = 0
         self.expires_at = clock.monotonic() + NO_EXPIRY
@@ -145,10 +149,13 @@
         data += self._http.send(h11.EndOfMessage()) or b""
         self.used += 1
         try:
-            sent = send_all(self._peer, data, until, self._clock)
+            sent = send_all(self._peer, data, until, self._clock, True)
         except OSError:
             return Broken(Why.RESET)
-        if sent == len(data):
+        self._sent_whole = sent == len(data)
+        self._long = len(data) > LONG_REQUEST
+        if self._sent_whole or self._clock.monotonic() < until:
+            # What was not taken is not wanted: the answer is there already.
             return None
         return Broken(Why.TIMEOUT) if sent else NotSent(Why.TIMEOUT)
 
@@ -197,6 +204,7 @@
         ]
         values = {name.lower(): value for name, value in pairs}
         self._framed = "content-length" in values or "transfer-encoding" in values
+        self._failure = event.status_code >= FIRST_FAILURE
         self._keep_until(values.get("keep-alive", ""))
         return Head(event.status_code, pairs, values)
 
@@ -220,7 +228,9 @@
         bool
             False if the connection can't carry another answer.
         """
-        if self._http.our_state is not h11.DONE or not self._framed:
+        if not self._sent_whole or not self._framed:
+            return False
+        if self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
             return False
@@ -255,7 +265,11 @@
     def next(self) -> bool:
         """Make ready for a next request; return False if that can't be."""
         done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        if not done or not self._framed:
+        if not done or not self._framed or not self._sent_whole:
+            return False
+        if self._long and self._failure:
+            # It may have been answered before it was read; who knows what the
+            # upstream still expects here.
             return False
         self._http.start_next_cycle()
         return self.reusable()
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -1,13 +1,13 @@
 """One instance as a process on a platform: wires everything, decides nothing."""
 
 import random
-import signal
 import sys
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from datetime import timedelta
+from pathlib import Path
 from typing import Any
 from uuid import uuid4
 
@@ -16,7 +16,7 @@
 from .control.core import Core, CoreSettings, Decode
 from .control.engines import EngineControl, EngineProtocol
 from .control.peers import InstanceRecord
-from .control.task import ControlTask, Look, StopOnPlan, StoreCalls
+from .control.task import ControlTask, Look, SeedsChanged, StopOnPlan, StoreCalls
 from .http import Listener, Pool
 from .instances import Links
 from .metrics import Metrics
@@ -29,6 +29,7 @@
 from .requests.engine_chooser import EngineChooser
 from .requests.serving import Serving
 from .routing.in_force import InForce
+from .signals import SettingsWatcher, Signals
 from .store import Follower, Pace, SharedLog, Topic
 from .types import Endpoint
 from .upstreams import Balancer, Directory, Health
@@ -43,6 +44,7 @@
 LAST_PART = timedelta(milliseconds=700)
 """What is left of the time to stop when requests are broken off."""
 LOOK_EVERY = timedelta(milliseconds=50)
+LOOK_AT_SETTINGS = timedelta(seconds=2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,13 +166,13 @@
         zone = self.settings.instance.availability_zone
         balancer = Balancer(zone, self.health, self._source)
         retries = self.settings.retries
-        budget = RetryBudget(
+        self._budget = RetryBudget(
             retries.ratio, retries.extra, retries.window, self._instances, clock
         )
         serving = Serving(
             dialect,
             Attempts(dialect, self.pool, clock),
-            budget,
+            self._budget,
             self.health,
             clock,
             self.metrics,
@@ -255,6 +257,13 @@
         self._log.info("stopped", clean=clean, busy=self.listener.busy)
         return clean
 
+    def apply(self, settings: ProcessSettings) -> None:
+        """Put changed settings in force, as far as a running process can."""
+        self.settings = settings
+        retries = settings.retries
+        self._budget.set(retries.ratio, retries.extra, retries.window)
+        self.control.send(SeedsChanged(settings.instance.seeds))
+
     def _idle(self) -> bool:
         return not self.listener.busy and bool(self._ask(_settled))
 
@@ -276,14 +285,28 @@
     return core.settled
 
 
-def run(settings: ProcessSettings, platform: Platform) -> int:
-    """Run one instance until it is told to stop; return the exit code."""
+def run(settings: ProcessSettings, platform: Platform, path: Path) -> int:
+    """Run one instance until it is told to stop.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The settings file; it is read again on SIGHUP and when it changes.
+
+    Returns
+    -------
+    int
+        The exit code: 1 if requests were broken off at the end.
+    """
     threading.stack_size(STACK_BYTES)
     logs.configure(settings.logs.format == "json", settings.logs.level, sys.stdout)
+    signals = Signals()
     process = Process(settings, platform)
-    asked = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: asked.set())
     process.start()
-    asked.wait()
+    watcher = SettingsWatcher(path, settings, logs.get("settings"))
+    while not signals.stop_asked:
+        signals.wait(LOOK_AT_SETTINGS)
+        changed = watcher.look(signals.take_reload())
+        if changed is not None:
+            process.apply(changed)
     return 0 if process.stop() else 1
--- a/packages/ashhoist/src/ashhoist/requests/budget.py
+++ b/packages/ashhoist/src/ashhoist/requests/budget.py
@@ -55,6 +55,12 @@
         self._lock = threading.Lock()
         self._by_service: dict[str, _Window] = defaultdict(_Window)
 
+    def set(self, ratio: float, extra: float, window: timedelta) -> None:
+        """Change the budget."""
+        self._ratio = ratio
+        self._extra = extra
+        self._window = window
+
     def requested(self, service: str) -> None:
         """Count a request for a service."""
         with self._lock:
--- /dev/null
+++ b/tests/control_world.py
@@ -0,0 +1,611 @@
+"""Many control cores on one manual clock, with a store, engines and links between.
+
+Nothing runs by itself: `run` moves the clock from event to event. Faults are
+switches; the checks read what engines have seen.
+"""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+
+from ashhoist import logs
+from ashhoist.adapter import Adapter
+from ashhoist.clock import ManualClock
+from ashhoist.control.changes import (
+    Change,
+    ConfigurationPut,
+    UpstreamEnded,
+    UpstreamPut,
+    VersionNamed,
+)
+from ashhoist.control.core import Core, CoreSettings
+from ashhoist.control.peers import InstanceRecord
+from ashhoist.metrics import Metrics
+from ashhoist.orders import (
+    AppendClaim,
+    EngineReport,
+    LeaseAction,
+    LeaseTiming,
+    Order,
+    OrderAnswer,
+    ReadClaims,
+)
+from ashhoist.placement import Residency
+from ashhoist.placement.asks import Wanted
+from ashhoist.placement.scheduler import AskReport
+from ashhoist.routing import EngineModel, EngineSettings, Service, ServingConfiguration
+from ashhoist.routing.in_force import InForce
+from ashhoist.store import (
+    Appended,
+    ConditionFailed,
+    Newest,
+    Record,
+    Topic,
+    Unavailable,
+    Unknown,
+)
+from ashhoist.store.follower import Followed
+from ashhoist.types import Endpoint
+from ashhoist.upstreams import Directory, Health, Upstream, UpstreamState
+
+from .platform_stand_ins.engine_state import EngineState
+from .platform_stand_ins.log_state import LogState
+
+SERVICE = "engines"
+MODEL = "base"
+TICK = 0.05
+STORE_S = 0.004
+LINK_S = 0.0015
+PATIENCE_S = 0.4
+REPORT_LAG_S = 0.2
+ANSWERS = {
+    200: OrderAnswer.HOLDS,
+    202: OrderAnswer.ACCEPTED,
+    409: OrderAnswer.CONFLICT,
+    400: OrderAnswer.REFUSED,
+}
+
+
+@dataclass
+class OrderSeen:
+    """An order as an engine has seen it arrive."""
+
+    at: float
+    engine: str
+    machine: str
+    fence: int
+
+
+@dataclass
+class Machine:
+    """One machine and its core, if its process runs."""
+
+    name: str
+    core: Core | None = None
+    outside: "_Outside | None" = None
+    frozen: bool = False
+    store_cut: bool = False
+    links_cut: bool = False
+    lives: int = 0
+    waiting: list[Callable[[], None]] = field(default_factory=list)
+
+
+class _Outside:
+    """What one core reaches."""
+
+    def __init__(self, world: "World", machine: Machine) -> None:
+        self._world = world
+        self._machine = machine
+        self.endpoints: list[Endpoint] = []
+
+    def send_to(self, peer: str, message: Any) -> bool:
+        return self._world.send(self._machine, peer, message)
+
+    def drop(self, peer: str) -> None:
+        self._world.unlink(self._machine.name, peer)
+
+    def link(self, endpoints: list[Endpoint]) -> None:
+        self.endpoints = endpoints
+
+    def lease_call(self, action: LeaseAction) -> None:
+        self._world.lease_call(self._machine, action)
+
+    def register(self) -> None:
+        self._world.register(self._machine)
+
+    def unregister(self) -> None:
+        pass
+
+    def order(self, order: Order) -> None:
+        self._world.order(self._machine, order)
+
+    def report(self, request: AskReport) -> None:
+        self._world.report(self._machine, request)
+
+    def forget_upstream(self, upstream: str) -> None:
+        pass
+
+
+class World:
+    """Machines, a store, engines.
+
+    Parameters
+    ----------
+    machines, engines : int
+        How many of each.
+    """
+
+    def __init__(
+        self,
+        machines: int = 3,
+        engines: int = 2,
+        timing: LeaseTiming = LeaseTiming(),  # noqa: B008
+    ) -> None:
+        self.clock = ManualClock()
+        self.timing = timing
+        self.timing_by_machine: dict[str, LeaseTiming] = {}
+        self.log = LogState()
+        self.store_down = False
+        self.lose_appends = 0
+        self.late_appends = 0
+        self.lose_orders = 0
+        self.late_orders: list[tuple[float, Order]] = []
+        self.machines = {
+            f"instance-{index}": Machine(f"instance-{index}")
+            for index in range(machines)
+        }
+        self.engines: dict[str, EngineState] = {}
+        self.seen: list[OrderSeen] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._links: set[tuple[str, str]] = set()
+        self._decoded: dict[tuple[Topic, int], Change] = {}
+        self._put_configuration()
+        for index in range(engines):
+            self.add_engine(f"engine-{index}")
+
+    # The log as operators and engines write it
+
+    def _put_configuration(self, version: int = 1) -> None:
+        engine = EngineSettings(
+            {MODEL: EngineModel(MODEL, 16000, timedelta(seconds=0.6), 3000, 14)},
+            96,
+            16500,
+            6,
+            2.0,
+        )
+        configuration = ServingConfiguration(
+            version, (), {SERVICE: Service(SERVICE, engine=engine)}
+        )
+        self._write(Topic.CONFIGURATION, "config", ConfigurationPut(configuration))
+
+    def put_configuration(self, version: int) -> None:
+        """Write a newer configuration."""
+        self._put_configuration(version)
+
+    def name_version(self, adapter: str, version: int) -> None:
+        """Name a version of an adapter."""
+        named = VersionNamed(Adapter(MODEL, adapter), version)
+        self._write(Topic.CONFIGURATION, f"version/{adapter}", named)
+        for engine in self.engines.values():
+            engine.newest[adapter] = version
+
+    def add_engine(self, name: str, models: bool = True) -> None:
+        """Start an engine."""
+        self.engines[name] = EngineState(name, {MODEL} if models else set())
+        self.write_engine(name)
+
+    def write_engine(
+        self, name: str, state: UpstreamState = UpstreamState.READY
+    ) -> None:
+        """Write an engine's record."""
+        upstream = Upstream(name, SERVICE, f"{name}:1", "zone", state, 96, (MODEL,))
+        offset = self.log.topics[Topic.UPSTREAMS].end
+        change = UpstreamPut(
+            Upstream(
+                name, SERVICE, f"{name}:1", "zone", state, 96, upstream.models, offset
+            )
+        )
+        self._write(Topic.UPSTREAMS, name, change)
+
+    def end_engine(self, name: str) -> None:
+        """Remove an engine's record; the engine is gone."""
+        offset = self.log.append(Topic.UPSTREAMS, name, None)
+        assert offset is not None
+        self._decoded[Topic.UPSTREAMS, offset] = UpstreamEnded(name, offset)
+        self.engines.pop(name, None)
+
+    def _write(self, topic: Topic, key: str, change: Change) -> None:
+        offset = self.log.append(topic, key, b"x")
+        assert offset is not None
+        self._decoded[topic, offset] = change
+
+    def _decode(self, topic: Topic, record: Record) -> Change | None:
+        return self._decoded.get((topic, record.offset))
+
+    # Machines
+
+    def start(self, *names: str) -> None:
+        """Start processes, by default all."""
+        for name in names or tuple(self.machines):
+            self._start(self.machines[name])
+
+    def _start(self, machine: Machine) -> None:
+        machine.lives += 1
+        machine.frozen = False
+        outside = _Outside(self, machine)
+        core = Core(
+            CoreSettings(
+                machine.name,
+                "zone",
+                machine.name,
+                f"{machine.name}-{machine.lives}",
+                lease=self.timing_by_machine.get(machine.name, self.timing),
+            ),
+            self._decode,
+            InForce(),
+            Directory(),
+            Residency(),
+            Health(self.clock),
+            outside,
+            self.clock,
+            Metrics(),
+            logs.get("control"),
+        )
+        machine.core, machine.outside = core, outside
+        core.start()
+        self._tick(machine, core)
+        self._follow(machine, core, Topic.CONFIGURATION, None)
+        self._follow(machine, core, Topic.UPSTREAMS, None)
+
+    def kill(self, name: str) -> None:
+        """End a process without a word."""
+        machine = self.machines[name]
+        machine.core = None
+        for other in self.machines:
+            self.unlink(name, other)
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Let a process stand still; what comes meanwhile waits."""
+        machine = self.machines[name]
+        machine.frozen = True
+        self.after(seconds, lambda: self._thaw(machine))
+
+    def _thaw(self, machine: Machine) -> None:
+        machine.frozen = False
+        waiting, machine.waiting = machine.waiting, []
+        for step in waiting:
+            step()
+
+    def _do(self, machine: Machine, core: Core, step: Callable[[], None]) -> None:
+        """Run a step of a process, now or when it wakes; never in another life."""
+        if machine.core is not core:
+            return
+        if machine.frozen:
+            machine.waiting.append(lambda: self._do(machine, core, step))
+            return
+        step()
+
+    def _tick(self, machine: Machine, core: Core) -> None:
+        def step() -> None:
+            core.tick()
+            self._relink(machine)
+            self.after(TICK, lambda: self._tick(machine, core))
+
+        self._do(machine, core, step)
+
+    # Time
+
+    @property
+    def now(self) -> float:
+        return self.clock.monotonic().total_seconds()
+
+    def after(self, seconds: float, step: Callable[[], None]) -> None:
+        """Do a step later."""
+        event = (self.now + seconds, next(self._numbers), step)
+        heapq.heappush(self._events, event)
+
+    def run(self, seconds: float, until: Callable[[], bool] = lambda: False) -> bool:
+        """Let time pass; return whether `until` came true."""
+        limit = self.now + seconds
+        while self._events and self._events[0][0] <= limit:
+            if until():
+                return True
+            at, _, step = heapq.heappop(self._events)
+            if at > self.now:
+                self.clock.advance(timedelta(seconds=at) - self.clock.monotonic())
+            step()
+        self.clock.advance(
+            max(timedelta(seconds=limit) - self.clock.monotonic(), timedelta())
+        )
+        return until()
+
+    # Links
+
+    def _relink(self, machine: Machine) -> None:
+        assert machine.outside is not None
+        for endpoint in machine.outside.endpoints:
+            other = self.machines.get(endpoint.name)
+            if other is None or other.core is None or other is machine:
+                continue
+            pair = _pair(machine.name, other.name)
+            if pair in self._links or machine.links_cut or other.links_cut:
+                continue
+            self._links.add(pair)
+            self._up(machine, other.name)
+            self._up(other, machine.name)
+
+    def _up(self, machine: Machine, peer: str) -> None:
+        core = machine.core
+        assert core is not None
+        self.after(LINK_S, lambda: self._do(machine, core, lambda: core.peer_up(peer)))
+
+    def unlink(self, one: str, other: str) -> None:
+        """Break a link; both sides are told."""
+        if _pair(one, other) not in self._links:
+            return
+        self._links.discard(_pair(one, other))
+        for name, peer in ((one, other), (other, one)):
+            self._down(self.machines[name], peer)
+
+    def _down(self, machine: Machine, peer: str) -> None:
+        core = machine.core
+        if core is None:
+            return
+        self.after(
+            LINK_S, lambda: self._do(machine, core, lambda: core.peer_down(peer))
+        )
+
+    def send(self, machine: Machine, peer: str, message: Any) -> bool:
+        """Carry a message over a link; a cut swallows it."""
+        other = self.machines.get(peer)
+        if other is None or _pair(machine.name, peer) not in self._links:
+            return False
+        core = other.core
+        if core is None or machine.links_cut or other.links_cut:
+            return True
+        name = machine.name
+        self.after(
+            LINK_S,
+            lambda: self._do(other, core, lambda: core.peer_message(name, message)),
+        )
+        return True
+
+    # The store, as machines reach it
+
+    def _reaches_store(self, machine: Machine) -> bool:
+        return not self.store_down and not machine.store_cut
+
+    def _follow(
+        self, machine: Machine, core: Core, topic: Topic, start: int | None
+    ) -> None:
+        def step() -> None:
+            following = start
+            if self._reaches_store(machine):
+                followed = self._read(topic, start)
+                core.followed(followed)
+                following = followed.end
+            self.after(0.4, lambda: self._follow(machine, core, topic, following))
+
+        self._do(machine, core, step)
+
+    def _read(self, topic: Topic, start: int | None) -> Followed:
+        found = self.log.topics[topic]
+        records = None if start is None else self.log.read(topic, start)
+        if records is None or start is None:
+            newest = tuple(
+                Record(offset, key, value)
+                for key, (offset, value) in found.newest.items()
+            )
+            return Followed(topic, newest, found.end, True)
+        numbered = tuple(
+            Record(start + index, key, value)
+            for index, (key, value) in enumerate(records)
+        )
+        return Followed(topic, numbered, found.end, False)
+
+    def register(self, machine: Machine) -> None:
+        """Register a machine and tell it who is there."""
+        core = machine.core
+
+        def step() -> None:
+            assert core is not None
+            core.instances(
+                [InstanceRecord(name, "zone", name) for name in self.machines]
+            )
+
+        if core is not None:
+            self.after(STORE_S, lambda: self._do(machine, core, step))
+            return
+        self.after(STORE_S, lambda: self._register_started(machine))
+
+    def _register_started(self, machine: Machine) -> None:
+        if machine.core is not None:
+            self.register(machine)
+
+    def lease_call(self, machine: Machine, action: LeaseAction) -> None:
+        """Read or append a claim."""
+        core = machine.core
+        assert core is not None
+        if not self._reaches_store(machine):
+            self._answer_lease(machine, core, action, Unavailable("cut"), PATIENCE_S)
+            return
+        if isinstance(action, ReadClaims):
+            found = self.log.topics[Topic.LEASES]
+            records = tuple(
+                Record(offset, key, value)
+                for key, (offset, value) in found.newest.items()
+            )
+            self._answer_lease(
+                machine, core, action, Newest(records, found.end), STORE_S
+            )
+            return
+        self._append_claim(machine, core, action)
+
+    def _append_claim(self, machine: Machine, core: Core, action: AppendClaim) -> None:
+        if self.late_appends:
+            self.late_appends -= 1
+            self.after(2.0, lambda: self._append(action))
+            self._answer_lease(machine, core, action, Unknown("lost"), PATIENCE_S)
+            return
+        result = self._append(action)
+        if self.lose_appends:
+            self.lose_appends -= 1
+            self._answer_lease(machine, core, action, Unknown("lost"), PATIENCE_S)
+            return
+        self._answer_lease(machine, core, action, result, STORE_S)
+
+    def _append(self, action: AppendClaim) -> Appended | ConditionFailed:
+        claim = action.claim
+        offset = self.log.append(Topic.LEASES, claim.key, claim.encode(), action.at)
+        if offset is None:
+            return ConditionFailed(self.log.topics[Topic.LEASES].end)
+        return Appended(offset)
+
+    def _answer_lease(
+        self, machine: Machine, core: Core, action: LeaseAction, result: Any, s: float
+    ) -> None:
+        def step() -> None:
+            if isinstance(action, ReadClaims):
+                core.lease_read(result)
+            else:
+                core.lease_appended(action, result)
+
+        self.after(s, lambda: self._do(machine, core, step))
+
+    # Engines, as machines reach them
+
+    def order(self, machine: Machine, order: Order) -> None:
+        """Carry an order to its engine."""
+        core = machine.core
+        assert core is not None
+        self.after(LINK_S, lambda: self._arrive(machine, core, order))
+
+    def _arrive(self, machine: Machine, core: Core, order: Order) -> None:
+        engine = self.engines.get(order.upstream)
+        if engine is None:
+            self._answer_order(machine, core, order, OrderAnswer.NOT_SENT, LINK_S)
+            return
+        self.seen.append(OrderSeen(self.now, order.upstream, machine.name, order.fence))
+        if self.lose_orders:
+            self.lose_orders -= 1
+            self.after(3.0, lambda: self._carry_out(engine, order))
+            self._answer_order(machine, core, order, OrderAnswer.UNKNOWN, 0.25)
+            return
+        status = self._carry_out(engine, order)
+        answer = ANSWERS.get(status, OrderAnswer.REFUSED)
+        self._answer_order(machine, core, order, answer, LINK_S)
+
+    def _carry_out(self, engine: EngineState, order: Order) -> int:
+        return engine.order(
+            self.now,
+            order.kind,
+            order.adapter.model,
+            order.adapter.name,
+            order.expected,
+            order.version,
+        )
+
+    def _answer_order(
+        self, machine: Machine, core: Core, order: Order, answer: OrderAnswer, s: float
+    ) -> None:
+        step = lambda: self._settled(core, lambda: core.order_answered(order, answer))  # noqa: E731
+        self.after(s, lambda: self._do(machine, core, step))
+
+    def report(self, machine: Machine, request: AskReport) -> None:
+        """Tell what an engine held a moment ago."""
+        core = machine.core
+        engine = self.engines.get(request.upstream)
+        assert core is not None
+        report = None
+        if engine is not None:
+            engine.settle(self.now)
+            report = EngineReport(
+                engine.sequence,
+                tuple(engine.models),
+                (),
+                {Adapter(MODEL, name): v for name, v in engine.adapters.items()},
+                {Adapter(MODEL, name): v for name, (v, _) in engine.coming.items()},
+            )
+        step = lambda: self._settled(  # noqa: E731
+            core, lambda: core.reported(request.upstream, report)
+        )
+        self.after(REPORT_LAG_S, lambda: self._do(machine, core, step))
+
+    def _settled(self, core: Core, step: Callable[[], None]) -> None:
+        step()
+        core.settle()
+
+    # What tests ask and read
+
+    def ask(self, name: str, wanted: Wanted) -> None:
+        """Let a request of a machine want an adapter."""
+        machine = self.machines[name]
+        core = machine.core
+        assert core is not None
+        self._do(
+            machine, core, lambda: self._settled(core, lambda: core.wanted(wanted))
+        )
+
+    def leaders(self) -> list[str]:
+        """Return the machines that may order by their own belief now."""
+        return [
+            name
+            for name, machine in self.machines.items()
+            if machine.core is not None
+            and not machine.frozen
+            and machine.core.lease.fence() is not None
+        ]
+
+    def broken_turns(self, lease_s: float = 3.0) -> list[str]:
+        """Return how the orders seen break the rule of one holder at a time."""
+        broken = []
+        for engine in {order.engine for order in self.seen}:
+            orders = [order for order in self.seen if order.engine == engine]
+            broken += _broken_fences(orders) + _broken_turns(orders, lease_s)
+        return broken
+
+    def fallen(self) -> list[str]:
+        """Return the engines that were ordered beyond what they hold."""
+        return [engine.fallen for engine in self.engines.values() if engine.fallen]
+
+
+def _broken_fences(orders: list[OrderSeen]) -> list[str]:
+    broken = []
+    holders: dict[int, str] = {}
+    highest = -1
+    for order in orders:
+        if order.fence < highest:
+            broken.append(f"{order} follows fence {highest}")
+        highest = max(highest, order.fence)
+        if holders.setdefault(order.fence, order.machine) != order.machine:
+            broken.append(f"{order} shares its fence with {holders[order.fence]}")
+    return broken
+
+
+def _broken_turns(orders: list[OrderSeen], lease_s: float) -> list[str]:
+    broken = []
+    for index, order in enumerate(orders):
+        others = [
+            middle
+            for middle in orders[:index]
+            if middle.machine != order.machine and order.at - middle.at < lease_s
+        ]
+        for middle in others:
+            before = [
+                first
+                for first in orders
+                if first.machine == order.machine
+                and first.at < middle.at
+                and order.at - first.at < lease_s
+            ]
+            if before:
+                broken.append(f"{order.machine} orders again around {middle}")
+    return broken
+
+
+def _pair(one: str, other: str) -> tuple[str, str]:
+    return (one, other) if one < other else (other, one)
--- /dev/null
+++ b/tests/platform_stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform: its store and its workers, with their faults."""
--- /dev/null
+++ b/tests/platform_stand_ins/store.py
@@ -0,0 +1,117 @@
+"""The platform's store over HTTP, to the letter of its page, with faults."""
+
+import base64
+import json
+import struct
+import threading
+from urllib.parse import parse_qs, urlsplit
+
+from .log_state import LogState
+from .server import Call, Server
+
+MOST_ON_A_PAGE = 500
+
+
+class StoreServer:
+    """One store.
+
+    Attributes
+    ----------
+    status : int
+        Other than 0: every call is answered with it, and nothing is done.
+    lose_answers : bool
+        Writes are done and not answered.
+    """
+
+    def __init__(self) -> None:
+        self.state = LogState()
+        self.status = 0
+        self.lose_answers = False
+        self._changed = threading.Condition()
+        self.server = Server(self._handle)
+
+    @property
+    def address(self) -> str:
+        return self.server.address
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        """Write as the operator or a worker does; None drops the key."""
+        data = None if value is None else json.dumps(value).encode()
+        with self._changed:
+            self.state.append(topic, key, data)
+            self._changed.notify_all()
+
+    def forget_history(self, topic: str) -> None:
+        with self._changed:
+            self.state.forget_history(topic)
+            self._changed.notify_all()
+
+    def _handle(self, call: Call) -> None:
+        if self.status:
+            call.respond(self.status)
+            return
+        parts = urlsplit(call.target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path == "/api/log-append":
+            self._append(call, query)
+        elif parts.path == "/api/log-read":
+            self._read(call, query)
+        elif parts.path == "/api/log-newest":
+            self._newest(call, query)
+        else:
+            call.respond(404)
+
+    def _append(self, call: Call, query: dict[str, str]) -> None:
+        (length,) = struct.unpack_from(">I", call.body)
+        record = call.body[4 : 4 + length]
+        key = record[1 : 1 + record[0]].decode()
+        value = record[1 + record[0] :] or None
+        at = int(query["at"]) if "at" in query else None
+        with self._changed:
+            offset = self.state.append(query["topic"], key, value, at)
+            end = self.state.topics[query["topic"]].end
+            self._changed.notify_all()
+        if self.lose_answers:
+            call.keep = False
+            call.wait_for_close()
+            return
+        if offset is None:
+            call.respond(412, json.dumps({"end": end}).encode())
+            return
+        call.respond(200, json.dumps({"offset": offset, "end": end}).encode())
+
+    def _read(self, call: Call, query: dict[str, str]) -> None:
+        start = int(query["from"])
+        wait = int(query.get("wait-ms", "0")) / 1000
+        with self._changed:
+            topic = self.state.topics[query["topic"]]
+            self._changed.wait_for(lambda: topic.end > start, wait)
+            records = self.state.read(query["topic"], start)
+            first, end = topic.first, topic.end
+        if records is None:
+            call.respond(410, json.dumps({"first": first}).encode())
+            return
+        body = struct.pack(">QQ", end, first)
+        for key, value in records:
+            name = key.encode()
+            record = bytes([len(name)]) + name + (value or b"")
+            body += struct.pack(">I", len(record)) + record
+        call.respond(200, body)
+
+    def _newest(self, call: Call, query: dict[str, str]) -> None:
+        with self._changed:
+            topic = self.state.topics[query["topic"]]
+            found = sorted(topic.newest.items())
+            end = topic.end
+        after = query.get("after", "")
+        rest = [item for item in found if item[0] > after]
+        page = rest[:MOST_ON_A_PAGE]
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in page
+        ]
+        answer = {"items": items, "more": len(rest) > len(page), "end": end}
+        call.respond(200, json.dumps(answer).encode())
+
+    def close(self) -> None:
+        self.server.close()
--- /dev/null
+++ b/tests/platform_stand_ins/worker.py
@@ -0,0 +1,159 @@
+"""Workers over HTTP: a model worker with adapters, and a plain one."""
+
+import json
+import threading
+import time
+
+from .engine_state import EngineState
+from .server import Call, Server
+
+Document = dict[str, object]
+SEAL = "X-Server-Seal"
+ID = "X-Attempt-Id"
+
+
+def sealed(call: Call, worker: str) -> dict[str, str]:
+    """Return the headers of a proper answer."""
+    return {ID: call.headers[ID.lower()], SEAL: f"seal-of-{worker}"}
+
+
+class ModelWorker:
+    """One life of a model worker.
+
+    Attributes
+    ----------
+    events : int
+        How many events a stream has.
+    hold : threading.Event
+        Streams wait for it before their last event.
+    """
+
+    def __init__(self, id: str, model: str, models: bool = True) -> None:
+        self.state = EngineState(id, {model} if models else set(), model_s=0.1)
+        self.model = model
+        self.events = 3
+        self.hold = threading.Event()
+        self.hold.set()
+        self.orders: list[dict[str, object]] = []
+        self.ran: list[Call] = []
+        self._lock = threading.Lock()
+        self.server = Server(self._handle)
+
+    def record(
+        self, service: str, zone: str, state: str = "ready"
+    ) -> dict[str, object]:
+        """Return what the worker writes of itself into the store."""
+        return {
+            "service": service,
+            "address": self.server.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 96,
+            "state": state,
+            "sequence": 1,
+            "models": [{"name": name, "version": 1} for name in self.state.models],
+        }
+
+    def _handle(self, call: Call) -> None:
+        expected = call.headers.get("x-expect-instance", self.state.id)
+        if expected != self.state.id:
+            call.respond(421, b"", {"X-Instance-Id": self.state.id})
+        elif call.target == "/api/order":
+            self._order(call)
+        elif call.target == "/api/report":
+            self._report(call)
+        else:
+            self._run(call)
+
+    def _order(self, call: Call) -> None:
+        body = json.loads(call.body)
+        self.orders.append(body)
+        with self._lock:
+            status = self.state.order(
+                time.monotonic(),
+                body["operation"],
+                body["model"],
+                body.get("adapter", ""),
+                body.get("expected"),
+                body.get("version"),
+            )
+        call.respond(status)
+
+    def _report(self, call: Call) -> None:
+        with self._lock:
+            self.state.settle(time.monotonic())
+            adapters = [f"{name}@{v}" for name, v in self.state.adapters.items()]
+            coming = [
+                f"{self.model}/{name}@{version}"
+                for name, (version, _) in self.state.coming.items()
+            ]
+            models = [
+                {"name": name, "version": 1, "adapters": adapters}
+                for name in self.state.models
+            ]
+            report = {
+                "stage": "both",
+                "models": models,
+                "busy": self.state.model_coming is not None,
+                "sequence": self.state.sequence,
+                "waiting": 0,
+                "running": 0,
+                "coming": coming,
+                "at-hand": {"in-memory": [], "on-disk": sorted(self.state.models)},
+            }
+        call.respond(200, json.dumps(report).encode())
+
+    def _run(self, call: Call) -> None:
+        model, _, adapter = call.headers["x-model"].partition("/")
+        with self._lock:
+            self.state.settle(time.monotonic())
+            version = self.state.adapters.get(adapter)
+            there = model in self.state.models and (not adapter or version is not None)
+            wanted = call.headers.get("x-expect-version")
+        if not there or (wanted and adapter and int(wanted) != version):
+            call.respond(421, b"", {"X-Instance-Id": self.state.id})
+            return
+        self.ran.append(call)
+        call.start_stream(sealed(call, self.state.id))
+        for number in range(1, self.events + 1):
+            if number == self.events:
+                self.hold.wait(10)
+            data = f"{adapter}.{version}.{call.headers[ID.lower()]}.{number}"
+            call.chunk(f"id: {number}\ndata: {data}\n\n".encode())
+        call.end_stream()
+
+    def close(self) -> None:
+        self.server.close()
+
+
+class PlainWorker:
+    """One life of a plain worker that says who it is."""
+
+    def __init__(self, id: str) -> None:
+        self.id = id
+        self.ran: list[Call] = []
+        self.server = Server(self._handle)
+
+    def record(
+        self, service: str, zone: str, state: str = "ready"
+    ) -> dict[str, object]:
+        """Return what the worker writes of itself into the store."""
+        return {
+            "service": service,
+            "address": self.server.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "sequence": 1,
+        }
+
+    def _handle(self, call: Call) -> None:
+        if call.headers.get("x-expect-instance", self.id) != self.id:
+            call.respond(421)
+            return
+        self.ran.append(call)
+        call.respond(200, f"{self.id} {call.target}".encode(), sealed(call, self.id))
+
+    def close(self) -> None:
+        self.server.close()
--- /dev/null
+++ b/tests/request_harness.py
@@ -0,0 +1,279 @@
+"""An entry on loopback with upstreams that tests script, and callers that read raw."""
+
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from random import Random
+
+import h11
+
+from ashhoist import logs
+from ashhoist.clock import SystemClock
+from ashhoist.failures import Reason
+from ashhoist.http import CallerConnection, Listener, Pool
+from ashhoist.metrics import Metrics
+from ashhoist.placement.asks import Refusal, Target
+from ashhoist.requests import Dialect, Handler, RetryBudget
+from ashhoist.requests.attempt import Attempts
+from ashhoist.requests.call import Call
+from ashhoist.requests.choosers import Choice
+from ashhoist.requests.serving import Serving
+from ashhoist.routing import (
+    Limits,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    ServingConfiguration,
+    WeightedService,
+)
+from ashhoist.upstreams import Health
+
+from .platform_stand_ins.server import Call as UpstreamCall, Handler as Script, Server
+
+HOST = "calls.example"
+DIALECT = Dialect(seal="Seal")
+ID = DIALECT.request_id
+PATIENCE = 10.0
+
+
+@dataclass
+class Answer:
+    """What a caller got.
+
+    Attributes
+    ----------
+    whole : bool
+        False if the connection ended before the answer did.
+    """
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = False
+    took: float = 0.0
+
+
+class ListChooser:
+    """Chooses the harness's upstreams in their order, each once for a call."""
+
+    def __init__(self, harness: "Harness") -> None:
+        self._harness = harness
+        self.ended_count = 0
+
+    def choose(self, call: Call, caller: CallerConnection) -> Choice:
+        for name, server in self._harness.upstreams.items():
+            if name not in call.tried:
+                return Target(name, server.address)
+        return Refusal(Reason.NO_UPSTREAM)
+
+    def ended(self, call: Call, target: Target) -> None:
+        self.ended_count += 1
+
+
+class Harness:
+    """One entry and its upstreams.
+
+    Parameters
+    ----------
+    scripts : callables
+        What each upstream does with a request.
+    """
+
+    def __init__(
+        self,
+        *scripts: Script,
+        timeout: float = 5.0,
+        attempts: int = 2,
+        limits: Limits = Limits(),  # noqa: B008
+        extra: float = 100,
+    ) -> None:
+        self.clock = SystemClock()
+        self.upstreams = {
+            f"upstream-{index}": Server(script) for index, script in enumerate(scripts)
+        }
+        route = Route(
+            "",
+            HOST,
+            "/",
+            RouteKind.SAFE,
+            (WeightedService("service"),),
+            timedelta(seconds=timeout),
+            timedelta(seconds=1),
+            attempts,
+        )
+        routes = (
+            replace(route, name="safe", path_prefix="/safe/"),
+            replace(
+                route, name="unsafe", path_prefix="/unsafe/", kind=RouteKind.UNSAFE
+            ),
+            replace(
+                route,
+                name="stream",
+                path_prefix="/stream/",
+                kind=RouteKind.STREAM,
+                resumable=True,
+            ),
+            replace(route, name="once", path_prefix="/once/", kind=RouteKind.STREAM),
+        )
+        services = {"service": Service("service")}
+        self.table: RouteTable | None = RouteTable(
+            ServingConfiguration(1, routes, services, limits)
+        )
+        self.metrics = Metrics()
+        self.closing = False
+        self.chooser = ListChooser(self)
+        self._executor = ThreadPoolExecutor(32)
+        self.handler = self._make_handler(extra)
+        self.listener = Listener(
+            "127.0.0.1:0",
+            self.handler.serve,
+            lambda: self.handler.limits().idle_time,
+            self._executor,
+            self.clock,
+        )
+        self._executor.submit(self.listener.run)
+
+    def _make_handler(self, extra: float) -> Handler:
+        clock = self.clock
+        self._pool = Pool(clock)
+        budget = RetryBudget(0.0, extra, timedelta(seconds=10), lambda: 1, clock)
+        serving = Serving(
+            DIALECT,
+            Attempts(DIALECT, self._pool, clock),
+            budget,
+            Health(clock),
+            clock,
+            self.metrics,
+            logs.get("requests"),
+        )
+        return Handler(
+            DIALECT,
+            serving,
+            lambda: self.table,
+            {"plain": self.chooser, "engine": self.chooser},
+            lambda: self.closing,
+            clock,
+            self.metrics,
+            logs.get("requests"),
+            Random(1),
+        )
+
+    def calls(self, index: int = 0) -> list[UpstreamCall]:
+        """Return the requests that an upstream has got."""
+        return self.upstreams[f"upstream-{index}"].calls
+
+    def connect(self) -> "Caller":
+        """Return a new caller."""
+        return Caller(self.listener.address)
+
+    def ask(self, path: str, **arguments: object) -> Answer:
+        """Ask once, on a connection of its own."""
+        with self.connect() as caller:
+            return caller.ask(path, **arguments)  # type: ignore[arg-type]
+
+    def close(self) -> None:
+        """Stop everything."""
+        self.listener.stop()
+        self.listener.close_resting()
+        self._pool.close()
+        for server in self.upstreams.values():
+            server.close()
+        self._executor.shutdown(wait=False)
+
+
+class Caller:
+    """A caller's connection."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self.socket = socket.create_connection((host, int(port)), PATIENCE)
+        self._http = h11.Connection(h11.CLIENT)
+        self._numbers = 0
+
+    def __enter__(self) -> "Caller":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Leave."""
+        self.socket.close()
+
+    def send(
+        self,
+        path: str,
+        method: str = "POST",
+        body: bytes = b"body",
+        headers: dict[str, str] | None = None,
+        id: str = "",
+        deadline_ms: int = 4000,
+        host: str = HOST,
+        chunked: bool = False,
+    ) -> None:
+        """Send a request."""
+        self._numbers += 1
+        fields = [("Host", host), (ID, id or f"id-{self._numbers}")]
+        fields.append((DIALECT.deadline_ms, str(deadline_ms)))
+        fields += list((headers or {}).items())
+        if chunked:
+            fields.append(("Transfer-Encoding", "chunked"))
+        elif method != "GET":
+            fields.append(("Content-Length", str(len(body))))
+        data = self._http.send(h11.Request(method=method, target=path, headers=fields))
+        self.socket.sendall(data or b"")
+        if method != "GET":
+            half = len(body) // 2
+            for part in (body[:half], body[half:]):
+                self.socket.sendall(self._http.send(h11.Data(data=part)) or b"")
+        self.socket.sendall(self._http.send(h11.EndOfMessage()) or b"")
+
+    def receive(self) -> Answer:
+        """Read the next answer to its end, or to the end of the connection."""
+        answer = Answer()
+        began = time.monotonic()
+        while True:
+            try:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    self._http.receive_data(self.socket.recv(65536))
+                    continue
+            except (h11.RemoteProtocolError, OSError):
+                break
+            if isinstance(event, h11.Response):
+                answer.status = event.status_code
+                answer.headers = {
+                    name.decode().lower(): value.decode()
+                    for name, value in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                answer.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                answer.whole = True
+                break
+            else:
+                break
+        answer.took = time.monotonic() - began
+        return answer
+
+    def ask(self, path: str, **arguments: object) -> Answer:
+        """Send a request and read its answer."""
+        self.send(path, **arguments)  # type: ignore[arg-type]
+        answer = self.receive()
+        done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        if done:
+            self._http.start_next_cycle()
+        return answer
+
+
+def sealed(call: UpstreamCall, **more: str) -> dict[str, str]:
+    """Return the headers of a proper answer to a request."""
+    return {ID: call.headers[ID.lower()], "Seal": "seal", **more}
+
+
+def event(number: int, text: str = "data") -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: {text}.{number}\n\n".encode()
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -35,6 +35,7 @@
     "logs",
     "probes",
     "process",
+    "signals",
     "tasks",
     "transfers",
     "web",
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,356 @@
+"""The lease on orders, where engines check no fences."""
+
+import itertools
+import random
+import unittest
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import Any
+
+from hypothesis import given, settings, strategies as st
+
+from ashhoist.adapter import Adapter
+from ashhoist.clock import ManualClock
+from ashhoist.orders import AppendClaim, Claim, Lease, LeaseTiming, ReadClaims
+from ashhoist.placement.asks import Target, Wanted
+from ashhoist.store import Appended, ConditionFailed, Newest, Record, Unknown
+
+from .control_world import MODEL, SERVICE, Machine, World
+
+NUMBERS = iter(range(1_000_000))
+
+
+def want(world: World, machine: str, adapter: str, seconds: float = 5.0) -> Any:
+    """Let a request at a machine want an adapter; return its future."""
+    answer: Future[Any] = Future()
+    now = world.clock.monotonic()
+    world.ask(
+        machine,
+        Wanted(
+            f"request-{next(NUMBERS)}",
+            SERVICE,
+            Adapter(MODEL, adapter),
+            0,
+            1.0,
+            0.3,
+            now + timedelta(seconds=1),
+            now + timedelta(seconds=seconds),
+            True,
+            (),
+            answer,
+        ),
+    )
+    return answer
+
+
+def started(machines: int = 3, engines: int = 2) -> World:
+    """Return a world in which somebody holds the lease."""
+    world = World(machines, engines)
+    world.start()
+    world.run(3.0, lambda: len(world.leaders()) == 1)
+    world.run(0.6)
+    return world
+
+
+class TakeoverTests(unittest.TestCase):
+    def assert_sound(self, world: World) -> None:
+        self.assertEqual(world.broken_turns(), [])
+        self.assertEqual(world.fallen(), [])
+
+    def test_one_instance_holds_the_lease_and_loads(self) -> None:
+        world = started()
+        answer = want(world, "instance-1", "a1")
+        world.run(1.0)
+        self.assertIsInstance(answer.result(0), Target)
+        self.assertEqual(len(world.leaders()), 1)
+        self.assert_sound(world)
+
+    def test_a_killed_holder_is_followed_after_its_term(self) -> None:
+        world = started()
+        [first] = world.leaders()
+        world.kill(first)
+        other = next(name for name in world.machines if name != first)
+        answer = want(world, other, "a1")
+        self.assertTrue(world.run(4.0, lambda: answer.done()))
+        self.assertNotEqual(world.leaders(), [first])
+        self.assert_sound(world)
+
+    def test_a_restarted_holder_goes_on_at_once(self) -> None:
+        world = started()
+        [first] = world.leaders()
+        world.kill(first)
+        world.start(first)
+        self.assertTrue(world.run(0.5, lambda: world.leaders() == [first]))
+        answer = want(world, first, "a1")
+        self.assertTrue(world.run(1.0, lambda: answer.done()))
+        self.assert_sound(world)
+
+    def test_a_frozen_holder_orders_nothing_when_it_wakes(self) -> None:
+        world = started()
+        [first] = world.leaders()
+        world.freeze(first, 6.0)
+        other = next(name for name in world.machines if name != first)
+        for number in range(20):
+            want(world, other, f"a{number}")
+            world.run(0.5)
+        self.assertNotIn(first, world.leaders())
+        self.assert_sound(world)
+
+    def isolated_holder(self, timing: LeaseTiming) -> World:
+        """Play a holder that reaches engines, but neither store nor instances."""
+        world = World(3, 2)
+        world.timing_by_machine["instance-0"] = timing
+        world.start("instance-0")
+        world.run(3.0, lambda: world.leaders() == ["instance-0"])
+        world.start("instance-1", "instance-2")
+        world.run(1.0)
+        world.machines["instance-0"].store_cut = True
+        world.machines["instance-0"].links_cut = True
+        for number in range(24):
+            want(world, "instance-0", f"a{number}")
+            want(world, "instance-1", f"b{number}")
+            world.run(0.25)
+        return world
+
+    def test_a_holder_that_is_cut_off_from_all_but_engines_gives_up(self) -> None:
+        world = self.isolated_holder(LeaseTiming())
+        self.assertGreater(len({order.machine for order in world.seen}), 1)
+        self.assert_sound(world)
+
+    def test_a_holder_that_trusts_its_lease_for_too_long_is_caught(self) -> None:
+        world = self.isolated_holder(LeaseTiming(term=timedelta(seconds=8)))
+        self.assertNotEqual(world.broken_turns(), [])
+
+    def test_a_holder_that_the_store_turns_away_loses_the_lease_by_its_clock(
+        self,
+    ) -> None:
+        world = started(machines=1)
+        world.machines["instance-0"].store_cut = True
+        self.assertTrue(world.run(4.0, lambda: not world.leaders()))
+
+    def test_a_planned_stop_hands_the_lease_over(self) -> None:
+        world = started()
+        [first] = world.leaders()
+        core = world.machines[first].core
+        assert core is not None
+        core.stop()
+        self.assertTrue(world.run(1.0, lambda: world.leaders() not in ([], [first])))
+        answer = want(world, world.leaders()[0], "a1")
+        self.assertTrue(world.run(1.5, lambda: answer.done()))
+        self.assert_sound(world)
+
+    def test_a_lost_answer_to_a_renewal_keeps_the_lease(self) -> None:
+        world = started()
+        before = world.leaders()
+        world.lose_appends = 1
+        for _ in range(40):
+            world.run(0.1)
+            self.assertEqual(world.leaders(), before)
+
+    def test_a_late_claim_of_a_loser_takes_nothing(self) -> None:
+        world = World(2, 1)
+        world.late_appends = 1
+        world.start()
+        for number in range(30):
+            if world.machines["instance-0"].core is not None:
+                want(world, "instance-0", f"a{number}")
+            world.run(0.2)
+            self.assertLessEqual(len(world.leaders()), 1)
+        self.assert_sound(world)
+
+
+class LostOrderTests(unittest.TestCase):
+    def test_an_order_that_is_carried_out_late_changes_nothing(self) -> None:
+        world = started(1, 1)
+        world.lose_orders = 2
+        for number in range(12):
+            want(world, "instance-0", f"a{number}")
+            world.run(0.7)
+        self.assertEqual(world.fallen(), [])
+        self.assertEqual(world.broken_turns(), [])
+
+    def test_an_engine_without_a_base_model_gets_one(self) -> None:
+        world = started(1, 0)
+        world.add_engine("empty", models=False)
+        world.run(1.0)
+        answer = want(world, "instance-0", "a1")
+        self.assertTrue(world.run(3.0, lambda: answer.done()))
+        self.assertIsInstance(answer.result(0), Target)
+
+
+class RandomDay:
+    """A world under faults drawn from a seed; each fault heals by itself."""
+
+    STEPS = 80
+
+    def __init__(self, seed: int, timing: LeaseTiming | None = None) -> None:
+        self._source = random.Random(seed)
+        self.world = World(3, 2, timing or LeaseTiming())
+        self.most_leaders = 0
+        self.world.start()
+
+    def play(self) -> "RandomDay":
+        """Play to the end."""
+        for _ in range(self.STEPS):
+            if self._source.random() < 0.35:
+                self._disturb()
+            for name, machine in self.world.machines.items():
+                if machine.core is not None and self._source.random() < 0.8:
+                    want(self.world, name, f"a{self._source.randrange(25)}")
+            self.world.run(self._source.uniform(0.05, 0.5))
+            leaders = len(self.world.leaders())
+            self.most_leaders = max(self.most_leaders, leaders)
+        return self
+
+    @property
+    def takeovers(self) -> int:
+        """Return how often the machine that orders has changed."""
+        machines = [order.machine for order in self.world.seen]
+        return sum(one != other for one, other in itertools.pairwise(machines))
+
+    def _disturb(self) -> None:
+        world, source = self.world, self._source
+        holders = world.leaders() or list(world.machines)
+        name = source.choice(holders if source.random() < 0.7 else list(world.machines))
+        machine = world.machines[name]
+        healed_after = source.uniform(0.2, 7.0)
+        fault = source.choice(sorted(FAULTS))
+        if machine.core is not None:
+            FAULTS[fault](world, machine, healed_after)
+
+
+def _kill(world: World, machine: Machine, healed_after: float) -> None:
+    world.kill(machine.name)
+    world.after(healed_after, lambda: world.start(machine.name))
+
+
+def _freeze(world: World, machine: Machine, healed_after: float) -> None:
+    if not machine.frozen:
+        world.freeze(machine.name, healed_after)
+
+
+def _cut_store(world: World, machine: Machine, healed_after: float) -> None:
+    machine.store_cut = True
+    world.after(healed_after, lambda: setattr(machine, "store_cut", False))
+
+
+def _cut_links(world: World, machine: Machine, healed_after: float) -> None:
+    machine.links_cut = True
+    world.after(healed_after, lambda: setattr(machine, "links_cut", False))
+
+
+def _store_down(world: World, machine: Machine, healed_after: float) -> None:
+    world.store_down = True
+    world.after(healed_after, lambda: setattr(world, "store_down", False))
+
+
+def _lose_append(world: World, machine: Machine, healed_after: float) -> None:
+    world.lose_appends += 1
+
+
+def _late_append(world: World, machine: Machine, healed_after: float) -> None:
+    world.late_appends += 1
+
+
+def _lose_orders(world: World, machine: Machine, healed_after: float) -> None:
+    world.lose_orders += 2
+
+
+FAULTS = {
+    "kill": _kill,
+    "freeze": _freeze,
+    "cut store": _cut_store,
+    "cut links": _cut_links,
+    "store down": _store_down,
+    "lose append": _lose_append,
+    "late append": _late_append,
+    "lose orders": _lose_orders,
+}
+
+
+class RandomFaultTests(unittest.TestCase):
+    """Any mix of faults: never two holders in turn, never an engine overfull."""
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32))
+    def test_no_two_holders_order_in_turn(self, seed: int) -> None:
+        day = RandomDay(seed).play()
+        self.assertLessEqual(day.most_leaders, 1)
+        self.assertEqual(day.world.broken_turns(), [])
+        self.assertEqual(day.world.fallen(), [])
+
+    def test_the_days_have_takeovers(self) -> None:
+        takeovers = [RandomDay(seed).play().takeovers for seed in range(10)]
+        self.assertGreater(sum(takeovers), 10)
+
+    def test_a_successor_that_does_not_wait_is_caught(self) -> None:
+        hasty = LeaseTiming(clock_margin=timedelta(seconds=-2.4))
+        days = [RandomDay(seed, hasty).play() for seed in range(12)]
+        self.assertTrue(any(day.world.broken_turns() for day in days))
+
+
+class LeaseTests(unittest.TestCase):
+    """The state machine by itself."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.lease = Lease("orders", "one", "one-1", LeaseTiming(), self.clock)
+
+    def read(self, *records: Record, end: int) -> None:
+        self.assertIsInstance(self.lease.due(), ReadClaims)
+        self.lease.read(Newest(records, end))
+
+    def claim(self) -> AppendClaim:
+        action = self.lease.due()
+        assert isinstance(action, AppendClaim)
+        return action
+
+    def test_authority_counts_from_before_the_renewal_was_sent(self) -> None:
+        self.read(end=0)
+        action = self.claim()
+        self.clock.advance(timedelta(seconds=2))
+        self.lease.appended(action, Appended(0))
+        self.assertEqual(self.lease.fence(), 0)
+        self.clock.advance(timedelta(milliseconds=300))
+        self.assertIsNone(self.lease.fence())
+
+    def test_another_holder_is_waited_for_from_when_it_was_known(self) -> None:
+        claim = Claim("orders", "two", "two-1")
+        self.read(Record(0, "orders", claim.encode()), end=1)
+        self.assertIsNone(self.lease.due())
+        self.clock.advance(timedelta(milliseconds=2500))
+        self.assertIsNone(self.lease.due())
+        self.clock.advance(timedelta(milliseconds=200))
+        self.assertEqual(self.claim().at, 1)
+
+    def test_a_failed_condition_reads_again(self) -> None:
+        self.read(end=0)
+        self.lease.appended(self.claim(), ConditionFailed(1))
+        self.clock.advance(timedelta(seconds=1))
+        self.assertIsInstance(self.lease.due(), ReadClaims)
+
+    def test_a_claim_without_answer_counts_once_it_is_read(self) -> None:
+        self.read(end=0)
+        action = self.claim()
+        self.lease.appended(action, Unknown())
+        self.assertIsNone(self.lease.fence())
+        self.clock.advance(timedelta(milliseconds=500))
+        self.read(Record(0, "orders", action.claim.encode()), end=1)
+        self.assertEqual(self.lease.fence(), 0)
+
+    def test_a_machine_that_comes_back_between_two_orders_waits(self) -> None:
+        claim = Claim("orders", "two", "two-1", released=True, before="one")
+        self.read(Record(5, "orders", claim.encode()), end=6)
+        self.lease.appended(self.claim(), Appended(6))
+        self.assertIsNone(self.lease.fence())
+
+    def test_the_fence_stays_while_the_lease_is_renewed(self) -> None:
+        self.read(end=0)
+        self.lease.appended(self.claim(), Appended(0))
+        self.clock.advance(timedelta(seconds=1))
+        self.lease.appended(self.claim(), Appended(1))
+        self.assertEqual(self.lease.fence(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,531 @@
+"""Requests against upstreams that misbehave: what may be sent again, what is told."""
+
+import socket
+import threading
+import time
+import unittest
+from datetime import timedelta
+
+from ashhoist.routing import Limits
+
+from .platform_stand_ins.server import Call, Handler
+from .request_harness import DIALECT, HOST, ID, Harness, event, sealed
+
+NOT_RUN = DIALECT.not_run
+
+
+def good(call: Call) -> None:
+    """Answer as an upstream should, with what it got."""
+    call.respond(200, b"answer to " + call.body, sealed(call))
+
+
+def refuse(call: Call) -> None:
+    """Refuse expressly."""
+    call.respond(503, b"", {NOT_RUN: "1"})
+
+
+def reset(call: Call) -> None:
+    """Break the connection with the request in hand."""
+    call.reset()
+
+
+def silent(call: Call) -> None:
+    """Say nothing until the other side leaves."""
+    call.keep = False
+    call.wait_for_close()
+
+
+def stream(*numbers: int, end: bool = True, cut: bytes = b"") -> Handler:
+    """Return a script that streams events, then ends or breaks off."""
+
+    def script(call: Call) -> None:
+        call.start_stream(sealed(call))
+        for number in numbers:
+            call.chunk(event(number))
+        if cut:
+            call.chunk(cut)
+        if end:
+            call.end_stream()
+            return
+        call.close()
+
+    return script
+
+
+class RequestTestCase(unittest.TestCase):
+    def start(self, *scripts: Handler, **options: object) -> Harness:
+        harness = Harness(*scripts, **options)  # type: ignore[arg-type]
+        self.addCleanup(harness.close)
+        return harness
+
+
+class PassingOnTests(RequestTestCase):
+    def test_method_path_query_body_and_headers_arrive_unchanged(self) -> None:
+        harness = self.start(good)
+        answer = harness.ask(
+            "/safe/a%20b/?x=1&y=%2F",
+            method="PUT",
+            body=b"\x00\xffbytes",
+            headers={"X-Custom": "Value", "Cookie": "a=b"},
+        )
+        [call] = harness.calls()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual((call.method, call.target), ("PUT", "/safe/a%20b/?x=1&y=%2F"))
+        self.assertEqual(call.body, b"\x00\xffbytes")
+        self.assertEqual(call.headers["x-custom"], "Value")
+        self.assertEqual(call.headers["cookie"], "a=b")
+        self.assertEqual(call.headers["host"], HOST)
+        self.assertEqual(call.headers[ID.lower()], "id-1")
+
+    def test_headers_of_one_connection_are_not_passed_on(self) -> None:
+        harness = self.start(good)
+        harness.ask(
+            "/safe/",
+            headers={"Connection": "X-Mine", "X-Mine": "1", "Keep-Alive": "timeout=5"},
+        )
+        [call] = harness.calls()
+        for name in ("connection", "x-mine", "keep-alive"):
+            self.assertNotIn(name, call.headers)
+
+    def test_what_only_the_system_sets_is_not_taken_from_callers(self) -> None:
+        harness = self.start(good)
+        forged = {
+            DIALECT.expect_instance: "another",
+            DIALECT.expect_version: "9",
+            DIALECT.urgency: "0",
+        }
+        harness.ask("/safe/", headers=forged)
+        [call] = harness.calls()
+        self.assertEqual(call.headers[DIALECT.expect_instance.lower()], "upstream-0")
+        self.assertNotIn(DIALECT.expect_version.lower(), call.headers)
+        self.assertNotIn(DIALECT.urgency.lower(), call.headers)
+
+    def test_the_deadline_passed_on_is_what_is_left(self) -> None:
+        harness = self.start(good)
+        harness.ask("/safe/", deadline_ms=2000)
+        [call] = harness.calls()
+        left = int(call.headers[DIALECT.deadline_ms.lower()])
+        self.assertLessEqual(left, 2000)
+        self.assertGreater(left, 1000)
+
+    def test_the_deadline_passed_on_is_no_longer_than_the_route_allows(self) -> None:
+        harness = self.start(good, timeout=1.0)
+        harness.ask("/safe/", deadline_ms=60_000)
+        [call] = harness.calls()
+        self.assertLessEqual(int(call.headers[DIALECT.deadline_ms.lower()]), 1000)
+
+    def test_a_chunked_body_arrives_whole(self) -> None:
+        harness = self.start(good)
+        answer = harness.ask("/safe/", body=b"x" * 100_000, chunked=True)
+        [call] = harness.calls()
+        self.assertEqual(call.body, b"x" * 100_000)
+        self.assertEqual(answer.body, b"answer to " + b"x" * 100_000)
+
+    def test_status_body_and_seal_of_a_failure_are_passed_on(self) -> None:
+        harness = self.start(
+            lambda call: call.respond(500, b"why", sealed(call)), attempts=1
+        )
+        answer = harness.ask("/safe/")
+        self.assertEqual((answer.status, answer.body), (500, b"why"))
+        self.assertEqual(answer.headers["seal"], "seal")
+
+    def test_many_requests_share_connections(self) -> None:
+        harness = self.start(good)
+        with harness.connect() as caller:
+            for number in range(5):
+                body = f"body {number}".encode()
+                answer = caller.ask("/safe/", body=body)
+                self.assertEqual(answer.body, b"answer to " + body)
+        self.assertEqual(harness.upstreams["upstream-0"].connections, 1)
+
+
+class EntryTests(RequestTestCase):
+    def test_no_route_is_told_404(self) -> None:
+        harness = self.start(good)
+        self.assertEqual(harness.ask("/elsewhere/").status, 404)
+        self.assertEqual(harness.ask("/safe/", host="other.example").status, 404)
+
+    def test_without_a_configuration_all_is_refused_to_come_back(self) -> None:
+        harness = self.start(good)
+        harness.table = None
+        answer = harness.ask("/safe/")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+
+    def test_a_body_beyond_the_limit_is_refused(self) -> None:
+        harness = self.start(good, limits=Limits(body_bytes=1000))
+        self.assertEqual(harness.ask("/safe/", body=b"x" * 2000).status, 413)
+        self.assertEqual(harness.calls(), [])
+
+    def test_headers_beyond_the_limit_are_refused(self) -> None:
+        harness = self.start(good, limits=Limits(header_bytes=500))
+        answer = harness.ask("/safe/", headers={"X-Long": "x" * 1000})
+        self.assertEqual(answer.status, 431)
+
+    def test_a_request_that_comes_too_slowly_is_refused(self) -> None:
+        limits = Limits(header_time=timedelta(milliseconds=200))
+        harness = self.start(good, limits=limits)
+        with harness.connect() as caller:
+            caller.socket.sendall(b"GET /safe/ HTTP/1.1\r\nHost: ")
+            answer = caller.receive()
+        self.assertEqual(answer.status, 408)
+
+    def test_what_is_no_request_is_refused_and_the_connection_ends(self) -> None:
+        harness = self.start(good)
+        with harness.connect() as caller:
+            caller.socket.sendall(b"nonsense\r\n\r\n")
+            answer = caller.receive()
+            self.assertEqual(answer.status, 400)
+            self.assertEqual(caller.socket.recv(1), b"")
+
+    def test_requests_sent_ahead_are_all_answered(self) -> None:
+        harness = self.start(good)
+        head = f"POST /safe/ HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 1\r\n"
+        with harness.connect() as caller:
+            for number in range(3):
+                text = f"{head}{ID}: ahead-{number}\r\n\r\n{number}"
+                caller.socket.sendall(text.encode())
+            data = b""
+            while data.count(b"answer to ") < 3:
+                data += caller.socket.recv(65536)
+        self.assertEqual(
+            [call.headers[ID.lower()] for call in harness.calls()],
+            ["ahead-0", "ahead-1", "ahead-2"],
+        )
+
+    def test_a_stopping_entry_closes_after_its_answer(self) -> None:
+        harness = self.start(good)
+        harness.closing = True
+        with harness.connect() as caller:
+            answer = caller.ask("/safe/")
+            self.assertEqual(answer.headers["connection"], "close")
+            self.assertEqual(caller.socket.recv(1), b"")
+
+
+class AnswerTests(RequestTestCase):
+    """What is no whole answer of the upstream is never a success."""
+
+    def assert_failed(self, harness: Harness, path: str = "/unsafe/") -> None:
+        answer = harness.ask(path)
+        self.assertEqual(answer.status, 502)
+        self.assertNotIn("seal", answer.headers)
+
+    def test_a_success_without_a_seal_is_none(self) -> None:
+        script = lambda call: call.respond(  # noqa: E731
+            200, b"x", {ID: call.headers[ID.lower()]}
+        )
+        self.assert_failed(self.start(script))
+
+    def test_an_encoded_success_is_none(self) -> None:
+        script = lambda call: call.respond(  # noqa: E731
+            200, b"x", sealed(call, **{"Content-Encoding": "gzip"})
+        )
+        self.assert_failed(self.start(script))
+
+    def test_an_answer_that_is_cut_is_none(self) -> None:
+        def script(call: Call) -> None:
+            head = f"HTTP/1.1 200 OK\r\n{ID}: id-1\r\nSeal: s\r\nContent-Length: 10\r\n"
+            call.raw(head.encode() + b"\r\nhalf")
+            call.close()
+
+        self.assert_failed(self.start(script))
+
+    def test_an_answer_without_length_ends_with_its_connection(self) -> None:
+        def script(call: Call) -> None:
+            call.respond(200, b"all of it", sealed(call), length=False)
+            call.close()
+
+        answer = self.start(script).ask("/unsafe/")
+        self.assertEqual((answer.status, answer.body), (200, b"all of it"))
+
+    def test_an_answer_without_length_that_is_reset_is_none(self) -> None:
+        def script(call: Call) -> None:
+            call.respond(200, b"not all", sealed(call), length=False)
+            time.sleep(0.1)
+            call.reset()
+
+        self.assert_failed(self.start(script))
+
+    def test_bytes_that_are_no_answer_are_none(self) -> None:
+        def script(call: Call) -> None:
+            call.raw(b"\x00\x01garbage\r\n\r\n")
+            call.close()
+
+        self.assert_failed(self.start(script))
+
+    def test_a_surplus_answer_in_the_place_of_the_right_one_is_passed_over(
+        self,
+    ) -> None:
+        def script(call: Call) -> None:
+            call.respond(200, b"of another", {ID: "other", "Seal": "other"})
+            good(call)
+
+        answer = self.start(script).ask("/unsafe/")
+        self.assertEqual(answer.body, b"answer to body")
+
+    def test_a_surplus_answer_on_a_kept_connection_reaches_nobody(self) -> None:
+        def script(call: Call) -> None:
+            good(call)
+            call.respond(200, b"surplus", sealed(call))
+
+        harness = self.start(script)
+        with harness.connect() as caller:
+            for number in range(4):
+                body = f"{number}".encode()
+                answer = caller.ask("/unsafe/", body=body)
+                self.assertEqual(answer.body, b"answer to " + body)
+
+    def test_a_connection_answered_before_the_body_was_in_is_not_used_again(
+        self,
+    ) -> None:
+        listening = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listening.close)
+        seen: list[bytes] = []
+
+        def early() -> None:
+            while True:
+                try:
+                    peer, _ = listening.accept()
+                except OSError:
+                    return
+                seen.append(peer.recv(300))
+                head = f"HTTP/1.1 503 Busy\r\n{NOT_RUN}: 1\r\nContent-Length: 0\r\n"
+                peer.sendall(head.encode() + b"\r\n")
+                self.addCleanup(peer.close)
+
+        threading.Thread(target=early, daemon=True).start()
+        harness = self.start(good, attempts=1)
+        host, port = listening.getsockname()
+        harness.upstreams["upstream-0"].close()
+        harness.upstreams = {"early": _Address(f"{host}:{port}")}  # type: ignore[dict-item]
+        for _ in range(2):
+            self.assertEqual(harness.ask("/unsafe/", body=b"x" * 2_000_000).status, 503)
+        self.assertEqual(len(seen), 2)
+
+    def test_a_refusal_without_the_mark_is_no_promise(self) -> None:
+        script = lambda call: call.respond(503, b"", sealed(call))  # noqa: E731
+        harness = self.start(script, good)
+        self.assert_failed(harness)
+        self.assertEqual(harness.calls(1), [])
+
+
+class RepeatTests(RequestTestCase):
+    """What runs at most once, and what may be sent again."""
+
+    def test_an_unsafe_request_is_not_sent_again_after_a_reset(self) -> None:
+        harness = self.start(reset, good)
+        self.assertEqual(harness.ask("/unsafe/").status, 502)
+        self.assertEqual(len(harness.calls(0)) + len(harness.calls(1)), 1)
+
+    def test_a_kept_connection_that_dies_does_not_send_twice(self) -> None:
+        def script(call: Call) -> None:
+            if call.body == b"first":
+                good(call)
+                return
+            call.reset()
+
+        harness = self.start(script)
+        with harness.connect() as caller:
+            self.assertEqual(caller.ask("/unsafe/", body=b"first").status, 200)
+            self.assertEqual(caller.ask("/unsafe/", body=b"next").status, 502)
+        self.assertEqual(len(harness.calls()), 2)
+
+    def test_an_unsafe_request_goes_elsewhere_after_an_express_refusal(self) -> None:
+        harness = self.start(refuse, good)
+        self.assertEqual(harness.ask("/unsafe/").status, 200)
+
+    def test_an_unsafe_request_goes_elsewhere_if_nothing_was_sent(self) -> None:
+        harness = self.start(good, good)
+        harness.upstreams["upstream-0"].close()
+        self.assertEqual(harness.ask("/unsafe/").status, 200)
+
+    def test_refused_everywhere_is_told_as_not_run_with_a_time_to_come_back(
+        self,
+    ) -> None:
+        harness = self.start(refuse, refuse)
+        answer = harness.ask("/unsafe/")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+
+    def test_another_incarnation_at_the_address_has_not_run_it(self) -> None:
+        harness = self.start(lambda call: call.respond(421), good)
+        self.assertEqual(harness.ask("/unsafe/").status, 200)
+
+    def test_a_safe_request_goes_elsewhere_after_a_reset(self) -> None:
+        harness = self.start(reset, good)
+        self.assertEqual(harness.ask("/safe/").status, 200)
+
+    def test_a_safe_request_goes_elsewhere_after_a_server_error(self) -> None:
+        harness = self.start(lambda call: call.respond(500, b"", sealed(call)), good)
+        self.assertEqual(harness.ask("/safe/").status, 200)
+
+    def test_a_safe_request_runs_at_no_more_upstreams_than_allowed(self) -> None:
+        harness = self.start(reset, reset, good, attempts=2)
+        self.assertEqual(harness.ask("/safe/").status, 502)
+        self.assertEqual(harness.calls(2), [])
+
+    def test_a_repeatable_request_that_may_have_run_is_not_told_as_not_run(
+        self,
+    ) -> None:
+        harness = self.start(reset, refuse)
+        self.assertEqual(harness.ask("/safe/").status, 502)
+
+    def test_without_budget_nothing_is_sent_again(self) -> None:
+        harness = self.start(reset, good, extra=0)
+        self.assertEqual(harness.ask("/safe/").status, 502)
+        self.assertEqual(harness.calls(1), [])
+
+
+class TimeTests(RequestTestCase):
+    def test_the_routes_time_ends_a_request_with_an_answer(self) -> None:
+        harness = self.start(silent, timeout=0.3)
+        answer = harness.ask("/unsafe/", deadline_ms=60_000)
+        self.assertEqual(answer.status, 504)
+
+    def test_the_callers_time_ends_a_request_with_an_answer(self) -> None:
+        harness = self.start(silent)
+        self.assertEqual(harness.ask("/unsafe/", deadline_ms=300).status, 504)
+
+    def test_the_upstream_is_left_when_the_caller_leaves(self) -> None:
+        left = threading.Event()
+
+        def script(call: Call) -> None:
+            call.keep = False
+            if call.wait_for_close():
+                left.set()
+
+        harness = self.start(script)
+        for path in ("/safe/", "/unsafe/", "/stream/"):
+            with self.subTest(path):
+                left.clear()
+                seen = len(harness.calls())
+                caller = harness.connect()
+                caller.send(path)
+                while len(harness.calls()) == seen:
+                    time.sleep(0.005)
+                caller.close()
+                self.assertTrue(left.wait(5))
+
+    def test_a_stream_is_left_when_its_caller_leaves_midway(self) -> None:
+        left = threading.Event()
+
+        def script(call: Call) -> None:
+            call.start_stream(sealed(call))
+            call.chunk(event(1))
+            call.keep = False
+            if call.wait_for_close():
+                left.set()
+
+        harness = self.start(script)
+        caller = harness.connect()
+        caller.send("/stream/")
+        while b"data.1" not in caller.socket.recv(65536):
+            continue
+        caller.close()
+        self.assertTrue(left.wait(5))
+        self.assertEqual(len(harness.calls()), 1)
+
+
+class StreamTests(RequestTestCase):
+    def test_events_are_passed_on_whole(self) -> None:
+        harness = self.start(stream(1, 2, 3))
+        answer = harness.ask("/stream/")
+        self.assertEqual(answer.body, event(1) + event(2) + event(3))
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.headers["seal"], "seal")
+
+    def test_an_event_is_passed_on_before_the_next_is_there(self) -> None:
+        go_on = threading.Event()
+
+        def script(call: Call) -> None:
+            call.start_stream(sealed(call))
+            call.chunk(event(1))
+            go_on.wait(10)
+            call.chunk(event(2))
+            call.end_stream()
+
+        harness = self.start(script)
+        with harness.connect() as caller:
+            caller.send("/stream/")
+            data = b""
+            while b"data.1" not in data:
+                data += caller.socket.recv(65536)
+            go_on.set()
+            while b"data.2" not in data:
+                data += caller.socket.recv(65536)
+
+    def test_a_stream_goes_on_elsewhere_behind_its_last_whole_event(self) -> None:
+        def other(call: Call) -> None:
+            call.start_stream(sealed(call, Seal="other"))
+            for number in (3, 4):
+                call.chunk(event(number))
+            call.end_stream()
+
+        harness = self.start(stream(1, 2, end=False, cut=b"id: 3\ndata: ha"), other)
+        answer = harness.ask("/stream/")
+        self.assertEqual(answer.body, b"".join(map(event, (1, 2, 3, 4))))
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.headers["seal"], "seal")
+        [call] = harness.calls(1)
+        self.assertEqual(call.headers["last-event-id"], "2")
+
+    def test_events_that_come_again_are_passed_on_once(self) -> None:
+        harness = self.start(stream(1, 2, end=False), stream(1, 2, 3))
+        answer = harness.ask("/stream/")
+        self.assertEqual(answer.body, b"".join(map(event, (1, 2, 3))))
+
+    def test_a_stream_with_a_gap_is_not_passed_off_as_whole(self) -> None:
+        harness = self.start(stream(1, 2, end=False), stream(4, 5))
+        answer = harness.ask("/stream/")
+        self.assertEqual(answer.body, event(1) + event(2))
+        self.assertFalse(answer.whole)
+
+    def test_a_stream_that_ends_within_an_event_is_not_whole(self) -> None:
+        harness = self.start(stream(1, cut=b"id: 2\nda"), attempts=1)
+        answer = harness.ask("/stream/")
+        self.assertEqual(answer.body, event(1))
+        self.assertFalse(answer.whole)
+
+    def test_a_stream_that_may_not_be_resumed_ends_with_its_upstream(self) -> None:
+        harness = self.start(stream(1, end=False), stream(2))
+        answer = harness.ask("/once/")
+        self.assertEqual(answer.body, event(1))
+        self.assertFalse(answer.whole)
+        self.assertEqual(harness.calls(1), [])
+
+    def test_a_stream_without_any_event_may_begin_elsewhere(self) -> None:
+        def other(call: Call) -> None:
+            call.start_stream(sealed(call, Seal="other"))
+            call.chunk(event(1))
+            call.end_stream()
+
+        harness = self.start(stream(end=False), other)
+        answer = harness.ask("/stream/")
+        self.assertEqual((answer.body, answer.headers["seal"]), (event(1), "other"))
+
+    def test_the_routes_time_ends_a_stream(self) -> None:
+        def script(call: Call) -> None:
+            call.start_stream(sealed(call))
+            call.chunk(event(1))
+            call.keep = False
+            call.wait_for_close()
+
+        harness = self.start(script, timeout=0.4)
+        answer = harness.ask("/stream/", deadline_ms=60_000)
+        self.assertFalse(answer.whole)
+        self.assertLess(answer.took, 3)
+
+
+class _Address:
+    """Stands for an upstream that the test serves itself."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.calls: list[Call] = []
+
+    def close(self) -> None:
+        """Nothing to close."""
+
+
+if __name__ == "__main__":
+    unittest.main()
