The lease is renewed through a peer; a new holder knows the copies

Change: lease calls go through a linked instance that reads the log while the log turns this one away; every instance remembers what engines have loaded.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -42,10 +42,12 @@
 from .changes import Change, ConfigurationPut, UpstreamEnded, UpstreamPut, VersionNamed
 from .knowledge import SHARED_TOPICS, Knowledge
 from .leadership import Leadership, reason_of
+from .lease_calls import LeaseCalls
 from .outside import Outside
 from .peers import InstanceRecord, Peers, rank
 
 BEAT_EVERY = timedelta(milliseconds=500)
+READS_LOG_FOR = timedelta(milliseconds=1500)
 LEASE_KEY = "orders"
 
 Decode = Callable[[Topic, Record], Change | None]
@@ -99,6 +101,7 @@
             holder,
             self.lease,
             directory,
+            residency,
             outside,
             self._tell,
             self._tell_all,
@@ -107,6 +110,9 @@
             log,
         )
         self._seeds = settings.seeds
+        self._lease_calls = LeaseCalls(
+            self.lease, self.peers, outside, self._follow_lease, clock, log
+        )
         self.leader: str | None = None
         self._leader_token = -1
         self._listed = False
@@ -180,6 +186,7 @@
             listed = {record.key for record in followed.records}
             self._drop_unlisted(topic, listed, followed.end)
         self.knowledge.reached(topic, followed.end, now)
+        self._lease_calls.log_answers()
         if topic is Topic.UPSTREAMS:
             self._listed = True
             self._apply_upstreams()
@@ -255,13 +262,11 @@
 
     def lease_read(self, result: Newest | Unavailable) -> None:
         """Take in the newest claims."""
-        self.lease.read(result)
-        self._follow_lease()
+        self._lease_calls.read(result)
 
     def lease_appended(self, action: AppendClaim, result: AppendResult) -> None:
         """Take in how a claim's append ended."""
-        self.lease.appended(action, result)
-        self._follow_lease()
+        self._lease_calls.appended(action, result)
 
     def _follow_lease(self) -> None:
         table = self._in_force.table
@@ -358,6 +363,15 @@
         held = {Adapter(model, name): int(v) for model, name, v in holds.adapters}
         self._residency.put(holds.token, holds.upstream, held)
 
+    def _asked_for_lease(self, peer: str, message: Any) -> None:
+        self._outside.lease_call_for(peer, message)
+
+    def _claims_read(self, peer: str, message: messages.ClaimsRead) -> None:
+        self._lease_calls.claims_read(peer, message)
+
+    def _claim_appended(self, peer: str, message: messages.ClaimAppended) -> None:
+        self._lease_calls.claim_appended(peer, message)
+
     def _asked(self, peer: str, ask: messages.Ask) -> None:
         self.leadership.asked(peer, ask)
 
@@ -404,6 +418,10 @@
         messages.Uses: _used,
         messages.Granted: _granted,
         messages.Declined: _declined,
+        messages.ReadClaimsFor: _asked_for_lease,
+        messages.AppendClaimFor: _asked_for_lease,
+        messages.ClaimsRead: _claims_read,
+        messages.ClaimAppended: _claim_appended,
     }
 
     def _tell(self, instance: str, message: Any) -> None:
@@ -463,9 +481,7 @@
         now = self._clock.monotonic()
         self._follow_lease()
         self._set_rank()
-        action = self.lease.due()
-        if action is not None:
-            self._outside.lease_call(action)
+        self._lease_calls.step()
         if now - self._beat_at >= BEAT_EVERY:
             self._beat(now)
             self._look_after_peers(now)
@@ -489,10 +505,15 @@
         for peer in self.peers.linked():
             self._outside.send_to(peer, beat)
 
+    def _reads_log(self) -> bool:
+        age = self._clock.monotonic() - self.knowledge.read_at(Topic.UPSTREAMS)
+        return self._listed and age < READS_LOG_FOR
+
     def _own_beat(self) -> messages.Beat:
         claim = self.lease.claim
         return messages.Beat(
             self.stopping,
+            self._reads_log(),
             self.leadership.token,
             self._in_force.version,
             self.knowledge.offsets(),
--- a/packages/ashhoist/src/ashhoist/control/leadership.py
+++ b/packages/ashhoist/src/ashhoist/control/leadership.py
@@ -10,6 +10,7 @@
 from ..logs import Logger
 from ..metrics import Metrics
 from ..orders import EngineReport, Lease, Order, OrderAnswer
+from ..placement import Residency
 from ..placement.scheduler import (
     AskReport,
     Placed,
@@ -45,6 +46,7 @@
         holder: str,
         lease: Lease,
         directory: Directory,
+        residency: Residency,
         outside: Outside,
         tell: Callable[[str, Any], None],
         tell_all: Callable[[Any], None],
@@ -56,6 +58,7 @@
         self._holder = holder
         self._lease = lease
         self._directory = directory
+        self._residency = residency
         self._outside = outside
         self._tell = tell
         self._tell_all = tell_all
@@ -96,6 +99,7 @@
             self._holder,
             self._lease.fence,
             self._act,
+            self._residency,
             self._clock,
             self._metrics,
             self._log,
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -22,6 +22,8 @@
 
     Parameters
     ----------
+    reads_log : bool
+        Whether the log has answered the sender lately.
     configuration : int
         Version in force at the sender.
     offsets : dict
@@ -34,6 +36,7 @@
     """
 
     stopping: bool
+    reads_log: bool
     leading: int
     configuration: int
     offsets: dict
@@ -141,3 +144,56 @@
     """Uses of adapters: lists of upstream, model, name, begun, ended."""
 
     uses: list
+
+
+@message(51)
+@dataclass(frozen=True, slots=True)
+class ReadClaimsFor:
+    """Read the newest claims for the sender, whom the log turns away."""
+
+    number: int
+
+
+@message(52)
+@dataclass(frozen=True, slots=True)
+class AppendClaimFor:
+    """Append a claim for the sender, only where the topic ends at `at`."""
+
+    number: int
+    key: str
+    value: bytes
+    at: int
+
+
+@message(53)
+@dataclass(frozen=True, slots=True)
+class ClaimsRead:
+    """The newest claims: lists of offset, key and value.
+
+    Parameters
+    ----------
+    end : int
+        Where the topic ended; -1 if the log did not answer.
+    """
+
+    number: int
+    end: int
+    records: list
+
+
+@message(54)
+@dataclass(frozen=True, slots=True)
+class ClaimAppended:
+    """How an append ended.
+
+    Parameters
+    ----------
+    result : str
+        ``appended``, ``condition``, ``unavailable`` or ``unknown``.
+    value : int
+        The offset of the record, or where the topic ended.
+    """
+
+    number: int
+    result: str
+    value: int
--- a/packages/ashhoist/src/ashhoist/control/outside.py
+++ b/packages/ashhoist/src/ashhoist/control/outside.py
@@ -22,6 +22,9 @@
     def lease_call(self, action: LeaseAction) -> None:
         """Make a store call for the lease."""
 
+    def lease_call_for(self, peer: str, message: Any) -> None:
+        """Make a store call of another instance's lease, and tell it the answer."""
+
     def register(self) -> None:
         """Register this instance on the log, and read who else is there."""
 
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -17,12 +17,18 @@
 from ..store.follower import Followed, FollowerState
 from ..tasks import Task, handles
 from ..types import Endpoint
+from . import messages
 from .core import Core
 from .engines import EngineControl, OrderDone, ReportDone
+from .lease_calls import append_answer, read_answer
 from .peers import InstanceRecord
 
 IDLE_SECONDS = 0.1
 BUSY_SECONDS = 0.015
+PATIENCE = timedelta(milliseconds=350)
+"""For store calls of the lease: another instance may still be asked in time."""
+
+Tell = Callable[[Any], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,12 +106,32 @@
     def _lease_call(self, action: LeaseAction) -> None:
         log = self._lease_log
         if isinstance(action, ReadClaims):
-            self._send(LeaseRead(log.newest(Topic.LEASES)))
+            self._send(LeaseRead(log.newest(Topic.LEASES, PATIENCE)))
             return
         claim = action.claim
-        result = log.append(Topic.LEASES, claim.key, claim.encode(), action.at)
+        result = log.append(
+            Topic.LEASES, claim.key, claim.encode(), action.at, PATIENCE
+        )
         self._send(LeaseAppended(action, result))
 
+    def lease_call_for(
+        self, message: messages.ReadClaimsFor | messages.AppendClaimFor, tell: Tell
+    ) -> None:
+        """Make a call for the lease of another instance."""
+        self._executor.submit(self._lease_call_for, message, tell)
+
+    def _lease_call_for(
+        self, message: messages.ReadClaimsFor | messages.AppendClaimFor, tell: Tell
+    ) -> None:
+        log = self._register_log
+        if isinstance(message, messages.ReadClaimsFor):
+            tell(read_answer(message.number, log.newest(Topic.LEASES, PATIENCE)))
+            return
+        result = log.append(
+            Topic.LEASES, message.key, message.value, message.at, PATIENCE
+        )
+        tell(append_answer(message.number, result))
+
     def register(self) -> None:
         """Register this instance and read who else is there."""
         self._executor.submit(self._register)
@@ -194,6 +220,13 @@
         """Make a store call for the lease."""
         self._store.lease_call(action)
 
+    def lease_call_for(self, peer: str, message: Any) -> None:
+        """Make a store call for another instance's lease."""
+        self._store.lease_call_for(message, lambda answer: self._tell(peer, answer))
+
+    def _tell(self, peer: str, message: Any) -> None:
+        self._links.send_to(peer, message)
+
     def register(self) -> None:
         """Register this instance."""
         self._store.register()
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -13,6 +13,7 @@
 from ..adapter import Adapter
 from ..orders.order import EngineReport, Order, OrderAnswer, OrderKind
 from ..upstreams import Upstream
+from .residency import MOST_COPIES
 
 COLD_LOAD = timedelta(milliseconds=250)
 WARM_LOAD = timedelta(milliseconds=25)
@@ -22,7 +23,6 @@
 LOOK_AT_GOING = timedelta(milliseconds=100)
 REPORT_LAG = timedelta(milliseconds=350)
 MOST_COMING = 4
-MOST_COPIES = 36
 SMOOTHING = 0.2
 REFUSED_PAUSE = timedelta(milliseconds=500)
 SLOWEST_LOAD = timedelta(seconds=6)
@@ -92,13 +92,20 @@
     ----------
     capacity : int
         Adapters that it can hold at once.
+    copies : OrderedDict
+        Versions of the adapters that it probably has copies of, oldest first.
     """
 
-    def __init__(self, upstream: Upstream, capacity: int) -> None:
+    def __init__(
+        self,
+        upstream: Upstream,
+        capacity: int,
+        copies: "OrderedDict[Adapter, int] | None" = None,
+    ) -> None:
         self.upstream = upstream
         self.capacity = capacity
         self.places: dict[Adapter, EnginePlace] = {}
-        self.copies: OrderedDict[Adapter, int] = OrderedDict()
+        self.copies: OrderedDict[Adapter, int] = copies or OrderedDict()
         self.order_count: int | None = None
         self.sending: Order | None = None
         self.report_at: timedelta | None = timedelta()
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -19,6 +19,7 @@
 from .engine import MOST_COMING, Engine, EngineNews, PlaceState
 from .models import ModelLoads
 from .popularity import Popularity
+from .residency import Residency
 from .wants import Want, WantedAdapter, Wants
 
 REST_BEFORE_EVICTION = timedelta(milliseconds=60)
@@ -85,6 +86,8 @@
         Returns the fencing token while orders may be sent, else None.
     act : callable
         Carries out an action.
+    residency : Residency
+        What the last holder has told of copies.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         holder: str,
         fence: Callable[[], int | None],
         act: Callable[[SchedulerAction], None],
+        residency: Residency,
         clock: Clock,
         metrics: Metrics,
         log: Logger,
@@ -99,6 +103,7 @@
         self._holder = holder
         self._fence = fence
         self._act = act
+        self._residency = residency
         self._clock = clock
         self._metrics = metrics
         self._log = log
@@ -135,7 +140,9 @@
             engine = self.engines.get(upstream.id)
             if engine is None:
                 places = settings[upstream.service].adapter_places
-                engine = self.engines[upstream.id] = Engine(upstream, places)
+                copies = self._residency.copies(upstream.id)
+                engine = Engine(upstream, places, copies)
+                self.engines[upstream.id] = engine
             engine.upstream = upstream
 
     def want(self, want: Want) -> None:
--- a/packages/ashhoist/src/ashhoist/store/__init__.py
+++ b/packages/ashhoist/src/ashhoist/store/__init__.py
@@ -6,6 +6,7 @@
 
 from .follower import Follower, Pace
 from .port import (
+    PATIENCE,
     Appended,
     AppendResult,
     ConditionFailed,
@@ -20,6 +21,7 @@
 )
 
 __all__ = [
+    "PATIENCE",
     "AppendResult",
     "Appended",
     "ConditionFailed",
--- a/packages/ashhoist/src/ashhoist/store/port.py
+++ b/packages/ashhoist/src/ashhoist/store/port.py
@@ -5,6 +5,9 @@
 from enum import StrEnum
 from typing import Protocol
 
+PATIENCE = timedelta(milliseconds=1200)
+"""How long a call may take, unless its caller says otherwise."""
+
 
 class Topic(StrEnum):
     """The topics that the product reads; the last two are its own."""
@@ -84,11 +87,18 @@
     ) -> Records | Gone | Unavailable:
         """Return records from an offset on; wait so long for the first."""
 
-    def newest(self, topic: Topic) -> Newest | Unavailable:
+    def newest(
+        self, topic: Topic, patience: timedelta = PATIENCE
+    ) -> Newest | Unavailable:
         """Return the newest record of each key."""
 
     def append(
-        self, topic: Topic, key: str, value: bytes, at: int | None
+        self,
+        topic: Topic,
+        key: str,
+        value: bytes,
+        at: int | None,
+        patience: timedelta = PATIENCE,
     ) -> AppendResult:
         """Append a record, if wanted only where the topic ends at `at`."""
 
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -22,10 +22,13 @@
     VersionNamed,
 )
 from ashhoist.control.core import Core, CoreSettings
+from ashhoist.control.lease_calls import append_answer, read_answer
+from ashhoist.control.messages import ReadClaimsFor
 from ashhoist.control.peers import InstanceRecord
 from ashhoist.metrics import Metrics
 from ashhoist.orders import (
     AppendClaim,
+    Claim,
     EngineReport,
     LeaseAction,
     LeaseTiming,
@@ -34,7 +37,7 @@
     ReadClaims,
 )
 from ashhoist.placement import Residency
-from ashhoist.placement.asks import Wanted
+from ashhoist.placement.asks import Target, UseEnded, Wanted
 from ashhoist.placement.scheduler import AskReport
 from ashhoist.routing import EngineModel, EngineSettings, Service, ServingConfiguration
 from ashhoist.routing.in_force import InForce
@@ -61,6 +64,7 @@
 LINK_S = 0.0015
 PATIENCE_S = 0.4
 REPORT_LAG_S = 0.2
+RUN_S = 0.2
 ANSWERS = {
     200: OrderAnswer.HOLDS,
     202: OrderAnswer.ACCEPTED,
@@ -113,6 +117,9 @@
     def lease_call(self, action: LeaseAction) -> None:
         self._world.lease_call(self._machine, action)
 
+    def lease_call_for(self, peer: str, message: Any) -> None:
+        self._world.lease_call_for(self._machine, peer, message)
+
     def register(self) -> None:
         self._world.register(self._machine)
 
@@ -434,33 +441,57 @@
             self._answer_lease(machine, core, action, Unavailable("cut"), PATIENCE_S)
             return
         if isinstance(action, ReadClaims):
-            found = self.log.topics[Topic.LEASES]
-            records = tuple(
-                Record(offset, key, value)
-                for key, (offset, value) in found.newest.items()
-            )
-            self._answer_lease(
-                machine, core, action, Newest(records, found.end), STORE_S
-            )
+            self._answer_lease(machine, core, action, self._newest_claims(), STORE_S)
             return
         self._append_claim(machine, core, action)
 
+    def lease_call_for(self, machine: Machine, peer: str, message: Any) -> None:
+        """Make a machine's call for another one's lease."""
+        if not self._reaches_store(machine):
+            answer: Any = Unavailable("cut")
+        elif isinstance(message, ReadClaimsFor):
+            answer = self._newest_claims()
+        else:
+            record = Record(-1, message.key, message.value)
+            answer = self._append(message.key, message.value, message.at)
+            assert Claim.decode(record) is not None
+        number = message.number
+        told: Any = (
+            read_answer(number, answer)
+            if isinstance(message, ReadClaimsFor)
+            else append_answer(number, answer)
+        )
+        self.after(STORE_S, lambda: self._tell_if_alive(machine, peer, told))
+
+    def _tell_if_alive(self, machine: Machine, peer: str, message: Any) -> None:
+        if machine.core is not None and not machine.frozen:
+            self.send(machine, peer, message)
+
+    def _newest_claims(self) -> Newest:
+        found = self.log.topics[Topic.LEASES]
+        records = tuple(
+            Record(offset, key, value) for key, (offset, value) in found.newest.items()
+        )
+        return Newest(records, found.end)
+
     def _append_claim(self, machine: Machine, core: Core, action: AppendClaim) -> None:
         if self.late_appends:
             self.late_appends -= 1
-            self.after(2.0, lambda: self._append(action))
+            self.after(2.0, lambda: self._append_action(action))
             self._answer_lease(machine, core, action, Unknown("lost"), PATIENCE_S)
             return
-        result = self._append(action)
+        result = self._append_action(action)
         if self.lose_appends:
             self.lose_appends -= 1
             self._answer_lease(machine, core, action, Unknown("lost"), PATIENCE_S)
             return
         self._answer_lease(machine, core, action, result, STORE_S)
 
-    def _append(self, action: AppendClaim) -> Appended | ConditionFailed:
-        claim = action.claim
-        offset = self.log.append(Topic.LEASES, claim.key, claim.encode(), action.at)
+    def _append_action(self, action: AppendClaim) -> Appended | ConditionFailed:
+        return self._append(action.claim.key, action.claim.encode(), action.at)
+
+    def _append(self, key: str, value: bytes, at: int) -> Appended | ConditionFailed:
+        offset = self.log.append(Topic.LEASES, key, value, at)
         if offset is None:
             return ConditionFailed(self.log.topics[Topic.LEASES].end)
         return Appended(offset)
@@ -546,10 +577,33 @@
         machine = self.machines[name]
         core = machine.core
         assert core is not None
+        answer = wanted.answer
+        answer.add_done_callback(lambda _: self._run_request(machine, core, wanted))
         self._do(
             machine, core, lambda: self._settled(core, lambda: core.wanted(wanted))
         )
 
+    def _run_request(self, machine: Machine, core: Core, wanted: Wanted) -> None:
+        """Let a request that was placed run for a while at its engine."""
+        target = wanted.answer.result()
+        if not isinstance(target, Target):
+            return
+        engine = self.engines.get(target.upstream)
+        name = wanted.adapter.name
+        if engine is not None:
+            engine.users[name] = engine.users.get(name, 0) + 1
+
+        def end() -> None:
+            core.use_ended(UseEnded(target.upstream, wanted.adapter))
+            core.settle()
+
+        def leave() -> None:
+            if engine is not None:
+                engine.users[name] -= 1
+            self._do(machine, core, end)
+
+        self.after(RUN_S, leave)
+
     def leaders(self) -> list[str]:
         """Return the machines that may order by their own belief now."""
         return [
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -128,6 +128,32 @@
         world.machines["instance-0"].store_cut = True
         self.assertTrue(world.run(4.0, lambda: not world.leaders()))
 
+    def test_a_holder_that_the_store_turns_away_renews_through_a_peer(self) -> None:
+        world = started()
+        [first] = world.leaders()
+        world.machines[first].store_cut = True
+        for number in range(30):
+            world.run(0.3)
+            self.assertEqual(world.leaders(), [first], f"after {number * 0.3} s")
+        answer = want(world, first, "a1")
+        self.assertTrue(world.run(1.0, lambda: answer.done()))
+        self.assert_sound(world)
+
+    def test_a_new_holder_knows_which_copies_engines_have(self) -> None:
+        world = started(2, 1)
+        [first] = world.leaders()
+        other = next(name for name in world.machines if name != first)
+        for number in range(12):
+            want(world, other, f"a{number}")
+            world.run(0.6)
+        world.kill(first)
+        world.run(4.0, lambda: world.leaders() == [other])
+        core = world.machines[other].core
+        assert core is not None and core.leadership.scheduler is not None
+        engine = core.leadership.scheduler.engines["engine-0"]
+        for number in range(12):
+            self.assertTrue(engine.has_copy(Adapter(MODEL, f"a{number}"), 1), number)
+
     def test_a_planned_stop_hands_the_lease_over(self) -> None:
         world = started()
         [first] = world.leaders()
