The holder places every request by the work at engines

Change: each request asks the holder of the lease, which knows what every engine still has to read; a hot adapter is loaded on more engines where that begins much sooner. A holder that is silent for 120 ms is passed over. Old versions have no grace any more: a request that comes after a version was named waits for it.

--- a/packages/ashhoist/src/ashhoist/control/agent.py
+++ b/packages/ashhoist/src/ashhoist/control/agent.py
@@ -1,24 +1,36 @@
-"""The requests of this instance that wait for adapters, and what it uses."""
+"""The requests of this instance that wait for adapters, and what runs where."""
 
-from collections import Counter
+from dataclasses import dataclass, field
 from datetime import timedelta
 
-from ..adapter import Adapter
-from ..placement.asks import UseBegan, UseEnded, Wanted
+from ..placement.asks import UseBegan, UseEnded, UseStarted, Wanted
 from .messages import Ask, Uses
 
 MILLISECOND = timedelta(milliseconds=1)
 
 
+@dataclass(slots=True)
+class _News:
+    """What the holder of the lease has not been told yet."""
+
+    began: list[list[object]] = field(default_factory=list)
+    started: list[list[str]] = field(default_factory=list)
+    ended: list[list[str]] = field(default_factory=list)
+
+    @property
+    def empty(self) -> bool:
+        return not (self.began or self.started or self.ended)
+
+
 class Agent:
-    """What this instance asks of the holder of the lease."""
+    """What this instance asks of the holder of the lease, and tells it."""
 
     def __init__(self, zone: str) -> None:
         self._zone = zone
         self.open: dict[str, Wanted] = {}
-        self._under_way: Counter[tuple[str, Adapter]] = Counter()
-        self._began: Counter[tuple[str, Adapter]] = Counter()
-        self._ended: Counter[tuple[str, Adapter]] = Counter()
+        self._under_way: dict[str, UseBegan] = {}
+        self._started: set[str] = set()
+        self._news = _News()
 
     def ask(self, wanted: Wanted, now: timedelta) -> Ask:
         """Return the message that asks for a request's adapter."""
@@ -28,6 +40,7 @@
             wanted.adapter.model,
             wanted.adapter.name,
             wanted.oldest_version,
+            wanted.tokens,
             wanted.worth,
             wanted.late_worth,
             _left_ms(wanted.aim_at, now),
@@ -37,47 +50,47 @@
             list(wanted.tried),
         )
 
-    def granted(self, upstream: str, adapter: Adapter) -> None:
+    def granted(self, use: UseBegan) -> None:
         """Count a use that the holder has granted, and so knows of."""
-        self._under_way[upstream, adapter] += 1
+        self._under_way[use.id] = use
 
     def began(self, use: UseBegan) -> None:
         """Count a use that the holder does not know of yet."""
-        self._under_way[use.upstream, use.adapter] += 1
-        self._began[use.upstream, use.adapter] += 1
+        self._under_way[use.id] = use
+        self._news.began.append(_row(use))
+
+    def started(self, use: UseStarted) -> None:
+        """Take in that a request has its first event."""
+        self._started.add(use.id)
+        self._news.started.append([use.id, use.upstream])
 
     def ended(self, use: UseEnded) -> None:
         """Count the end of a use."""
-        key = (use.upstream, use.adapter)
-        self._under_way[key] -= 1
-        if self._under_way[key] <= 0:
-            del self._under_way[key]
-        self._ended[key] += 1
+        self._under_way.pop(use.id, None)
+        self._started.discard(use.id)
+        self._news.ended.append([use.id, use.upstream])
 
     def uses(self) -> Uses | None:
         """Return what has changed since the last time, or None."""
-        keys = set(self._began) | set(self._ended)
-        if not keys:
+        if self._news.empty:
             return None
-        rows = [
-            [upstream, adapter.model, adapter.name, self._began[key], self._ended[key]]
-            for key in keys
-            for upstream, adapter in [key]
-        ]
-        self._began.clear()
-        self._ended.clear()
-        return Uses(rows)
+        news, self._news = self._news, _News()
+        return Uses(news.began, news.started, news.ended)
 
     def all_uses(self) -> Uses:
         """Return all that is under way, for a holder that knows nothing yet."""
-        self._began.clear()
-        self._ended.clear()
-        return Uses(
-            [
-                [upstream, adapter.model, adapter.name, count, 0]
-                for (upstream, adapter), count in self._under_way.items()
-            ]
-        )
+        self._news = _News()
+        began = [_row(use) for use in self._under_way.values()]
+        started = [
+            [use.id, use.upstream]
+            for use in self._under_way.values()
+            if use.id in self._started
+        ]
+        return Uses(began, started, [])
+
+
+def _row(use: UseBegan) -> list[object]:
+    return [use.id, use.upstream, use.adapter.model, use.adapter.name, use.tokens]
 
 
 def _left_ms(at: timedelta, now: timedelta) -> int:
--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -30,6 +30,7 @@
     Target,
     UseBegan,
     UseEnded,
+    UseStarted,
     Wanted,
 )
 from ..routing.in_force import InForce
@@ -379,25 +380,30 @@
         self.leadership.withdrawn(message.id)
 
     def _used(self, peer: str, uses: messages.Uses) -> None:
-        self.leadership.used(uses)
+        self.leadership.used(peer, uses)
 
     def _granted(self, peer: str, granted: messages.Granted) -> None:
-        adapter = Adapter(granted.model, granted.name)
-        self.agent.granted(granted.upstream, adapter)
         wanted = self.agent.open.pop(granted.id, None)
         upstream = self._directory.view.by_id.get(granted.upstream)
         waits = wanted is not None and wanted.answer.set_running_or_notify_cancel()
-        if wanted is None or not waits or upstream is None:
-            # Nobody goes there after all; the holder counts on hearing so.
-            self.agent.ended(UseEnded(granted.upstream, adapter))
         if wanted is None or not waits:
+            # Nobody goes there after all; the holder counts on hearing so.
+            self.agent.ended(UseEnded(granted.id, granted.upstream))
             return
         if upstream is None:
+            self.agent.ended(UseEnded(granted.id, granted.upstream))
             wanted.answer.set_result(Refusal(Reason.NO_UPSTREAM))
             return
+        use = UseBegan(granted.id, upstream.id, wanted.adapter, wanted.tokens)
+        self.agent.granted(use)
         version = granted.version or None
         wanted.answer.set_result(Target(upstream.id, upstream.address, version))
 
+    def _waits(self, peer: str, message: messages.Waits) -> None:
+        wanted = self.agent.open.get(message.id)
+        if wanted is not None:
+            wanted.taken_in.set()
+
     def _declined(self, peer: str, declined: messages.Declined) -> None:
         wanted = self.agent.open.pop(declined.id, None)
         if wanted is None:
@@ -418,6 +424,7 @@
         messages.Uses: _used,
         messages.Granted: _granted,
         messages.Declined: _declined,
+        messages.Waits: _waits,
         messages.ReadClaimsFor: _asked_for_lease,
         messages.AppendClaimFor: _asked_for_lease,
         messages.ClaimsRead: _claims_read,
@@ -453,6 +460,10 @@
         """Count a use of an adapter."""
         self.agent.began(use)
 
+    def use_started(self, use: UseStarted) -> None:
+        """Take in that a request has its first event."""
+        self.agent.started(use)
+
     def use_ended(self, use: UseEnded) -> None:
         """Count the end of a use."""
         self.agent.ended(use)
--- a/packages/ashhoist/src/ashhoist/control/leadership.py
+++ b/packages/ashhoist/src/ashhoist/control/leadership.py
@@ -13,6 +13,8 @@
 from ..placement import Residency
 from ..placement.scheduler import (
     AskReport,
+    Beginning,
+    Held,
     Placed,
     Refused,
     Scheduler,
@@ -22,7 +24,7 @@
 from ..placement.wants import Want
 from ..routing import ServingConfiguration
 from ..upstreams import Directory
-from .messages import Ask, Declined, Granted, Holds, Leading, Uses
+from .messages import Ask, Declined, Granted, Holds, Leading, Uses, Waits
 from .outside import Outside
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -146,6 +148,7 @@
                 ask.service,
                 Adapter(ask.model, ask.name),
                 ask.oldest_version,
+                ask.tokens,
                 ask.worth,
                 ask.late_worth,
                 now,
@@ -162,12 +165,17 @@
         if self.scheduler is not None:
             self.scheduler.withdraw(want_id)
 
-    def used(self, uses: Uses) -> None:
-        """Take in what an instance uses."""
+    def used(self, instance: str, uses: Uses) -> None:
+        """Take in what requests of an instance do at engines."""
         if self.scheduler is None:
             return
-        for upstream, model, name, began, ended in uses.uses:
-            self.scheduler.used(upstream, Adapter(model, name), began, ended)
+        for use_id, upstream, model, name, tokens in uses.began:
+            beginning = Beginning(upstream, Adapter(model, name), tokens)
+            self.scheduler.began(use_id, instance, beginning)
+        for use_id, upstream in uses.started:
+            self.scheduler.started(upstream, use_id)
+        for use_id, upstream in uses.ended:
+            self.scheduler.ended(upstream, use_id)
 
     def answered(self, order: Order, answer: OrderAnswer) -> None:
         """Take in how an order ended."""
@@ -181,10 +189,8 @@
 
     def instance_gone(self, instance: str) -> None:
         """Forget what waited at an instance that can't be reached."""
-        if self.scheduler is None:
-            return
-        for want in self.scheduler.wants.of_instance(instance):
-            self.scheduler.withdraw(want.id)
+        if self.scheduler is not None:
+            self.scheduler.instance_gone(instance)
 
     def plan(self) -> None:
         """Send the orders that are due."""
@@ -205,6 +211,8 @@
             self._outside.report(action)
         elif isinstance(action, Placed):
             self._placed(action)
+        elif isinstance(action, Held):
+            self._tell(action.want.instance, Waits(action.want.id))
         elif isinstance(action, Refused):
             self._refused(action)
         elif isinstance(action, Serving):
@@ -212,11 +220,7 @@
 
     def _placed(self, action: Placed) -> None:
         want = action.want
-        adapter = want.adapter
-        granted = Granted(
-            want.id, action.upstream, adapter.model, adapter.name, action.version
-        )
-        self._tell(want.instance, granted)
+        self._tell(want.instance, Granted(want.id, action.upstream, action.version))
 
     def _refused(self, action: Refused) -> None:
         want = action.want
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -99,6 +99,7 @@
     model: str
     name: str
     oldest_version: int
+    tokens: int
     worth: float
     late_worth: float
     aim_left_ms: int
@@ -123,8 +124,6 @@
 
     id: str
     upstream: str
-    model: str
-    name: str
     version: int
 
 
@@ -141,9 +140,28 @@
 @message(50)
 @dataclass(frozen=True, slots=True)
 class Uses:
-    """Uses of adapters: lists of upstream, model, name, begun, ended."""
+    """What requests do at engines, in their order.
+
+    Parameters
+    ----------
+    began : list
+        Lists of id, upstream, model, name and tokens, of those that the holder
+        has not granted.
+    started, ended : list
+        Lists of id and upstream.
+    """
 
-    uses: list
+    began: list
+    started: list
+    ended: list
+
+
+@message(55)
+@dataclass(frozen=True, slots=True)
+class Waits:
+    """A request waits for its adapter; the holder has taken it in."""
+
+    id: str
 
 
 @message(51)
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -11,7 +11,13 @@
 from ..instances import Links, Peers, news
 from ..logs import Logger
 from ..orders import AppendClaim, LeaseAction, Order, OrderAnswer, ReadClaims
-from ..placement.asks import NoLongerWanted, UseBegan, UseEnded, Wanted
+from ..placement.asks import (
+    NoLongerWanted,
+    UseBegan,
+    UseEnded,
+    UseStarted,
+    Wanted,
+)
 from ..placement.scheduler import AskReport
 from ..store import Newest, SharedLog, Topic, Unavailable
 from ..store.follower import Followed, FollowerState
@@ -295,6 +301,10 @@
     def _use_began(self, message: UseBegan) -> None:
         self.core.use_began(message)
 
+    @handles(UseStarted)
+    def _use_started(self, message: UseStarted) -> None:
+        self.core.use_started(message)
+
     @handles(UseEnded)
     def _use_ended(self, message: UseEnded) -> None:
         self.core.use_ended(message)
--- a/packages/ashhoist/src/ashhoist/placement/asks.py
+++ b/packages/ashhoist/src/ashhoist/placement/asks.py
@@ -1,8 +1,9 @@
 """What requests ask of placement, and the answers."""
 
 from concurrent.futures import Future
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
+from threading import Event
 
 from ..adapter import Adapter
 from ..failures import Reason
@@ -42,12 +43,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Wanted:
-    """A request that needs an adapter; `answer` gets a `Target` or `Refusal`."""
+    """A request that needs an adapter; `answer` gets a `Target` or `Refusal`.
+
+    Parameters
+    ----------
+    taken_in : threading.Event
+        Set once the holder of the lease has said that the request waits there.
+    """
 
     id: str
     service: str
     adapter: Adapter
     oldest_version: int
+    tokens: int
     worth: float
     late_worth: float
     aim_at: timedelta
@@ -55,6 +63,7 @@
     may_return: bool
     tried: tuple[str, ...]
     answer: "Future[Target | Refusal]"
+    taken_in: Event = field(default_factory=Event)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,15 +75,25 @@
 
 @dataclass(frozen=True, slots=True)
 class UseBegan:
-    """A request goes to an engine that was known to serve its adapter."""
+    """A request goes to an engine without having asked the holder."""
 
+    id: str
     upstream: str
     adapter: Adapter
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class UseStarted:
+    """A request at an engine has its first event."""
+
+    id: str
+    upstream: str
 
 
 @dataclass(frozen=True, slots=True)
 class UseEnded:
     """A request at an engine has ended."""
 
+    id: str
     upstream: str
-    adapter: Adapter
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -14,6 +14,7 @@
 from ..orders.order import EngineReport, Order, OrderAnswer, OrderKind
 from ..upstreams import Upstream
 from .residency import MOST_COPIES
+from .work import Work
 
 COLD_LOAD = timedelta(milliseconds=250)
 WARM_LOAD = timedelta(milliseconds=25)
@@ -26,6 +27,7 @@
 SMOOTHING = 0.2
 REFUSED_PAUSE = timedelta(milliseconds=500)
 SLOWEST_LOAD = timedelta(seconds=6)
+OVERDUE = timedelta(milliseconds=500)
 
 
 class PlaceState(StrEnum):
@@ -42,8 +44,6 @@
 
     Parameters
     ----------
-    users : int
-        Requests known to use it.
     look_at : timedelta
         When to ask whether the load or unload has ended.
     taken : bool
@@ -57,7 +57,6 @@
     look_at: timedelta
     cold: bool = True
     taken: bool = False
-    users: int = 0
     used_at: timedelta = timedelta()
 
 
@@ -112,7 +111,7 @@
         self.reporting = False
         self.lost: LostOrder | None = None
         self.paused_until = timedelta()
-        self.running = 0
+        self.work = Work()
         self.models: set[str] = set(upstream.models)
         self.model_copies: set[str] = set()
         self.model_coming: EnginePlace | None = None
@@ -148,14 +147,16 @@
             place.state is not PlaceState.SERVING for place in self.places.values()
         )
 
-    def can_order(self, now: timedelta) -> bool:
-        """Return whether an order may be sent to it now."""
-        if not self.known or self.sending is not None or self.reporting:
-            return False
-        if self.model_coming is not None:
+    def orderly(self, now: timedelta) -> bool:
+        """Return whether it takes orders, now or as soon as one has ended."""
+        if not self.known or self.model_coming is not None:
             return False
         return self.report_at is None and now >= self.paused_until
 
+    def can_order(self, now: timedelta) -> bool:
+        """Return whether an order may be sent to it now."""
+        return self.orderly(now) and self.sending is None and not self.reporting
+
     def serving(self) -> dict[Adapter, int]:
         """Return the versions of what it serves; base models have 0."""
         held = {Adapter(model): 0 for model in self.models}
@@ -164,6 +165,33 @@
                 held[place.adapter] = place.version
         return held
 
+    def serves(self, adapter: Adapter, oldest_version: int) -> bool:
+        """Return whether it serves an adapter in that version or a newer one."""
+        if not adapter.name:
+            return adapter.model in self.models
+        place = self.places.get(adapter)
+        if place is None or place.state is not PlaceState.SERVING:
+            return False
+        return place.version >= oldest_version
+
+    def brings(self, adapter: Adapter, oldest_version: int, now: timedelta) -> bool:
+        """Return whether it is loading an adapter and not long overdue."""
+        order = self.sending
+        if order is not None and order.kind is OrderKind.LOAD:
+            if order.adapter == adapter:
+                return True
+        place = self.places.get(adapter)
+        if place is None or place.state is not PlaceState.COMING:
+            return False
+        overdue = now > place.since + self.cold_load * 4 + OVERDUE
+        return place.version >= oldest_version and not overdue
+
+    def touch(self, adapter: Adapter, now: timedelta) -> None:
+        """Note that an adapter was just used."""
+        place = self.places.get(adapter)
+        if place is not None:
+            place.used_at = now
+
     def has_copy(self, adapter: Adapter, version: int) -> bool:
         """Return whether it keeps a copy that loads fast."""
         return self.copies.get(adapter, -1) >= version
@@ -332,7 +360,6 @@
         self.report_at = None
         self.lost = None
         self.order_count = report.order_count
-        self.running = report.running
         self.models = set(report.models)
         self.model_copies = set(report.model_copies) | self.models
         self.model_coming = None
@@ -355,7 +382,6 @@
         before = known.get(adapter)
         place = EnginePlace(adapter, version, state, now, now, used_at=now)
         if before is not None:
-            place.users = before.users
             place.used_at = before.used_at
         self.places[adapter] = place
         if state is PlaceState.SERVING:
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -23,12 +23,17 @@
 from .wants import Want, WantedAdapter, Wants
 
 REST_BEFORE_EVICTION = timedelta(milliseconds=60)
-OTHER_ZONE_COST = 0.05
-COPY_GAIN = 10.0
+OTHER_ZONE_COST = 0.02
+COPY_COST = 0.004
+FULL_COST = 0.1
+COLD_COST = 0.9
+"""What a load from the weight store costs, told as seconds of waiting."""
+SOON_ENOUGH = timedelta(milliseconds=550)
+WORTH_A_LOAD = timedelta(milliseconds=250)
+"""By so much sooner an engine must begin that loads the adapter for it."""
 HELD_SHARE = 0.42
 """Of its time, that a request is held at most while nothing is on its way to it."""
 COME_BACK = timedelta(milliseconds=300)
-LEFT_AFTER_LOAD = timedelta(milliseconds=200)
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +53,22 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class Held:
+    """A request waits for its adapter."""
+
+    want: Want
+
+
+@dataclass(frozen=True, slots=True)
+class Beginning:
+    """A request that an instance has sent by itself."""
+
+    upstream: str
+    adapter: Adapter
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class Refused:
     """A request that waited is given up on."""
@@ -65,7 +86,7 @@
     held: dict[Adapter, int]
 
 
-SchedulerAction = Order | AskReport | Placed | Refused | Serving
+SchedulerAction = Order | AskReport | Placed | Held | Refused | Serving
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,28 +167,50 @@
             engine.upstream = upstream
 
     def want(self, want: Want) -> None:
-        """Take in a request that waits for its adapter."""
+        """Take in a request that needs an adapter."""
         self.popularity.asked(want.adapter)
-        engine = self._serving_engine(want)
+        engine = self._soonest(want)
         if engine is None:
             self.wants.add(want)
+            self._act(Held(want))
             return
-        self._send_there(engine, want, engine.serving()[want.adapter])
+        self._send_there(engine, want)
 
     def withdraw(self, want_id: str) -> None:
         """Forget a request that no longer waits."""
         self.wants.remove(want_id)
 
-    def used(self, upstream: str, adapter: Adapter, began: int, ended: int) -> None:
-        """Take in that requests have begun and ended at an engine."""
+    def began(self, use_id: str, instance: str, use: Beginning) -> None:
+        """Take in a request that an instance has sent by itself."""
+        engine = self.engines.get(use.upstream)
+        self.popularity.asked(use.adapter)
+        if engine is None:
+            return
+        now = self._clock.monotonic()
+        engine.work.begin(use_id, instance, use.adapter, use.tokens, now)
+        engine.touch(use.adapter, now)
+
+    def started(self, upstream: str, use_id: str) -> None:
+        """Take in that a request has its first token."""
         engine = self.engines.get(upstream)
-        place = engine.places.get(adapter) if engine is not None else None
-        for _ in range(began):
-            self.popularity.asked(adapter)
-        if place is None:
+        if engine is not None:
+            engine.work.started(use_id, self._clock.monotonic())
+
+    def ended(self, upstream: str, use_id: str) -> None:
+        """Take in that a request has ended at an engine."""
+        engine = self.engines.get(upstream)
+        if engine is None:
             return
-        place.users = max(place.users + began - ended, 0)
-        place.used_at = self._clock.monotonic()
+        adapter = engine.work.end(use_id)
+        if adapter is not None:
+            engine.touch(adapter, self._clock.monotonic())
+
+    def instance_gone(self, instance: str) -> None:
+        """Forget what waits and runs for an instance that can't be reached."""
+        for want in self.wants.of_instance(instance):
+            self.withdraw(want.id)
+        for engine in self.engines.values():
+            engine.work.end_all_of(instance)
 
     def answered(self, upstream: str, order: Order, answer: OrderAnswer) -> None:
         """Take in how an order ended."""
@@ -215,31 +258,70 @@
         self._serve_waiting(engine)
 
     def _serve_waiting(self, engine: Engine) -> None:
-        for adapter, version in engine.serving().items():
+        for adapter in engine.serving():
             wanted = self.wants.of(engine.upstream.service, adapter)
             if wanted is None:
                 continue
             for want in list(wanted.by_id.values()):
-                if version < want.oldest_version or engine.id in want.tried:
-                    continue
-                self.wants.remove(want.id)
-                self._send_there(engine, want, version)
+                soonest = self._soonest(want)
+                if soonest is not None:
+                    self.wants.remove(want.id)
+                    self._send_there(soonest, want)
 
-    def _send_there(self, engine: Engine, want: Want, version: int) -> None:
-        place = engine.places.get(want.adapter)
-        if place is not None:
-            place.used_at = self._clock.monotonic()
-            place.users += 1
+    def _send_there(self, engine: Engine, want: Want) -> None:
+        now = self._clock.monotonic()
+        version = engine.serving()[want.adapter]
+        engine.work.begin(want.id, want.instance, want.adapter, want.tokens, now)
+        engine.touch(want.adapter, now)
         self._act(Placed(want, engine.id, version))
 
-    def _serving_engine(self, want: Want) -> Engine | None:
-        for engine in self.engines.values():
-            if engine.upstream.service != want.service or engine.id in want.tried:
+    def _soonest(self, want: Want) -> Engine | None:
+        """Return the engine to send a request to now; None if it should wait.
+
+        It waits where none serves its adapter, and where another engine would
+        have loaded it and be at its prompt much sooner.
+        """
+        serving = [
+            engine
+            for engine in self._engines_for(want)
+            if engine.serves(want.adapter, want.oldest_version)
+        ]
+        if not serving:
+            return None
+        best = min(serving, key=lambda engine: engine.work.first_after(want.tokens))
+        first = best.work.first_after(want.tokens)
+        if first <= SOON_ENOUGH:
+            return best
+        elsewhere = self._first_elsewhere(want)
+        if elsewhere is not None and elsewhere + WORTH_A_LOAD < first:
+            return None
+        return best
+
+    def _engines_for(self, want: Want) -> list[Engine]:
+        return [
+            engine
+            for engine in self.engines.values()
+            if engine.upstream.service == want.service and engine.id not in want.tried
+        ]
+
+    def _first_elsewhere(self, want: Want) -> timedelta | None:
+        """Return how soon an engine that does not serve the adapter could begin."""
+        now = self._clock.monotonic()
+        soonest: timedelta | None = None
+        for engine in self._engines_for(want):
+            if engine.serves(want.adapter, want.oldest_version):
+                continue
+            place = engine.places.get(want.adapter)
+            if place is not None and place.state is PlaceState.COMING:
+                load = max(place.look_at - now, timedelta())
+            elif engine.orderly(now) and self._room(engine, want.adapter, now):
+                load = engine.load_time(want.adapter, want.oldest_version)
+            else:
                 continue
-            version = engine.serving().get(want.adapter, -1)
-            if version >= want.oldest_version:
-                return engine
-        return None
+            first = load + engine.work.first_after(want.tokens)
+            if soonest is None or first < soonest:
+                soonest = first
+        return soonest
 
     def tell(self) -> None:
         """Log how the engines and the requests that wait stand."""
@@ -253,8 +335,9 @@
                 free=engine.free,
                 coming=engine.coming,
                 going=sum(place.state is PlaceState.GOING for place in places),
-                used=sum(place.users > 0 for place in places),
-                users=sum(place.users for place in places),
+                used=sum(engine.work.uses(place.adapter) > 0 for place in places),
+                running=len(engine.work),
+                pace=round(engine.work.pace, 2),
                 copies=len(engine.copies),
             )
         self._log.info(
@@ -285,9 +368,9 @@
 
     def _give_up(self, now: timedelta) -> None:
         for want in self.wants.ended(now):
-            self._act(Refused(want, Reason.NO_PLACE, timedelta(milliseconds=500)))
+            self._act(Refused(want, Reason.NO_PLACE, COME_BACK))
         for wanted in self.wants.adapters():
-            if self._on_its_way(wanted, wanted.oldest_version):
+            if self._on_its_way(wanted, now):
                 continue
             for want in list(wanted.by_id.values()):
                 if now < want.asked_at + (want.limit - want.asked_at) * HELD_SHARE:
@@ -331,62 +414,67 @@
 
     def _bring(self, wanted: WantedAdapter, fence: int, now: timedelta) -> None:
         """Load a wanted adapter, or make room for it."""
-        version = wanted.oldest_version
-        if self._on_its_way(wanted, version):
+        if self._on_its_way(wanted, now):
             return
         choices = [
             engine
             for engine in self.engines.values()
-            if engine.can_order(now)
+            if engine.orderly(now)
             and engine.upstream.service == wanted.service
             and wanted.adapter.model in engine.models
             and engine.id not in wanted.tried
+            and not engine.serves(wanted.adapter, wanted.oldest_version)
             and engine.coming < MOST_COMING
-        ]
-        choices = [
-            engine for engine in choices if self._room(engine, wanted, now) is not None
+            and self._room(engine, wanted.adapter, now) is not None
         ]
         if not choices:
+            self._settle_for_what_serves(wanted)
+            return
+        engine = min(choices, key=lambda engine: self._cost(engine, wanted))
+        if not engine.can_order(now):
             return
-        engine = min(choices, key=lambda engine: self._cost(engine, wanted, version))
-        room = self._room(engine, wanted, now)
+        room = self._room(engine, wanted.adapter, now)
         assert room is not None
         if room.after is not None:
             self._unload(engine, room.after, fence)
             return
-        self._load(engine, wanted.adapter, version, fence)
+        self._load(engine, wanted.adapter, wanted.oldest_version, fence)
+
+    def _settle_for_what_serves(self, wanted: WantedAdapter) -> None:
+        """Send what waits for one more engine to those that serve already."""
+        for want in list(wanted.by_id.values()):
+            serving = [
+                engine
+                for engine in self._engines_for(want)
+                if engine.serves(want.adapter, want.oldest_version)
+            ]
+            if not serving:
+                continue
+            best = min(serving, key=lambda engine: engine.work.first_after(0))
+            self.wants.remove(want.id)
+            self._send_there(best, want)
 
-    def _on_its_way(self, wanted: WantedAdapter, version: int) -> bool:
+    def _on_its_way(self, wanted: WantedAdapter, now: timedelta) -> bool:
         for engine in self.engines.values():
             if engine.id in wanted.tried or engine.upstream.service != wanted.service:
                 continue
-            order = engine.sending
-            sending = order is not None and order.kind is OrderKind.LOAD
-            if sending and order is not None and order.adapter == wanted.adapter:
-                return True
-            place = engine.places.get(wanted.adapter)
-            if place is None or place.version < version:
-                continue
-            if place.state is PlaceState.COMING:
+            if engine.brings(wanted.adapter, wanted.oldest_version, now):
                 return True
         return False
 
-    def _room(
-        self, engine: Engine, wanted: WantedAdapter, now: timedelta
-    ) -> Room | None:
+    def _room(self, engine: Engine, adapter: Adapter, now: timedelta) -> Room | None:
         """Return the room for an adapter, or None if there is none."""
-        held = engine.places.get(wanted.adapter)
+        held = engine.places.get(adapter)
         if held is not None:
-            if held.users == 0 and held.state is PlaceState.SERVING:
-                return Room(wanted.adapter)
-            return None
+            unused = held.state is PlaceState.SERVING and not engine.work.uses(adapter)
+            return Room(adapter) if unused else None
         if engine.free > 0:
             return Room()
         idle = [
             place
             for place in engine.places.values()
             if place.state is PlaceState.SERVING
-            and place.users == 0
+            and not engine.work.uses(place.adapter)
             and now - place.used_at >= REST_BEFORE_EVICTION
         ]
         if not idle:
@@ -394,11 +482,14 @@
         rarest = min(idle, key=lambda place: self.popularity.rate(place.adapter))
         return Room(rarest.adapter)
 
-    def _cost(self, engine: Engine, wanted: WantedAdapter, version: int) -> float:
-        cost = len(engine.copies) / 100 + engine.running / 100
-        cost += (engine.capacity - engine.free) / engine.capacity
-        if engine.has_copy(wanted.adapter, version):
-            cost -= COPY_GAIN
+    def _cost(self, engine: Engine, wanted: WantedAdapter) -> float:
+        """Return what it costs to bring an adapter to an engine, in seconds."""
+        tokens = max(want.tokens for want in wanted.by_id.values())
+        cost = engine.work.first_after(tokens).total_seconds()
+        cost += len(engine.copies) * COPY_COST
+        cost += (engine.capacity - engine.free) / engine.capacity * FULL_COST
+        if not engine.has_copy(wanted.adapter, wanted.oldest_version):
+            cost += COLD_COST
         zones = {want.zone for want in wanted.by_id.values()}
         if engine.upstream.zone not in zones:
             cost += OTHER_ZONE_COST
--- a/packages/ashhoist/src/ashhoist/placement/wants.py
+++ b/packages/ashhoist/src/ashhoist/placement/wants.py
@@ -19,6 +19,8 @@
         Where it waits.
     oldest_version : int
         Of the adapter; an older one does not do.
+    tokens : int
+        Of its prompt.
     worth : float
         What it is worth if it is answered in time.
     aim_at, limit : timedelta
@@ -34,6 +36,7 @@
     service: str
     adapter: Adapter
     oldest_version: int
+    tokens: int
     worth: float
     late_worth: float
     asked_at: timedelta
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -187,6 +187,7 @@
                 balancer,
                 self.health,
                 self.control.send,
+                lambda: self.control.core.leader is not None,
                 clock,
             ),
         }
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -29,6 +29,8 @@
     ----------
     limit : timedelta
         When it ends: the route's time or the caller's, whichever is first.
+    use_id : str
+        Names the present attempt to the holder of the lease.
     may_have_run : bool
         True once an attempt was sent and not refused expressly.
     """
@@ -46,6 +48,7 @@
     runs: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
+    use_id: str = ""
     waited: timedelta = timedelta()
     first_event_at: timedelta | None = None
     last_event_id: str = ""
--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -18,6 +18,9 @@
     def choose(self, call: Call, caller: CallerConnection) -> Choice:
         """Return where `call` goes next; may wait."""
 
+    def first_event(self, call: Call, target: Target) -> None:
+        """Take in that an attempt has its first event."""
+
     def ended(self, call: Call, target: Target) -> None:
         """Take in that an attempt has ended."""
 
@@ -41,6 +44,9 @@
         self._balancer.begin(upstream.id)
         return Target(upstream.id, upstream.address)
 
+    def first_event(self, call: Call, target: Target) -> None:
+        """Take in that an attempt has its first event."""
+
     def ended(self, call: Call, target: Target) -> None:
         """Take in that an attempt has ended."""
         self._balancer.end(target.upstream)
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -1,4 +1,9 @@
-"""Chooses for model engines: where the adapter is, else where it is brought."""
+"""Chooses for model engines: the holder of the lease says where, or this instance.
+
+The holder sees all requests at all engines, so it is asked for each. Where there
+is none, or it does not answer soon, a request goes to an engine that is known to
+serve its adapter.
+"""
 
 import threading
 from collections.abc import Callable
@@ -17,30 +22,32 @@
     Target,
     UseBegan,
     UseEnded,
+    UseStarted,
     Wanted,
 )
-from ..placement.residency import Place
 from ..routing.in_force import InForce
 from ..upstreams import Balancer, Directory, Health
 from .attempt import CallerLeft
 from .call import Call
 from .choosers import Choice
+from .worth import LATE_SHARE, Worth
 
-OLD_VERSION_GRACE = timedelta(milliseconds=2500)
-WORTH_BY_PRIORITY = (4.2, 3.5, 1.8)
-LATE_SHARE = 0.3
 HELD_SHARE = 0.49
 """Of its time, that a request waits at most for its adapter."""
 COME_BACK = timedelta(milliseconds=300)
+HOLDER_SILENT = timedelta(milliseconds=120)
+"""After so long without a word of the holder, a request goes its own way."""
 
 
 class EngineChooser:
-    """Sends requests where their adapter is served; waits for it otherwise.
+    """Sends requests to engines that serve their adapter.
 
     Parameters
     ----------
     send : callable
         Takes messages to the control task.
+    holder_known : callable
+        Returns whether somebody is known to hold the lease.
     """
 
     def __init__(
@@ -51,6 +58,7 @@
         balancer: Balancer,
         health: Health,
         send: Callable[[Any], None],
+        holder_known: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._directory = directory
@@ -59,25 +67,29 @@
         self._balancer = balancer
         self._health = health
         self._send = send
+        self._holder_known = holder_known
         self._clock = clock
+        self._worth = Worth()
         self._local = threading.local()
 
     def choose(self, call: Call, caller: CallerConnection) -> Choice:
         """Return where `call` goes; waits for its adapter."""
         if call.adapter is None:
             return self._of_any_engine(call)
-        found = self._serving(call)
-        if found is None:
-            return self._wait(call, caller)
-        self._send(UseBegan(found.upstream, call.adapter))
-        self._balancer.begin(found.upstream)
-        return found
+        call.use_id = f"{call.id}/{call.sends}"
+        alone = None if self._holder_known() else self._alone(call)
+        return alone or self._ask(call, caller)
+
+    def first_event(self, call: Call, target: Target) -> None:
+        """Take in that an attempt has its first event."""
+        if call.adapter is not None:
+            self._send(UseStarted(call.use_id, target.upstream))
 
     def ended(self, call: Call, target: Target) -> None:
         """Take in that an attempt has ended."""
         self._balancer.end(target.upstream)
         if call.adapter is not None:
-            self._send(UseEnded(target.upstream, call.adapter))
+            self._send(UseEnded(call.use_id, target.upstream))
 
     def _of_any_engine(self, call: Call) -> Choice:
         found = self._directory.view.of(call.service)
@@ -87,84 +99,112 @@
         self._balancer.begin(upstream.id)
         return Target(upstream.id, upstream.address)
 
-    # Where the adapter is already
+    # Without the holder
 
-    def _serving(self, call: Call) -> Target | None:
+    def _alone(self, call: Call) -> Target | None:
+        """Send `call` to an engine that is known to serve its adapter, if any is."""
+        assert call.adapter is not None
+        found = self._known_to_serve(call)
+        if found is None:
+            return None
+        call.use_id += "-alone"
+        tokens = call.sizes.tokens_in
+        self._send(UseBegan(call.use_id, found.upstream, call.adapter, tokens))
+        self._balancer.begin(found.upstream)
+        return found
+
+    def _known_to_serve(self, call: Call) -> Target | None:
         assert call.adapter is not None
-        places = self._residency.view.get(call.adapter, ())
         oldest = self._oldest_version(call)
-        by_id = self._directory.view.by_id
-        best: Target | None = None
-        best_rank: tuple[int, int] | None = None
-        for place in places:
-            upstream = by_id.get(place.upstream)
+        found: Target | None = None
+        least = 0
+        for place in self._residency.view.get(call.adapter, ()):
+            upstream = self._directory.view.by_id.get(place.upstream)
             if upstream is None or not upstream.takes_work:
                 continue
-            if place.version < oldest or place.upstream in call.tried:
+            if place.version < oldest or upstream.id in call.tried:
                 continue
             if upstream.service != call.service or not self._health.usable(upstream.id):
                 continue
-            rank = (place.version, -self._balancer.under_way(upstream.id))
-            if best_rank is None or rank > best_rank:
-                best_rank = rank
-                best = Target(upstream.id, upstream.address, _expected(place))
-        return best
+            under_way = self._balancer.under_way(upstream.id)
+            if found is None or under_way < least:
+                version = place.version or None
+                found = Target(upstream.id, upstream.address, version)
+                least = under_way
+        return found
 
     def _oldest_version(self, call: Call) -> int:
         """Return the version below which an adapter must not serve any more."""
         assert call.adapter is not None
         named = self._in_force.wanted(call.adapter)
-        if named is None:
-            return 0
-        age = self._clock.monotonic() - named.known_since
-        return 0 if age < OLD_VERSION_GRACE else named.version
+        return 0 if named is None else named.version
 
-    # Where it is brought
+    # With the holder
 
-    def _wait(self, call: Call, caller: CallerConnection) -> Choice:
+    def _ask(self, call: Call, caller: CallerConnection) -> Choice:
         began = self._clock.monotonic()
-        answer: Future[Target | Refusal] = Future()
+        choice = self._await_answer(call, caller, began)
+        call.waited += self._clock.monotonic() - began
+        return choice
+
+    def _await_answer(
+        self, call: Call, caller: CallerConnection, began: timedelta
+    ) -> Choice:
         waker = self._waker()
-        answer.add_done_callback(lambda _: waker.wake())
-        self._send(self._wanted(call, answer))
-        limit = began + (call.limit - began) * HELD_SHARE
-        while True:
-            if answer.done():
-                call.waited += self._clock.monotonic() - began
-                result = answer.result()
-                if isinstance(result, Target):
-                    self._balancer.begin(result.upstream)
-                return result
-            ended = self._pause(limit, caller, waker)
-            if ended is None or not answer.cancel():
-                continue
-            self._send(NoLongerWanted(call.id))
-            call.waited += self._clock.monotonic() - began
-            return ended
-
-    def _pause(
-        self, limit: timedelta, caller: CallerConnection, waker: Waker
-    ) -> CallerLeft | Refusal | None:
-        watched = [waker.fileno()]
-        if caller.watched is not None:
-            watched.append(caller.watched)
-        ready = wait_readable(watched, limit, self._clock)
-        if not ready:
-            return Refusal(Reason.NO_PLACE, COME_BACK)
-        if waker.fileno() in ready:
-            waker.clear()
+        wanted = self._wanted(call, waker)
+        self._send(wanted)
+        last = began + (call.limit - began) * HELD_SHARE
+        left = self._wait(wanted, min(began + HOLDER_SILENT, last), caller, waker)
+        if left is None and not wanted.answer.done() and not wanted.taken_in.is_set():
+            alone = self._go_alone(call, wanted)
+            if alone is not None:
+                return alone
+        if left is None:
+            left = self._wait(wanted, last, caller, waker)
+        if wanted.answer.cancel():
+            self._send(NoLongerWanted(wanted.id))
+            return left or Refusal(Reason.NO_PLACE, COME_BACK)
+        result = wanted.answer.result()
+        if isinstance(result, Target):
+            self._balancer.begin(result.upstream)
+        return result
+
+    def _go_alone(self, call: Call, wanted: Wanted) -> Target | None:
+        """Stop waiting for a silent holder if there is another way."""
+        if self._known_to_serve(call) is None or not wanted.answer.cancel():
             return None
-        return CallerLeft() if caller.left() else None
+        self._send(NoLongerWanted(wanted.id))
+        return self._alone(call)
+
+    def _wait(
+        self, wanted: Wanted, until: timedelta, caller: CallerConnection, waker: Waker
+    ) -> CallerLeft | None:
+        """Wait for an answer, or until time is up or the caller has left."""
+        while not wanted.answer.done():
+            watched = [waker.fileno()]
+            if caller.watched is not None:
+                watched.append(caller.watched)
+            ready = wait_readable(watched, until, self._clock)
+            if not ready:
+                return None
+            if waker.fileno() in ready:
+                waker.clear()
+                continue
+            if caller.left():
+                return CallerLeft()
+        return None
 
-    def _wanted(self, call: Call, answer: "Future[Target | Refusal]") -> Wanted:
+    def _wanted(self, call: Call, waker: Waker) -> Wanted:
         assert call.adapter is not None
-        named = self._in_force.wanted(call.adapter)
-        worth = _worth(call)
+        answer: Future[Target | Refusal] = Future()
+        answer.add_done_callback(lambda _: waker.wake())
+        worth = self._worth.of(call)
         return Wanted(
-            call.id,
+            call.use_id,
             call.service,
             call.adapter,
-            0 if named is None else named.version,
+            self._oldest_version(call),
+            call.sizes.tokens_in,
             worth,
             worth * LATE_SHARE,
             call.received_at + call.route.aim,
@@ -180,12 +220,3 @@
             waker = self._local.waker = Waker()
         waker.clear()
         return waker
-
-
-def _expected(place: Place) -> int | None:
-    return place.version or None
-
-
-def _worth(call: Call) -> float:
-    place = min(max(call.route.priority, 0), len(WORTH_BY_PRIORITY) - 1)
-    return WORTH_BY_PRIORITY[place] * (0.3 + 0.7 * call.sizes.weight / 2000)
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -6,6 +6,7 @@
 there ends.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -53,21 +54,29 @@
         self.begun = False
         self.events = 0
 
-    def run(self, stream: Streaming, head: Head) -> Leg:
+    def run(
+        self, stream: Streaming, head: Head, first_event: Callable[[], None]
+    ) -> Leg:
         """Pass on the events of one upstream until its part ends.
 
         Parameters
         ----------
         head : Head
             The head for the caller; used by the first event only.
+        first_event : callable
+            Called when the first event of this upstream is there.
         """
         splitter = EventSplitter()
+        seen: int | None = self.events
         while True:
             event = stream.connection.next_event()
             if isinstance(event, Piece):
                 ended = self._pass_on(splitter, event.data, head)
                 if ended is not None:
                     return ended
+                if seen is not None and self.events > seen:
+                    seen = None
+                    first_event()
                 continue
             if isinstance(event, End):
                 if not splitter.clean:
--- a/packages/ashhoist/src/ashhoist/requests/serving.py
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -78,7 +78,7 @@
             if isinstance(target, Refusal):
                 return self._refuse(call, caller, relay, target)
             try:
-                result = self._attempt(call, target, caller, relay)
+                result = self._attempt(call, target, caller, relay, chooser)
             finally:
                 chooser.ended(call, target)
             if isinstance(result, WholeStream):
@@ -92,14 +92,23 @@
     # One attempt
 
     def _attempt(
-        self, call: Call, target: Target, caller: CallerConnection, relay: Relay
+        self,
+        call: Call,
+        target: Target,
+        caller: CallerConnection,
+        relay: Relay,
+        chooser: Chooser,
     ) -> Result | WholeStream:
         call.sends += 1
         call.tried.add(target.upstream)
         result = self._attempts.send(call, target, caller, call.route.streams)
         if not isinstance(result, Streaming):
             return result
-        leg = relay.run(result, self._head(result.head))
+        leg = relay.run(
+            result,
+            self._head(result.head),
+            lambda: chooser.first_event(call, target),
+        )
         if isinstance(leg, WholeStream):
             self._attempts.give_back(target, result.connection)
         else:
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -594,7 +594,7 @@
             engine.users[name] = engine.users.get(name, 0) + 1
 
         def end() -> None:
-            core.use_ended(UseEnded(target.upstream, wanted.adapter))
+            core.use_ended(UseEnded(wanted.id, target.upstream))
             core.settle()
 
         def leave() -> None:
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -69,6 +69,9 @@
                 return Target(name, server.address)
         return Refusal(Reason.NO_UPSTREAM)
 
+    def first_event(self, call: Call, target: Target) -> None:
+        pass
+
     def ended(self, call: Call, target: Target) -> None:
         self.ended_count += 1
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -31,6 +31,7 @@
             SERVICE,
             Adapter(MODEL, adapter),
             0,
+            1000,
             1.0,
             0.3,
             now + timedelta(seconds=1),
