A repeatable request leaves an upstream that is silent for long

Change: while another run is allowed and the retry budget has room, a request leaves an upstream that is silent for twice what the holder of the lease expects and half a second more, or for three of the longest pauses midway. A stream's head without a seal is no success (found by its test).

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -397,7 +397,9 @@
         use = UseBegan(granted.id, upstream.id, wanted.adapter, wanted.tokens)
         self.agent.granted(use)
         version = granted.version or None
-        wanted.answer.set_result(Target(upstream.id, upstream.address, version))
+        expected = timedelta(milliseconds=granted.expected_ms)
+        target = Target(upstream.id, upstream.address, version, expected)
+        wanted.answer.set_result(target)
 
     def _waits(self, peer: str, message: messages.Waits) -> None:
         wanted = self.agent.open.get(message.id)
--- a/packages/ashhoist/src/ashhoist/control/leadership.py
+++ b/packages/ashhoist/src/ashhoist/control/leadership.py
@@ -220,7 +220,9 @@
 
     def _placed(self, action: Placed) -> None:
         want = action.want
-        self._tell(want.instance, Granted(want.id, action.upstream, action.version))
+        expected = int(action.expected / MILLISECOND)
+        granted = Granted(want.id, action.upstream, action.version, expected)
+        self._tell(want.instance, granted)
 
     def _refused(self, action: Refused) -> None:
         want = action.want
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -120,11 +120,18 @@
 @message(48)
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """A request may be sent to an engine that serves its adapter."""
+    """A request may be sent to an engine that serves its adapter.
+
+    Parameters
+    ----------
+    expected_ms : int
+        When its first event should come.
+    """
 
     id: str
     upstream: str
     version: int
+    expected_ms: int
 
 
 @message(49)
--- a/packages/ashhoist/src/ashhoist/failures.py
+++ b/packages/ashhoist/src/ashhoist/failures.py
@@ -58,6 +58,7 @@
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_ERROR = "upstream_error"
+    UPSTREAM_SILENT = "upstream_silent"
     UPSTREAM_RESTARTED = "upstream_restarted"
     NOT_RESIDENT = "not_resident"
     LOAD_FAILED = "load_failed"
--- a/packages/ashhoist/src/ashhoist/placement/asks.py
+++ b/packages/ashhoist/src/ashhoist/placement/asks.py
@@ -19,11 +19,14 @@
         The id of its present life.
     version : int or None
         The adapter version that it must have.
+    expected : timedelta or None
+        How long the first event should take.
     """
 
     upstream: str
     address: str
     version: int | None = None
+    expected: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -46,11 +46,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """A request that waited may be sent."""
+    """A request may be sent; its first token should come after `expected`."""
 
     want: Want
     upstream: str
     version: int
+    expected: timedelta
 
 
 @dataclass(frozen=True, slots=True)
@@ -271,9 +272,10 @@
     def _send_there(self, engine: Engine, want: Want) -> None:
         now = self._clock.monotonic()
         version = engine.serving()[want.adapter]
+        expected = engine.work.first_after(want.tokens)
         engine.work.begin(want.id, want.instance, want.adapter, want.tokens, now)
         engine.touch(want.adapter, now)
-        self._act(Placed(want, engine.id, version))
+        self._act(Placed(want, engine.id, version, expected))
 
     def _soonest(self, want: Want) -> Engine | None:
         """Return the engine to send a request to now; None if it should wait.
--- a/packages/ashhoist/src/ashhoist/requests/attempt.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt.py
@@ -22,6 +22,7 @@
 LARGEST_ANSWER = 16_777_216
 NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
 MISDIRECTED = 421
+OK = 200
 SURPLUS_ALLOWED = 4
 URGENCY_STEP = 2
 
@@ -194,7 +195,7 @@
             if not isinstance(head, Head):
                 return head
             mine = self._is_mine(call, head)
-            if mine and stream and head.status == 200:
+            if mine and stream and head.status == OK and self._acceptable(head):
                 return Streaming(head, connection)
             body = self._await_body(call, caller, connection)
             if not isinstance(body, bytes):
@@ -220,14 +221,18 @@
             return NotRun(Reason.NOT_RESIDENT, True, head, body)
         if self._says_not_run(head):
             return NotRun(Reason.UPSTREAM_REFUSED, True, head, body)
-        seal = self._dialect.seal.lower()
         success = 200 <= head.status < 300
-        if success and seal and seal not in head.values:
-            return MayHaveRun(Reason.BAD_FRAME)
-        if success and "content-encoding" in head.values:
+        if success and not self._acceptable(head):
             return MayHaveRun(Reason.BAD_FRAME)
         return Answered(head, body)
 
+    def _acceptable(self, head: Head) -> bool:
+        """Return whether a success is the upstream's own, as it made it."""
+        seal = self._dialect.seal.lower()
+        if seal and seal not in head.values:
+            return False
+        return "content-encoding" not in head.values
+
     def _await_head(
         self, call: Call, caller: CallerConnection, connection: UpstreamConnection
     ) -> Head | MayHaveRun | CallerLeft | OutOfTime:
@@ -266,13 +271,18 @@
 
     def wait(
         self, call: Call, caller: CallerConnection, connection: UpstreamConnection
-    ) -> CallerLeft | OutOfTime | None:
+    ) -> MayHaveRun | CallerLeft | OutOfTime | None:
         """Wait for the upstream; None means that it has something to say."""
+        until = call.limit
+        if call.patience is not None:
+            until = min(until, self._clock.monotonic() + call.patience)
         while True:
             watched = [connection.fileno()]
             if caller.watched is not None:
                 watched.append(caller.watched)
-            ready = wait_readable(watched, call.limit, self._clock)
+            ready = wait_readable(watched, until, self._clock)
+            if not ready and until < call.limit:
+                return MayHaveRun(Reason.UPSTREAM_SILENT)
             if not ready:
                 return OutOfTime()
             if connection.fileno() in ready:
--- a/packages/ashhoist/src/ashhoist/requests/budget.py
+++ b/packages/ashhoist/src/ashhoist/requests/budget.py
@@ -72,14 +72,22 @@
         """Take one second send from the budget, if there is one."""
         with self._lock:
             window = self._by_service[service]
-            self._forget(window)
-            share = self._extra / max(self._instances(), 1)
-            most = (share + self._ratio * len(window.requests)) * SAFETY
-            if len(window.repeats) + 1 > most:
+            if not self._fits(window):
                 return False
             window.repeats.append(self._clock.monotonic())
             return True
 
+    def has_room(self, service: str) -> bool:
+        """Return whether a second send would be allowed now."""
+        with self._lock:
+            return self._fits(self._by_service[service])
+
+    def _fits(self, window: _Window) -> bool:
+        self._forget(window)
+        share = self._extra / max(self._instances(), 1)
+        most = (share + self._ratio * len(window.requests)) * SAFETY
+        return len(window.repeats) + 1 <= most
+
     def _forget(self, window: _Window) -> None:
         oldest = self._clock.monotonic() - self._window
         for times in (window.requests, window.repeats):
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -31,6 +31,8 @@
         When it ends: the route's time or the caller's, whichever is first.
     use_id : str
         Names the present attempt to the holder of the lease.
+    patience : timedelta or None
+        How long an upstream may be silent before the request goes elsewhere.
     may_have_run : bool
         True once an attempt was sent and not refused expressly.
     """
@@ -49,6 +51,7 @@
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     use_id: str = ""
+    patience: timedelta | None = None
     waited: timedelta = timedelta()
     first_event_at: timedelta | None = None
     last_event_id: str = ""
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -18,6 +18,10 @@
 from .call import Call
 from .events import EventSplitter, StreamEvent
 
+PAUSES_ALLOWED = 3
+"""Of the longest pause that is in time; a stream that rests longer has stalled."""
+LEAST_PATIENCE = timedelta(milliseconds=800)
+
 
 @dataclass(frozen=True, slots=True)
 class WholeStream:
@@ -77,6 +81,7 @@
                 if seen is not None and self.events > seen:
                     seen = None
                     first_event()
+                    self._be_patient_midway()
                 continue
             if isinstance(event, End):
                 if not splitter.clean:
@@ -88,7 +93,15 @@
             if waited is not None:
                 return waited
 
-    def _wait(self, connection: UpstreamConnection) -> CallerLeft | OutOfTime | None:
+    def _be_patient_midway(self) -> None:
+        call = self._call
+        if call.patience is not None:
+            pause = call.route.longest_pause * PAUSES_ALLOWED
+            call.patience = max(pause, LEAST_PATIENCE)
+
+    def _wait(
+        self, connection: UpstreamConnection
+    ) -> MayHaveRun | CallerLeft | OutOfTime | None:
         return self._attempts.wait(self._call, self._caller, connection)
 
     def _pass_on(
--- a/packages/ashhoist/src/ashhoist/requests/serving.py
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -33,6 +33,9 @@
 """Sends of one request that upstreams may refuse expressly."""
 DEFAULT_RETRY_AFTER = timedelta(milliseconds=250)
 SERVER_ERROR = 500
+EXPECTED_TIMES = 2.0
+AIM_TIMES = 1.0
+LEAST_PATIENCE = timedelta(milliseconds=500)
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +102,7 @@
         relay: Relay,
         chooser: Chooser,
     ) -> Result | WholeStream:
+        call.patience = self._patience(call, target)
         call.sends += 1
         call.tried.add(target.upstream)
         result = self._attempts.send(call, target, caller, call.route.streams)
@@ -115,6 +119,15 @@
             result.connection.close()
         return leg
 
+    def _patience(self, call: Call, target: Target) -> timedelta | None:
+        """Return how long the upstream may be silent; None if it is the last."""
+        again = call.route.repeatable and call.runs + 1 < call.route.attempts
+        if not again or not self._budget.has_room(call.service):
+            return None
+        if target.expected is not None:
+            return target.expected * EXPECTED_TIMES + LEAST_PATIENCE
+        return max(call.route.aim * AIM_TIMES, LEAST_PATIENCE)
+
     def _note_time(self, call: Call, target: Target) -> None:
         took = self._clock.monotonic() - call.received_at
         self._health.answered(target.upstream, took)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -426,7 +426,49 @@
         self.assertEqual(len(harness.calls()), 1)
 
 
+class SilenceTests(RequestTestCase):
+    """An upstream that says nothing is left while there is another."""
+
+    def test_a_safe_request_goes_elsewhere(self) -> None:
+        harness = self.start(silent, good)
+        self.assertEqual(harness.ask("/safe/", deadline_ms=60_000).status, 200)
+
+    def test_an_unsafe_request_waits_to_its_end(self) -> None:
+        harness = self.start(silent, good, timeout=1.5)
+        self.assertEqual(harness.ask("/unsafe/", deadline_ms=60_000).status, 504)
+        self.assertEqual(harness.calls(1), [])
+
+    def test_a_request_waits_where_nothing_else_is_allowed(self) -> None:
+        def late(call: Call) -> None:
+            time.sleep(1.5)
+            good(call)
+
+        harness = self.start(late, good, attempts=1)
+        self.assertEqual(harness.ask("/safe/").status, 200)
+        self.assertEqual(harness.calls(1), [])
+
+    def test_a_stream_that_stalls_goes_on_elsewhere(self) -> None:
+        def stalls(call: Call) -> None:
+            call.start_stream(sealed(call))
+            call.chunk(event(1))
+            silent(call)
+
+        harness = self.start(stalls, stream(2, 3))
+        answer = harness.ask("/stream/", deadline_ms=60_000)
+        self.assertEqual(answer.body, event(1) + event(2) + event(3))
+        self.assertTrue(answer.whole)
+
+
 class StreamTests(RequestTestCase):
+    def test_a_stream_without_a_seal_is_no_success(self) -> None:
+        def script(call: Call) -> None:
+            call.start_stream({ID: call.headers[ID.lower()]})
+            call.chunk(event(1))
+            call.end_stream()
+
+        answer = self.start(script).ask("/once/")
+        self.assertEqual(answer.status, 502)
+
     def test_events_are_passed_on_whole(self) -> None:
         harness = self.start(stream(1, 2, 3))
         answer = harness.ask("/stream/")
