--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -46,10 +46,15 @@
 from .lease_calls import LeaseCalls
 from .outside import Outside
 from .peers import InstanceRecord, Peers, rank
+from .readers import Readers
 
 BEAT_EVERY = timedelta(milliseconds=500)
+LAST_ORDERS = timedelta(milliseconds=600)
+"""How long a planned stop waits for answers to its last orders."""
 READS_LOG_FOR = timedelta(milliseconds=1500)
 LEASE_KEY = "orders"
+MOST_PUSHED = 2048
+"""Bytes of records that are told to others unasked."""
 
 Decode = Callable[[Topic, Record], Change | None]
 
@@ -118,6 +123,9 @@
         self._leader_token = -1
         self._listed = False
         self.stopping = False
+        self._release_at: timedelta | None = None
+        self._readers = Readers(settings.name, self.peers, clock)
+        self.reads_itself = True
         self._beat_at = ZERO
         self._links: tuple[str, ...] = ()
 
@@ -130,7 +138,7 @@
     @property
     def settled(self) -> bool:
         """Return whether a planned stop has handed everything over."""
-        return self.stopping and self.lease.released
+        return self.stopping and self._release_at is None and self.lease.released
 
     # Start and stop
 
@@ -141,10 +149,12 @@
 
     def stop(self) -> None:
         """Begin a planned stop."""
+        now = self._clock.monotonic()
         self.stopping = True
-        self.lease.stop()
+        self.lease.rest()
+        self._release_at = now + LAST_ORDERS
         self._outside.unregister()
-        self._beat(self._clock.monotonic())
+        self._beat(now)
 
     def instances(self, records: list[InstanceRecord]) -> None:
         """Take in which instances are registered."""
@@ -181,24 +191,40 @@
         """Take in records that were read from the log."""
         now = self._clock.monotonic()
         topic = followed.topic
-        for record in followed.records:
-            self._take_record(topic, record)
+        before = self.knowledge.offset(topic)
+        fresh = [
+            record for record in followed.records if self._take_record(topic, record)
+        ]
         if followed.whole:
             listed = {record.key for record in followed.records}
             self._drop_unlisted(topic, listed, followed.end)
-        self.knowledge.reached(topic, followed.end, now)
+        self.knowledge.reached(topic, followed.read_to, now)
         self._lease_calls.log_answers()
         if topic is Topic.UPSTREAMS:
             self._listed = True
             self._apply_upstreams()
+        if fresh:
+            self._pass_on(topic, before, fresh)
 
-    def _take_record(self, topic: Topic, record: Record) -> None:
-        if not self.knowledge.take(topic, record):
-            return
+    def _take_record(self, topic: Topic, record: Record) -> bool:
+        """Take in a record; return whether it has changed something here."""
+        if not self.knowledge.is_news(topic, record):
+            return False
         change = self._decode(topic, record)
-        if change is None:
-            return
-        self._apply(change)
+        if change is None or not self._apply(change):
+            return False
+        self.knowledge.keep(topic, record)
+        return True
+
+    def _pass_on(self, topic: Topic, after: int, records: list[Record]) -> None:
+        """Tell the others what was read; what is large they read themselves."""
+        newest = self.knowledge.offset(topic)
+        message: Any = messages.Announce(str(topic), newest)
+        if sum(_size(record) for record in records) <= MOST_PUSHED:
+            rows = [[record.offset, record.key, record.value] for record in records]
+            message = messages.Relay(str(topic), after, newest, rows)
+        for peer in self.peers.linked():
+            self._outside.send_to(peer, message)
 
     def _drop_unlisted(self, topic: Topic, listed: set[str], end: int) -> None:
         self.knowledge.drop_ended(topic, listed, end)
@@ -207,33 +233,37 @@
         for upstream in self._directory.missing_from(listed, end):
             self._apply(UpstreamEnded(upstream, end - 1))
 
-    def _apply(self, change: Change) -> None:
-        now = self._clock.monotonic()
+    def _apply(self, change: Change) -> bool:
+        """Take in a change; return whether it was one."""
         if isinstance(change, ConfigurationPut):
-            self._put_configuration(change)
-        elif isinstance(change, VersionNamed):
-            if self._in_force.name_version(change.adapter, change.version, now):
-                self._log.info(
-                    "version named",
-                    adapter=str(change.adapter),
-                    version=change.version,
-                )
-        elif isinstance(change, UpstreamPut):
-            self._put_upstream(change)
-        elif isinstance(change, UpstreamEnded):
-            self._end_upstream(change, now)
-
-    def _put_configuration(self, change: ConfigurationPut) -> None:
+            return self._put_configuration(change)
+        if isinstance(change, VersionNamed):
+            return self._name_version(change)
+        if isinstance(change, UpstreamPut):
+            return self._put_upstream(change)
+        return self._end_upstream(change)
+
+    def _name_version(self, change: VersionNamed) -> bool:
+        now = self._clock.monotonic()
+        if not self._in_force.name_version(change.adapter, change.version, now):
+            return False
+        self._log.info(
+            "version named", adapter=str(change.adapter), version=change.version
+        )
+        return True
+
+    def _put_configuration(self, change: ConfigurationPut) -> bool:
         if not self._in_force.put(change.configuration):
-            return
+            return False
         self._log.info("configuration in force", version=self._in_force.version)
         self._metrics.gauge("configuration_offset", self._in_force.version)
         self._apply_upstreams()
+        return True
 
-    def _put_upstream(self, change: UpstreamPut) -> None:
+    def _put_upstream(self, change: UpstreamPut) -> bool:
         upstream = change.upstream
         if not self._directory.put(upstream):
-            return
+            return False
         self._log.info(
             "upstream changed",
             upstream=upstream.id,
@@ -243,10 +273,12 @@
             offset=upstream.offset,
         )
         self._apply_upstreams()
+        return True
 
-    def _end_upstream(self, change: UpstreamEnded, now: timedelta) -> None:
+    def _end_upstream(self, change: UpstreamEnded) -> bool:
+        now = self._clock.monotonic()
         if not self._directory.end(change.upstream_id, change.offset, now):
-            return
+            return False
         self._log.info(
             "upstream ended", upstream=change.upstream_id, offset=change.offset
         )
@@ -254,6 +286,7 @@
         self._health.forget(change.upstream_id)
         self._outside.forget_upstream(change.upstream_id)
         self._apply_upstreams()
+        return True
 
     def _apply_upstreams(self) -> None:
         table = self._in_force.table
@@ -273,8 +306,12 @@
         table = self._in_force.table
         before = self.leadership.leads
         self.leadership.follow_lease(None if table is None else table.configuration)
-        if before and not self.leadership.leads and self.leader == self._settings.name:
+        if not before or self.leadership.leads:
+            return
+        if self.leader == self._settings.name:
             self.leader = None
+        # Whoever is next need not wait for the next beat to know.
+        self._beat(self._clock.monotonic())
 
     # Links
 
@@ -320,13 +357,22 @@
         elif beat.leading < 0 and self.leader == peer:
             self.leader = None
         for topic in SHARED_TOPICS:
-            offset = beat.offsets.get(str(topic), -1)
-            after = self.knowledge.pull_due(topic, offset, now)
-            if after is not None:
-                self._log.info(
-                    "records pulled", topic=topic, peer=peer, after=after, to=offset
-                )
-                self._outside.send_to(peer, messages.Pull(str(topic), after))
+            self._catch_up(peer, topic, beat.offsets.get(str(topic), -1))
+
+    def _announced(self, peer: str, message: messages.Announce) -> None:
+        self._catch_up(peer, Topic(message.topic), message.offset)
+
+    def _catch_up(self, peer: str, topic: Topic, offset: int) -> None:
+        """Read what a peer has read already; ask that peer if this takes long."""
+        if offset <= self.knowledge.seen(topic):
+            return
+        self._outside.read_now(topic)
+        now = self._clock.monotonic()
+        after = self.knowledge.pull_due(topic, offset, now)
+        if after is None:
+            return
+        self._log.info("records pulled", topic=topic, peer=peer, after=after, to=offset)
+        self._outside.send_to(peer, messages.Pull(str(topic), after))
 
     def _pulled(self, peer: str, pull: messages.Pull) -> None:
         topic = Topic(pull.topic)
@@ -334,14 +380,19 @@
             [record.offset, record.key, record.value]
             for record in self.knowledge.after(topic, pull.after)
         ]
+        newest = self.knowledge.offset(topic)
         if rows:
-            self._outside.send_to(peer, messages.Relay(pull.topic, rows))
+            relay = messages.Relay(pull.topic, pull.after, newest, rows)
+            self._outside.send_to(peer, relay)
 
     def _relayed(self, peer: str, relay: messages.Relay) -> None:
         topic = Topic(relay.topic)
         for offset, key, value in relay.records:
             self._take_record(topic, Record(offset, key, value))
-        self.knowledge.relayed(topic, self._clock.monotonic())
+        if relay.after <= self.knowledge.seen(topic):
+            self.knowledge.see(topic, relay.up_to)
+        else:
+            self._catch_up(peer, topic, relay.up_to)
         if topic is Topic.UPSTREAMS:
             self._listed = True
             self._apply_upstreams()
@@ -403,8 +454,8 @@
 
     def _waits(self, peer: str, message: messages.Waits) -> None:
         wanted = self.agent.open.get(message.id)
-        if wanted is not None:
-            wanted.taken_in.set()
+        if wanted is not None and not wanted.taken_in.done():
+            wanted.taken_in.set_result(None)
 
     def _declined(self, peer: str, declined: messages.Declined) -> None:
         wanted = self.agent.open.pop(declined.id, None)
@@ -417,6 +468,7 @@
     _HANDLERS: dict[type, Callable[["Core", str, Any], None]] = {
         messages.Introduce: _introduced,
         messages.Beat: _beaten,
+        messages.Announce: _announced,
         messages.Pull: _pulled,
         messages.Relay: _relayed,
         messages.Leading: _led,
@@ -494,12 +546,23 @@
         now = self._clock.monotonic()
         self._follow_lease()
         self._set_rank()
+        self._release_when_quiet(now)
+        self.reads_itself = self._readers.reads_itself(self.leader)
         self._lease_calls.step()
         if now - self._beat_at >= BEAT_EVERY:
             self._beat(now)
             self._look_after_peers(now)
         self.settle()
 
+    def _release_when_quiet(self, now: timedelta) -> None:
+        """Hand the lease over once no order of this instance is under way."""
+        if self._release_at is None:
+            return
+        if self.leadership.ordering and now < self._release_at:
+            return
+        self._release_at = None
+        self.lease.stop()
+
     def _set_rank(self) -> None:
         own = rank(LEASE_KEY, self._settings.name)
         others = [rank(LEASE_KEY, name) for name in self.peers.linked()]
@@ -532,3 +595,7 @@
             self.knowledge.offsets(),
             list(astuple(claim)) if claim is not None else [],
         )
+
+
+def _size(record: Record) -> int:
+    return len(record.value or b"")
--- a/packages/ashhoist/src/ashhoist/control/knowledge.py
+++ b/packages/ashhoist/src/ashhoist/control/knowledge.py
@@ -22,10 +22,19 @@
 
 @dataclass(slots=True)
 class _TopicState:
-    """What is known of one topic."""
+    """What is known of one topic.
+
+    Parameters
+    ----------
+    offset : int
+        Of the newest record that has changed something.
+    seen : int
+        How far the topic was read, or told.
+    """
 
     by_key: dict[str, Record] = field(default_factory=dict)
     offset: int = -1
+    seen: int = -1
     read_at: timedelta = ZERO
     behind_since: timedelta | None = None
     pulled_at: timedelta | None = None
@@ -37,24 +46,38 @@
     def __init__(self) -> None:
         self._topics = {topic: _TopicState() for topic in SHARED_TOPICS}
 
+    def offset(self, topic: Topic) -> int:
+        """Return the offset of the newest record that has changed something."""
+        return self._topics[topic].offset
+
+    def seen(self, topic: Topic) -> int:
+        """Return how far a topic was read, or told."""
+        return self._topics[topic].seen
+
+    def see(self, topic: Topic, offset: int) -> None:
+        """Note that a topic was read, or told, up to an offset."""
+        state = self._topics[topic]
+        state.seen = max(state.seen, offset)
+
     def offsets(self) -> dict[str, int]:
-        """Return the newest offset of each topic, for a beat."""
+        """Return the newest offset of each topic at which something changed."""
         return {str(topic): state.offset for topic, state in self._topics.items()}
 
-    def take(self, topic: Topic, record: Record) -> bool:
-        """Take in a record; return whether it is newer than what was known."""
+    def is_news(self, topic: Topic, record: Record) -> bool:
+        """Return whether a record is newer than what is known of its key."""
+        known = self._topics[topic].by_key.get(record.key)
+        return known is None or known.offset < record.offset
+
+    def keep(self, topic: Topic, record: Record) -> None:
+        """Keep a record that has changed something, for those that lack it."""
         state = self._topics[topic]
-        known = state.by_key.get(record.key)
-        if known is not None and known.offset >= record.offset:
-            return False
         state.by_key[record.key] = record
         state.offset = max(state.offset, record.offset)
-        return True
 
-    def reached(self, topic: Topic, end: int, now: timedelta) -> None:
-        """Note that the log was read up to `end`."""
+    def reached(self, topic: Topic, offset: int, now: timedelta) -> None:
+        """Note that the log was read up to an offset."""
+        self.see(topic, offset)
         state = self._topics[topic]
-        state.offset = max(state.offset, end - 1)
         state.read_at = now
         state.behind_since = None
 
@@ -81,7 +104,8 @@
             How far the peer is.
         """
         state = self._topics[topic]
-        if peer_offset <= state.offset:
+        if peer_offset <= state.seen:
+            state.behind_since = None
             return None
         if state.behind_since is None:
             state.behind_since = now
@@ -90,11 +114,7 @@
         if state.pulled_at is not None and now - state.pulled_at < PULL_PAUSE:
             return None
         state.pulled_at = now
-        return state.offset
-
-    def relayed(self, topic: Topic, now: timedelta) -> None:
-        """Note that a peer has told what was lacking."""
-        self._topics[topic].behind_since = None
+        return state.seen
 
     def drop_ended(self, topic: Topic, now_listed: set[str], end: int) -> None:
         """Forget keys that a whole list, as of `end`, does not name."""
--- a/packages/ashhoist/src/ashhoist/control/leadership.py
+++ b/packages/ashhoist/src/ashhoist/control/leadership.py
@@ -76,6 +76,11 @@
         """Return whether this instance schedules now."""
         return self.scheduler is not None
 
+    @property
+    def ordering(self) -> bool:
+        """Return whether an order or report of this instance is under way."""
+        return self.scheduler is not None and self.scheduler.ordering
+
     @property
     def token(self) -> int:
         """Return the token under which this instance schedules, or -1."""
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -52,12 +52,32 @@
     after: int
 
 
+@message(56)
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """The sender has read a record that is too large to be relayed unasked."""
+
+    topic: str
+    offset: int
+
+
 @message(43)
 @dataclass(frozen=True, slots=True)
 class Relay:
-    """Records as the sender has read them: lists of offset, key and value."""
+    """Records as the sender has read them.
+
+    Parameters
+    ----------
+    after, up_to : int
+        The records are all that has changed something behind `after` and up to
+        `up_to`; a receiver that has not seen `after` lacks some.
+    records : list
+        Lists of offset, key and value.
+    """
 
     topic: str
+    after: int
+    up_to: int
     records: list
 
 
--- a/packages/ashhoist/src/ashhoist/control/outside.py
+++ b/packages/ashhoist/src/ashhoist/control/outside.py
@@ -4,6 +4,7 @@
 
 from ..orders import LeaseAction, Order
 from ..placement.scheduler import AskReport
+from ..store import Topic
 from ..types import Endpoint
 
 
@@ -25,6 +26,9 @@
     def lease_call_for(self, peer: str, message: Any) -> None:
         """Make a store call of another instance's lease, and tell it the answer."""
 
+    def read_now(self, topic: Topic) -> None:
+        """Read a topic of the log once, and now."""
+
     def register(self) -> None:
         """Register this instance on the log, and read who else is there."""
 
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -174,6 +174,7 @@
         self._store: StoreCalls
         self._engines: EngineControl
         self._pool: Pool
+        self._read_now: Callable[[Topic], None]
 
     def connect(
         self,
@@ -182,6 +183,7 @@
         store: StoreCalls,
         engines: EngineControl,
         pool: Pool,
+        read_now: Callable[[Topic], None],
     ) -> None:
         """Set what the task works with, once, before it starts."""
         self.core = core
@@ -189,6 +191,7 @@
         self._store = store
         self._engines = engines
         self._pool = pool
+        self._read_now = read_now
 
     def opened(self) -> None:
         """Begin."""
@@ -233,6 +236,10 @@
     def _tell(self, peer: str, message: Any) -> None:
         self._links.send_to(peer, message)
 
+    def read_now(self, topic: Topic) -> None:
+        """Read a topic of the log once, and now."""
+        self._read_now(topic)
+
     def register(self) -> None:
         """Register this instance."""
         self._store.register()
--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -149,6 +149,7 @@
         self._renewed_at: timedelta | None = None
         self._orders_from = ZERO
         self._unsure: AppendClaim | None = None
+        self._resting = False
         self._stopping = False
         self._rank = 0
 
@@ -165,7 +166,7 @@
         now = self._clock.monotonic()
         if claim is None or self._renewed_at is None or not self._mine(claim):
             return None
-        if claim.released or now < self._orders_from:
+        if self._resting or claim.released or now < self._orders_from:
             return None
         until = self._renewed_at + self._timing.term - self._timing.send_margin
         return claim.token if now < until else None
@@ -186,8 +187,13 @@
         """Set how many instances should try to claim before this one."""
         self._rank = rank
 
+    def rest(self) -> None:
+        """Permit no order any more, but keep the lease."""
+        self._resting = True
+
     def stop(self) -> None:
         """Release the lease and claim it no more."""
+        self._resting = True
         self._stopping = True
 
     @property
--- a/packages/ashhoist/src/ashhoist/placement/asks.py
+++ b/packages/ashhoist/src/ashhoist/placement/asks.py
@@ -3,7 +3,6 @@
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 from datetime import timedelta
-from threading import Event
 
 from ..adapter import Adapter
 from ..failures import Reason
@@ -50,8 +49,8 @@
 
     Parameters
     ----------
-    taken_in : threading.Event
-        Set once the holder of the lease has said that the request waits there.
+    taken_in : Future
+        Done once the holder of the lease has said that the request waits there.
     """
 
     id: str
@@ -66,7 +65,7 @@
     may_return: bool
     tried: tuple[str, ...]
     answer: "Future[Target | Refusal]"
-    taken_in: Event = field(default_factory=Event)
+    taken_in: "Future[None]" = field(default_factory=Future)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -142,6 +142,11 @@
             return True
         return any(engine.changing for engine in self.engines.values())
 
+    @property
+    def ordering(self) -> bool:
+        """Return whether an order is under way."""
+        return any(engine.sending is not None for engine in self.engines.values())
+
     # What comes in
 
     def set_upstreams(
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -135,7 +135,12 @@
         store = StoreCalls(
             own, self._open_log, control.send, self._store_calls, logs.get("store")
         )
-        control.connect(core, self._make_links(), store, engines, self.pool)
+        control.connect(
+            core, self._make_links(), store, engines, self.pool, self._read_now
+        )
+
+    def _read_now(self, topic: Topic) -> None:
+        self.followers[topic].poke()
 
     def _make_links(self) -> Links:
         settings = self.settings.instance
@@ -206,23 +211,24 @@
     def _instances(self) -> int:
         return len(self.control.core.peers.by_name) + 1
 
-    def _make_followers(self) -> list[Follower]:
+    def _make_followers(self) -> dict[Topic, Follower]:
         store = self.settings.store
         paces = {
             Topic.CONFIGURATION: Pace(store.configuration_wait, timedelta()),
             Topic.UPSTREAMS: Pace(timedelta(), store.upstreams_pause),
         }
-        return [
-            Follower(
+        return {
+            topic: Follower(
                 topic,
                 self._open_log(),
                 pace,
                 self.control.send,
+                lambda: self.control.core.reads_itself,
                 self.clock,
                 logs.get("store"),
             )
             for topic, pace in paces.items()
-        ]
+        }
 
     # Life
 
@@ -230,7 +236,7 @@
         """Start all tasks."""
         self.links.start(self._tasks)
         self.control.start(self._tasks)
-        for follower in self.followers:
+        for follower in self.followers.values():
             self._tasks.submit(follower.run)
         self._tasks.submit(self.listener.run)
         self.probes.start(self._tasks)
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -155,7 +155,7 @@
         self._send(wanted)
         last = began + (call.limit - began) * HELD_SHARE
         left = self._wait(wanted, min(began + HOLDER_SILENT, last), caller, waker)
-        if left is None and not wanted.answer.done() and not wanted.taken_in.is_set():
+        if left is None and not wanted.answer.done() and not wanted.taken_in.done():
             alone = self._go_alone(call, wanted)
             if alone is not None:
                 return alone
--- a/packages/ashhoist/src/ashhoist/store/follower.py
+++ b/packages/ashhoist/src/ashhoist/store/follower.py
@@ -11,6 +11,7 @@
 
 FIRST_PAUSE = timedelta(milliseconds=250)
 LONGEST_PAUSE = timedelta(seconds=1)
+LOOK_AGAIN = timedelta(milliseconds=200)
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +36,11 @@
 
     Parameters
     ----------
+    end : int
+        Where the topic ended, as the log said.
+    read_to : int
+        The offset of the last record that was really there to read; the log may
+        end behind it without having shown the rest.
     whole : bool
         True if these are the newest of all keys: what is not named has gone.
     """
@@ -42,6 +48,7 @@
     topic: Topic
     records: tuple[Record, ...]
     end: int
+    read_to: int
     whole: bool
 
 
@@ -63,6 +70,8 @@
     ----------
     deliver : callable
         Takes what was read; called from the follower's thread.
+    wanted : callable
+        Returns whether to read now; what others have read may do.
     """
 
     def __init__(
@@ -71,6 +80,7 @@
         log_of_records: SharedLog,
         pace: Pace,
         deliver: Deliver,
+        wanted: Callable[[], bool],
         clock: Clock,
         log: Logger,
     ) -> None:
@@ -83,14 +93,25 @@
         self._next: int | None = None
         self._available: bool | None = None
         self._failures = 0
-        self._stopping = threading.Event()
+        self._wanted = wanted
+        self._stopping = False
+        self._poked = threading.Event()
 
     def run(self) -> None:
         """Follow the topic until `stop`."""
-        while not self._stopping.is_set():
-            self._stopping.wait(self.step().total_seconds())
+        while not self._stopping:
+            poked = self._poked.is_set()
+            self._poked.clear()
+            if self._next is not None and not poked and not self._wanted():
+                self._poked.wait(LOOK_AGAIN.total_seconds())
+                continue
+            self._poked.wait(self.step().total_seconds())
         self._records.close()
 
+    def poke(self) -> None:
+        """Read once, and now."""
+        self._poked.set()
+
     def step(self) -> timedelta:
         """Make one call; return how long to pause before the next."""
         if self._next is None:
@@ -113,14 +134,16 @@
         self._answered()
         assert isinstance(result, Newest)
         self._next = result.end
-        self._deliver(Followed(self._topic, result.records, result.end, True))
+        read_to = max((record.offset for record in result.records), default=-1)
+        self._deliver(Followed(self._topic, result.records, result.end, read_to, True))
         return self._pace.pause
 
     def _take(self, result: Records) -> None:
-        if not result.records:
-            return
-        self._next = result.records[-1].offset + 1
-        self._deliver(Followed(self._topic, result.records, result.end, False))
+        if result.records:
+            self._next = result.records[-1].offset + 1
+        assert self._next is not None
+        read_to = self._next - 1
+        self._deliver(Followed(self._topic, result.records, result.end, read_to, False))
 
     def _failed(self, result: Unavailable) -> timedelta:
         self._failures += 1
@@ -139,4 +162,5 @@
 
     def stop(self) -> None:
         """End after the call under way."""
-        self._stopping.set()
+        self._stopping = True
+        self._poked.set()
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -93,6 +93,7 @@
     frozen: bool = False
     store_cut: bool = False
     links_cut: bool = False
+    loses_appends: bool = False
     lives: int = 0
     waiting: list[Callable[[], None]] = field(default_factory=list)
 
@@ -120,6 +121,9 @@
     def lease_call_for(self, peer: str, message: Any) -> None:
         self._world.lease_call_for(self._machine, peer, message)
 
+    def read_now(self, topic: Topic) -> None:
+        self._world.read_now(self._machine, topic)
+
     def register(self) -> None:
         self._world.register(self._machine)
 
@@ -166,6 +170,9 @@
         }
         self.engines: dict[str, EngineState] = {}
         self.seen: list[OrderSeen] = []
+        self.reads = 0
+        self.deaf = False
+        self.patience_s = PATIENCE_S
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._links: set[tuple[str, str]] = set()
@@ -391,15 +398,27 @@
     ) -> None:
         def step() -> None:
             following = start
-            if self._reaches_store(machine):
+            if self._reaches_store(machine) and (core.reads_itself or start is None):
                 followed = self._read(topic, start)
                 core.followed(followed)
-                following = followed.end
+                following = followed.read_to + 1
             self.after(0.4, lambda: self._follow(machine, core, topic, following))
 
         self._do(machine, core, step)
 
+    def read_now(self, machine: Machine, topic: Topic) -> None:
+        """Read a topic once more, soon."""
+        core = machine.core
+        assert core is not None
+
+        def step() -> None:
+            if self._reaches_store(machine):
+                core.followed(self._read(topic, None))
+
+        self.after(STORE_S, lambda: self._do(machine, core, step))
+
     def _read(self, topic: Topic, start: int | None) -> Followed:
+        self.reads += 1
         found = self.log.topics[topic]
         records = None if start is None else self.log.read(topic, start)
         if records is None or start is None:
@@ -407,12 +426,15 @@
                 Record(offset, key, value)
                 for key, (offset, value) in found.newest.items()
             )
-            return Followed(topic, newest, found.end, True)
+            read_to = max((record.offset for record in newest), default=-1)
+            return Followed(topic, newest, found.end, read_to, True)
         numbered = tuple(
             Record(start + index, key, value)
             for index, (key, value) in enumerate(records)
         )
-        return Followed(topic, numbered, found.end, False)
+        if self.deaf:
+            return Followed(topic, (), found.end, start - 1, False)
+        return Followed(topic, numbered, found.end, found.end - 1, False)
 
     def register(self, machine: Machine) -> None:
         """Register a machine and tell it who is there."""
@@ -478,12 +500,12 @@
         if self.late_appends:
             self.late_appends -= 1
             self.after(2.0, lambda: self._append_action(action))
-            self._answer_lease(machine, core, action, Unknown("lost"), PATIENCE_S)
+            self._answer_lease(machine, core, action, Unknown("lost"), self.patience_s)
             return
         result = self._append_action(action)
-        if self.lose_appends:
-            self.lose_appends -= 1
-            self._answer_lease(machine, core, action, Unknown("lost"), PATIENCE_S)
+        if machine.loses_appends or self.lose_appends:
+            self.lose_appends = max(self.lose_appends - 1, 0)
+            self._answer_lease(machine, core, action, Unknown("lost"), self.patience_s)
             return
         self._answer_lease(machine, core, action, result, STORE_S)
 
--- /dev/null
+++ b/tests/test_knowledge.py
@@ -0,0 +1,151 @@
+"""What instances know of the log, read by few and told to the others."""
+
+import unittest
+
+from ashhoist.control.messages import Relay
+from ashhoist.store import Topic
+from ashhoist.upstreams import UpstreamState
+
+from .control_world import World
+from .test_leases import started
+
+
+def versions(world: World) -> set[int]:
+    """Return the configuration versions that are in force anywhere."""
+    return {
+        machine.core._in_force.version
+        for machine in world.machines.values()
+        if machine.core is not None
+    }
+
+
+def states(world: World, engine: str) -> set[UpstreamState | None]:
+    """Return what machines believe of an engine."""
+    found: set[UpstreamState | None] = set()
+    for machine in world.machines.values():
+        if machine.core is None:
+            continue
+        upstream = machine.core._directory.view.by_id.get(engine)
+        found.add(None if upstream is None else upstream.state)
+    return found
+
+
+class KnowledgeTests(unittest.TestCase):
+    def test_a_change_is_in_force_everywhere_soon(self) -> None:
+        world = started(6)
+        world.put_configuration(2)
+        world.run(0.6)
+        self.assertEqual(versions(world), {2})
+
+    def test_an_upstream_that_leaves_is_known_everywhere_soon(self) -> None:
+        world = started(6)
+        world.write_engine("engine-0", UpstreamState.DRAINING)
+        world.run(0.6)
+        self.assertEqual(states(world, "engine-0"), {UpstreamState.DRAINING})
+        world.end_engine("engine-0")
+        world.run(0.6)
+        self.assertEqual(states(world, "engine-0"), {None})
+
+    def test_two_instances_read_while_all_is_well(self) -> None:
+        world = started(8)
+        world.run(2.0)
+        before = world.reads
+        world.run(10.0)
+        # Two topics, each read every 0.4 s by two instances.
+        self.assertLess(world.reads - before, 120)
+
+    def test_a_restart_makes_nobody_read_more(self) -> None:
+        world = started(8)
+        world.write_engine("engine-0")
+        other = next(name for name in world.machines if name not in world.leaders())
+        world.kill(other)
+        world.start(other)
+        world.run(3.0)
+        before = world.reads
+        world.run(10.0)
+        self.assertLess(world.reads - before, 120)
+
+    def test_where_the_store_turns_machines_away_the_others_tell(self) -> None:
+        for away in range(1, 6):
+            with self.subTest(away=away):
+                world = started(6)
+                names = world.leaders() + [
+                    name for name in world.machines if name not in world.leaders()
+                ]
+                for name in names[:away]:
+                    world.machines[name].store_cut = True
+                world.run(3.0)
+                world.put_configuration(5)
+                world.write_engine("engine-0", UpstreamState.DRAINING)
+                world.run(1.9)
+                self.assertEqual(versions(world), {5})
+                self.assertEqual(states(world, "engine-0"), {UpstreamState.DRAINING})
+
+    def test_lost_readers_cost_little_more_than_a_second(self) -> None:
+        world = started(6)
+        world.run(2.0)
+        readers = [
+            name
+            for name, machine in world.machines.items()
+            if machine.core is not None and machine.core.reads_itself
+        ]
+        self.assertLessEqual(len(readers), 2)
+        for name in readers:
+            world.freeze(name, 30.0)
+        world.put_configuration(3)
+        world.run(1.9)
+        awake = [
+            machine.core._in_force.version
+            for machine in world.machines.values()
+            if machine.core is not None and not machine.frozen
+        ]
+        self.assertEqual(set(awake), {3})
+
+    def test_what_the_log_did_not_show_is_told_by_the_others(self) -> None:
+        # For a while reads show nothing new, but say that the log has grown.
+        world = started(6)
+        world.deaf = True
+        world.put_configuration(2)
+        world.run(1.0)
+        self.assertNotIn(2, versions(world))
+        world.deaf = False
+        for topic in (Topic.CONFIGURATION, Topic.UPSTREAMS):
+            world.log.forget_history(topic)
+        world.run(1.5)
+        self.assertEqual(versions(world), {2})
+
+    def test_a_record_that_is_told_hides_no_gap_before_it(self) -> None:
+        world = started(2)
+        core = world.machines["instance-0"].core
+        assert core is not None
+        seen = core.knowledge.seen(Topic.CONFIGURATION)
+        row = [seen + 5, "version/a1", b"x"]
+        relay = Relay(str(Topic.CONFIGURATION), seen + 4, seen + 5, [row])
+        core.peer_message("instance-1", relay)
+        self.assertEqual(core.knowledge.seen(Topic.CONFIGURATION), seen)
+        row = [seen + 1, "version/a2", b"x"]
+        relay = Relay(str(Topic.CONFIGURATION), seen, seen + 1, [row])
+        core.peer_message("instance-1", relay)
+        self.assertEqual(core.knowledge.seen(Topic.CONFIGURATION), seen + 1)
+
+    def test_nothing_goes_back_whoever_tells_it(self) -> None:
+        world = started(3)
+        world.put_configuration(9)
+        world.run(1.0)
+        world.put_configuration(4)
+        world.run(2.0)
+        self.assertEqual(versions(world), {9})
+
+    def test_an_instance_that_starts_while_the_store_is_down_is_told(self) -> None:
+        world = started(3)
+        world.store_down = True
+        world.kill("instance-2")
+        world.start("instance-2")
+        world.run(4.0)
+        core = world.machines["instance-2"].core
+        assert core is not None
+        self.assertTrue(core.ready)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -166,6 +166,29 @@
         self.assertTrue(world.run(1.5, lambda: answer.done()))
         self.assert_sound(world)
 
+    def test_a_planned_stop_orders_nothing_once_it_has_asked_for_release(self) -> None:
+        # The answer to the release is lost, and an instance that starts just then
+        # reads of it before the one that stops does.
+        for when in range(6):
+            with self.subTest(when=when):
+                world = started(3, 1)
+                [first] = world.leaders()
+                other = next(name for name in world.machines if name != first)
+                core = world.machines[first].core
+                assert core is not None
+                world.kill(other)
+                core.stop()
+                world.machines[first].loses_appends = True
+                world.patience_s = 1.5
+                for number in range(100):
+                    if number == 20 + 5 * when:
+                        world.start(other)
+                    for name, machine in world.machines.items():
+                        if machine.core is not None:
+                            want(world, name, f"a{number}")
+                    world.run(0.02)
+                self.assert_sound(world)
+
     def test_a_lost_answer_to_a_renewal_keeps_the_lease(self) -> None:
         world = started()
         before = world.leaders()
