--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -16,7 +16,7 @@
 from ..orders.order import EngineReport, Order, OrderAnswer, OrderKind
 from ..routing import EngineSettings
 from ..upstreams import Upstream
-from .engine import MOST_COMING, Engine, EngineNews, PlaceState
+from .engine import COLD_LOAD, MOST_COMING, WARM_LOAD, Engine, EngineNews, PlaceState
 from .models import ModelLoads
 from .popularity import Popularity
 from .residency import Residency
@@ -28,6 +28,9 @@
 FULL_COST = 0.1
 COLD_COST = 0.9
 """What a load from the weight store costs, told as seconds of waiting."""
+LOAD_PRICE = 0.74
+"""Of a load from the weight store, in what answers are worth."""
+FIRST_TOKEN = timedelta(milliseconds=350)
 SOON_ENOUGH = timedelta(milliseconds=550)
 WORTH_A_LOAD = timedelta(milliseconds=250)
 """By so much sooner an engine must begin that loads the adapter for it."""
@@ -367,7 +370,7 @@
         self._bring_models(fence)
         waiting = sorted(
             (wanted for wanted in self.wants.adapters() if wanted.adapter.name),
-            key=lambda wanted: wanted.worth(now, timedelta(milliseconds=300)),
+            key=lambda wanted: self._gain(wanted, now),
             reverse=True,
         )
         for wanted in waiting:
@@ -419,6 +422,16 @@
             engine = self.engines[choice.upstream]
             self._load(engine, Adapter(choice.model), 0, fence)
 
+    def _gain(self, wanted: WantedAdapter, now: timedelta) -> float:
+        """Return what a wanted adapter earns for each second until it answers."""
+        cold = not any(
+            engine.has_copy(wanted.adapter, wanted.oldest_version)
+            for engine in self.engines.values()
+        )
+        until_answered = (COLD_LOAD if cold else WARM_LOAD) + FIRST_TOKEN
+        worth = wanted.worth(now, until_answered) - (LOAD_PRICE if cold else 0.0)
+        return worth / until_answered.total_seconds()
+
     def _bring(self, wanted: WantedAdapter, fence: int, now: timedelta) -> None:
         """Load a wanted adapter, or make room for it."""
         if self._on_its_way(wanted, now):
