A lease for each zone; the leader is elected by beats

Change: orders to a zone's engines come from the holder of that zone's lease (9 s, renewed every 2.5 s, held by an instance of the zone where there is one); who schedules is elected by beats and needs no exclusive right, as each order is valid only at the engine's order count. A lost order that is refused on its second sending has the engine read back (found by the test: with two that schedule, the count may have moved by another's order, and an engine got one adapter too many). Each lease has a connection of its own (two threads shared one, and lost answers).

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -18,7 +18,6 @@
     AppendClaim,
     Claim,
     EngineReport,
-    Lease,
     LeaseTiming,
     Order,
     OrderAnswer,
@@ -33,6 +32,7 @@
     UseStarted,
     Wanted,
 )
+from ..routing import ServingConfiguration
 from ..routing.in_force import InForce
 from ..store import AppendResult, Newest, Record, Topic, Unavailable
 from ..store.follower import Followed, FollowerState
@@ -41,18 +41,19 @@
 from . import messages
 from .agent import Agent
 from .changes import Change, ConfigurationPut, UpstreamEnded, UpstreamPut, VersionNamed
+from .election import Election
 from .knowledge import SHARED_TOPICS, Knowledge
-from .leadership import Leadership, reason_of
-from .lease_calls import LeaseCalls
+from .order_desk import OrderDesk
+from .order_leases import OrderLeases
 from .outside import Outside
-from .peers import InstanceRecord, Peers, rank
+from .peers import InstanceRecord, Peers
 from .readers import Readers
+from .scheduling import Scheduling, reason_of
 
 BEAT_EVERY = timedelta(milliseconds=500)
 LAST_ORDERS = timedelta(milliseconds=600)
 """How long a planned stop waits for answers to its last orders."""
 READS_LOG_FOR = timedelta(milliseconds=1500)
-LEASE_KEY = "orders"
 MOST_PUSHED = 2048
 """Bytes of records that are told to others unasked."""
 
@@ -98,14 +99,26 @@
         self._metrics = metrics
         self._log = log
         holder = f"{settings.name}@{settings.address}"
-        self.lease = Lease(LEASE_KEY, holder, settings.life, settings.lease, clock)
         self.knowledge = Knowledge()
         self.peers = Peers(settings.name)
         self.agent = Agent(settings.zone)
-        self.leadership = Leadership(
+        self.leases = OrderLeases(
             settings.name,
+            settings.zone,
             holder,
-            self.lease,
+            settings.life,
+            settings.lease,
+            self.peers,
+            outside,
+            clock,
+            log,
+        )
+        self.desk = OrderDesk(
+            settings.name, holder, self.leases, self.peers, outside, clock
+        )
+        self.scheduling = Scheduling(
+            self.desk.reaches,
+            self._order,
             directory,
             residency,
             outside,
@@ -115,12 +128,9 @@
             metrics,
             log,
         )
-        self._seeds = settings.seeds
-        self._lease_calls = LeaseCalls(
-            self.lease, self.peers, outside, self._follow_lease, clock, log
-        )
+        self._election = Election(settings.name, self.peers, clock)
         self.leader: str | None = None
-        self._leader_token = -1
+        self._seeds = settings.seeds
         self._listed = False
         self.stopping = False
         self._release_at: timedelta | None = None
@@ -138,7 +148,7 @@
     @property
     def settled(self) -> bool:
         """Return whether a planned stop has handed everything over."""
-        return self.stopping and self._release_at is None and self.lease.released
+        return self.stopping and self._release_at is None and not self.leases.held
 
     # Start and stop
 
@@ -151,7 +161,7 @@
         """Begin a planned stop."""
         now = self._clock.monotonic()
         self.stopping = True
-        self.lease.rest()
+        self.leases.rest()
         self._release_at = now + LAST_ORDERS
         self._outside.unregister()
         self._beat(now)
@@ -199,7 +209,7 @@
             listed = {record.key for record in followed.records}
             self._drop_unlisted(topic, listed, followed.end)
         self.knowledge.reached(topic, followed.read_to, now)
-        self._lease_calls.log_answers()
+        self.leases.log_answers()
         if topic is Topic.UPSTREAMS:
             self._listed = True
             self._apply_upstreams()
@@ -289,29 +299,36 @@
         return True
 
     def _apply_upstreams(self) -> None:
+        configuration = self._configuration()
+        if configuration is None:
+            return
+        self.scheduling.set_upstreams(configuration)
+        services = configuration.engine_services()
+        self.leases.follow(
+            {
+                upstream.zone
+                for name in services
+                for upstream in self._directory.view.of(name)
+            }
+        )
+
+    def _configuration(self) -> ServingConfiguration | None:
         table = self._in_force.table
-        self.leadership.set_upstreams(None if table is None else table.configuration)
+        return None if table is None else table.configuration
 
-    # The lease
+    # The leases
 
-    def lease_read(self, result: Newest | Unavailable) -> None:
-        """Take in the newest claims."""
-        self._lease_calls.read(result)
+    def lease_read(self, zone: str, result: Newest | Unavailable) -> None:
+        """Take in a zone's newest claims."""
+        self.leases.read(zone, result)
 
     def lease_appended(self, action: AppendClaim, result: AppendResult) -> None:
         """Take in how a claim's append ended."""
-        self._lease_calls.appended(action, result)
-
-    def _follow_lease(self) -> None:
-        table = self._in_force.table
-        before = self.leadership.leads
-        self.leadership.follow_lease(None if table is None else table.configuration)
-        if not before or self.leadership.leads:
-            return
-        if self.leader == self._settings.name:
-            self.leader = None
-        # Whoever is next need not wait for the next beat to know.
-        self._beat(self._clock.monotonic())
+        before = len(self.leases.held)
+        self.leases.appended(action, result)
+        if len(self.leases.held) != before:
+            # Whoever schedules need not wait for the next beat to know.
+            self._beat(self._clock.monotonic())
 
     # Links
 
@@ -323,16 +340,15 @@
         own = self._settings
         self._outside.send_to(peer, messages.Introduce(own.name, own.zone, own.address))
         self._outside.send_to(peer, self._own_beat())
-        self.leadership.introduce(peer)
+        self.scheduling.introduce(peer)
         self._relink()
 
     def peer_down(self, peer: str) -> None:
         """Take in that a link is gone."""
         self.peers.down(peer, self._clock.monotonic())
         self._log.info("instance lost", peer=peer)
-        self.leadership.instance_gone(peer)
-        if self.leader == peer:
-            self.leader = None
+        self.scheduling.instance_gone(peer)
+        self._elect()
         self._relink()
 
     def peer_message(self, peer: str, message: Any) -> None:
@@ -350,12 +366,10 @@
     def _beaten(self, peer: str, beat: messages.Beat) -> None:
         now = self._clock.monotonic()
         self.peers.beat(peer, beat, now)
-        if beat.claim:
-            self.lease.heard(Claim(*beat.claim))
-        if beat.leading >= 0 and self.leader != peer:
-            self._led(peer, messages.Leading(beat.leading))
-        elif beat.leading < 0 and self.leader == peer:
-            self.leader = None
+        for row in beat.claims:
+            self.leases.heard(Claim(*row))
+        self.scheduling.heard(beat.epoch)
+        self._elect()
         for topic in SHARED_TOPICS:
             self._catch_up(peer, topic, beat.offsets.get(str(topic), -1))
 
@@ -397,41 +411,42 @@
             self._listed = True
             self._apply_upstreams()
 
-    def _led(self, peer: str, message: messages.Leading) -> None:
-        if message.token < self._leader_token:
-            return
-        fresh = self.leader != peer or message.token != self._leader_token
-        self._leader_token = message.token
-        self.leader = peer
-        if not fresh:
-            return
-        self._log.info("orders come from", peer=peer, token=message.token)
-        self._tell(peer, self.agent.all_uses())
-        now = self._clock.monotonic()
-        for wanted in self.agent.open.values():
-            self._tell(peer, self.agent.ask(wanted, now))
-
     def _held(self, peer: str, holds: messages.Holds) -> None:
         held = {Adapter(model, name): int(v) for model, name, v in holds.adapters}
-        self._residency.put(holds.token, holds.upstream, held)
+        self._residency.put(holds.epoch, holds.upstream, held)
 
     def _asked_for_lease(self, peer: str, message: Any) -> None:
         self._outside.lease_call_for(peer, message)
 
     def _claims_read(self, peer: str, message: messages.ClaimsRead) -> None:
-        self._lease_calls.claims_read(peer, message)
+        calls = self.leases.of_zone(message.zone)
+        if calls is not None:
+            calls.claims_read(peer, message)
 
     def _claim_appended(self, peer: str, message: messages.ClaimAppended) -> None:
-        self._lease_calls.claim_appended(peer, message)
+        calls = self.leases.of_zone(message.zone)
+        if calls is not None:
+            calls.claim_appended(peer, message)
+
+    def _carry(self, peer: str, message: messages.Carry) -> None:
+        self.desk.carry(peer, message)
+
+    def _carried(self, peer: str, message: messages.Carried) -> None:
+        answer = OrderAnswer(message.answer)
+        self.scheduling.answered(message.upstream, message.number, answer)
 
     def _asked(self, peer: str, ask: messages.Ask) -> None:
-        self.leadership.asked(peer, ask)
+        if not self.scheduling.leads:
+            # The asker knows no better yet; it hears of the leader with a beat.
+            self._outside.send_to(peer, self._own_beat())
+            return
+        self.scheduling.asked(peer, ask)
 
     def _withdrawn(self, peer: str, message: messages.Withdraw) -> None:
-        self.leadership.withdrawn(message.id)
+        self.scheduling.withdrawn(message.id)
 
     def _used(self, peer: str, uses: messages.Uses) -> None:
-        self.leadership.used(peer, uses)
+        self.scheduling.used(peer, uses)
 
     def _granted(self, peer: str, granted: messages.Granted) -> None:
         wanted = self.agent.open.pop(granted.id, None)
@@ -471,7 +486,6 @@
         messages.Announce: _announced,
         messages.Pull: _pulled,
         messages.Relay: _relayed,
-        messages.Leading: _led,
         messages.Holds: _held,
         messages.Ask: _asked,
         messages.Withdraw: _withdrawn,
@@ -483,6 +497,8 @@
         messages.AppendClaimFor: _asked_for_lease,
         messages.ClaimsRead: _claims_read,
         messages.ClaimAppended: _claim_appended,
+        messages.Carry: _carry,
+        messages.Carried: _carried,
     }
 
     def _tell(self, instance: str, message: Any) -> None:
@@ -522,15 +538,47 @@
         """Count the end of a use."""
         self.agent.ended(use)
 
+    # Who schedules
+
+    def _elect(self) -> None:
+        """Follow the leader, or be it."""
+        leader = self._election.choose(self.scheduling.leads, self.stopping)
+        own = self._settings.name
+        if leader == own and not self.scheduling.leads:
+            self.scheduling.begin(self._configuration())
+            self._beat(self._clock.monotonic())
+        if leader != own:
+            self.scheduling.end()
+        if leader == self.leader:
+            return
+        self.leader = leader
+        self._log.info("leader changed", leader=leader)
+        self._relink()
+        if leader is None:
+            return
+        self._tell(leader, self.agent.all_uses())
+        now = self._clock.monotonic()
+        for wanted in self.agent.open.values():
+            self._tell(leader, self.agent.ask(wanted, now))
+
+    def _order(self, order: Order) -> None:
+        answer = self.desk.send(order)
+        if answer is not None:
+            self.scheduling.answered(order.upstream, order.number, answer)
+
     # Engines
 
     def order_answered(self, order: Order, answer: OrderAnswer) -> None:
         """Take in how an order ended."""
-        self.leadership.answered(order, answer)
+        self.desk.ended()
+        if order.origin == self._settings.name:
+            self.scheduling.answered(order.upstream, order.number, answer)
+            return
+        self.desk.answered(order, answer)
 
     def reported(self, upstream: str, report: EngineReport | None) -> None:
         """Take in what an engine holds."""
-        self.leadership.reported(upstream, report)
+        self.scheduling.reported(upstream, report)
 
     # Time
 
@@ -539,16 +587,15 @@
         uses = self.agent.uses()
         if uses is not None and self.leader is not None:
             self._tell(self.leader, uses)
-        self.leadership.plan()
+        self.scheduling.plan()
 
     def tick(self) -> None:
         """Do what is due by time."""
         now = self._clock.monotonic()
-        self._follow_lease()
-        self._set_rank()
         self._release_when_quiet(now)
+        self._elect()
         self.reads_itself = self._readers.reads_itself(self.leader)
-        self._lease_calls.step()
+        self.leases.step()
         if now - self._beat_at >= BEAT_EVERY:
             self._beat(now)
             self._look_after_peers(now)
@@ -558,15 +605,10 @@
         """Hand the lease over once no order of this instance is under way."""
         if self._release_at is None:
             return
-        if self.leadership.ordering and now < self._release_at:
+        if not self.desk.quiet and now < self._release_at:
             return
         self._release_at = None
-        self.lease.stop()
-
-    def _set_rank(self) -> None:
-        own = rank(LEASE_KEY, self._settings.name)
-        others = [rank(LEASE_KEY, name) for name in self.peers.linked()]
-        self.lease.set_rank(sum(other < own for other in others))
+        self.leases.stop()
 
     def _look_after_peers(self, now: timedelta) -> None:
         for peer in self.peers.silent(now):
@@ -586,14 +628,14 @@
         return self._listed and age < READS_LOG_FOR
 
     def _own_beat(self) -> messages.Beat:
-        claim = self.lease.claim
         return messages.Beat(
             self.stopping,
             self._reads_log(),
-            self.leadership.token,
+            self.scheduling.leads,
+            self.scheduling.epoch,
             self._in_force.version,
             self.knowledge.offsets(),
-            list(astuple(claim)) if claim is not None else [],
+            [list(astuple(claim)) for claim in self.leases.claims()],
         )
 
 
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/control/election.py
@@ -0,0 +1,65 @@
+"""Who schedules: the instance with the lowest rank among those heard of lately.
+
+Scheduling needs no exclusive right: orders go through the holder of a zone's
+lease, and each names the count at which alone it is valid. So two instances that
+schedule at once, on the two sides of a cut or for a moment, do no harm, and no
+store is needed to follow one that is lost.
+"""
+
+from datetime import timedelta
+
+from ..clock import Clock
+from .peers import Peers, rank
+
+FRESH = timedelta(milliseconds=1200)
+"""A beat older than this says nothing any more."""
+FIRST_PATIENCE = timedelta(milliseconds=400)
+"""How long an instance that has just started listens before it leads."""
+KEY = "leader"
+
+
+class Election:
+    """Chooses the leader as one instance sees it.
+
+    Parameters
+    ----------
+    own : str
+        This instance's name.
+    """
+
+    def __init__(self, own: str, peers: Peers, clock: Clock) -> None:
+        self._own = own
+        self._peers = peers
+        self._clock = clock
+        self._began = clock.monotonic()
+
+    def choose(self, leads: bool, stopping: bool) -> str | None:
+        """Return the leader, or None if nobody can be it yet.
+
+        Parameters
+        ----------
+        leads, stopping : bool
+            What this instance does now.
+        """
+        fresh = self._peers.fresh(FRESH, self._clock.monotonic())
+        candidates = [peer for peer in fresh if not peer.stops]
+        leading = [peer.name for peer in candidates if peer.leads]
+        if leads and not stopping:
+            leading.append(self._own)
+        if leading:
+            return self._lowest(leading)
+        names = [peer.name for peer in candidates]
+        if not stopping:
+            names.append(self._own)
+        if not names:
+            return None
+        lowest = self._lowest(names)
+        if lowest == self._own and self._is_new():
+            return None
+        return lowest
+
+    def _lowest(self, names: list[str]) -> str:
+        return min(names, key=lambda name: rank(KEY, name))
+
+    def _is_new(self) -> bool:
+        return self._clock.monotonic() - self._began < FIRST_PATIENCE
--- a/packages/ashhoist/src/ashhoist/control/engines.py
+++ b/packages/ashhoist/src/ashhoist/control/engines.py
@@ -32,6 +32,14 @@
     report: EngineReport | None
 
 
+@dataclass(frozen=True, slots=True)
+class _Line:
+    """A connection to one engine, and whose turn it is on it."""
+
+    client: Client
+    turn: threading.Lock
+
+
 class EngineProtocol(Protocol):
     """How orders and reports are spoken; a platform gives it."""
 
@@ -70,7 +78,7 @@
         self._executor = executor
         self._clock = clock
         self._lock = threading.Lock()
-        self._clients: dict[str, Client] = {}
+        self._lines: dict[str, _Line] = {}
 
     def order(self, order: Order) -> None:
         """Send an order; the result comes as `OrderDone`."""
@@ -78,9 +86,10 @@
 
     def _order(self, order: Order) -> None:
         answer = OrderAnswer.NOT_SENT
-        client = self._client(order.upstream, order.address)
-        if self._may_order(order):
-            answer = self._protocol.order(client, order, ORDER_PATIENCE)
+        line = self._line(order.upstream, order.address)
+        with line.turn:
+            if self._may_order(order):
+                answer = self._protocol.order(line.client, order, ORDER_PATIENCE)
         self._send(OrderDone(order, answer))
 
     def report(self, request: AskReport) -> None:
@@ -88,20 +97,24 @@
         self._executor.submit(self._report, request)
 
     def _report(self, request: AskReport) -> None:
-        client = self._client(request.upstream, request.address)
-        report = self._protocol.report(client, request.upstream, REPORT_PATIENCE)
+        line = self._line(request.upstream, request.address)
+        with line.turn:
+            report = self._protocol.report(
+                line.client, request.upstream, REPORT_PATIENCE
+            )
         self._send(ReportDone(request.upstream, report))
 
-    def _client(self, upstream: str, address: str) -> Client:
+    def _line(self, upstream: str, address: str) -> "_Line":
         with self._lock:
-            client = self._clients.get(upstream)
-            if client is None:
-                client = self._clients[upstream] = Client(address, self._clock)
-            return client
+            line = self._lines.get(upstream)
+            if line is None:
+                line = _Line(Client(address, self._clock), threading.Lock())
+                self._lines[upstream] = line
+            return line
 
     def forget(self, upstream: str) -> None:
         """Close the connection to an engine that has gone."""
         with self._lock:
-            client = self._clients.pop(upstream, None)
-        if client is not None:
-            client.close()
+            line = self._lines.pop(upstream, None)
+        if line is not None:
+            line.client.close()
--- a/packages/ashhoist/src/ashhoist/control/lease_calls.py
+++ b/packages/ashhoist/src/ashhoist/control/lease_calls.py
@@ -56,6 +56,7 @@
 
     def __init__(
         self,
+        zone: str,
         lease: Lease,
         peers: Peers,
         outside: Outside,
@@ -63,6 +64,7 @@
         clock: Clock,
         log: Logger,
     ) -> None:
+        self._zone = zone
         self._lease = lease
         self._peers = peers
         self._outside = outside
@@ -107,13 +109,13 @@
         self._numbers += 1
         number = self._numbers
         self._asked = _Asked(number, action, peer, now + PATIENCE)
-        message: Any = messages.ReadClaimsFor(number)
+        message: Any = messages.ReadClaimsFor(self._zone, number)
         if isinstance(action, AppendClaim):
-            claim = action.claim
-            message = messages.AppendClaimFor(
-                number, claim.key, claim.encode(), action.at
-            )
-        self._log.info("lease call through a peer", peer=peer, call=_name(action))
+            value = action.claim.encode()
+            message = messages.AppendClaimFor(self._zone, number, value, action.at)
+        self._log.info(
+            "lease call through a peer", zone=self._zone, peer=peer, call=_name(action)
+        )
         self._outside.send_to(peer, message)
 
     def _give_up(self, asked: _Asked) -> None:
@@ -177,22 +179,27 @@
         self._done()
 
 
-def read_answer(number: int, result: Newest | Unavailable) -> messages.ClaimsRead:
+def read_answer(
+    asked: messages.ReadClaimsFor, result: Newest | Unavailable
+) -> messages.ClaimsRead:
     """Return what to tell an instance that claims were read for."""
     if isinstance(result, Unavailable):
-        return messages.ClaimsRead(number, -1, [])
+        return messages.ClaimsRead(asked.zone, asked.number, -1, [])
     rows = [[record.offset, record.key, record.value] for record in result.records]
-    return messages.ClaimsRead(number, result.end, rows)
+    return messages.ClaimsRead(asked.zone, asked.number, result.end, rows)
 
 
-def append_answer(number: int, result: AppendResult) -> messages.ClaimAppended:
+def append_answer(
+    asked: messages.AppendClaimFor, result: AppendResult
+) -> messages.ClaimAppended:
     """Return what to tell an instance that a claim was appended for."""
+    zone, number = asked.zone, asked.number
     if isinstance(result, Appended):
-        return messages.ClaimAppended(number, APPENDED, result.offset)
+        return messages.ClaimAppended(zone, number, APPENDED, result.offset)
     if isinstance(result, ConditionFailed):
-        return messages.ClaimAppended(number, CONDITION, result.end)
+        return messages.ClaimAppended(zone, number, CONDITION, result.end)
     kind = UNAVAILABLE if isinstance(result, Unavailable) else UNKNOWN
-    return messages.ClaimAppended(number, kind, 0)
+    return messages.ClaimAppended(zone, number, kind, 0)
 
 
 def _result(message: messages.ClaimAppended) -> AppendResult:
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -28,19 +28,22 @@
         Version in force at the sender.
     offsets : dict
         By topic, the offset of the newest record that the sender knows.
-    leading : int
-        The token of the lease that the sender holds, or -1.
-    claim : list
-        The newest claim it knows: key, holder, life, fence, offset, released,
-        before; empty if it knows none.
+    leads : bool
+        Whether the sender schedules.
+    epoch : int
+        Rises with each instance that begins to schedule.
+    claims : list
+        The newest claims it knows, as lists: key, holder, life, fence, offset,
+        released, before.
     """
 
     stopping: bool
     reads_log: bool
-    leading: int
+    leads: bool
+    epoch: int
     configuration: int
     offsets: dict
-    claim: list
+    claims: list
 
 
 @message(42)
@@ -81,20 +84,12 @@
     records: list
 
 
-@message(44)
-@dataclass(frozen=True, slots=True)
-class Leading:
-    """The sender holds the lease on orders."""
-
-    token: int
-
-
 @message(45)
 @dataclass(frozen=True, slots=True)
 class Holds:
     """All adapters that an engine serves: lists of model, name, version."""
 
-    token: int
+    epoch: int
     upstream: str
     adapters: list
 
@@ -194,18 +189,19 @@
 @message(51)
 @dataclass(frozen=True, slots=True)
 class ReadClaimsFor:
-    """Read the newest claims for the sender, whom the log turns away."""
+    """Read a zone's newest claims for the sender, whom the log turns away."""
 
+    zone: str
     number: int
 
 
 @message(52)
 @dataclass(frozen=True, slots=True)
 class AppendClaimFor:
-    """Append a claim for the sender, only where the topic ends at `at`."""
+    """Append a claim for the sender, only where its partition ends at `at`."""
 
+    zone: str
     number: int
-    key: str
     value: bytes
     at: int
 
@@ -218,9 +214,10 @@
     Parameters
     ----------
     end : int
-        Where the topic ended; -1 if the log did not answer.
+        Where the partition ended; -1 if the log did not answer.
     """
 
+    zone: str
     number: int
     end: int
     records: list
@@ -236,9 +233,42 @@
     result : str
         ``appended``, ``condition``, ``unavailable`` or ``unknown``.
     value : int
-        The offset of the record, or where the topic ended.
+        The offset of the record, or where the partition ended.
     """
 
+    zone: str
     number: int
     result: str
     value: int
+
+
+@message(57)
+@dataclass(frozen=True, slots=True)
+class Carry:
+    """An order for an engine whose zone's lease the receiver holds.
+
+    Parameters
+    ----------
+    version : int
+        Of the adapter; 0 asks for the newest.
+    """
+
+    number: int
+    upstream: str
+    address: str
+    zone: str
+    kind: str
+    model: str
+    name: str
+    expected: int
+    version: int
+
+
+@message(58)
+@dataclass(frozen=True, slots=True)
+class Carried:
+    """How an order ended that the receiver had asked for."""
+
+    number: int
+    upstream: str
+    answer: str
--- a/packages/ashhoist/src/ashhoist/control/peers.py
+++ b/packages/ashhoist/src/ashhoist/control/peers.py
@@ -27,6 +27,22 @@
     lost_at: timedelta | None = None
     beat: Beat | None = None
 
+    @property
+    def stops(self) -> bool:
+        """Return whether it has said that it stops."""
+        return self.beat is not None and self.beat.stopping
+
+    @property
+    def leads(self) -> bool:
+        """Return whether it has said that it schedules."""
+        return self.beat is not None and self.beat.leads
+
+    def is_fresh(self, within: timedelta, now: timedelta) -> bool:
+        """Return whether it is linked and was heard of a short time ago."""
+        if not self.linked or self.beat is None or self.heard_at is None:
+            return False
+        return now - self.heard_at <= within
+
 
 @dataclass(frozen=True, slots=True)
 class InstanceRecord:
@@ -97,6 +113,10 @@
             peer.beat = beat
             peer.heard_at = now
 
+    def fresh(self, within: timedelta, now: timedelta) -> list[Peer]:
+        """Return the instances that are linked and were heard of lately."""
+        return [peer for peer in self.by_name.values() if peer.is_fresh(within, now)]
+
     def linked(self) -> list[str]:
         """Return the names of the linked instances."""
         return [peer.name for peer in self.by_name.values() if peer.linked]
--- a/packages/ashhoist/src/ashhoist/control/readers.py
+++ b/packages/ashhoist/src/ashhoist/control/readers.py
@@ -1,17 +1,14 @@
 """Who reads the log: few do, and tell the others.
 
-The holder of the lease reads, and one deputy. All others read only while none of
+The leader reads, and one deputy. All others read only while none of
 these two has been heard of lately as reading, so a lost reader costs about a
 second, and calls to the log do not grow with the number of instances.
 """
 
-from datetime import timedelta
-
 from ..clock import Clock
+from .election import FRESH
 from .peers import Peers, rank
 
-FRESH = timedelta(milliseconds=1200)
-"""A beat older than this says nothing any more."""
 READERS = "readers"
 
 
@@ -35,7 +32,7 @@
         Parameters
         ----------
         leader : str or None
-            The holder of the lease.
+            The instance that schedules.
         """
         if leader is None or leader == self._own:
             return True
@@ -45,20 +42,13 @@
         return not any(self._is_heard_reading(name) for name in readers)
 
     def _deputy(self, leader: str) -> str:
-        names = [self._own] + [
-            name for name in self._peers.linked() if self._is_fresh(name)
-        ]
+        now = self._clock.monotonic()
+        names = [self._own] + [peer.name for peer in self._peers.fresh(FRESH, now)]
         others = [name for name in names if name != leader]
         return min(others, key=lambda name: rank(READERS, name))
 
     def _is_heard_reading(self, name: str) -> bool:
         peer = self._peers.by_name.get(name)
-        if peer is None or peer.beat is None or not self._is_fresh(name):
-            return False
-        return peer.beat.reads_log and not peer.beat.stopping
-
-    def _is_fresh(self, name: str) -> bool:
-        peer = self._peers.by_name.get(name)
-        if peer is None or not peer.linked or peer.heard_at is None:
+        if peer is None or not peer.is_fresh(FRESH, self._clock.monotonic()):
             return False
-        return self._clock.monotonic() - peer.heard_at <= FRESH
+        return peer.beat is not None and peer.beat.reads_log and not peer.stops
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -1,5 +1,6 @@
 """The control task: one thread that owns the `Core` and carries out its wishes."""
 
+import threading
 from collections.abc import Callable
 from concurrent.futures import Executor, Future
 from dataclasses import dataclass, field
@@ -19,7 +20,7 @@
     Wanted,
 )
 from ..placement.scheduler import AskReport
-from ..store import Newest, SharedLog, Topic, Unavailable
+from ..store import AppendResult, Newest, SharedLog, Topic, Unavailable
 from ..store.follower import Followed, FollowerState
 from ..tasks import Task, handles
 from ..types import Endpoint
@@ -27,6 +28,7 @@
 from .core import Core
 from .engines import EngineControl, OrderDone, ReportDone
 from .lease_calls import append_answer, read_answer
+from .order_leases import partition_of
 from .peers import InstanceRecord
 
 IDLE_SECONDS = 0.1
@@ -41,6 +43,7 @@
 class LeaseRead:
     """The answer to `ReadClaims`."""
 
+    zone: str
     result: Newest | Unavailable
 
 
@@ -80,7 +83,10 @@
 
 
 class StoreCalls:
-    """Store calls for the lease and the register, off the control task.
+    """Store calls for the leases and the register, off the control task.
+
+    Each lease, and each lease of others, has a connection and a turn of its own:
+    a call that hangs holds up no other.
 
     Parameters
     ----------
@@ -99,25 +105,30 @@
         log: Logger,
     ) -> None:
         self._own = own
-        self._lease_log = open_log()
-        self._register_log = open_log()
+        self._open_log = open_log
         self._send = send
         self._executor = executor
         self._log = log
+        self._lock = threading.Lock()
+        self._lines: dict[str, _Line] = {}
+
+    def _line(self, use: str) -> "_Line":
+        with self._lock:
+            line = self._lines.get(use)
+            if line is None:
+                line = self._lines[use] = _Line(self._open_log(), threading.Lock())
+            return line
 
     def lease_call(self, action: LeaseAction) -> None:
-        """Make a call for the lease; there is one at a time."""
+        """Make a call for a lease; there is one at a time for each."""
         self._executor.submit(self._lease_call, action)
 
     def _lease_call(self, action: LeaseAction) -> None:
-        log = self._lease_log
         if isinstance(action, ReadClaims):
-            self._send(LeaseRead(log.newest(Topic.LEASES, PATIENCE)))
+            self._send(LeaseRead(action.key, self._read_claims("own", action.key)))
             return
         claim = action.claim
-        result = log.append(
-            Topic.LEASES, claim.key, claim.encode(), action.at, PATIENCE
-        )
+        result = self._append_claim("own", claim.key, claim.encode(), action.at)
         self._send(LeaseAppended(action, result))
 
     def lease_call_for(
@@ -129,25 +140,35 @@
     def _lease_call_for(
         self, message: messages.ReadClaimsFor | messages.AppendClaimFor, tell: Tell
     ) -> None:
-        log = self._register_log
+        zone = message.zone
         if isinstance(message, messages.ReadClaimsFor):
-            tell(read_answer(message.number, log.newest(Topic.LEASES, PATIENCE)))
+            tell(read_answer(message, self._read_claims("other", zone)))
             return
-        result = log.append(
-            Topic.LEASES, message.key, message.value, message.at, PATIENCE
-        )
-        tell(append_answer(message.number, result))
+        result = self._append_claim("other", zone, message.value, message.at)
+        tell(append_answer(message, result))
+
+    def _read_claims(self, use: str, zone: str) -> Newest | Unavailable:
+        line = self._line(f"{use}/{zone}")
+        with line.turn:
+            return line.log.newest(Topic.LEASES, PATIENCE, partition_of(zone))
+
+    def _append_claim(self, use: str, zone: str, value: bytes, at: int) -> AppendResult:
+        line = self._line(f"{use}/{zone}")
+        part = partition_of(zone)
+        with line.turn:
+            return line.log.append(Topic.LEASES, zone, value, at, PATIENCE, part)
 
     def register(self) -> None:
         """Register this instance and read who else is there."""
         self._executor.submit(self._register)
 
     def _register(self) -> None:
-        log = self._register_log
-        # First the own record, then the others': of two instances that start
-        # at once, at least one sees the other.
-        log.append(Topic.INSTANCES, self._own.name, self._own.encode(), None)
-        found = log.newest(Topic.INSTANCES)
+        line = self._line("register")
+        with line.turn:
+            # First the own record, then the others': of two instances that start
+            # at once, at least one sees the other.
+            line.log.append(Topic.INSTANCES, self._own.name, self._own.encode(), None)
+            found = line.log.newest(Topic.INSTANCES)
         if isinstance(found, Unavailable):
             self._log.warning("register not read", detail=found.detail)
             return
@@ -160,7 +181,17 @@
         self._executor.submit(self._unregister)
 
     def _unregister(self) -> None:
-        self._register_log.append(Topic.INSTANCES, self._own.name, b"", None)
+        line = self._line("register")
+        with line.turn:
+            line.log.append(Topic.INSTANCES, self._own.name, b"", None)
+
+
+@dataclass(frozen=True, slots=True)
+class _Line:
+    """A connection to the log, and whose turn it is on it."""
+
+    log: SharedLog
+    turn: threading.Lock
 
 
 class ControlTask(Task):
@@ -199,7 +230,7 @@
 
     def interval(self) -> float:
         """Return a shorter interval while loads are due."""
-        scheduler = self.core.leadership.scheduler
+        scheduler = self.core.scheduling.scheduler
         busy = scheduler is not None and scheduler.busy
         return BUSY_SECONDS if busy else IDLE_SECONDS
 
@@ -273,7 +304,7 @@
 
     @handles(LeaseRead)
     def _lease_read(self, message: LeaseRead) -> None:
-        self.core.lease_read(message.result)
+        self.core.lease_read(message.zone, message.result)
 
     @handles(LeaseAppended)
     def _lease_appended(self, message: LeaseAppended) -> None:
--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -47,10 +47,10 @@
         came after its own.
     """
 
-    term: timedelta = timedelta(milliseconds=2500)
-    renew_every: timedelta = timedelta(milliseconds=800)
+    term: timedelta = timedelta(seconds=9)
+    renew_every: timedelta = timedelta(milliseconds=2500)
     send_margin: timedelta = timedelta(milliseconds=300)
-    clock_margin: timedelta = timedelta(milliseconds=100)
+    clock_margin: timedelta = timedelta(milliseconds=200)
     turn: timedelta = timedelta(seconds=3)
 
 
@@ -105,7 +105,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadClaims:
-    """Ask for the newest claims."""
+    """Ask for the newest claims of a lease's partition."""
+
+    key: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,7 +216,7 @@
 
     def _due(self, now: timedelta) -> LeaseAction | None:
         if self._end is None or self._unsure is not None:
-            return ReadClaims()
+            return ReadClaims(self.key)
         if self.held:
             return self._due_as_holder(now)
         if self._stopping:
@@ -268,6 +270,8 @@
         unsure, self._unsure = self._unsure, None
         found = self._newest(result)
         if found is None:
+            if self._claim is None and not self._known_since:
+                self._known_since = now
             return
         before = self._claim
         self._take(found, now)
--- a/packages/ashhoist/src/ashhoist/orders/order.py
+++ b/packages/ashhoist/src/ashhoist/orders/order.py
@@ -26,6 +26,14 @@
         order that is carried out late changes nothing once a newer one was.
     version : int or None
         Of the adapter; None asks for the newest.
+    zone : str
+        The engine's; whoever holds that zone's lease sends the order.
+    number : int
+        Names the order at the instance that decided on it.
+    origin : str
+        That instance.
+    holder, fence : str, int
+        Filled in by the holder of the lease.
     """
 
     upstream: str
@@ -33,9 +41,12 @@
     kind: OrderKind
     adapter: Adapter
     expected: int
-    holder: str
-    fence: int
     version: int | None = None
+    zone: str = ""
+    number: int = 0
+    origin: str = ""
+    holder: str = ""
+    fence: int = -1
 
 
 class OrderAnswer(StrEnum):
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -1,12 +1,12 @@
 """One engine as the holder of the lease sees it: its places, copies and orders.
 
 Each order names the engine's order count. So an order that got no answer is
-sent again as it was: if the first was taken, the second is refused, and either
-way the first can't be carried out later, behind newer ones.
+sent again as it was: if the first was taken, the second is refused and the engine
+is read back; either way the first can't be carried out later, behind newer ones.
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
 
@@ -70,20 +70,6 @@
     serving_changed: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class LostOrder:
-    """An order that got no answer; it is sent again until one is known.
-
-    Parameters
-    ----------
-    counted : bool
-        True if it is sent with the count that holds if the first was taken.
-    """
-
-    order: Order
-    counted: bool = False
-
-
 class Engine:
     """The state of one engine.
 
@@ -107,9 +93,10 @@
         self.copies: OrderedDict[Adapter, int] = copies or OrderedDict()
         self.order_count: int | None = None
         self.sending: Order | None = None
+        self.sent_at = timedelta()
         self.report_at: timedelta | None = timedelta()
         self.reporting = False
-        self.lost: LostOrder | None = None
+        self.lost: Order | None = None
         self.paused_until = timedelta()
         self.work = Work()
         self.models: set[str] = set(upstream.models)
@@ -203,9 +190,10 @@
 
     # Orders
 
-    def begin(self, order: Order) -> None:
+    def begin(self, order: Order, now: timedelta) -> None:
         """Note that an order is about to be sent."""
         self.sending = order
+        self.sent_at = now
 
     def answered(self, answer: OrderAnswer, now: timedelta) -> EngineNews:
         """Take in how the order under way ended."""
@@ -213,7 +201,7 @@
         assert order is not None
         lost, self.lost = self.lost, None
         if answer is OrderAnswer.UNKNOWN:
-            self.lost = LostOrder(order, lost is not None and lost.counted)
+            self.lost = order
             return EngineNews()
         if answer is OrderAnswer.NOT_SENT:
             self.lost = lost
@@ -221,15 +209,8 @@
             return EngineNews()
         if answer is OrderAnswer.CONFLICT and not order.adapter.name:
             return self._model_answered(order, OrderAnswer.ACCEPTED, now)
-        if answer is OrderAnswer.CONFLICT and lost is not None and not lost.counted:
-            counted = replace(order, expected=order.expected + 1)
-            self.lost = LostOrder(counted, True)
-            return EngineNews()
         if answer in (OrderAnswer.CONFLICT, OrderAnswer.REFUSED):
             return self._refused(order, answer, now)
-        if lost is not None and lost.counted:
-            # The engine counted it when it took the one whose answer was lost.
-            order = replace(order, expected=order.expected - 1)
         if not order.adapter.name:
             return self._model_answered(order, answer, now)
         if order.kind is OrderKind.LOAD:
@@ -345,6 +326,11 @@
 
     # Reports
 
+    def ask_again(self, now: timedelta) -> None:
+        """Have the engine asked what it holds: others may have ordered it."""
+        if self.report_at is None:
+            self.report_at = now + REPORT_LAG
+
     def report_due(self, now: timedelta) -> bool:
         """Return whether the engine has to be asked what it holds."""
         if self.reporting or self.sending is not None or self.report_at is None:
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -1,4 +1,4 @@
-"""Decides, for the holder of the lease, what is loaded where and what gives way.
+"""Decides, for the leader, what is loaded where and what gives way.
 
 No sockets and no threads: requests that wait, uses, answers and reports come in
 as calls; orders and answers go out as actions.
@@ -31,6 +31,7 @@
 LOAD_PRICE = 0.74
 """Of a load from the weight store, in what answers are worth."""
 FIRST_TOKEN = timedelta(milliseconds=350)
+ORDER_LOST_AFTER = timedelta(seconds=1)
 SOON_ENOUGH = timedelta(milliseconds=550)
 WORTH_A_LOAD = timedelta(milliseconds=250)
 """By so much sooner an engine must begin that loads the adapter for it."""
@@ -101,14 +102,12 @@
 
 
 class Scheduler:
-    """The state of all engines of one lease, and the requests that wait.
+    """The state of all engines, and the requests that wait for adapters.
 
     Parameters
     ----------
-    holder : str
-        Named in orders.
-    fence : callable
-        Returns the fencing token while orders may be sent, else None.
+    may_order : callable
+        Takes a zone; returns whether orders reach its engines now.
     act : callable
         Carries out an action.
     residency : Residency
@@ -117,16 +116,14 @@
 
     def __init__(
         self,
-        holder: str,
-        fence: Callable[[], int | None],
+        may_order: Callable[[str], bool],
         act: Callable[[SchedulerAction], None],
         residency: Residency,
         clock: Clock,
         metrics: Metrics,
         log: Logger,
     ) -> None:
-        self._holder = holder
-        self._fence = fence
+        self._may_order = may_order
         self._act = act
         self._residency = residency
         self._clock = clock
@@ -134,6 +131,7 @@
         self._log = log
         self._settings: dict[str, EngineSettings] = {}
         self._models = ModelLoads(clock)
+        self._orders = 0
         self.engines: dict[str, Engine] = {}
         self.wants = Wants()
         self.popularity = Popularity(clock)
@@ -221,10 +219,11 @@
         for engine in self.engines.values():
             engine.work.end_all_of(instance)
 
-    def answered(self, upstream: str, order: Order, answer: OrderAnswer) -> None:
+    def answered(self, upstream: str, number: int, answer: OrderAnswer) -> None:
         """Take in how an order ended."""
         engine = self.engines.get(upstream)
-        if engine is None or engine.sending is not order:
+        order = engine.sending if engine is not None else None
+        if engine is None or order is None or order.number != number:
             return
         now = self._clock.monotonic()
         news = engine.answered(answer, now)
@@ -236,7 +235,6 @@
                 adapter=str(order.adapter),
                 version=order.version,
                 expected=order.expected,
-                fence=order.fence,
                 answer=answer,
                 took_ms=round(news.took / timedelta(milliseconds=1)),
                 cold=news.cold,
@@ -324,7 +322,7 @@
             place = engine.places.get(want.adapter)
             if place is not None and place.state is PlaceState.COMING:
                 load = max(place.look_at - now, timedelta())
-            elif engine.orderly(now) and self._room(engine, want.adapter, now):
+            elif self._could_load(engine, want.adapter, now):
                 load = engine.load_time(want.adapter, want.oldest_version)
             else:
                 continue
@@ -362,19 +360,17 @@
         """Send the orders that are due, most worth first."""
         now = self._clock.monotonic()
         self._give_up(now)
-        fence = self._fence()
-        if fence is None:
-            return
         for engine in self.engines.values():
-            self._maintain(engine, fence, now)
-        self._bring_models(fence)
+            self._give_up_order(engine, now)
+            self._maintain(engine, now)
+        self._bring_models()
         waiting = sorted(
             (wanted for wanted in self.wants.adapters() if wanted.adapter.name),
             key=lambda wanted: self._gain(wanted, now),
             reverse=True,
         )
         for wanted in waiting:
-            self._bring(wanted, fence, now)
+            self._bring(wanted, now)
 
     def _give_up(self, now: timedelta) -> None:
         for want in self.wants.ended(now):
@@ -388,7 +384,13 @@
                 self.wants.remove(want.id)
                 self._act(Refused(want, Reason.NO_PLACE, COME_BACK))
 
-    def _maintain(self, engine: Engine, fence: int, now: timedelta) -> None:
+    def _give_up_order(self, engine: Engine, now: timedelta) -> None:
+        """Take an order for lost whose answer does not come."""
+        order = engine.sending
+        if order is not None and now - engine.sent_at > ORDER_LOST_AFTER:
+            self.answered(engine.id, order.number, OrderAnswer.UNKNOWN)
+
+    def _maintain(self, engine: Engine, now: timedelta) -> None:
         """Ask what has to be asked: lost orders, reports, loads that should end."""
         if engine.report_due(now):
             engine.reporting = True
@@ -396,13 +398,15 @@
             return
         if engine.sending is not None or now < engine.paused_until:
             return
+        if not self._may_order(engine.upstream.zone):
+            return
         model = engine.model_coming
         if engine.lost is None and model is not None:
             if model.look_at <= now:
-                self._load(engine, model.adapter, 0, fence)
+                self._load(engine, model.adapter, 0)
             return
         if engine.lost is not None:
-            self._send(engine, replace(engine.lost.order, fence=fence))
+            self._send(engine, engine.lost)
             return
         if not engine.can_order(now):
             return
@@ -410,17 +414,22 @@
             if place.look_at > now:
                 continue
             if place.state is PlaceState.COMING:
-                self._load(engine, place.adapter, place.version, fence)
+                self._load(engine, place.adapter, place.version)
                 return
             if place.state is PlaceState.GOING:
-                self._unload(engine, place.adapter, fence)
+                self._unload(engine, place.adapter)
                 return
 
-    def _bring_models(self, fence: int) -> None:
+    def _bring_models(self) -> None:
         """Load a base model on engines that hold none."""
-        for choice in self._models.due(self.engines, self._settings, self.popularity):
+        reached = {
+            engine.id: engine
+            for engine in self.engines.values()
+            if self._may_order(engine.upstream.zone)
+        }
+        for choice in self._models.due(reached, self._settings, self.popularity):
             engine = self.engines[choice.upstream]
-            self._load(engine, Adapter(choice.model), 0, fence)
+            self._load(engine, Adapter(choice.model), 0)
 
     def _gain(self, wanted: WantedAdapter, now: timedelta) -> float:
         """Return what a wanted adapter earns for each second until it answers."""
@@ -432,7 +441,7 @@
         worth = wanted.worth(now, until_answered) - (LOAD_PRICE if cold else 0.0)
         return worth / until_answered.total_seconds()
 
-    def _bring(self, wanted: WantedAdapter, fence: int, now: timedelta) -> None:
+    def _bring(self, wanted: WantedAdapter, now: timedelta) -> None:
         """Load a wanted adapter, or make room for it."""
         if self._on_its_way(wanted, now):
             return
@@ -440,6 +449,7 @@
             engine
             for engine in self.engines.values()
             if engine.orderly(now)
+            and self._may_order(engine.upstream.zone)
             and engine.upstream.service == wanted.service
             and wanted.adapter.model in engine.models
             and engine.id not in wanted.tried
@@ -456,9 +466,14 @@
         room = self._room(engine, wanted.adapter, now)
         assert room is not None
         if room.after is not None:
-            self._unload(engine, room.after, fence)
+            self._unload(engine, room.after)
             return
-        self._load(engine, wanted.adapter, wanted.oldest_version, fence)
+        self._load(engine, wanted.adapter, wanted.oldest_version)
+
+    def _could_load(self, engine: Engine, adapter: Adapter, now: timedelta) -> bool:
+        if not engine.orderly(now) or not self._may_order(engine.upstream.zone):
+            return False
+        return self._room(engine, adapter, now) is not None
 
     def _settle_for_what_serves(self, wanted: WantedAdapter) -> None:
         """Send what waits for one more engine to those that serve already."""
@@ -515,7 +530,7 @@
             cost += OTHER_ZONE_COST
         return cost
 
-    def _load(self, engine: Engine, adapter: Adapter, version: int, fence: int) -> None:
+    def _load(self, engine: Engine, adapter: Adapter, version: int) -> None:
         assert engine.order_count is not None
         order = Order(
             engine.id,
@@ -523,13 +538,12 @@
             OrderKind.LOAD,
             adapter,
             engine.order_count,
-            self._holder,
-            fence,
             version or None,
+            engine.upstream.zone,
         )
         self._send(engine, order)
 
-    def _unload(self, engine: Engine, adapter: Adapter, fence: int) -> None:
+    def _unload(self, engine: Engine, adapter: Adapter) -> None:
         assert engine.order_count is not None
         if engine.leave(adapter):
             self._act(Serving(engine.id, engine.serving()))
@@ -539,11 +553,12 @@
             OrderKind.UNLOAD,
             adapter,
             engine.order_count,
-            self._holder,
-            fence,
+            zone=engine.upstream.zone,
         )
         self._send(engine, order)
 
     def _send(self, engine: Engine, order: Order) -> None:
-        engine.begin(order)
+        self._orders += 1
+        order = replace(order, number=self._orders)
+        engine.begin(order, self._clock.monotonic())
         self._act(order)
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -36,7 +36,7 @@
 
 TASK_THREADS = 12
 ENGINE_THREADS = 64
-STORE_THREADS = 2
+STORE_THREADS = 8
 STACK_BYTES = 512 * 1024
 LINK_TOKENS = frozenset({"instances"})
 NOTICE = timedelta(milliseconds=2600)
@@ -124,7 +124,7 @@
         )
         engines = EngineControl(
             self._platform.engines,
-            lambda order: core.lease.fence() == order.fence,
+            core.desk.may_send,
             control.send,
             self._engine_calls,
             clock,
--- a/packages/ashhoist/src/ashhoist/store/port.py
+++ b/packages/ashhoist/src/ashhoist/store/port.py
@@ -80,7 +80,10 @@
 
 
 class SharedLog(Protocol):
-    """One connection to the log. Used by one thread at a time."""
+    """One connection to the log. Used by one thread at a time.
+
+    A topic has partitions, each with offsets and an end of its own.
+    """
 
     def read(
         self, topic: Topic, start: int, wait: timedelta
@@ -88,7 +91,7 @@
         """Return records from an offset on; wait so long for the first."""
 
     def newest(
-        self, topic: Topic, patience: timedelta = PATIENCE
+        self, topic: Topic, patience: timedelta = PATIENCE, part: int = 0
     ) -> Newest | Unavailable:
         """Return the newest record of each key."""
 
@@ -99,6 +102,7 @@
         value: bytes,
         at: int | None,
         patience: timedelta = PATIENCE,
+        part: int = 0,
     ) -> AppendResult:
         """Append a record, if wanted only where the topic ends at `at`."""
 
