Few hubs in place of a mesh where instances are many; a leader they all agree on

Each instance kept 16 links chosen by pairs, and elected among these, so several led at once, each with a part of the requests, and undid each other's orders. Ruled out: the store (2,387 calls), the engines (none full).

Change: up to 17 instances each still links to each. Above that, two of each availability zone are hubs, the largest machines first; all link to them, and only they schedule, read for others and hold leases while there are any. Who can't be reached is passed over after a second. A beat tells claims only when they are new, what engines serve is told four times a second. An instance that could not register tries again (it never did), and one that knows only seeds is told the others.

Tests: tests/test_hubs.py; four of the first eleven were run on the sources before and failed (17 links of 39, 5 readers, 5 leaders), the last two failed before their change too.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -42,6 +42,7 @@
 from .agent import Agent
 from .changes import Change, ConfigurationPut, UpstreamEnded, UpstreamPut, VersionNamed
 from .election import Election
+from .hubs import Hubs, Identity
 from .knowledge import SHARED_TOPICS, Knowledge
 from .order_desk import OrderDesk
 from .order_leases import OrderLeases
@@ -51,8 +52,11 @@
 from .scheduling import Scheduling, reason_of
 
 BEAT_EVERY = timedelta(milliseconds=500)
+CLAIMS_EVERY = timedelta(seconds=2)
+"""How often a beat tells claims that have not changed."""
 LAST_ORDERS = timedelta(milliseconds=600)
 """How long a planned stop waits for answers to its last orders."""
+REGISTER_AGAIN = timedelta(seconds=2)
 READS_LOG_FOR = timedelta(milliseconds=1500)
 MOST_PUSHED = 2048
 """Bytes of records that are told to others unasked."""
@@ -70,6 +74,12 @@
     life: str
     seeds: tuple[str, ...] = ()
     lease: LeaseTiming = LeaseTiming()
+    capacity: float = 1.0
+
+    @property
+    def identity(self) -> Identity:
+        """Return what others know of this instance."""
+        return Identity(self.name, self.zone, self.address, self.capacity)
 
 
 class Core:
@@ -101,14 +111,15 @@
         holder = f"{settings.name}@{settings.address}"
         self.knowledge = Knowledge()
         self.peers = Peers(settings.name)
+        self._hubs = Hubs(settings.identity, self.peers, clock)
         self.agent = Agent(settings.zone)
         self.leases = OrderLeases(
-            settings.name,
-            settings.zone,
+            settings.identity,
             holder,
             settings.life,
             settings.lease,
             self.peers,
+            self._hubs,
             outside,
             clock,
             log,
@@ -128,16 +139,20 @@
             metrics,
             log,
         )
-        self._election = Election(settings.name, self.peers, clock)
+        self._election = Election(settings.name, self.peers, self._hubs, clock)
         self.leader: str | None = None
         self._seeds = settings.seeds
         self._listed = False
+        self._knows_others = False
+        self._register_at = ZERO
         self.stopping = False
         self._release_at: timedelta | None = None
-        self._readers = Readers(settings.name, self.peers, clock)
+        self._readers = Readers(settings.name, self.peers, self._hubs, clock)
         self.reads_itself = True
         self._beat_at = ZERO
-        self._links: tuple[str, ...] = ()
+        self._claims_told: list[Claim] = []
+        self._claims_told_at = ZERO
+        self._links: tuple[tuple[str, ...], bool] = ((), False)
 
     @property
     def ready(self) -> bool:
@@ -154,9 +169,13 @@
 
     def start(self) -> None:
         """Register, and begin to link to the others."""
-        self._outside.register()
+        self._register(self._clock.monotonic())
         self._relink()
 
+    def _register(self, now: timedelta) -> None:
+        self._register_at = now + REGISTER_AGAIN
+        self._outside.register()
+
     def stop(self) -> None:
         """Begin a planned stop."""
         now = self._clock.monotonic()
@@ -167,7 +186,8 @@
         self._beat(now)
 
     def instances(self, records: list[InstanceRecord]) -> None:
-        """Take in which instances are registered."""
+        """Take in that this instance is registered, and which others are."""
+        self._knows_others = True
         for record in records:
             self.peers.registered(record)
         self._relink()
@@ -178,7 +198,7 @@
         self._relink()
 
     def _relink(self) -> None:
-        endpoints = self.peers.to_link(self.leader)
+        endpoints = self._hubs.to_link()
         known = {endpoint.address for endpoint in endpoints}
         if not self.peers.linked():
             endpoints += [
@@ -187,10 +207,11 @@
                 if address not in known and address != self._settings.address
             ]
         addresses = tuple(sorted(endpoint.address for endpoint in endpoints))
-        if addresses == self._links:
+        dials_all = not self._hubs.is_hub(self._settings.name)
+        if (addresses, dials_all) == self._links:
             return
-        self._links = addresses
-        self._outside.link(endpoints)
+        self._links = (addresses, dials_all)
+        self._outside.link(endpoints, dials_all)
 
     # What the log says
 
@@ -338,8 +359,11 @@
         self.peers.up(peer, now)
         self._log.info("instance linked", peer=peer)
         own = self._settings
-        self._outside.send_to(peer, messages.Introduce(own.name, own.zone, own.address))
-        self._outside.send_to(peer, self._own_beat())
+        introduce = messages.Introduce(
+            own.name, own.zone, own.address, own.capacity, self._knows_others
+        )
+        self._outside.send_to(peer, introduce)
+        self._outside.send_to(peer, self._own_beat(self.leases.claims()))
         self.scheduling.introduce(peer)
         self._relink()
 
@@ -361,15 +385,29 @@
 
     def _introduced(self, peer: str, message: messages.Introduce) -> None:
         now = self._clock.monotonic()
-        self.peers.introduced(message.name, message.zone, message.address, now)
+        record = InstanceRecord(
+            message.name, message.zone, message.address, message.capacity
+        )
+        self.peers.introduced(record, now)
+        if not message.knows_others:
+            self._outside.send_to(peer, messages.Instances(self.peers.rows()))
+
+    def _told_instances(self, peer: str, message: messages.Instances) -> None:
+        """Take in who is there from an instance that knows; the register knows best."""
+        if self._knows_others:
+            return
+        for row in message.rows:
+            self.peers.registered(InstanceRecord(*row))
+        self._relink()
 
     def _beaten(self, peer: str, beat: messages.Beat) -> None:
         now = self._clock.monotonic()
-        self.peers.beat(peer, beat, now)
+        told_news = self.peers.beat(peer, beat, now)
         for row in beat.claims:
             self.leases.heard(Claim(*row))
         self.scheduling.heard(beat.epoch)
-        self._elect()
+        if told_news:
+            self._elect()
         for topic in SHARED_TOPICS:
             self._catch_up(peer, topic, beat.offsets.get(str(topic), -1))
 
@@ -438,7 +476,7 @@
     def _asked(self, peer: str, ask: messages.Ask) -> None:
         if not self.scheduling.leads:
             # The asker knows no better yet; it hears of the leader with a beat.
-            self._outside.send_to(peer, self._own_beat())
+            self._outside.send_to(peer, self._own_beat([]))
             return
         self.scheduling.asked(peer, ask)
 
@@ -482,6 +520,7 @@
 
     _HANDLERS: dict[type, Callable[["Core", str, Any], None]] = {
         messages.Introduce: _introduced,
+        messages.Instances: _told_instances,
         messages.Beat: _beaten,
         messages.Announce: _announced,
         messages.Pull: _pulled,
@@ -592,6 +631,8 @@
     def tick(self) -> None:
         """Do what is due by time."""
         now = self._clock.monotonic()
+        if not self._knows_others and not self.stopping and now >= self._register_at:
+            self._register(now)
         self._release_when_quiet(now)
         self._elect()
         self.reads_itself = self._readers.reads_itself(self.leader)
@@ -619,7 +660,7 @@
 
     def _beat(self, now: timedelta) -> None:
         self._beat_at = now
-        beat = self._own_beat()
+        beat = self._own_beat(self._claims_to_tell(now))
         for peer in self.peers.linked():
             self._outside.send_to(peer, beat)
 
@@ -627,7 +668,17 @@
         age = self._clock.monotonic() - self.knowledge.read_at(Topic.UPSTREAMS)
         return self._listed and age < READS_LOG_FOR
 
-    def _own_beat(self) -> messages.Beat:
+    def _claims_to_tell(self, now: timedelta) -> list[Claim]:
+        """Return all claims if one is new, or they were last told long ago."""
+        claims = self.leases.claims()
+        old = now - self._claims_told_at >= CLAIMS_EVERY
+        if claims == self._claims_told and not old:
+            return []
+        self._claims_told = claims
+        self._claims_told_at = now
+        return claims
+
+    def _own_beat(self, claims: list[Claim]) -> messages.Beat:
         return messages.Beat(
             self.stopping,
             self._reads_log(),
@@ -635,7 +686,7 @@
             self.scheduling.epoch,
             self._in_force.version,
             self.knowledge.offsets(),
-            [list(astuple(claim)) for claim in self.leases.claims()],
+            [list(astuple(claim)) for claim in claims],
         )
 
 
--- a/packages/ashhoist/src/ashhoist/control/election.py
+++ b/packages/ashhoist/src/ashhoist/control/election.py
@@ -1,4 +1,4 @@
-"""Who schedules: the instance with the lowest rank among those heard of lately.
+"""Who schedules: the hub with the lowest rank among those heard of lately.
 
 Scheduling needs no exclusive right: orders go through the holder of a zone's
 lease, and each names the count at which alone it is valid. So two instances that
@@ -9,13 +9,15 @@
 from datetime import timedelta
 
 from ..clock import Clock
-from .peers import Peers, rank
+from .hubs import Hubs
+from .peers import Peers
 
 FRESH = timedelta(milliseconds=1200)
 """A beat older than this says nothing any more."""
 FIRST_PATIENCE = timedelta(milliseconds=400)
 """How long an instance that has just started listens before it leads."""
-KEY = "leader"
+LINK_PATIENCE = timedelta(milliseconds=1500)
+"""How long it does while it knows of hubs, but is linked to none yet."""
 
 
 class Election:
@@ -27,9 +29,10 @@
         This instance's name.
     """
 
-    def __init__(self, own: str, peers: Peers, clock: Clock) -> None:
+    def __init__(self, own: str, peers: Peers, hubs: Hubs, clock: Clock) -> None:
         self._own = own
         self._peers = peers
+        self._hubs = hubs
         self._clock = clock
         self._began = clock.monotonic()
 
@@ -54,12 +57,14 @@
         if not names:
             return None
         lowest = self._lowest(names)
-        if lowest == self._own and self._is_new():
+        if lowest == self._own and self._is_new(bool(candidates)):
             return None
         return lowest
 
     def _lowest(self, names: list[str]) -> str:
-        return min(names, key=lambda name: rank(KEY, name))
+        return min(names, key=self._hubs.order)
 
-    def _is_new(self) -> bool:
-        return self._clock.monotonic() - self._began < FIRST_PATIENCE
+    def _is_new(self, linked: bool) -> bool:
+        alone = self._hubs.all_linked or linked
+        patience = FIRST_PATIENCE if alone else LINK_PATIENCE
+        return self._clock.monotonic() - self._began < patience
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -8,11 +8,35 @@
 @message(40)
 @dataclass(frozen=True, slots=True)
 class Introduce:
-    """The first message on a link: who is there, and where it is reached."""
+    """The first message on a link: who is there, and where it is reached.
+
+    Parameters
+    ----------
+    capacity : float
+        Processor cores it may use.
+    knows_others : bool
+        Whether it has read which instances there are.
+    """
 
     name: str
     zone: str
     address: str
+    capacity: float
+    knows_others: bool
+
+
+@message(44)
+@dataclass(frozen=True, slots=True)
+class Instances:
+    """All instances that the sender knows, for one that could not read of them.
+
+    Parameters
+    ----------
+    rows : list
+        Lists of name, zone, address and capacity.
+    """
+
+    rows: list
 
 
 @message(41)
--- a/packages/ashhoist/src/ashhoist/control/order_leases.py
+++ b/packages/ashhoist/src/ashhoist/control/order_leases.py
@@ -11,6 +11,7 @@
 from ..logs import Logger
 from ..orders import AppendClaim, Claim, Lease, LeaseTiming
 from ..store import AppendResult, Newest, Unavailable
+from .hubs import Hubs, Identity
 from .lease_calls import LeaseCalls
 from .outside import Outside
 from .peers import Peers, rank
@@ -43,22 +44,22 @@
 
     def __init__(
         self,
-        own: str,
-        own_zone: str,
+        own: Identity,
         holder: str,
         life: str,
         timing: LeaseTiming,
         peers: Peers,
+        hubs: Hubs,
         outside: Outside,
         clock: Clock,
         log: Logger,
     ) -> None:
         self._own = own
-        self._own_zone = own_zone
         self._holder = holder
         self._life = life
         self._timing = timing
         self._peers = peers
+        self._hubs = hubs
         self._outside = outside
         self._clock = clock
         self._log = log
@@ -66,6 +67,7 @@
         self._calls: dict[str, LeaseCalls] = {}
         self._held: set[str] = set()
         self._stopping = False
+        self._ranked_at = (-1, 0)
 
     def follow(self, zones: set[str]) -> None:
         """Take in in which zones there are engines."""
@@ -123,6 +125,9 @@
         self._note_holding()
 
     def _set_ranks(self) -> None:
+        if self._ranked_at == (self._peers.revision, len(self._leases)):
+            return
+        self._ranked_at = (self._peers.revision, len(self._leases))
         for zone, lease in self._leases.items():
             lease.set_rank(self._rank(zone))
 
@@ -131,9 +136,12 @@
         linked = [self._peers.by_name[name] for name in self._peers.linked()]
         near = [peer.name for peer in linked if peer.zone == zone]
         far = [peer.name for peer in linked if peer.zone != zone]
-        rivals, late = (near, 0) if self._own_zone == zone else (far, OTHER_ZONE_RANK)
-        own = rank(zone, self._own)
-        return late + sum(rank(zone, name) < own for name in rivals)
+        rivals, late = (near, 0) if self._own.zone == zone else (far, OTHER_ZONE_RANK)
+        own = self._order(zone, self._own.name)
+        return late + sum(self._order(zone, name) < own for name in rivals)
+
+    def _order(self, zone: str, name: str) -> tuple[bool, bytes]:
+        return (not self._hubs.is_hub(name), rank(zone, name))
 
     def log_answers(self) -> None:
         """Note that the log has answered this instance."""
--- a/packages/ashhoist/src/ashhoist/control/outside.py
+++ b/packages/ashhoist/src/ashhoist/control/outside.py
@@ -17,8 +17,8 @@
     def drop(self, peer: str) -> None:
         """Break the link to an instance that is silent."""
 
-    def link(self, endpoints: list[Endpoint]) -> None:
-        """Say which instances there should be links to."""
+    def link(self, endpoints: list[Endpoint], dials_all: bool) -> None:
+        """Say which instances there should be links to, and who dials."""
 
     def lease_call(self, action: LeaseAction) -> None:
         """Make a store call for the lease."""
--- a/packages/ashhoist/src/ashhoist/control/peers.py
+++ b/packages/ashhoist/src/ashhoist/control/peers.py
@@ -1,5 +1,6 @@
 """The other instances: which exist, which are linked, what they last said."""
 
+import functools
 import hashlib
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -7,24 +8,33 @@
 import cbor2
 
 from ..store import Record
-from ..types import Endpoint
 from .messages import Beat
 
 SILENT_AFTER = timedelta(seconds=3)
-FORGET_AFTER = timedelta(seconds=60)
-MOST_LINKS = 16
+FORGET_AFTER = timedelta(hours=6)
+"""Longer than zones and regions lose each other for."""
+MOST_RANKS = 4096
 
 
 @dataclass(slots=True)
 class Peer:
-    """One other instance."""
+    """One other instance.
+
+    Parameters
+    ----------
+    capacity : float
+        Processor cores it may use.
+    unlinked_since : timedelta or None
+        Since when there should be a link, but is none.
+    """
 
     name: str
     zone: str
     address: str
+    capacity: float = 1.0
     linked: bool = False
     heard_at: timedelta | None = None
-    lost_at: timedelta | None = None
+    unlinked_since: timedelta | None = None
     beat: Beat | None = None
 
     @property
@@ -51,67 +61,95 @@
     name: str
     zone: str
     address: str
+    capacity: float = 1.0
 
     def encode(self) -> bytes:
         """Return the form on the log."""
-        return cbor2.dumps([self.zone, self.address])
+        return cbor2.dumps([self.zone, self.address, self.capacity])
 
     @classmethod
     def decode(cls, record: Record) -> "InstanceRecord | None":
         """Return the instance in a record, or None if it is none."""
         try:
-            zone, address = cbor2.loads(record.value or b"")
+            zone, address, capacity = cbor2.loads(record.value or b"")
         except (ValueError, TypeError, cbor2.CBORDecodeError):
             return None
-        return cls(record.key, zone, address)
+        return cls(record.key, zone, address, capacity)
 
 
 @dataclass(slots=True)
 class Peers:
-    """All other instances, by name."""
+    """All other instances, by name.
+
+    Parameters
+    ----------
+    revision : int
+        Rises whenever an instance comes, goes, stops, or is linked or not.
+    """
 
     own: str
     by_name: dict[str, Peer] = field(default_factory=dict)
+    revision: int = 0
 
     def registered(self, record: InstanceRecord) -> None:
         """Take in an instance from the log; a link knows better."""
         if record.name == self.own:
             return
+        self.revision += 1
         known = self.by_name.get(record.name)
         if known is None:
-            self.by_name[record.name] = Peer(record.name, record.zone, record.address)
+            self.by_name[record.name] = Peer(
+                record.name, record.zone, record.address, record.capacity
+            )
             return
         if not known.linked:
             known.address = record.address
-            known.lost_at = None
+            known.capacity = record.capacity
 
-    def introduced(self, name: str, zone: str, address: str, now: timedelta) -> None:
+    def introduced(self, record: InstanceRecord, now: timedelta) -> None:
         """Take in what an instance says of itself over its link."""
-        peer = self.by_name.setdefault(name, Peer(name, zone, address))
-        peer.zone = zone
-        peer.address = address
+        self.revision += 1
+        name = record.name
+        peer = self.by_name.setdefault(name, Peer(name, record.zone, record.address))
+        peer.zone = record.zone
+        peer.address = record.address
+        peer.capacity = record.capacity
         peer.heard_at = now
 
     def up(self, name: str, now: timedelta) -> None:
         """Note that there is a link."""
+        self.revision += 1
         peer = self.by_name.setdefault(name, Peer(name, "", ""))
         peer.linked = True
         peer.heard_at = now
-        peer.lost_at = None
+        peer.unlinked_since = None
 
     def down(self, name: str, now: timedelta) -> None:
         """Note that the link is gone."""
         peer = self.by_name.get(name)
         if peer is not None:
+            self.revision += 1
             peer.linked = False
-            peer.lost_at = now
+            peer.unlinked_since = now
 
-    def beat(self, name: str, beat: Beat, now: timedelta) -> None:
-        """Take in a sign of life."""
+    def beat(self, name: str, beat: Beat, now: timedelta) -> bool:
+        """Take in a sign of life; return whether it says something new of itself."""
         peer = self.by_name.get(name)
-        if peer is not None:
-            peer.beat = beat
-            peer.heard_at = now
+        if peer is None:
+            return False
+        before, peer.beat = peer.beat, beat
+        peer.heard_at = now
+        if before is not None and _says_the_same(before, beat):
+            return False
+        self.revision += 1
+        return True
+
+    def rows(self) -> list[list[object]]:
+        """Return all instances as an `Instances` message has them."""
+        return [
+            [peer.name, peer.zone, peer.address, peer.capacity]
+            for peer in self.by_name.values()
+        ]
 
     def fresh(self, within: timedelta, now: timedelta) -> list[Peer]:
         """Return the instances that are linked and were heard of lately."""
@@ -134,31 +172,18 @@
     def forget_lost(self, now: timedelta) -> None:
         """Forget instances that have been gone for long."""
         for peer in list(self.by_name.values()):
-            if peer.linked or peer.lost_at is None:
+            if peer.linked or peer.unlinked_since is None:
                 continue
-            if now - peer.lost_at > FORGET_AFTER:
+            if now - peer.unlinked_since > FORGET_AFTER:
+                self.revision += 1
                 del self.by_name[peer.name]
 
-    def to_link(self, always: str | None) -> list[Endpoint]:
-        """Return the instances that there should be links to.
-
-        Parameters
-        ----------
-        always : str or None
-            The holder of the lease; it is linked whatever the number.
-        """
-        ranked = sorted(
-            self.by_name.values(), key=lambda peer: rank(self.own, peer.name)
-        )
-        chosen = ranked[:MOST_LINKS]
-        chosen += [peer for peer in ranked[MOST_LINKS:] if peer.name == always]
-        return [
-            Endpoint(peer.name, peer.zone, "", peer.address)
-            for peer in chosen
-            if peer.address
-        ]
+
+def _says_the_same(one: Beat, other: Beat) -> bool:
+    return one.stopping == other.stopping and one.leads == other.leads
 
 
+@functools.lru_cache(maxsize=MOST_RANKS)
 def rank(one: str, other: str) -> bytes:
     """Return a number for a pair of names that every instance agrees on."""
     pair = "\n".join(sorted((one, other)))
--- a/packages/ashhoist/src/ashhoist/control/readers.py
+++ b/packages/ashhoist/src/ashhoist/control/readers.py
@@ -7,6 +7,7 @@
 
 from ..clock import Clock
 from .election import FRESH
+from .hubs import Hubs
 from .peers import Peers, rank
 
 READERS = "readers"
@@ -21,9 +22,10 @@
         This instance's name.
     """
 
-    def __init__(self, own: str, peers: Peers, clock: Clock) -> None:
+    def __init__(self, own: str, peers: Peers, hubs: Hubs, clock: Clock) -> None:
         self._own = own
         self._peers = peers
+        self._hubs = hubs
         self._clock = clock
 
     def reads_itself(self, leader: str | None) -> bool:
@@ -45,7 +47,10 @@
         now = self._clock.monotonic()
         names = [self._own] + [peer.name for peer in self._peers.fresh(FRESH, now)]
         others = [name for name in names if name != leader]
-        return min(others, key=lambda name: rank(READERS, name))
+        return min(others, key=self._order)
+
+    def _order(self, name: str) -> tuple[bool, bytes]:
+        return (not self._hubs.is_hub(name), rank(READERS, name))
 
     def _is_heard_reading(self, name: str) -> bool:
         peer = self._peers.by_name.get(name)
--- a/packages/ashhoist/src/ashhoist/control/scheduling.py
+++ b/packages/ashhoist/src/ashhoist/control/scheduling.py
@@ -29,6 +29,8 @@
 
 MILLISECOND = timedelta(milliseconds=1)
 TELL_EVERY = timedelta(seconds=2)
+HOLDS_EVERY = timedelta(milliseconds=250)
+"""How often others are told what engines serve; they need it if the leader is lost."""
 
 
 class Scheduling:
@@ -72,6 +74,8 @@
         self.scheduler: Scheduler | None = None
         self.epoch = 0
         self._told_at = ZERO
+        self._changed: dict[str, dict[Adapter, int]] = {}
+        self._holds_told_at = ZERO
 
     @property
     def leads(self) -> bool:
@@ -88,6 +92,7 @@
     def begin(self, configuration: ServingConfiguration | None) -> None:
         """Begin to schedule, in an epoch of its own."""
         self.epoch += 1
+        self._changed = {}
         self.scheduler = Scheduler(
             self._may_order,
             self._act,
@@ -201,6 +206,14 @@
         if now - self._told_at >= TELL_EVERY:
             self._told_at = now
             self.scheduler.tell()
+        if now - self._holds_told_at >= HOLDS_EVERY:
+            self._holds_told_at = now
+            self._tell_holds()
+
+    def _tell_holds(self) -> None:
+        changed, self._changed = self._changed, {}
+        for upstream, held in changed.items():
+            self._tell_all(self._holds(upstream, held))
 
     # What the scheduler wants done
 
@@ -216,7 +229,7 @@
         elif isinstance(action, Refused):
             self._refused(action)
         elif isinstance(action, Serving):
-            self._tell_all(self._holds(action.upstream, action.held))
+            self._changed[action.upstream] = action.held
 
     def _placed(self, action: Placed) -> None:
         want = action.want
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -20,7 +20,7 @@
     Wanted,
 )
 from ..placement.scheduler import AskReport
-from ..store import AppendResult, Newest, SharedLog, Topic, Unavailable
+from ..store import Appended, AppendResult, Newest, SharedLog, Topic, Unavailable
 from ..store.follower import Followed, FollowerState
 from ..tasks import Task, handles
 from ..types import Endpoint
@@ -167,8 +167,13 @@
         with line.turn:
             # First the own record, then the others': of two instances that start
             # at once, at least one sees the other.
-            line.log.append(Topic.INSTANCES, self._own.name, self._own.encode(), None)
+            done = line.log.append(
+                Topic.INSTANCES, self._own.name, self._own.encode(), None
+            )
             found = line.log.newest(Topic.INSTANCES)
+        if not isinstance(done, Appended):
+            self._log.warning("not registered", result=type(done).__name__)
+            return
         if isinstance(found, Unavailable):
             self._log.warning("register not read", detail=found.detail)
             return
@@ -252,9 +257,9 @@
         """Break the link to an instance."""
         self._links.drop(peer)
 
-    def link(self, endpoints: list[Endpoint]) -> None:
-        """Say which instances there should be links to."""
-        self._links.send(Peers(endpoints))
+    def link(self, endpoints: list[Endpoint], dials_all: bool) -> None:
+        """Say which instances there should be links to, and who dials."""
+        self._links.send(Peers(endpoints, dials_all))
 
     def lease_call(self, action: LeaseAction) -> None:
         """Make a store call for the lease."""
--- a/packages/ashhoist/src/ashhoist/instances/links.py
+++ b/packages/ashhoist/src/ashhoist/instances/links.py
@@ -45,10 +45,16 @@
     """The instances that there should be links to, as a message.
 
     An endpoint without a name is an address to ask, of an instance not yet known.
+
+    Parameters
+    ----------
+    dials_all : bool
+        Whether this side dials whatever the names: the others do not look for it.
     """
 
-    def __init__(self, endpoints: list[Endpoint]) -> None:
+    def __init__(self, endpoints: list[Endpoint], dials_all: bool = False) -> None:
         self.by_address = {endpoint.address: endpoint for endpoint in endpoints}
+        self.dials_all = dials_all
 
 
 class _Dialled:
@@ -96,6 +102,7 @@
         self._links: dict[str, Link] = {}
         self._lock = threading.Lock()
         self._peers: dict[str, Endpoint] = {}
+        self._dials_all = False
         self._names: dict[str, str] = {}
         self._unlinked_since: dict[str, timedelta] = {}
         self._dialling: set[str] = set()
@@ -227,6 +234,7 @@
     @handles(Peers)
     def _peers_changed(self, peers: Peers) -> None:
         self._peers = peers.by_address
+        self._dials_all = peers.dials_all
 
     def tick(self) -> None:
         """Dial the peers to which there is no link."""
@@ -245,7 +253,9 @@
         since = self._unlinked_since.setdefault(address, now)
         if address in self._dialling or self._retry_at.get(address, now) > now:
             return False
-        return name > self._own.name or not name or now - since >= OTHERS_TURN
+        if self._dials_all or not name or name > self._own.name:
+            return True
+        return now - since >= OTHERS_TURN
 
     def _dial(self, endpoint: Endpoint) -> None:
         token = min(self._tokens)
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -109,6 +109,7 @@
             settings.instances,
             self.life,
             settings.seeds,
+            capacity=self.settings.limits.capacity,
         )
         core = Core(
             core_settings,
@@ -130,7 +131,10 @@
             clock,
         )
         own = InstanceRecord(
-            settings.name, settings.availability_zone, settings.instances
+            settings.name,
+            settings.availability_zone,
+            settings.instances,
+            self.settings.limits.capacity,
         )
         store = StoreCalls(
             own, self._open_log, control.send, self._store_calls, logs.get("store")
--- a/packages/ashhoist/src/ashhoist/process_settings.py
+++ b/packages/ashhoist/src/ashhoist/process_settings.py
@@ -29,6 +29,7 @@
     return json.loads(value or "{}") if isinstance(value, str) else value
 
 
+CAPACITY_DIGITS = 3
 Addresses = Annotated[tuple[Address, ...], BeforeValidator(_items)]
 Regions = Annotated[dict[str, str], BeforeValidator(_table)]
 
@@ -87,6 +88,13 @@
     memory_mb: int = Field(default=300, ge=64)
     descriptors: int = Field(default=4096, ge=256)
     threads: int = Field(default=384, ge=8)
+    processor_share: float = Field(default=1.0, gt=0)
+    processor_speed: float = Field(default=1.0, gt=0)
+
+    @property
+    def capacity(self) -> float:
+        """Return the processor cores of ordinary speed that the process may use."""
+        return round(self.processor_share * self.processor_speed, CAPACITY_DIGITS)
 
 
 class ProcessSettings(BaseModel):
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -101,6 +101,7 @@
     store_cut: bool = False
     links_cut: bool = False
     zone: str = "zone-0"
+    capacity: float = 1.0
     loses_appends: bool = False
     lives: int = 0
     waiting: list[Callable[[], None]] = field(default_factory=list)
@@ -120,7 +121,7 @@
     def drop(self, peer: str) -> None:
         self._world.unlink(self._machine.name, peer)
 
-    def link(self, endpoints: list[Endpoint]) -> None:
+    def link(self, endpoints: list[Endpoint], dials_all: bool) -> None:
         self.endpoints = endpoints
 
     def lease_call(self, action: LeaseAction) -> None:
@@ -185,6 +186,8 @@
         self.seen: list[OrderSeen] = []
         self.reads = 0
         self.deaf = False
+        self.seeds: tuple[str, ...] = ()
+        self.registered: set[str] = set(self.machines)
         self.patience_s = PATIENCE_S
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
@@ -276,7 +279,9 @@
                 machine.zone,
                 machine.name,
                 f"{machine.name}-{machine.lives}",
-                lease=self.timing_by_machine.get(machine.name, self.timing),
+                self.seeds,
+                self.timing_by_machine.get(machine.name, self.timing),
+                machine.capacity,
             ),
             self._decode,
             InForce(),
@@ -361,7 +366,7 @@
     def _relink(self, machine: Machine) -> None:
         assert machine.outside is not None
         for endpoint in machine.outside.endpoints:
-            other = self.machines.get(endpoint.name)
+            other = self.machines.get(endpoint.name or endpoint.address)
             if other is None or other.core is None or other is machine:
                 continue
             pair = _pair(machine.name, other.name)
@@ -470,10 +475,14 @@
 
         def step() -> None:
             assert core is not None
+            if not self._reaches_store(machine):
+                return
+            self.registered.add(machine.name)
             core.instances(
                 [
-                    InstanceRecord(name, machine.zone, name)
+                    InstanceRecord(name, machine.zone, name, machine.capacity)
                     for name, machine in self.machines.items()
+                    if name in self.registered
                 ]
             )
 
--- /dev/null
+++ b/tests/test_hubs.py
@@ -0,0 +1,160 @@
+"""Many instances: few of them link to all, and one of these schedules."""
+
+import unittest
+from datetime import timedelta
+
+from ashhoist.orders import LeaseTiming
+from ashhoist.placement.asks import Target
+
+from .control_world import World
+from .test_leases import want
+
+ZONES = 3
+MOST_LINKS_OF_OTHERS = 18
+"""What an instance that is no hub may keep: a few hubs of each zone."""
+
+
+class ManyInstancesTests(unittest.TestCase):
+    """Forty instances; the first two of each zone are larger than the others."""
+
+    def start(self, machines: int = 40) -> World:
+        world = World(machines, 6, LeaseTiming(), zones=ZONES)
+        for index, machine in enumerate(world.machines.values()):
+            machine.capacity = 2.15 if index < 2 * ZONES else 0.52
+        world.start()
+        world.run(6.0)
+        return world
+
+    def assert_sound(self, world: World) -> None:
+        self.assertEqual(world.broken_turns(), [])
+        self.assertEqual(world.fallen(), [])
+
+    def large(self, world: World) -> set[str]:
+        return {
+            name for name, machine in world.machines.items() if machine.capacity > 1
+        }
+
+    def test_one_leads_and_it_is_a_large_one(self) -> None:
+        world = self.start()
+        [leader] = world.leaders()
+        self.assertIn(leader, self.large(world))
+
+    def test_every_instance_follows_the_same_leader(self) -> None:
+        world = self.start()
+        cores = [machine.core for machine in world.machines.values()]
+        followed = {core.leader for core in cores if core is not None}
+        self.assertEqual(followed, set(world.leaders()))
+
+    def test_only_hubs_have_many_links(self) -> None:
+        world = self.start()
+        large = self.large(world)
+        for name, machine in world.machines.items():
+            assert machine.core is not None
+            links = len(machine.core.peers.linked())
+            if name in large:
+                self.assertEqual(links, 39, name)
+            else:
+                self.assertLessEqual(links, MOST_LINKS_OF_OTHERS, name)
+
+    def test_few_read_the_log(self) -> None:
+        world = self.start()
+        reading = [
+            name
+            for name, machine in world.machines.items()
+            if machine.core is not None and machine.core.reads_itself
+        ]
+        self.assertLessEqual(len(reading), 2)
+
+    def test_requests_of_all_instances_are_served(self) -> None:
+        world = self.start()
+        answers = [
+            want(world, name, f"a{number % 20}")
+            for number, name in enumerate(world.machines)
+        ]
+        world.run(3.0)
+        for answer in answers:
+            self.assertIsInstance(answer.result(0), Target)
+        self.assert_sound(world)
+
+    def test_a_killed_leader_is_followed_by_one_other(self) -> None:
+        world = self.start()
+        [leader] = world.leaders()
+        world.kill(leader)
+        world.run(1.5)
+        self.assertEqual(len(world.leaders()), 1)
+        name = next(name for name in world.machines if name != leader)
+        answer = want(world, name, "a1")
+        self.assertTrue(world.run(1.0, lambda: answer.done()))
+
+    def test_all_hubs_killed_at_once_are_followed_by_others(self) -> None:
+        world = self.start()
+        for name in self.large(world):
+            world.kill(name)
+        self.assertTrue(world.run(4.0, lambda: len(world.leaders()) == 1))
+        world.run(2.0)
+        self.assertEqual(len(world.leaders()), 1)
+        cores = [machine.core for machine in world.machines.values()]
+        followed = {core.leader for core in cores if core is not None}
+        self.assertEqual(followed, set(world.leaders()))
+
+    def test_both_sides_of_a_cut_have_one_leader(self) -> None:
+        world = self.start()
+        world.cut_zones.add("zone-1")
+        world.run(4.0)
+        zones = [world.machines[name].zone for name in world.leaders()]
+        self.assertEqual(len(zones), 2)
+        self.assertEqual(zones.count("zone-1"), 1)
+        world.cut_zones.clear()
+        self.assertTrue(world.run(8.0, lambda: len(world.leaders()) == 1))
+        for number in range(20):
+            want(world, f"instance-{number}", f"b{number}")
+            world.run(0.1)
+        self.assert_sound(world)
+
+    def test_a_cut_of_more_than_a_minute_heals(self) -> None:
+        world = self.start(24)
+        world.cut_zones.add("zone-1")
+        world.run(timedelta(seconds=75).total_seconds())
+        world.cut_zones.clear()
+        self.assertTrue(world.run(8.0, lambda: len(world.leaders()) == 1))
+
+    def test_leases_are_held_by_hubs(self) -> None:
+        world = self.start()
+        for zone in ("zone-0", "zone-1", "zone-2"):
+            [holder] = world.holders(zone)
+            self.assertIn(holder, self.large(world))
+            self.assertEqual(world.machines[holder].zone, zone)
+
+    def test_all_started_anew_have_one_leader_soon(self) -> None:
+        world = self.start()
+        for name in list(world.machines):
+            world.kill(name)
+        world.start()
+        world.run(3.0)
+        self.assertEqual(len(world.leaders()), 1)
+
+    def test_one_that_knows_only_seeds_finds_the_leader(self) -> None:
+        world = self.start()
+        world.kill("instance-30")
+        world.seeds = ("instance-10", "instance-11")
+        world.machines["instance-30"].store_cut = True
+        world.start("instance-30")
+        core = world.machines["instance-30"].core
+        assert core is not None
+        world.run(4.0, lambda: core.leader is not None)
+        world.run(1.0)
+        self.assertEqual([core.leader], world.leaders())
+
+    def test_one_that_could_not_register_does_so_later(self) -> None:
+        world = self.start()
+        world.kill("instance-30")
+        world.registered.discard("instance-30")
+        world.machines["instance-30"].store_cut = True
+        world.start("instance-30")
+        world.run(2.0)
+        world.machines["instance-30"].store_cut = False
+        self.assertTrue(world.run(5.0, lambda: "instance-30" in world.registered))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -465,6 +465,7 @@
         settings = process_settings.parse(text)
         self.assertEqual(settings.instance.seeds, ("10.0.0.2:7", "10.0.0.3:7"))
         self.assertEqual(settings.bounds.lease, timedelta(seconds=3))
+        self.assertEqual(settings.limits.capacity, 1.074)
 
 
 FILLED = {
@@ -491,6 +492,8 @@
     "bounds.ceiling-overage": "1.1",
     "limits.memory-mb": "300",
     "limits.max-fds": "4100",
+    "limits.cpu-share": "0.537",
+    "limits.cores": "2",
 }
 
 
