A request waits for its adapter no longer than its caller does

Casual reviews (5 s) were refused after 2.1 s, in time to come again.

A request is refused, with a time to come back, at 0.42 of its time or 0.8 of its caller's patience, whichever comes first; midway counted from the last event. The test fails without it (6.3 s and 15 s in place of 3.2 s and 4 s).

--- a/packages/ashhoist/src/ashhoist/control/agent.py
+++ b/packages/ashhoist/src/ashhoist/control/agent.py
@@ -45,6 +45,7 @@
             wanted.late_worth,
             _left_ms(wanted.aim_at, now),
             _left_ms(wanted.limit, now),
+            _left_ms(wanted.give_up_at, now),
             self._zone,
             wanted.may_return,
             list(wanted.tried),
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -143,6 +143,7 @@
     late_worth: float
     aim_left_ms: int
     left_ms: int
+    give_up_left_ms: int
     zone: str
     may_return: bool
     tried: list
--- a/packages/ashhoist/src/ashhoist/control/scheduling.py
+++ b/packages/ashhoist/src/ashhoist/control/scheduling.py
@@ -159,6 +159,7 @@
                 now,
                 now + ask.aim_left_ms * MILLISECOND,
                 now + ask.left_ms * MILLISECOND,
+                now + ask.give_up_left_ms * MILLISECOND,
                 ask.zone,
                 ask.may_return,
                 frozenset(ask.tried),
--- a/packages/ashhoist/src/ashhoist/placement/asks.py
+++ b/packages/ashhoist/src/ashhoist/placement/asks.py
@@ -49,6 +49,9 @@
 
     Parameters
     ----------
+    aim_at, give_up_at, limit : timedelta
+        When it ceases to be in time; when it is refused unless its adapter is on
+        its way; when an answer is of no use any more.
     taken_in : Future
         Done once the holder of the lease has said that the request waits there.
     """
@@ -62,6 +65,7 @@
     late_worth: float
     aim_at: timedelta
     limit: timedelta
+    give_up_at: timedelta
     may_return: bool
     tried: tuple[str, ...]
     answer: "Future[Target | Refusal]"
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -36,8 +36,6 @@
 SOON_ENOUGH = timedelta(milliseconds=550)
 WORTH_A_LOAD = timedelta(milliseconds=250)
 """By so much sooner an engine must begin that loads the adapter for it."""
-HELD_SHARE = 0.42
-"""Of its time, that a request is held at most while nothing is on its way to it."""
 COME_BACK = timedelta(milliseconds=300)
 PLAN_EVERY = timedelta(milliseconds=4)
 """What comes within so short a time is planned for together."""
@@ -331,7 +329,7 @@
             if round_.on_its_way(wanted):
                 continue
             for want in list(wanted.by_id.values()):
-                if now < want.asked_at + (want.limit - want.asked_at) * HELD_SHARE:
+                if now < want.give_up_at:
                     continue
                 self.wants.remove(want.id)
                 self._act(Refused(want, Reason.NO_PLACE, COME_BACK))
--- a/packages/ashhoist/src/ashhoist/placement/wants.py
+++ b/packages/ashhoist/src/ashhoist/placement/wants.py
@@ -23,8 +23,9 @@
         Of its prompt.
     worth : float
         What it is worth if it is answered in time.
-    aim_at, limit : timedelta
-        When it ceases to be in time, and when it ends.
+    aim_at, give_up_at, limit : timedelta
+        When it ceases to be in time; when it is refused unless its adapter is on
+        its way; when an answer is of no use any more.
     may_return : bool
         Whether the caller has time to come back if it is refused at once.
     tried : frozenset of str
@@ -42,6 +43,7 @@
     asked_at: timedelta
     aim_at: timedelta
     limit: timedelta
+    give_up_at: timedelta
     zone: str = ""
     may_return: bool = False
     tried: frozenset[str] = frozenset()
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -54,9 +54,19 @@
     patience: timedelta | None = None
     waited: timedelta = timedelta()
     first_event_at: timedelta | None = None
+    last_event_at: timedelta | None = None
     last_event_id: str = ""
 
     @property
     def received_at(self) -> timedelta:
         """Return when its first byte was seen."""
         return self.request.received_at
+
+    @property
+    def left_at(self) -> timedelta:
+        """Return when its caller leaves if no other event comes before."""
+        patience = self.route.caller_patience
+        if patience is None:
+            return self.limit
+        silent_since = self.last_event_at or self.received_at
+        return min(self.limit, silent_since + patience)
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -32,8 +32,12 @@
 from .choosers import Choice
 from .worth import LATE_SHARE, Worth
 
-HELD_SHARE = 0.49
-"""Of its time, that a request waits at most for its adapter."""
+HELD_SHARE = 0.42
+"""Of its time, that a request waits at most while nothing is on its way to it."""
+PATIENCE_SHARE = 0.8
+"""The same, of the time after which its caller leaves."""
+HOLDER_LATE = timedelta(milliseconds=350)
+"""So long after that the request is refused without a word of the holder."""
 COME_BACK = timedelta(milliseconds=300)
 HOLDER_SILENT = timedelta(milliseconds=120)
 """After so long without a word of the holder, a request goes its own way."""
@@ -153,7 +157,7 @@
         waker = self._waker()
         wanted = self._wanted(call, waker)
         self._send(wanted)
-        last = began + (call.limit - began) * HELD_SHARE
+        last = min(wanted.give_up_at + HOLDER_LATE, wanted.limit)
         left = self._wait(wanted, min(began + HOLDER_SILENT, last), caller, waker)
         if left is None and not wanted.answer.done() and not wanted.taken_in.done():
             alone = self._go_alone(call, wanted)
@@ -199,6 +203,11 @@
         answer: Future[Target | Refusal] = Future()
         answer.add_done_callback(lambda _: waker.wake())
         worth = self._worth.of(call)
+        now = self._clock.monotonic()
+        give_up_at = min(
+            now + (call.limit - now) * HELD_SHARE,
+            now + (call.left_at - now) * PATIENCE_SHARE,
+        )
         return Wanted(
             call.use_id,
             call.service,
@@ -208,7 +217,8 @@
             worth,
             worth * LATE_SHARE,
             call.received_at + call.route.aim,
-            call.limit,
+            call.left_at,
+            give_up_at,
             call.first_try and not call.sends,
             tuple(call.tried),
             answer,
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -143,6 +143,7 @@
             if not self.begun:
                 self._begin(head)
             self._caller.send(data, self._limit())
+            self._call.last_event_at = self._clock.monotonic()
         except CallerGoneError:
             return CallerLeft()
         return None
--- a/packages/ashhoist/src/ashhoist/routing/configuration.py
+++ b/packages/ashhoist/src/ashhoist/routing/configuration.py
@@ -41,6 +41,9 @@
         0 is the most urgent.
     longest_pause : timedelta
         Between two events of a stream that is still in time.
+    caller_patience : timedelta or None
+        How long the caller of a stream waits for the next event, the first one
+        too, before it leaves; None if only the time counts.
     """
 
     name: str
@@ -54,6 +57,7 @@
     priority: int = 0
     resumable: bool = False
     longest_pause: timedelta = timedelta(seconds=1)
+    caller_patience: timedelta | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -37,6 +37,7 @@
             0.3,
             now + timedelta(seconds=1),
             now + timedelta(seconds=seconds),
+            now + timedelta(seconds=seconds * 0.42),
             True,
             (),
             answer,
--- /dev/null
+++ b/tests/test_patience.py
@@ -0,0 +1,102 @@
+"""How long requests wait for their adapter: not longer than their callers do."""
+
+import random
+import unittest
+from datetime import timedelta
+from typing import Any
+
+from ashhoist.adapter import Adapter
+from ashhoist.clock import ManualClock
+from ashhoist.failures import Reason
+from ashhoist.http import Request
+from ashhoist.placement import Residency
+from ashhoist.placement.asks import Refusal, Wanted
+from ashhoist.requests.call import Call
+from ashhoist.requests.engine_chooser import EngineChooser
+from ashhoist.routing import Route, RouteKind
+from ashhoist.routing.in_force import InForce
+from ashhoist.upstreams import Balancer, Directory, Health
+
+SECOND = timedelta(seconds=1)
+
+
+class _Caller:
+    """A caller that stays."""
+
+    watched = None
+
+    def left(self) -> bool:
+        return False
+
+
+class WaitingTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.clock.advance(10 * SECOND)
+        self.wanted: list[Wanted] = []
+        health = Health(self.clock)
+        self.chooser = EngineChooser(
+            Directory(),
+            Residency(),
+            InForce(),
+            Balancer("zone-0", health, random.Random(1)),
+            health,
+            self._answer,
+            lambda: True,
+            self.clock,
+        )
+
+    def _answer(self, message: Any) -> None:
+        if isinstance(message, Wanted):
+            self.wanted.append(message)
+            message.answer.set_result(Refusal(Reason.NO_PLACE))
+
+    def ask(self, seconds: int, patience: timedelta | None) -> Call:
+        """Let a request with so much time ask for its adapter."""
+        route = Route(
+            "reports",
+            "host",
+            "/",
+            RouteKind.STREAM,
+            (),
+            seconds * SECOND,
+            SECOND,
+            caller_patience=patience,
+        )
+        now = self.clock.monotonic()
+        request = Request("POST", "/", [], b"", now)
+        adapter = Adapter("base", "a1")
+        call = Call("one", request, route, "engines", now + seconds * SECOND, adapter)
+        self.chooser.choose(call, _Caller())
+        return call
+
+    def waits(self) -> tuple[float, float]:
+        """Return for how long it is held with nothing on its way, and at most."""
+        now = self.clock.monotonic()
+        [wanted] = self.wanted
+        held = (wanted.give_up_at - now) / SECOND
+        return round(held, 3), round((wanted.limit - now) / SECOND, 3)
+
+    def test_a_long_request_is_refused_before_its_caller_leaves(self) -> None:
+        self.ask(15, 4 * SECOND)
+        self.assertEqual(self.waits(), (3.2, 4.0))
+
+    def test_a_short_one_goes_by_its_time(self) -> None:
+        self.ask(5, 4 * SECOND)
+        self.assertEqual(self.waits(), (2.1, 4.0))
+
+    def test_where_callers_do_not_leave_the_time_counts(self) -> None:
+        self.ask(10, None)
+        self.assertEqual(self.waits(), (4.2, 10.0))
+
+    def test_midway_the_caller_waits_from_the_last_event(self) -> None:
+        call = self.ask(15, 4 * SECOND)
+        self.clock.advance(6 * SECOND)
+        call.last_event_at = self.clock.monotonic()
+        self.wanted.clear()
+        self.chooser.choose(call, _Caller())
+        self.assertEqual(self.waits(), (3.2, 4.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -456,6 +456,33 @@
         self.assertEqual(process.ask("/review/x", "two", MODEL)[0], 404)
 
 
+class PatienceTests(unittest.TestCase):
+    def patience(self, kind: str, aim_ms: int, gap_ms: int) -> timedelta | None:
+        route = {
+            "name": "r",
+            "host": "h",
+            "path-prefix": "/",
+            "kind": kind,
+            "service": "s",
+            "timeout-ms": 15000,
+            "target-latency-ms": aim_ms,
+            "gap-aim-ms": gap_ms,
+        }
+        document = {"version": 1, "routes": [route], "services": []}
+        record = Record(0, "config", json.dumps(document).encode())
+        change = decode(Topic.CONFIGURATION, record)
+        assert isinstance(change, ConfigurationPut)
+        return change.configuration.routes[0].caller_patience
+
+    def test_streams_are_left_after_the_longest_of_three_times(self) -> None:
+        self.assertEqual(self.patience("stream", 1000, 400), timedelta(seconds=4))
+        self.assertEqual(self.patience("stream", 100, 100), timedelta(seconds=2))
+        self.assertEqual(self.patience("stream", 100, 500), timedelta(seconds=4))
+
+    def test_other_answers_are_waited_for(self) -> None:
+        self.assertIsNone(self.patience("unsafe", 1000, 400))
+
+
 class TemplateTests(unittest.TestCase):
     def test_the_settings_that_the_platform_fills_in_are_valid(self) -> None:
         text = (ROOT / "deploy" / "ashhoist.ini").read_text()
