An order without an answer is taken for lost after a fifth of a second less

Change: an engine's answer is waited for five times as long as its answers usually take, at least 80 ms and at most 250, twice as long for each one in a row that does not come.

Test: tests/test_order_patience.py on the manual clock; it fails where 250 ms are waited for.

--- a/packages/ashhoist/src/ashhoist/control/engines.py
+++ b/packages/ashhoist/src/ashhoist/control/engines.py
@@ -12,7 +12,13 @@
 from ..orders import EngineReport, Order, OrderAnswer
 from ..placement.actions import AskReport
 
-ORDER_PATIENCE = timedelta(milliseconds=250)
+LEAST_PATIENCE = timedelta(milliseconds=80)
+MOST_PATIENCE = timedelta(milliseconds=250)
+PATIENCE_TIMES = 5
+"""An order is taken for lost after so many times what answers usually take."""
+MOST_DOUBLINGS = 4
+USUAL_AT_FIRST = timedelta(milliseconds=20)
+SMOOTHING = 0.2
 REPORT_PATIENCE = timedelta(milliseconds=700)
 
 
@@ -32,12 +38,43 @@
     report: EngineReport | None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Line:
-    """A connection to one engine, and whose turn it is on it."""
+    """A connection to one engine, and whose turn it is on it.
+
+    Parameters
+    ----------
+    usual : timedelta
+        How long the engine usually takes to answer an order.
+    unanswered : int
+        Orders in a row that it left without an answer.
+    """
 
     client: Client
     turn: threading.Lock
+    usual: timedelta = USUAL_AT_FIRST
+    unanswered: int = 0
+
+    @property
+    def patience(self) -> timedelta:
+        """Return how long to wait for the answer to an order.
+
+        An engine that leaves one order unanswered holds up all its others, so
+        this is short; each one in a row is given twice the time of that before.
+        """
+        patience = max(self.usual * PATIENCE_TIMES, LEAST_PATIENCE)
+        doublings = min(max(self.unanswered - 1, 0), MOST_DOUBLINGS)
+        return min(patience * 2**doublings, MOST_PATIENCE)
+
+    def learn(self, answer: OrderAnswer, took: timedelta) -> None:
+        """Take in how long an answer took, or that there was none."""
+        if answer is OrderAnswer.NOT_SENT:
+            return
+        if answer is OrderAnswer.UNKNOWN:
+            self.unanswered += 1
+            return
+        self.unanswered = 0
+        self.usual += (took - self.usual) * SMOOTHING
 
 
 class EngineProtocol(Protocol):
@@ -89,7 +126,9 @@
         line = self._line(order.upstream, order.address)
         with line.turn:
             if self._may_order(order):
-                answer = self._protocol.order(line.client, order, ORDER_PATIENCE)
+                sent_at = self._clock.monotonic()
+                answer = self._protocol.order(line.client, order, line.patience)
+                line.learn(answer, self._clock.monotonic() - sent_at)
         self._send(OrderDone(order, answer))
 
     def report(self, request: AskReport) -> None:
--- /dev/null
+++ b/tests/test_order_patience.py
@@ -0,0 +1,88 @@
+"""How long an engine's answer to an order is waited for."""
+
+import unittest
+from concurrent.futures import Executor, Future
+from datetime import timedelta
+from typing import Any
+
+from ashhoist.adapter import Adapter
+from ashhoist.clock import ManualClock
+from ashhoist.control.engines import EngineControl
+from ashhoist.http.client import Client
+from ashhoist.orders import EngineReport, Order, OrderAnswer, OrderKind
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class _AtOnce(Executor):
+    """Runs what is submitted before it returns."""
+
+    def submit(self, function: Any, /, *args: Any, **kwargs: Any) -> Future[Any]:
+        done: Future[Any] = Future()
+        done.set_result(function(*args, **kwargs))
+        return done
+
+
+class _Engine:
+    """Answers orders after a set time, or lets the patience run out."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self.takes = 4 * MILLISECOND
+        self.silent = False
+        self.waited: list[timedelta] = []
+
+    def order(self, client: Client, order: Order, patience: timedelta) -> OrderAnswer:
+        lost = self.silent or self.takes > patience
+        waited = patience if lost else self.takes
+        self.waited.append(waited)
+        self._clock.advance(waited)
+        return OrderAnswer.UNKNOWN if lost else OrderAnswer.ACCEPTED
+
+    def report(
+        self, client: Client, upstream: str, patience: timedelta
+    ) -> EngineReport | None:
+        return None
+
+
+class OrderPatienceTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.engine = _Engine(self.clock)
+        self.control = EngineControl(
+            self.engine, lambda order: True, lambda done: None, _AtOnce(), self.clock
+        )
+
+    def order(self, times: int = 1) -> timedelta:
+        """Send orders; return how long the last was waited for."""
+        load = Order("e", "127.0.0.1:1", OrderKind.LOAD, Adapter("base", "a1"), 0)
+        for _ in range(times):
+            self.control.order(load)
+        return self.engine.waited[-1]
+
+    def test_an_unanswered_order_holds_up_others_for_a_moment_only(self) -> None:
+        self.order(20)
+        self.engine.silent = True
+        self.assertEqual(self.order(), 80 * MILLISECOND)
+
+    def test_the_first_order_of_all_is_waited_for_no_longer_than_needed(self) -> None:
+        self.engine.silent = True
+        self.assertLessEqual(self.order(), 100 * MILLISECOND)
+
+    def test_an_engine_that_becomes_slow_is_given_more_time(self) -> None:
+        self.order(20)
+        self.engine.takes = 200 * MILLISECOND
+        self.assertEqual(self.order(15), 200 * MILLISECOND)
+
+    def test_a_few_lost_answers_among_many_change_little(self) -> None:
+        for _ in range(20):
+            self.order(2)
+            self.engine.silent = True
+            self.order()
+            self.engine.silent = False
+        self.engine.silent = True
+        self.assertLessEqual(self.order(), 100 * MILLISECOND)
+
+
+if __name__ == "__main__":
+    unittest.main()
