--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -11,7 +11,6 @@
 
 from ..adapter import Adapter
 from ..clock import ZERO, Clock
-from ..failures import Reason
 from ..logs import Logger
 from ..metrics import Metrics
 from ..orders import (
@@ -23,33 +22,24 @@
     OrderAnswer,
 )
 from ..placement import Residency
-from ..placement.asks import (
-    NoLongerWanted,
-    Refusal,
-    Target,
-    UseBegan,
-    UseEnded,
-    UseStarted,
-    Wanted,
-)
 from ..routing import ServingConfiguration
 from ..routing.in_force import InForce
-from ..store import AppendResult, Newest, Record, Topic, Unavailable
-from ..store.follower import Followed, FollowerState
+from ..store import AppendResult, Newest, Unavailable
+from ..store.follower import Followed
 from ..types import Endpoint
 from ..upstreams import Directory, Health
 from . import messages
 from .agent import Agent
-from .changes import Change, ConfigurationPut, UpstreamEnded, UpstreamPut, VersionNamed
 from .election import Election
 from .hubs import Hubs, Identity
-from .knowledge import SHARED_TOPICS, Knowledge
+from .knowledge import SHARED_TOPICS
 from .order_desk import OrderDesk
 from .order_leases import OrderLeases
 from .outside import Outside
 from .peers import InstanceRecord, Peers
 from .readers import Readers
-from .scheduling import Scheduling, reason_of
+from .records import Decode, SharedRecords
+from .scheduling import Scheduling
 
 BEAT_EVERY = timedelta(milliseconds=500)
 CLAIMS_EVERY = timedelta(seconds=2)
@@ -57,11 +47,6 @@
 LAST_ORDERS = timedelta(milliseconds=600)
 """How long a planned stop waits for answers to its last orders."""
 REGISTER_AGAIN = timedelta(seconds=2)
-READS_LOG_FOR = timedelta(milliseconds=1500)
-MOST_PUSHED = 2048
-"""Bytes of records that are told to others unasked."""
-
-Decode = Callable[[Topic, Record], Change | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,20 +84,30 @@
         log: Logger,
     ) -> None:
         self._settings = settings
-        self._decode = decode
         self._in_force = in_force
         self._directory = directory
         self._residency = residency
-        self._health = health
         self._outside = outside
         self._clock = clock
         self._metrics = metrics
         self._log = log
         holder = f"{settings.name}@{settings.address}"
-        self.knowledge = Knowledge()
         self.peers = Peers(settings.name)
         self._hubs = Hubs(settings.identity, self.peers, clock)
-        self.agent = Agent(settings.zone)
+        self.agent = Agent(settings.zone, directory, self._tell_leader, clock)
+        self.records = SharedRecords(
+            decode,
+            in_force,
+            directory,
+            residency,
+            health,
+            self.peers,
+            outside,
+            self._apply_upstreams,
+            clock,
+            metrics,
+            log,
+        )
         self.leases = OrderLeases(
             settings.identity,
             holder,
@@ -142,7 +137,6 @@
         self._election = Election(settings.name, self.peers, self._hubs, clock)
         self.leader: str | None = None
         self._seeds = settings.seeds
-        self._listed = False
         self._knows_others = False
         self._register_at = ZERO
         self.stopping = False
@@ -157,7 +151,7 @@
     @property
     def ready(self) -> bool:
         """Return whether callers may be sent here."""
-        known = self._in_force.table is not None and self._listed
+        known = self._in_force.table is not None and self.records.listed
         return known and not self.stopping
 
     @property
@@ -215,109 +209,10 @@
 
     # What the log says
 
-    def follower_state(self, state: FollowerState) -> None:
-        """Take in that the log was lost or is there again."""
-
     def followed(self, followed: Followed) -> None:
         """Take in records that were read from the log."""
-        now = self._clock.monotonic()
-        topic = followed.topic
-        before = self.knowledge.offset(topic)
-        fresh = [
-            record for record in followed.records if self._take_record(topic, record)
-        ]
-        if followed.whole:
-            listed = {record.key for record in followed.records}
-            self._drop_unlisted(topic, listed, followed.end)
-        self.knowledge.reached(topic, followed.read_to, now)
         self.leases.log_answers()
-        if topic is Topic.UPSTREAMS:
-            self._listed = True
-            self._apply_upstreams()
-        if fresh:
-            self._pass_on(topic, before, fresh)
-
-    def _take_record(self, topic: Topic, record: Record) -> bool:
-        """Take in a record; return whether it has changed something here."""
-        if not self.knowledge.is_news(topic, record):
-            return False
-        change = self._decode(topic, record)
-        if change is None or not self._apply(change):
-            return False
-        self.knowledge.keep(topic, record)
-        return True
-
-    def _pass_on(self, topic: Topic, after: int, records: list[Record]) -> None:
-        """Tell the others what was read; what is large they read themselves."""
-        newest = self.knowledge.offset(topic)
-        message: Any = messages.Announce(str(topic), newest)
-        if sum(_size(record) for record in records) <= MOST_PUSHED:
-            rows = [[record.offset, record.key, record.value] for record in records]
-            message = messages.Relay(str(topic), after, newest, rows)
-        for peer in self.peers.linked():
-            self._outside.send_to(peer, message)
-
-    def _drop_unlisted(self, topic: Topic, listed: set[str], end: int) -> None:
-        self.knowledge.drop_ended(topic, listed, end)
-        if topic is not Topic.UPSTREAMS:
-            return
-        for upstream in self._directory.missing_from(listed, end):
-            self._apply(UpstreamEnded(upstream, end - 1))
-
-    def _apply(self, change: Change) -> bool:
-        """Take in a change; return whether it was one."""
-        if isinstance(change, ConfigurationPut):
-            return self._put_configuration(change)
-        if isinstance(change, VersionNamed):
-            return self._name_version(change)
-        if isinstance(change, UpstreamPut):
-            return self._put_upstream(change)
-        return self._end_upstream(change)
-
-    def _name_version(self, change: VersionNamed) -> bool:
-        now = self._clock.monotonic()
-        if not self._in_force.name_version(change.adapter, change.version, now):
-            return False
-        self._log.info(
-            "version named", adapter=str(change.adapter), version=change.version
-        )
-        return True
-
-    def _put_configuration(self, change: ConfigurationPut) -> bool:
-        if not self._in_force.put(change.configuration):
-            return False
-        self._log.info("configuration in force", version=self._in_force.version)
-        self._metrics.gauge("configuration_offset", self._in_force.version)
-        self._apply_upstreams()
-        return True
-
-    def _put_upstream(self, change: UpstreamPut) -> bool:
-        upstream = change.upstream
-        if not self._directory.put(upstream):
-            return False
-        self._log.info(
-            "upstream changed",
-            upstream=upstream.id,
-            service=upstream.service,
-            address=upstream.address,
-            state=upstream.state,
-            offset=upstream.offset,
-        )
-        self._apply_upstreams()
-        return True
-
-    def _end_upstream(self, change: UpstreamEnded) -> bool:
-        now = self._clock.monotonic()
-        if not self._directory.end(change.upstream_id, change.offset, now):
-            return False
-        self._log.info(
-            "upstream ended", upstream=change.upstream_id, offset=change.offset
-        )
-        self._residency.forget(change.upstream_id)
-        self._health.forget(change.upstream_id)
-        self._outside.forget_upstream(change.upstream_id)
-        self._apply_upstreams()
-        return True
+        self.records.followed(followed)
 
     def _apply_upstreams(self) -> None:
         configuration = self._configuration()
@@ -409,45 +304,16 @@
         if told_news:
             self._elect()
         for topic in SHARED_TOPICS:
-            self._catch_up(peer, topic, beat.offsets.get(str(topic), -1))
+            self.records.catch_up(peer, topic, beat.offsets.get(str(topic), -1))
 
     def _announced(self, peer: str, message: messages.Announce) -> None:
-        self._catch_up(peer, Topic(message.topic), message.offset)
-
-    def _catch_up(self, peer: str, topic: Topic, offset: int) -> None:
-        """Read what a peer has read already; ask that peer if this takes long."""
-        if offset <= self.knowledge.seen(topic):
-            return
-        self._outside.read_now(topic)
-        now = self._clock.monotonic()
-        after = self.knowledge.pull_due(topic, offset, now)
-        if after is None:
-            return
-        self._log.info("records pulled", topic=topic, peer=peer, after=after, to=offset)
-        self._outside.send_to(peer, messages.Pull(str(topic), after))
+        self.records.announced(peer, message)
 
     def _pulled(self, peer: str, pull: messages.Pull) -> None:
-        topic = Topic(pull.topic)
-        rows = [
-            [record.offset, record.key, record.value]
-            for record in self.knowledge.after(topic, pull.after)
-        ]
-        newest = self.knowledge.offset(topic)
-        if rows:
-            relay = messages.Relay(pull.topic, pull.after, newest, rows)
-            self._outside.send_to(peer, relay)
+        self.records.pulled(peer, pull)
 
     def _relayed(self, peer: str, relay: messages.Relay) -> None:
-        topic = Topic(relay.topic)
-        for offset, key, value in relay.records:
-            self._take_record(topic, Record(offset, key, value))
-        if relay.after <= self.knowledge.seen(topic):
-            self.knowledge.see(topic, relay.up_to)
-        else:
-            self._catch_up(peer, topic, relay.up_to)
-        if topic is Topic.UPSTREAMS:
-            self._listed = True
-            self._apply_upstreams()
+        self.records.relayed(peer, relay)
 
     def _held(self, peer: str, holds: messages.Holds) -> None:
         held = {Adapter(model, name): int(v) for model, name, v in holds.adapters}
@@ -487,36 +353,13 @@
         self.scheduling.used(peer, uses)
 
     def _granted(self, peer: str, granted: messages.Granted) -> None:
-        wanted = self.agent.open.pop(granted.id, None)
-        upstream = self._directory.view.by_id.get(granted.upstream)
-        waits = wanted is not None and wanted.answer.set_running_or_notify_cancel()
-        if wanted is None or not waits:
-            # Nobody goes there after all; the holder counts on hearing so.
-            self.agent.ended(UseEnded(granted.id, granted.upstream))
-            return
-        if upstream is None:
-            self.agent.ended(UseEnded(granted.id, granted.upstream))
-            wanted.answer.set_result(Refusal(Reason.NO_UPSTREAM))
-            return
-        use = UseBegan(granted.id, upstream.id, wanted.adapter, wanted.tokens)
-        self.agent.granted(use)
-        version = granted.version or None
-        expected = timedelta(milliseconds=granted.expected_ms)
-        target = Target(upstream.id, upstream.address, version, expected)
-        wanted.answer.set_result(target)
+        self.agent.granted(granted)
 
     def _waits(self, peer: str, message: messages.Waits) -> None:
-        wanted = self.agent.open.get(message.id)
-        if wanted is not None and not wanted.taken_in.done():
-            wanted.taken_in.set_result(None)
+        self.agent.waits(message)
 
     def _declined(self, peer: str, declined: messages.Declined) -> None:
-        wanted = self.agent.open.pop(declined.id, None)
-        if wanted is None:
-            return
-        wait = timedelta(milliseconds=declined.retry_after_ms)
-        if wanted.answer.set_running_or_notify_cancel():
-            wanted.answer.set_result(Refusal(reason_of(declined.reason), wait))
+        self.agent.declined(declined)
 
     _HANDLERS: dict[type, Callable[["Core", str, Any], None]] = {
         messages.Introduce: _introduced,
@@ -546,37 +389,15 @@
             return
         self._outside.send_to(instance, message)
 
+    def _tell_leader(self, message: Any) -> None:
+        if self.leader is not None:
+            self._tell(self.leader, message)
+
     def _tell_all(self, message: Any) -> None:
         for peer in self.peers.linked():
             self._outside.send_to(peer, message)
         self.peer_message(self._settings.name, message)
 
-    # Requests of this instance
-
-    def wanted(self, wanted: Wanted) -> None:
-        """Take in a request that needs an adapter."""
-        self.agent.open[wanted.id] = wanted
-        if self.leader is not None:
-            self._tell(self.leader, self.agent.ask(wanted, self._clock.monotonic()))
-
-    def no_longer_wanted(self, message: NoLongerWanted) -> None:
-        """Take in that a request has ended while it waited."""
-        wanted = self.agent.open.pop(message.id, None)
-        if wanted is not None and self.leader is not None:
-            self._tell(self.leader, messages.Withdraw(message.id))
-
-    def use_began(self, use: UseBegan) -> None:
-        """Count a use of an adapter."""
-        self.agent.began(use)
-
-    def use_started(self, use: UseStarted) -> None:
-        """Take in that a request has its first event."""
-        self.agent.started(use)
-
-    def use_ended(self, use: UseEnded) -> None:
-        """Count the end of a use."""
-        self.agent.ended(use)
-
     # Who schedules
 
     def _elect(self) -> None:
@@ -595,10 +416,7 @@
         self._relink()
         if leader is None:
             return
-        self._tell(leader, self.agent.all_uses())
-        now = self._clock.monotonic()
-        for wanted in self.agent.open.values():
-            self._tell(leader, self.agent.ask(wanted, now))
+        self.agent.greet_leader()
 
     def _order(self, order: Order) -> None:
         answer = self.desk.send(order)
@@ -623,9 +441,8 @@
 
     def settle(self) -> None:
         """Do what is due after a round of messages."""
-        uses = self.agent.uses()
-        if uses is not None and self.leader is not None:
-            self._tell(self.leader, uses)
+        if self.leader is not None:
+            self.agent.tell_uses()
         self.scheduling.plan()
 
     def tick(self) -> None:
@@ -664,10 +481,6 @@
         for peer in self.peers.linked():
             self._outside.send_to(peer, beat)
 
-    def _reads_log(self) -> bool:
-        age = self._clock.monotonic() - self.knowledge.read_at(Topic.UPSTREAMS)
-        return self._listed and age < READS_LOG_FOR
-
     def _claims_to_tell(self, now: timedelta) -> list[Claim]:
         """Return all claims if one is new, or they were last told long ago."""
         claims = self.leases.claims()
@@ -681,14 +494,10 @@
     def _own_beat(self, claims: list[Claim]) -> messages.Beat:
         return messages.Beat(
             self.stopping,
-            self._reads_log(),
+            self.records.reads_log,
             self.scheduling.leads,
             self.scheduling.epoch,
             self._in_force.version,
-            self.knowledge.offsets(),
+            self.records.knowledge.offsets(),
             [list(astuple(claim)) for claim in claims],
         )
-
-
-def _size(record: Record) -> int:
-    return len(record.value or b"")
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -0,0 +1,220 @@
+"""What the shared log says, as this instance has read it or was told.
+
+Whoever reads passes on what is new. Who is behind a peer reads too, and asks that
+peer if reading takes long.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from ..clock import Clock
+from ..logs import Logger
+from ..metrics import Metrics
+from ..placement import Residency
+from ..routing.in_force import InForce
+from ..store import Record, Topic
+from ..store.follower import Followed
+from ..upstreams import Directory, Health
+from . import messages
+from .changes import Change, ConfigurationPut, UpstreamEnded, UpstreamPut, VersionNamed
+from .knowledge import Knowledge
+from .outside import Outside
+from .peers import Peers
+
+READS_LOG_FOR = timedelta(milliseconds=1500)
+MOST_PUSHED = 2048
+"""Bytes of records that are told to others unasked."""
+
+Decode = Callable[[Topic, Record], Change | None]
+
+
+class SharedRecords:
+    """The records of the log: taken in, put in force, passed on.
+
+    Parameters
+    ----------
+    upstreams_changed : callable
+        Called when which upstreams there are, or what is in force, has changed.
+    """
+
+    def __init__(
+        self,
+        decode: Decode,
+        in_force: InForce,
+        directory: Directory,
+        residency: Residency,
+        health: Health,
+        peers: Peers,
+        outside: Outside,
+        upstreams_changed: Callable[[], None],
+        clock: Clock,
+        metrics: Metrics,
+        log: Logger,
+    ) -> None:
+        self._decode = decode
+        self._in_force = in_force
+        self._directory = directory
+        self._residency = residency
+        self._health = health
+        self._peers = peers
+        self._outside = outside
+        self._upstreams_changed = upstreams_changed
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self.knowledge = Knowledge()
+        self.listed = False
+
+    @property
+    def reads_log(self) -> bool:
+        """Return whether the log has answered this instance lately."""
+        age = self._clock.monotonic() - self.knowledge.read_at(Topic.UPSTREAMS)
+        return self.listed and age < READS_LOG_FOR
+
+    # Taken in
+
+    def followed(self, followed: Followed) -> None:
+        """Take in records that were read from the log."""
+        now = self._clock.monotonic()
+        topic = followed.topic
+        before = self.knowledge.offset(topic)
+        fresh = [
+            record for record in followed.records if self._take_record(topic, record)
+        ]
+        if followed.whole:
+            listed = {record.key for record in followed.records}
+            self._drop_unlisted(topic, listed, followed.end)
+        self.knowledge.reached(topic, followed.read_to, now)
+        if topic is Topic.UPSTREAMS:
+            self.listed = True
+            self._upstreams_changed()
+        if fresh:
+            self._pass_on(topic, before, fresh)
+
+    def _take_record(self, topic: Topic, record: Record) -> bool:
+        """Take in a record; return whether it has changed something here."""
+        if not self.knowledge.is_news(topic, record):
+            return False
+        change = self._decode(topic, record)
+        if change is None or not self._apply(change):
+            return False
+        self.knowledge.keep(topic, record)
+        return True
+
+    def _pass_on(self, topic: Topic, after: int, records: list[Record]) -> None:
+        """Tell the others what was read; what is large they read themselves."""
+        newest = self.knowledge.offset(topic)
+        message: Any = messages.Announce(str(topic), newest)
+        if sum(_size(record) for record in records) <= MOST_PUSHED:
+            rows = [[record.offset, record.key, record.value] for record in records]
+            message = messages.Relay(str(topic), after, newest, rows)
+        for peer in self._peers.linked():
+            self._outside.send_to(peer, message)
+
+    def _drop_unlisted(self, topic: Topic, listed: set[str], end: int) -> None:
+        self.knowledge.drop_ended(topic, listed, end)
+        if topic is not Topic.UPSTREAMS:
+            return
+        for upstream in self._directory.missing_from(listed, end):
+            self._apply(UpstreamEnded(upstream, end - 1))
+
+    def _apply(self, change: Change) -> bool:
+        """Take in a change; return whether it was one."""
+        if isinstance(change, ConfigurationPut):
+            return self._put_configuration(change)
+        if isinstance(change, VersionNamed):
+            return self._name_version(change)
+        if isinstance(change, UpstreamPut):
+            return self._put_upstream(change)
+        return self._end_upstream(change)
+
+    def _name_version(self, change: VersionNamed) -> bool:
+        now = self._clock.monotonic()
+        if not self._in_force.name_version(change.adapter, change.version, now):
+            return False
+        self._log.info(
+            "version named", adapter=str(change.adapter), version=change.version
+        )
+        return True
+
+    def _put_configuration(self, change: ConfigurationPut) -> bool:
+        if not self._in_force.put(change.configuration):
+            return False
+        self._log.info("configuration in force", version=self._in_force.version)
+        self._metrics.gauge("configuration_offset", self._in_force.version)
+        self._upstreams_changed()
+        return True
+
+    def _put_upstream(self, change: UpstreamPut) -> bool:
+        upstream = change.upstream
+        if not self._directory.put(upstream):
+            return False
+        self._log.info(
+            "upstream changed",
+            upstream=upstream.id,
+            service=upstream.service,
+            address=upstream.address,
+            state=upstream.state,
+            offset=upstream.offset,
+        )
+        return True
+
+    def _end_upstream(self, change: UpstreamEnded) -> bool:
+        now = self._clock.monotonic()
+        if not self._directory.end(change.upstream_id, change.offset, now):
+            return False
+        self._log.info(
+            "upstream ended", upstream=change.upstream_id, offset=change.offset
+        )
+        self._residency.forget(change.upstream_id)
+        self._health.forget(change.upstream_id)
+        self._outside.forget_upstream(change.upstream_id)
+        return True
+
+    # Told by peers, and told to them
+
+    def announced(self, peer: str, message: messages.Announce) -> None:
+        """Take in that a peer has read a large record."""
+        self.catch_up(peer, Topic(message.topic), message.offset)
+
+    def catch_up(self, peer: str, topic: Topic, offset: int) -> None:
+        """Read what a peer has read already; ask that peer if this takes long."""
+        if offset <= self.knowledge.seen(topic):
+            return
+        self._outside.read_now(topic)
+        now = self._clock.monotonic()
+        after = self.knowledge.pull_due(topic, offset, now)
+        if after is None:
+            return
+        self._log.info("records pulled", topic=topic, peer=peer, after=after, to=offset)
+        self._outside.send_to(peer, messages.Pull(str(topic), after))
+
+    def pulled(self, peer: str, pull: messages.Pull) -> None:
+        """Tell a peer what it lacks."""
+        topic = Topic(pull.topic)
+        rows = [
+            [record.offset, record.key, record.value]
+            for record in self.knowledge.after(topic, pull.after)
+        ]
+        newest = self.knowledge.offset(topic)
+        if rows:
+            relay = messages.Relay(pull.topic, pull.after, newest, rows)
+            self._outside.send_to(peer, relay)
+
+    def relayed(self, peer: str, relay: messages.Relay) -> None:
+        """Take in records that a peer has read."""
+        topic = Topic(relay.topic)
+        for offset, key, value in relay.records:
+            self._take_record(topic, Record(offset, key, value))
+        if relay.after <= self.knowledge.seen(topic):
+            self.knowledge.see(topic, relay.up_to)
+        else:
+            self.catch_up(peer, topic, relay.up_to)
+        if topic is Topic.UPSTREAMS:
+            self.listed = True
+            self._upstreams_changed()
+
+
+def _size(record: Record) -> int:
+    return len(record.value or b"")
--- a/packages/ashhoist/src/ashhoist/control/scheduling.py
+++ b/packages/ashhoist/src/ashhoist/control/scheduling.py
@@ -6,7 +6,6 @@
 
 from ..adapter import Adapter
 from ..clock import ZERO, Clock
-from ..failures import Reason
 from ..logs import Logger
 from ..metrics import Metrics
 from ..orders import EngineReport, Order, OrderAnswer
@@ -246,11 +245,3 @@
     def _holds(self, upstream: str, held: dict[Adapter, int]) -> Holds:
         rows = [[key.model, key.name, version] for key, version in held.items()]
         return Holds(self.epoch, upstream, rows)
-
-
-def reason_of(text: str) -> Reason:
-    """Return the reason of that name, or a general one."""
-    try:
-        return Reason(text)
-    except ValueError:
-        return Reason.NO_UPSTREAM
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -305,7 +305,8 @@
 
     @handles(FollowerState)
     def _follower_state(self, state: FollowerState) -> None:
-        self.core.follower_state(state)
+        # The follower has logged it; ages of what was read say the rest.
+        return
 
     @handles(LeaseRead)
     def _lease_read(self, message: LeaseRead) -> None:
@@ -334,23 +335,23 @@
 
     @handles(Wanted)
     def _wanted(self, message: Wanted) -> None:
-        self.core.wanted(message)
+        self.core.agent.wanted(message)
 
     @handles(NoLongerWanted)
     def _no_longer_wanted(self, message: NoLongerWanted) -> None:
-        self.core.no_longer_wanted(message)
+        self.core.agent.no_longer_wanted(message)
 
     @handles(UseBegan)
     def _use_began(self, message: UseBegan) -> None:
-        self.core.use_began(message)
+        self.core.agent.began(message)
 
     @handles(UseStarted)
     def _use_started(self, message: UseStarted) -> None:
-        self.core.use_started(message)
+        self.core.agent.started(message)
 
     @handles(UseEnded)
     def _use_ended(self, message: UseEnded) -> None:
-        self.core.use_ended(message)
+        self.core.agent.ended(message)
 
     @handles(OrderDone)
     def _order_done(self, message: OrderDone) -> None:
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -649,7 +649,9 @@
         answer = wanted.answer
         answer.add_done_callback(lambda _: self._run_request(machine, core, wanted))
         self._do(
-            machine, core, lambda: self._settled(core, lambda: core.wanted(wanted))
+            machine,
+            core,
+            lambda: self._settled(core, lambda: core.agent.wanted(wanted)),
         )
 
     def _run_request(self, machine: Machine, core: Core, wanted: Wanted) -> None:
@@ -663,7 +665,7 @@
             engine.users[name] = engine.users.get(name, 0) + 1
 
         def end() -> None:
-            core.use_ended(UseEnded(wanted.id, target.upstream))
+            core.agent.ended(UseEnded(wanted.id, target.upstream))
             core.settle()
 
         def leave() -> None:
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -118,15 +118,15 @@
         world = started(2)
         core = world.machines["instance-0"].core
         assert core is not None
-        seen = core.knowledge.seen(Topic.CONFIGURATION)
+        seen = core.records.knowledge.seen(Topic.CONFIGURATION)
         row = [seen + 5, "version/a1", b"x"]
         relay = Relay(str(Topic.CONFIGURATION), seen + 4, seen + 5, [row])
         core.peer_message("instance-1", relay)
-        self.assertEqual(core.knowledge.seen(Topic.CONFIGURATION), seen)
+        self.assertEqual(core.records.knowledge.seen(Topic.CONFIGURATION), seen)
         row = [seen + 1, "version/a2", b"x"]
         relay = Relay(str(Topic.CONFIGURATION), seen, seen + 1, [row])
         core.peer_message("instance-1", relay)
-        self.assertEqual(core.knowledge.seen(Topic.CONFIGURATION), seen + 1)
+        self.assertEqual(core.records.knowledge.seen(Topic.CONFIGURATION), seen + 1)
 
     def test_nothing_goes_back_whoever_tells_it(self) -> None:
         world = started(3)
