--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -305,8 +305,7 @@
 
     @handles(FollowerState)
     def _follower_state(self, state: FollowerState) -> None:
-        # The follower has logged it; ages of what was read say the rest.
-        return
+        """Pass over: the follower has logged it, and what was read has its age."""
 
     @handles(LeaseRead)
     def _lease_read(self, message: LeaseRead) -> None:
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
-from typing import Any
 from uuid import uuid4
 
 from . import logs
@@ -43,6 +42,7 @@
 """How long new connections are taken after readiness has gone false."""
 LAST_PART = timedelta(milliseconds=700)
 """What is left of the time to stop when requests are broken off."""
+ANSWER_WITHIN = timedelta(milliseconds=200)
 LOOK_EVERY = timedelta(milliseconds=50)
 LOOK_AT_SETTINGS = timedelta(seconds=2)
 
@@ -263,7 +263,7 @@
         self._pause_until(lambda: False, began + NOTICE)
         self._closing = True
         self.listener.stop()
-        clean = self._pause_until(self._idle, limit)
+        clean = self._pause_until(self.idle, limit)
         self.listener.close_resting()
         self._log.info("stopped", clean=clean, busy=self.listener.busy)
         return clean
@@ -275,13 +275,21 @@
         self._budget.set(retries.ratio, retries.extra, retries.window)
         self.control.send(SeedsChanged(settings.instance.seeds))
 
-    def _idle(self) -> bool:
-        return not self.listener.busy and bool(self._ask(_settled))
+    def idle(self) -> bool:
+        """Return whether nothing is in flight and all is handed over."""
+        return not self.listener.busy and self._settled()
 
-    def _ask(self, function: Callable[[Core], Any]) -> Any:
-        look = Look(function, Future())
+    def _settled(self) -> bool:
+        """Return whether the control task says that all is handed over.
+
+        One that does not answer in time has not: a stop must end by its limit.
+        """
+        look = Look(lambda core: core.settled, Future())
         self.control.send(look)
-        return look.result.result(LAST_PART.total_seconds())
+        try:
+            return bool(look.result.result(ANSWER_WITHIN.total_seconds()))
+        except TimeoutError:
+            return False
 
     def _pause_until(self, done: Callable[[], bool], limit: timedelta) -> bool:
         pause = threading.Event()
@@ -292,10 +300,6 @@
         return False
 
 
-def _settled(core: Core) -> bool:
-    return core.settled
-
-
 def run(settings: ProcessSettings, platform: Platform, path: Path) -> int:
     """Run one instance until it is told to stop.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,6 +18,7 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / "platform"))
 
+from ashhoist_platform.dialect import DIALECT  # noqa: E402
 from ashhoist_platform.engines import WorkerProtocol  # noqa: E402
 from ashhoist_platform.records import decode  # noqa: E402
 from ashhoist_platform.store import Store  # noqa: E402
@@ -33,6 +34,7 @@
 )
 from ashhoist.http.client import Client  # noqa: E402
 from ashhoist.orders import Order, OrderAnswer, OrderKind  # noqa: E402
+from ashhoist.process import Platform, Process  # noqa: E402
 from ashhoist.routing import RouteKind  # noqa: E402
 from ashhoist.store import (  # noqa: E402
     Appended,
@@ -436,6 +438,38 @@
         self.assertIn(b"data: a1.1.last.3", answers[0][1])
         self.assertEqual(process.process.wait(SOON), 0)
 
+    def test_an_address_that_is_taken_is_told_and_ends_the_process(self) -> None:
+        first = self.start()
+        environment = {**os.environ, "ASHHOIST_SETTINGS": str(first.settings)}
+        command = [sys.executable, str(ROOT / "platform" / "start.py")]
+        second = subprocess.run(
+            command, env=environment, capture_output=True, timeout=SOON, check=False
+        )
+        self.assertEqual(second.returncode, 3)
+        self.assertIn(b"Error: cannot listen on", second.stderr)
+
+    def test_a_control_task_that_does_not_answer_is_not_settled(self) -> None:
+        # It raised here before, and the process then hung past its limit.
+        addresses = [f"127.0.0.1:{port}" for port in _free_ports(4)]
+        fields = ("callers", "readiness", "instances", "metrics")
+        text = "\n".join(
+            [
+                "[instance]",
+                "name = node-9",
+                "availability_zone = zone-1",
+                "region = region-1",
+                *[
+                    f"{field} = {address}"
+                    for field, address in zip(fields, addresses, strict=True)
+                ],
+                "[store]",
+                f"address = {self.store.address}",
+            ]
+        )
+        platform = Platform(DIALECT, Store, decode, WorkerProtocol(), "/api/ready")
+        stuck = Process(process_settings.parse(text), platform)
+        self.assertFalse(stuck.idle())
+
     def test_an_instance_that_starts_without_the_store_asks_its_seeds(self) -> None:
         first = self.start()
         other = PlatformProcess(self.folder, "127.0.0.1:9", "node-2")
