A round of planning asks once for each zone and each wanted adapter

Change: one round in place of two, zones asked once, a copy looked up once while its adapter is waited for.

--- a/packages/ashhoist/src/ashhoist/placement/rounds.py
+++ b/packages/ashhoist/src/ashhoist/placement/rounds.py
@@ -1,6 +1,6 @@
 """One round of planning: what is loaded next, where, and what gives way for it."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -63,31 +63,28 @@
     ----------
     engines : iterable of Engine
         All engines.
-    may_order : callable
-        Takes a zone; returns whether orders reach its engines now.
+    open_zones : set of str
+        The zones whose engines orders reach now.
     """
 
     def __init__(
         self,
         engines: Iterable[Engine],
-        may_order: Callable[[str], bool],
+        open_zones: set[str],
         popularity: Popularity,
         now: timedelta,
     ) -> None:
         self._engines = list(engines)
         self._popularity = popularity
         self._now = now
-        self._open_zones = {
-            zone: may_order(zone)
-            for zone in {engine.upstream.zone for engine in self._engines}
-        }
+        self._open_zones = open_zones
         self._able = [engine for engine in self._engines if self._is_able(engine)]
         self._spare: dict[str, Room | None] = {}
         self._by_adapter = self._index()
 
     def _is_able(self, engine: Engine) -> bool:
         """Return whether an engine takes another load, now or soon."""
-        if not self._open_zones[engine.upstream.zone]:
+        if engine.upstream.zone not in self._open_zones:
             return False
         return engine.orderly(self._now) and engine.coming < MOST_COMING
 
@@ -104,10 +101,6 @@
                 found.setdefault(order.adapter, []).append(engine)
         return found
 
-    def reaches(self, zone: str) -> bool:
-        """Return whether orders reach a zone's engines."""
-        return self._open_zones[zone]
-
     def on_its_way(self, wanted: WantedAdapter) -> bool:
         """Return whether some engine is loading a wanted adapter."""
         for engine in self._by_adapter.get(wanted.adapter, ()):
@@ -119,12 +112,20 @@
 
     def gain(self, wanted: WantedAdapter) -> float:
         """Return what a wanted adapter earns for each second until it answers."""
-        adapter, version = wanted.adapter, wanted.oldest_version
-        cold = not any(engine.has_copy(adapter, version) for engine in self._engines)
+        cold = self._is_cold(wanted)
         until_answered = (COLD_LOAD if cold else WARM_LOAD) + FIRST_TOKEN
         worth = wanted.worth(self._now, until_answered) - (LOAD_PRICE if cold else 0.0)
         return worth / until_answered.total_seconds()
 
+    def _is_cold(self, wanted: WantedAdapter) -> bool:
+        """Return whether no engine has a copy; looked up once while it waits."""
+        if wanted.cold is None:
+            adapter, version = wanted.adapter, wanted.oldest_version
+            wanted.cold = not any(
+                engine.has_copy(adapter, version) for engine in self._engines
+            )
+        return wanted.cold
+
     def best_engine(self, wanted: WantedAdapter) -> Engine | None:
         """Return where a wanted adapter is loaded at the least cost, or None."""
         best: Engine | None = None
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -303,28 +303,26 @@
         if now - self._planned_at < PLAN_EVERY:
             return
         self._planned_at = now
-        self._give_up(now)
+        open_zones = self._find_open_zones()
         for engine in self.engines.values():
             self._give_up_order(engine, now)
-            self._maintain(engine, now)
-        self._bring_models()
-        waiting = [wanted for wanted in self.wants.adapters() if wanted.adapter.name]
-        if not waiting:
+            self._maintain(engine, open_zones, now)
+        self._bring_models(open_zones)
+        if not len(self.wants):
             return
-        round_ = self._round(now)
+        round_ = Round(self.engines.values(), open_zones, self.popularity, now)
+        self._give_up(round_, now)
+        waiting = [wanted for wanted in self.wants.adapters() if wanted.adapter.name]
         for wanted in sorted(waiting, key=round_.gain, reverse=True):
             self._bring(round_, wanted, now)
 
-    def _round(self, now: timedelta) -> Round:
-        engines = self.engines.values()
-        return Round(engines, self._may_order, self.popularity, now)
+    def _find_open_zones(self) -> set[str]:
+        zones = {engine.upstream.zone for engine in self.engines.values()}
+        return {zone for zone in zones if self._may_order(zone)}
 
-    def _give_up(self, now: timedelta) -> None:
-        if not len(self.wants):
-            return
+    def _give_up(self, round_: Round, now: timedelta) -> None:
         for want in self.wants.ended(now):
             self._act(Refused(want, Reason.NO_PLACE, COME_BACK))
-        round_ = self._round(now)
         for wanted in self.wants.adapters():
             if round_.on_its_way(wanted):
                 continue
@@ -340,7 +338,7 @@
         if order is not None and now - engine.sent_at > ORDER_LOST_AFTER:
             self.answered(engine.id, order.number, OrderAnswer.UNKNOWN)
 
-    def _maintain(self, engine: Engine, now: timedelta) -> None:
+    def _maintain(self, engine: Engine, open_zones: set[str], now: timedelta) -> None:
         """Ask what has to be asked: lost orders, reports, loads that should end."""
         if engine.report_due(now):
             engine.reporting = True
@@ -348,7 +346,7 @@
             return
         if engine.sending is not None or now < engine.paused_until:
             return
-        if not self._may_order(engine.upstream.zone):
+        if engine.upstream.zone not in open_zones:
             return
         model = engine.model_coming
         if engine.lost is None and model is not None:
@@ -370,12 +368,12 @@
                 self._unload(engine, place.adapter)
                 return
 
-    def _bring_models(self) -> None:
+    def _bring_models(self, open_zones: set[str]) -> None:
         """Load a base model on engines that hold none."""
         reached = {
             engine.id: engine
             for engine in self.engines.values()
-            if self._may_order(engine.upstream.zone)
+            if engine.upstream.zone in open_zones
         }
         for choice in self._models.due(reached, self._settings, self.popularity):
             engine = self.engines[choice.upstream]
--- a/packages/ashhoist/src/ashhoist/placement/wants.py
+++ b/packages/ashhoist/src/ashhoist/placement/wants.py
@@ -59,6 +59,8 @@
         The version that all of them accept.
     tried : frozenset of str
         The upstreams that all of them have tried.
+    cold : bool or None
+        Whether no engine has a copy; None until that was looked up.
     """
 
     service: str
@@ -66,10 +68,12 @@
     by_id: dict[str, Want] = field(default_factory=dict)
     oldest_version: int = 0
     tried: frozenset[str] = frozenset()
+    cold: bool | None = None
 
     def changed(self) -> None:
         """Sum up anew what holds for all that wait."""
         wants = self.by_id.values()
+        self.cold = None
         self.oldest_version = max(want.oldest_version for want in wants)
         self.tried = frozenset.intersection(*(want.tried for want in wants))
 
