Metrics of what the users measure: load stalls, batch fill; gauges of the control task

Change: load_stall_seconds and batch_fill on the platform's path; gauges upstreams by service, leads, requests_waiting, instances_in_contact, log_lag_seconds, ready.

Test: in test_platform, fails before.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -31,6 +31,7 @@
 from . import messages
 from .agent import Agent
 from .election import Election
+from .gauges import Gauges
 from .hubs import Hubs, Identity
 from .knowledge import SHARED_TOPICS
 from .order_desk import OrderDesk
@@ -134,6 +135,9 @@
             metrics,
             log,
         )
+        self._gauges = Gauges(
+            directory, self.peers, self.records, self.scheduling, metrics, clock
+        )
         self._election = Election(settings.name, self.peers, self._hubs, clock)
         self.leader: str | None = None
         self._seeds = settings.seeds
@@ -458,6 +462,7 @@
         if now - self._beat_at >= BEAT_EVERY:
             self._beat(now)
             self._look_after_peers(now)
+            self._gauges.measure(self.ready)
         self.settle()
 
     def _release_when_quiet(self, now: timedelta) -> None:
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/control/gauges.py
@@ -0,0 +1,48 @@
+"""The gauges that say how one instance sees the deployment."""
+
+from ..clock import Clock
+from ..metrics import Metrics
+from ..store import Topic
+from ..upstreams import Directory
+from .election import FRESH
+from .peers import Peers
+from .records import SharedRecords
+from .scheduling import Scheduling
+
+
+class Gauges:
+    """Sets the gauges of the control task."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        peers: Peers,
+        records: SharedRecords,
+        scheduling: Scheduling,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._directory = directory
+        self._peers = peers
+        self._records = records
+        self._scheduling = scheduling
+        self._metrics = metrics
+        self._clock = clock
+        self._services: set[str] = set()
+
+    def measure(self, ready: bool) -> None:
+        """Set all gauges; `ready` is whether callers may be sent here."""
+        now = self._clock.monotonic()
+        scheduler = self._scheduling.scheduler
+        waiting = len(scheduler.wants) if scheduler is not None else 0
+        read_at = self._records.knowledge.read_at(Topic.UPSTREAMS)
+        gauge = self._metrics.gauge
+        gauge("ready", ready)
+        gauge("leads", self._scheduling.leads)
+        gauge("requests_waiting", waiting)
+        gauge("instances_in_contact", len(self._peers.fresh(FRESH, now)))
+        gauge("log_lag_seconds", (now - read_at).total_seconds())
+        view = self._directory.view
+        self._services.update(view.by_service)
+        for service in self._services:
+            gauge("upstreams", len(view.of(service)), service)
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -43,6 +43,9 @@
     "log_lag_seconds": ("Time since the log last answered", ()),
     "instances_in_contact": ("Instances heard of lately", ()),
     "ready": ("1 if callers may be sent here", ()),
+    "leads": ("1 if this instance schedules", ()),
+    "requests_waiting": ("Requests that wait for adapters, where it schedules", ()),
+    "upstreams": ("Upstreams that take work", ("service",)),
 }
 FILLS = tuple(part / 10 for part in range(1, 11))
 
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -222,6 +222,8 @@
         expected = engine.work.first_after(want.tokens)
         engine.work.begin(want.id, want.instance, want.adapter, want.tokens, now)
         engine.touch(want.adapter, now)
+        batch = self._settings[engine.upstream.service].batch
+        self._metrics.observe("batch_fill", len(engine.work) / max(batch, 1))
         self._act(Placed(want, engine.id, version, expected))
 
     def _soonest(self, want: Want) -> Engine | None:
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -176,6 +176,8 @@
         if call.first_event_at is not None:
             first = round((call.first_event_at - call.received_at) / MILLISECOND)
         self._metrics.observe("request_seconds", took / 1000)
+        if call.adapter is not None:
+            self._metrics.observe("load_stall_seconds", call.waited.total_seconds())
         self._log.info(
             "request ended",
             request=call.id,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -384,8 +384,16 @@
         self.assertEqual(status, 200)
         self.assertIn(b"data: a1.1.two.3", body)
         self.assertEqual(process.ask("/none/", "three")[0], 404)
-        status, metrics = process.get(process.metrics, "/metrics")
-        self.assertIn(b"ashhoist_loads_total", metrics)
+        for line in (
+            b"ashhoist_loads_total",
+            b"ashhoist_load_stall_seconds_count 1.0",
+            b"ashhoist_batch_fill_count 1.0",
+            b'ashhoist_upstreams{service="engines"} 1.0',
+            b"ashhoist_leads 1.0",
+        ):
+            self.wait(
+                lambda line=line: line in process.get(process.metrics, "/metrics")[1]
+            )
 
     def test_an_engine_that_holds_nothing_gets_its_base_model(self) -> None:
         empty = ModelWorker("i-empty", MODEL, models=False)
