The last lines of a process are written before it ends

Change: what waits is written, for 0.3 s at most, before the process ends.

Test: the planned stop's last line is 'stopped' (fails before).

--- a/Makefile
+++ b/Makefile
@@ -24,13 +24,13 @@
 	$(BIN)/python -m tests
 
 lint: venv
-	$(BIN)/ruff format --check --quiet packages platform tests examples
-	$(BIN)/ruff check --quiet packages platform tests examples
+	$(BIN)/ruff format --check --quiet packages platform tests examples scripts
+	$(BIN)/ruff check --quiet packages platform tests examples scripts
 	$(BIN)/mypy --no-error-summary packages/*/src
 
 format: venv
-	$(BIN)/ruff format packages platform tests examples
-	$(BIN)/ruff check --fix packages platform tests examples
+	$(BIN)/ruff format packages platform tests examples scripts
+	$(BIN)/ruff check --fix packages platform tests examples scripts
 
 bench: venv
 	scripts/bench.sh $(BIN) all 8
--- a/packages/ashhoist/src/ashhoist/logs.py
+++ b/packages/ashhoist/src/ashhoist/logs.py
@@ -4,6 +4,7 @@
 import queue
 import sys
 import threading
+from datetime import timedelta
 from typing import Any, TextIO
 
 import structlog
@@ -14,6 +15,7 @@
 
 
 MOST_LINES_WAITING = 4096
+CLOSE_TIME = timedelta(milliseconds=300)
 
 
 class LineWriter:
@@ -29,7 +31,8 @@
 
     def __init__(self, file: TextIO) -> None:
         self._file = file
-        self._lines: queue.Queue[str] = queue.Queue(MOST_LINES_WAITING)
+        self._lines: queue.Queue[str | None] = queue.Queue(MOST_LINES_WAITING)
+        self._ended = threading.Event()
         self.dropped = 0
         threading.Thread(target=self._run, name="logs", daemon=True).start()
 
@@ -40,6 +43,14 @@
         except queue.Full:
             self.dropped += 1
 
+    def close(self, longest: timedelta) -> None:
+        """Write what waits, and end; give up after `longest`."""
+        try:
+            self._lines.put(None, timeout=longest.total_seconds())
+        except queue.Full:
+            return
+        self._ended.wait(longest.total_seconds())
+
     log = debug = info = warn = warning = error = critical = msg
     fatal = failure = exception = msg
 
@@ -47,12 +58,16 @@
         told = 0
         while True:
             line = self._lines.get()
+            if line is None:
+                break
             if self.dropped > told:
                 line += f'\n{{"event": "logs: lines dropped", "all": {self.dropped}}}'
                 told = self.dropped
             self._file.write(line + "\n")
             if self._lines.empty():
                 self._file.flush()
+        self._file.flush()
+        self._ended.set()
 
 
 def configure(
@@ -88,13 +103,23 @@
     )
 
 
+_writers: list[LineWriter] = []
+
+
 def _factory(file: TextIO | None) -> Any:
     if file is None:
         return structlog.PrintLoggerFactory(file=sys.stderr)
     writer = LineWriter(file)
+    _writers.append(writer)
     return lambda *_: writer
 
 
+def close(longest: timedelta = CLOSE_TIME) -> None:
+    """Write all lines that wait, before a process ends."""
+    while _writers:
+        _writers.pop().close(longest)
+
+
 def get(part: str, **context: Any) -> Logger:
     """Return the logger of a part. Its lines start with ``part:``."""
     return structlog.get_logger(part=part, **context)
--- a/tests/platform_stand_ins/store.py
+++ b/tests/platform_stand_ins/store.py
@@ -21,12 +21,15 @@
         Other than 0: every call is answered with it, and nothing is done.
     lose_answers : bool
         Writes are done and not answered.
+    calls : int
+        How many there were.
     """
 
     def __init__(self) -> None:
         self.state = LogState()
         self.status = 0
         self.lose_answers = False
+        self.calls = 0
         self._changed = threading.Condition()
         self.server = Server(self._handle)
 
@@ -47,6 +50,7 @@
             self._changed.notify_all()
 
     def _handle(self, call: Call) -> None:
+        self.calls += 1
         if self.status:
             call.respond(self.status)
             return
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -445,6 +445,8 @@
         caller.join(SOON)
         self.assertIn(b"data: a1.1.last.3", answers[0][1])
         self.assertEqual(process.process.wait(SOON), 0)
+        lines = process.end().splitlines()
+        self.assertIn('"event": "process: stopped"', lines[-1])
 
     def test_an_address_that_is_taken_is_told_and_ends_the_process(self) -> None:
         first = self.start()
