Links from before there were many are closed; who is no leader beats once a second

Who started early had read of few others, took the mesh for small and never heard of the rest; and links that a hub design needs no more were kept.

Change: a beat says how many instances its sender knows; who links to each and knows fewer asks for them. Links between two instances that are no hubs end after 8 s. Only the leader beats twice a second; a beat is overdue after 2.4 times its interval.

Test: in test_hubs, fails before (16 links, 8 allowed).

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -42,7 +42,9 @@
 from .records import Decode, SharedRecords
 from .scheduling import Scheduling
 
-BEAT_EVERY = timedelta(milliseconds=500)
+LEADER_BEATS = timedelta(milliseconds=500)
+OTHERS_BEAT = timedelta(seconds=1)
+"""What depends on the others can wait for a second; on the leader nothing can."""
 CLAIMS_EVERY = timedelta(seconds=2)
 """How often a beat tells claims that have not changed."""
 LAST_ORDERS = timedelta(milliseconds=600)
@@ -289,22 +291,36 @@
         )
         self.peers.introduced(record, now)
         if not message.knows_others:
-            self._outside.send_to(peer, messages.Instances(self.peers.rows()))
+            self._asked_for_instances(peer, messages.AskInstances())
 
     def _told_instances(self, peer: str, message: messages.Instances) -> None:
         """Take in who is there from an instance that knows; the register knows best."""
-        if self._knows_others:
-            return
         for row in message.rows:
-            self.peers.registered(InstanceRecord(*row))
+            record = InstanceRecord(*row)
+            if self._knows_others and record.name in self.peers.by_name:
+                continue
+            self.peers.registered(record)
         self._relink()
 
+    def _asked_for_instances(self, peer: str, message: messages.AskInstances) -> None:
+        self._outside.send_to(peer, messages.Instances(self.peers.rows()))
+
+    def _ask_for_instances(self, peer: str, known_there: int) -> None:
+        """Ask a peer that knows more instances, while each should link to each.
+
+        Who started early has read of few. Where there are many by now, it would
+        go on with links to all of those few.
+        """
+        if self._hubs.all_linked and known_there > len(self.peers.by_name):
+            self._outside.send_to(peer, messages.AskInstances())
+
     def _beaten(self, peer: str, beat: messages.Beat) -> None:
         now = self._clock.monotonic()
         told_news = self.peers.beat(peer, beat, now)
         for row in beat.claims:
             self.leases.heard(Claim(*row))
         self.scheduling.heard(beat.epoch)
+        self._ask_for_instances(peer, beat.instances)
         if told_news:
             self._elect()
         for topic in SHARED_TOPICS:
@@ -368,6 +384,7 @@
     _HANDLERS: dict[type, Callable[["Core", str, Any], None]] = {
         messages.Introduce: _introduced,
         messages.Instances: _told_instances,
+        messages.AskInstances: _asked_for_instances,
         messages.Beat: _beaten,
         messages.Announce: _announced,
         messages.Pull: _pulled,
@@ -459,7 +476,7 @@
         self._elect()
         self.reads_itself = self._readers.reads_itself(self.leader)
         self.leases.step()
-        if now - self._beat_at >= BEAT_EVERY:
+        if now - self._beat_at >= self._beat_every():
             self._beat(now)
             self._look_after_peers(now)
             self._gauges.measure(self.ready)
@@ -477,7 +494,9 @@
     def _look_after_peers(self, now: timedelta) -> None:
         for peer in self.peers.silent(now):
             self._log.info("instance silent", peer=peer)
-            self._outside.drop(peer)
+            self._outside.drop(peer, "silent")
+        for peer in self._hubs.surplus():
+            self._outside.drop(peer, "surplus")
         self.peers.forget_lost(now)
         self._relink()
 
@@ -497,6 +516,9 @@
         self._claims_told_at = now
         return claims
 
+    def _beat_every(self) -> timedelta:
+        return LEADER_BEATS if self.scheduling.leads else OTHERS_BEAT
+
     def _own_beat(self, claims: list[Claim]) -> messages.Beat:
         return messages.Beat(
             self.stopping,
@@ -506,4 +528,6 @@
             self._in_force.version,
             self.records.knowledge.offsets(),
             [list(astuple(claim)) for claim in claims],
+            round(self._beat_every() / timedelta(milliseconds=1)),
+            len(self.peers.by_name),
         )
--- a/packages/ashhoist/src/ashhoist/control/election.py
+++ b/packages/ashhoist/src/ashhoist/control/election.py
@@ -12,8 +12,6 @@
 from .hubs import Hubs
 from .peers import Peers
 
-FRESH = timedelta(milliseconds=1200)
-"""A beat older than this says nothing any more."""
 FIRST_PATIENCE = timedelta(milliseconds=400)
 """How long an instance that has just started listens before it leads."""
 LINK_PATIENCE = timedelta(milliseconds=1500)
@@ -44,7 +42,7 @@
         leads, stopping : bool
             What this instance does now.
         """
-        fresh = self._peers.fresh(FRESH, self._clock.monotonic())
+        fresh = self._peers.fresh(self._clock.monotonic())
         candidates = [peer for peer in fresh if not peer.stops]
         leading = [peer.name for peer in candidates if peer.leads]
         if leads and not stopping:
--- a/packages/ashhoist/src/ashhoist/control/gauges.py
+++ b/packages/ashhoist/src/ashhoist/control/gauges.py
@@ -4,7 +4,6 @@
 from ..metrics import Metrics
 from ..store import Topic
 from ..upstreams import Directory
-from .election import FRESH
 from .peers import Peers
 from .records import SharedRecords
 from .scheduling import Scheduling
@@ -40,7 +39,7 @@
         gauge("ready", ready)
         gauge("leads", self._scheduling.leads)
         gauge("requests_waiting", waiting)
-        gauge("instances_in_contact", len(self._peers.fresh(FRESH, now)))
+        gauge("instances_in_contact", len(self._peers.fresh(now)))
         gauge("log_lag_seconds", (now - read_at).total_seconds())
         view = self._directory.view
         self._services.update(view.by_service)
--- a/packages/ashhoist/src/ashhoist/control/hubs.py
+++ b/packages/ashhoist/src/ashhoist/control/hubs.py
@@ -22,6 +22,7 @@
 """Instances of a zone to link to while better ones can't be reached."""
 HOPED_FOR = timedelta(seconds=1)
 """How long an instance that is not linked counts as one that will be."""
+SURPLUS_AFTER = timedelta(seconds=8)
 KEY = "leader"
 
 HubOrder = tuple[bool, float, bytes]
@@ -106,6 +107,25 @@
             if peer.address
         ]
 
+    def surplus(self) -> list[str]:
+        """Return linked instances that there need be no link to any more.
+
+        Two instances that are no hubs have nothing to tell each other; a link that
+        is young may be what the other side needs.
+        """
+        if self.is_hub(self._own.name):
+            return []
+        now = self._clock.monotonic()
+        wanted = {endpoint.name for endpoint in self.to_link()}
+        return [
+            peer.name
+            for peer in self._peers.by_name.values()
+            if peer.linked
+            and peer.name not in wanted
+            and not self.is_hub(peer.name)
+            and now - peer.linked_at > SURPLUS_AFTER
+        ]
+
     def _to_link_of(self, zone: str) -> list[Peer]:
         """Return the best of a zone, and the next while these can't be reached."""
         now = self._clock.monotonic()
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -25,10 +25,16 @@
     knows_others: bool
 
 
+@message(59)
+@dataclass(frozen=True, slots=True)
+class AskInstances:
+    """Ask which instances the receiver knows: it has said that it knows more."""
+
+
 @message(44)
 @dataclass(frozen=True, slots=True)
 class Instances:
-    """All instances that the sender knows, for one that could not read of them.
+    """All instances that the sender knows, for one that knows fewer.
 
     Parameters
     ----------
@@ -59,6 +65,10 @@
     claims : list
         The newest claims it knows, as lists: key, holder, life, fence, offset,
         released, before.
+    every_ms : int
+        When the next beat follows.
+    instances : int
+        How many other instances the sender knows.
     """
 
     stopping: bool
@@ -68,6 +78,8 @@
     configuration: int
     offsets: dict
     claims: list
+    every_ms: int
+    instances: int
 
 
 @message(42)
--- a/packages/ashhoist/src/ashhoist/control/order_desk.py
+++ b/packages/ashhoist/src/ashhoist/control/order_desk.py
@@ -8,7 +8,6 @@
 from ..clock import Clock
 from ..orders import Order, OrderAnswer, OrderKind
 from . import messages
-from .election import FRESH
 from .order_leases import OrderLeases
 from .outside import Outside
 from .peers import Peers
@@ -48,7 +47,7 @@
         if holder == self._own:
             return self._leases.fence(zone) is not None
         peer = self._peers.by_name.get(holder)
-        return peer is not None and peer.is_fresh(FRESH, self._clock.monotonic())
+        return peer is not None and peer.is_fresh(self._clock.monotonic())
 
     def may_send(self, order: Order) -> bool:
         """Return whether an order's fence holds; asked right before it leaves."""
--- a/packages/ashhoist/src/ashhoist/control/outside.py
+++ b/packages/ashhoist/src/ashhoist/control/outside.py
@@ -14,8 +14,8 @@
     def send_to(self, peer: str, message: Any) -> bool:
         """Send a message to an instance; False if there is no link."""
 
-    def drop(self, peer: str) -> None:
-        """Break the link to an instance that is silent."""
+    def drop(self, peer: str, reason: str) -> None:
+        """Break the link to an instance that is silent, or not needed any more."""
 
     def link(self, endpoints: list[Endpoint], dials_all: bool) -> None:
         """Say which instances there should be links to, and who dials."""
--- a/packages/ashhoist/src/ashhoist/control/peers.py
+++ b/packages/ashhoist/src/ashhoist/control/peers.py
@@ -14,6 +14,8 @@
 FORGET_AFTER = timedelta(hours=6)
 """Longer than zones and regions lose each other for."""
 MOST_RANKS = 4096
+OVERDUE_AFTER = timedelta(microseconds=2400)
+"""For each millisecond between the beats of an instance: 2.4 times as long."""
 
 
 @dataclass(slots=True)
@@ -24,6 +26,8 @@
     ----------
     capacity : float
         Processor cores it may use.
+    linked_at : timedelta
+        When the last link came up.
     unlinked_since : timedelta or None
         Since when there should be a link, but is none.
     """
@@ -34,6 +38,7 @@
     capacity: float = 1.0
     linked: bool = False
     heard_at: timedelta | None = None
+    linked_at: timedelta = timedelta()
     unlinked_since: timedelta | None = None
     beat: Beat | None = None
 
@@ -47,11 +52,11 @@
         """Return whether it has said that it schedules."""
         return self.beat is not None and self.beat.leads
 
-    def is_fresh(self, within: timedelta, now: timedelta) -> bool:
-        """Return whether it is linked and was heard of a short time ago."""
+    def is_fresh(self, now: timedelta) -> bool:
+        """Return whether it is linked and its last beat is not overdue."""
         if not self.linked or self.beat is None or self.heard_at is None:
             return False
-        return now - self.heard_at <= within
+        return now - self.heard_at <= self.beat.every_ms * OVERDUE_AFTER
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +126,7 @@
         self.revision += 1
         peer = self.by_name.setdefault(name, Peer(name, "", ""))
         peer.linked = True
+        peer.linked_at = now
         peer.heard_at = now
         peer.unlinked_since = None
 
@@ -151,9 +157,9 @@
             for peer in self.by_name.values()
         ]
 
-    def fresh(self, within: timedelta, now: timedelta) -> list[Peer]:
+    def fresh(self, now: timedelta) -> list[Peer]:
         """Return the instances that are linked and were heard of lately."""
-        return [peer for peer in self.by_name.values() if peer.is_fresh(within, now)]
+        return [peer for peer in self.by_name.values() if peer.is_fresh(now)]
 
     def linked(self) -> list[str]:
         """Return the names of the linked instances."""
--- a/packages/ashhoist/src/ashhoist/control/readers.py
+++ b/packages/ashhoist/src/ashhoist/control/readers.py
@@ -6,7 +6,6 @@
 """
 
 from ..clock import Clock
-from .election import FRESH
 from .hubs import Hubs
 from .peers import Peers, rank
 
@@ -45,7 +44,7 @@
 
     def _deputy(self, leader: str) -> str:
         now = self._clock.monotonic()
-        names = [self._own] + [peer.name for peer in self._peers.fresh(FRESH, now)]
+        names = [self._own] + [peer.name for peer in self._peers.fresh(now)]
         others = [name for name in names if name != leader]
         return min(others, key=self._order)
 
@@ -54,6 +53,6 @@
 
     def _is_heard_reading(self, name: str) -> bool:
         peer = self._peers.by_name.get(name)
-        if peer is None or not peer.is_fresh(FRESH, self._clock.monotonic()):
+        if peer is None or not peer.is_fresh(self._clock.monotonic()):
             return False
         return peer.beat is not None and peer.beat.reads_log and not peer.stops
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -253,9 +253,9 @@
         """Send a message to an instance."""
         return self._links.send_to(peer, message)
 
-    def drop(self, peer: str) -> None:
+    def drop(self, peer: str, reason: str) -> None:
         """Break the link to an instance."""
-        self._links.drop(peer)
+        self._links.drop(peer, reason)
 
     def link(self, endpoints: list[Endpoint], dials_all: bool) -> None:
         """Say which instances there should be links to, and who dials."""
--- a/packages/ashhoist/src/ashhoist/instances/links.py
+++ b/packages/ashhoist/src/ashhoist/instances/links.py
@@ -158,11 +158,11 @@
         link = self._links.get(peer)
         return link is not None and link.send(message)
 
-    def drop(self, peer: str) -> None:
-        """Close the link to an instance that is silent."""
+    def drop(self, peer: str, reason: str = "silent") -> None:
+        """Close the link to an instance that is silent, or not needed any more."""
         link = self._links.get(peer)
         if link is not None:
-            self._count("links_closed", "silent")
+            self._count("links_closed", reason)
             link.close()
 
     # Accepting
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -118,7 +118,7 @@
     def send_to(self, peer: str, message: Any) -> bool:
         return self._world.send(self._machine, peer, message)
 
-    def drop(self, peer: str) -> None:
+    def drop(self, peer: str, reason: str) -> None:
         self._world.unlink(self._machine.name, peer)
 
     def link(self, endpoints: list[Endpoint], dials_all: bool) -> None:
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -10,8 +10,8 @@
 from .test_leases import want
 
 ZONES = 3
-MOST_LINKS_OF_OTHERS = 18
-"""What an instance that is no hub may keep: a few hubs of each zone."""
+MOST_LINKS_OF_OTHERS = 8
+"""What an instance that is no hub may keep: two hubs of each zone, and two more."""
 
 
 class ManyInstancesTests(unittest.TestCase):
@@ -56,6 +56,22 @@
             else:
                 self.assertLessEqual(links, MOST_LINKS_OF_OTHERS, name)
 
+    def test_links_from_before_there_were_many_are_closed(self) -> None:
+        world = World(40, 6, LeaseTiming(), zones=ZONES)
+        names = list(world.machines)
+        for index, machine in enumerate(world.machines.values()):
+            machine.capacity = 2.15 if index < 2 * ZONES else 0.52
+        world.registered = set()
+        for first in range(0, 40, 10):
+            world.start(*names[first : first + 10])
+            world.run(2.0)
+        world.run(12.0)
+        for name, machine in world.machines.items():
+            assert machine.core is not None
+            if machine.capacity < 1:
+                links = len(machine.core.peers.linked())
+                self.assertLessEqual(links, MOST_LINKS_OF_OTHERS, name)
+
     def test_few_read_the_log(self) -> None:
         world = self.start()
         reading = [
