--- a/packages/ashhoist/src/ashhoist/control/engines.py
+++ b/packages/ashhoist/src/ashhoist/control/engines.py
@@ -1,14 +1,13 @@
-"""Orders and reports on the wire: one thread's worth of talk to each engine."""
+"""Orders and reports on the wire: one exchange at a time with each engine."""
 
-import threading
+from collections import deque
 from collections.abc import Callable
-from concurrent.futures import Executor
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any, Protocol
 
-from ..clock import Clock
 from ..http.client import Client
+from ..loop import Loop, Steps, Task
 from ..orders import EngineReport, Order, OrderAnswer
 from ..placement.actions import AskReport
 
@@ -40,7 +39,7 @@
 
 @dataclass(slots=True)
 class _Line:
-    """A connection to one engine, and whose turn it is on it.
+    """A connection to one engine, and what waits for its turn on it.
 
     Parameters
     ----------
@@ -51,7 +50,9 @@
     """
 
     client: Client
-    turn: threading.Lock
+    waiting: deque[Order | AskReport] = field(default_factory=deque)
+    busy: bool = False
+    forgotten: bool = False
     usual: timedelta = USUAL_AT_FIRST
     unanswered: int = 0
 
@@ -80,12 +81,14 @@
 class EngineProtocol(Protocol):
     """How orders and reports are spoken; a platform gives it."""
 
-    def order(self, client: Client, order: Order, patience: timedelta) -> OrderAnswer:
+    def order(
+        self, client: Client, order: Order, patience: timedelta
+    ) -> Steps[OrderAnswer]:
         """Send an order and return what is known of it."""
 
     def report(
         self, client: Client, upstream: str, patience: timedelta
-    ) -> EngineReport | None:
+    ) -> Steps[EngineReport | None]:
         """Ask an engine what it holds."""
 
 
@@ -106,54 +109,67 @@
         protocol: EngineProtocol,
         may_order: Callable[[Order], bool],
         send: Callable[[Any], None],
-        executor: Executor,
-        clock: Clock,
+        loop: Loop,
     ) -> None:
         self._protocol = protocol
         self._may_order = may_order
         self._send = send
-        self._executor = executor
-        self._clock = clock
-        self._lock = threading.Lock()
+        self._loop = loop
         self._lines: dict[str, _Line] = {}
 
     def order(self, order: Order) -> None:
         """Send an order; the result comes as `OrderDone`."""
-        self._executor.submit(self._order, order)
+        self._enqueue(self._line(order.upstream, order.address), order)
 
-    def _order(self, order: Order) -> None:
+    def report(self, request: AskReport) -> None:
+        """Ask an engine what it holds; the result comes as `ReportDone`."""
+        self._enqueue(self._line(request.upstream, request.address), request)
+
+    def _enqueue(self, line: "_Line", item: Order | AskReport) -> None:
+        line.waiting.append(item)
+        if not line.busy:
+            line.busy = True
+            Task(self._loop, self._talk(line), "engine")
+
+    def _talk(self, line: "_Line") -> Steps[None]:
+        """Make all exchanges that wait for one engine, in their order."""
+        try:
+            while line.waiting:
+                item = line.waiting.popleft()
+                if isinstance(item, Order):
+                    yield from self._order(line, item)
+                else:
+                    yield from self._report(line, item)
+        finally:
+            line.busy = False
+            if line.forgotten:
+                line.client.close()
+
+    def _order(self, line: "_Line", order: Order) -> Steps[None]:
         answer = OrderAnswer.NOT_SENT
-        line = self._line(order.upstream, order.address)
-        with line.turn:
-            if self._may_order(order):
-                sent_at = self._clock.monotonic()
-                answer = self._protocol.order(line.client, order, line.patience)
-                line.learn(answer, self._clock.monotonic() - sent_at)
+        if self._may_order(order):
+            sent_at = self._loop.clock.monotonic()
+            answer = yield from self._protocol.order(line.client, order, line.patience)
+            line.learn(answer, self._loop.clock.monotonic() - sent_at)
         self._send(OrderDone(order, answer))
 
-    def report(self, request: AskReport) -> None:
-        """Ask an engine what it holds; the result comes as `ReportDone`."""
-        self._executor.submit(self._report, request)
-
-    def _report(self, request: AskReport) -> None:
-        line = self._line(request.upstream, request.address)
-        with line.turn:
-            report = self._protocol.report(
-                line.client, request.upstream, REPORT_PATIENCE
-            )
+    def _report(self, line: "_Line", request: AskReport) -> Steps[None]:
+        report = yield from self._protocol.report(
+            line.client, request.upstream, REPORT_PATIENCE
+        )
         self._send(ReportDone(request.upstream, report))
 
     def _line(self, upstream: str, address: str) -> "_Line":
-        with self._lock:
-            line = self._lines.get(upstream)
-            if line is None:
-                line = _Line(Client(address, self._clock), threading.Lock())
-                self._lines[upstream] = line
-            return line
+        line = self._lines.get(upstream)
+        if line is None:
+            line = self._lines[upstream] = _Line(Client(address, self._loop))
+        return line
 
     def forget(self, upstream: str) -> None:
         """Close the connection to an engine that has gone."""
-        with self._lock:
-            line = self._lines.pop(upstream, None)
-        if line is not None:
+        line = self._lines.pop(upstream, None)
+        if line is None:
+            return
+        line.forgotten = True
+        if not line.busy:
             line.client.close()
--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -6,8 +6,8 @@
 
 import h11
 
-from ..clock import Clock
-from .sockets import has_left, send_all, wait_readable
+from ..loop import Loop, Steps, Wait
+from .sockets import close, has_left, send_all
 
 READ_SIZE = 65536
 HEADER_ROOM = 65536
@@ -72,7 +72,7 @@
 
 
 class CallerConnection:
-    """One connection of a caller; used by one thread at a time.
+    """One connection of a caller; used by one task.
 
     Parameters
     ----------
@@ -80,12 +80,13 @@
         Non-blocking.
     """
 
-    def __init__(self, peer: socket.socket, clock: Clock) -> None:
+    def __init__(self, peer: socket.socket, loop: Loop) -> None:
         self._peer = peer
-        self._clock = clock
+        self._loop = loop
+        self._clock = loop.clock
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_ROOM)
         self._watched = True
-        self.idle_since = clock.monotonic()
+        self.idle_since = loop.clock.monotonic()
         self.answered = 0
         self.keep = True
 
@@ -95,7 +96,7 @@
 
     # Reading
 
-    def read_request(self, limits: CallerLimits) -> Request:
+    def read_request(self, limits: CallerLimits) -> Steps[Request]:
         """Read the next request whole.
 
         Raises
@@ -107,12 +108,12 @@
         """
         begun = self._clock.monotonic()
         until = begun + limits.header_time
-        head = self._read_head(until)
+        head = yield from self._read_head(until)
         if sum(len(name) + len(value) for name, value in head.headers) > (
             limits.header_bytes
         ):
             raise MalformedRequestError(431, "headers too large")
-        body = self._read_body(limits)
+        body = yield from self._read_body(limits)
         pairs = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers.raw_items()
@@ -126,23 +127,21 @@
             {name.lower(): value for name, value in pairs},
         )
 
-    def _read_head(self, until: timedelta) -> h11.Request:
-        event = self._next_event(until)
+    def _read_head(self, until: timedelta) -> Steps[h11.Request]:
+        event = yield from self._next_event(until)
         if isinstance(event, h11.Request):
             return event
         raise CallerGoneError
 
-    def _read_body(self, limits: CallerLimits) -> bytes:
+    def _read_body(self, limits: CallerLimits) -> Steps[bytes]:
         until = self._clock.monotonic() + limits.idle_time
         if self._http.they_are_waiting_for_100_continue:
-            self._send(
-                self._http.send(h11.InformationalResponse(status_code=100, headers=[])),
-                until,
-            )
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            yield from self._send(self._http.send(go_on), until)
         parts: list[bytes] = []
         size = 0
         while True:
-            event = self._next_event(until)
+            event = yield from self._next_event(until)
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             if not isinstance(event, h11.Data):
@@ -152,7 +151,7 @@
             if size > limits.body_bytes:
                 raise MalformedRequestError(413, "body too large")
 
-    def _next_event(self, until: timedelta) -> h11.Event:
+    def _next_event(self, until: timedelta) -> Steps[h11.Event]:
         while True:
             try:
                 event = self._http.next_event()
@@ -161,17 +160,18 @@
                     error.error_status_hint, str(error)
                 ) from None
             if event is h11.NEED_DATA:
-                self._receive(until)
+                yield from self._receive(until)
                 continue
             if isinstance(event, type) or isinstance(event, h11.ConnectionClosed):
                 raise CallerGoneError
             return event
 
-    def _receive(self, until: timedelta) -> None:
+    def _receive(self, until: timedelta) -> Steps[None]:
         try:
             data = self._peer.recv(READ_SIZE)
         except BlockingIOError:
-            if not wait_readable([self.fileno()], until, self._clock):
+            ready = yield Wait(until, (self.fileno(),))
+            if ready is None:
                 raise MalformedRequestError(408, "request came too slowly") from None
             return
         except OSError:
@@ -205,7 +205,7 @@
 
     def respond(
         self, status: int, headers: Headers, body: bytes, until: timedelta
-    ) -> None:
+    ) -> Steps[None]:
         """Send a whole answer.
 
         Raises
@@ -217,20 +217,20 @@
         self._begin(status, framed)
         data = self._head_bytes + (self._http.send(h11.Data(data=body)) or b"")
         data += self._http.send(h11.EndOfMessage()) or b""
-        self._send(data, until)
+        yield from self._send(data, until)
 
-    def start(self, status: int, headers: Headers, until: timedelta) -> None:
+    def start(self, status: int, headers: Headers, until: timedelta) -> Steps[None]:
         """Send the head of an answer whose length is not known."""
         self._begin(status, [*headers, ("Transfer-Encoding", "chunked")])
-        self._send(self._head_bytes, until)
+        yield from self._send(self._head_bytes, until)
 
-    def send(self, data: bytes, until: timedelta) -> None:
+    def send(self, data: bytes, until: timedelta) -> Steps[None]:
         """Send a piece of the answer."""
-        self._send(self._http.send(h11.Data(data=data)) or b"", until)
+        yield from self._send(self._http.send(h11.Data(data=data)) or b"", until)
 
-    def finish(self, until: timedelta) -> None:
+    def finish(self, until: timedelta) -> Steps[None]:
         """Send the end of the answer."""
-        self._send(self._http.send(h11.EndOfMessage()) or b"", until)
+        yield from self._send(self._http.send(h11.EndOfMessage()) or b"", until)
 
     def _begin(self, status: int, headers: Headers) -> None:
         if not self.keep:
@@ -241,11 +241,11 @@
         except h11.LocalProtocolError:
             raise CallerGoneError from None
 
-    def _send(self, data: bytes | None, until: timedelta) -> None:
+    def _send(self, data: bytes | None, until: timedelta) -> Steps[None]:
         if not data:
             return
         try:
-            sent = send_all(self._peer, data, until, self._clock)
+            sent = yield from send_all(self._loop, self._peer, data, until)
         except OSError:
             raise CallerGoneError from None
         if sent < len(data):
@@ -265,22 +265,22 @@
         self.idle_since = self._clock.monotonic()
         return True
 
-    def close(self) -> None:
+    def close(self) -> Steps[None]:
         """Close in order: what was sent still arrives."""
         try:
             self._peer.shutdown(socket.SHUT_WR)
-            self._drain()
+            yield from self._drain()
         except OSError:
             pass
-        self._peer.close()
+        self.abort()
 
-    def _drain(self) -> None:
+    def _drain(self) -> Steps[None]:
         """Read what came too much, so that the close is not a reset."""
         until = self._clock.monotonic() + LINGER
-        while wait_readable([self.fileno()], until, self._clock):
+        while (yield Wait(until, (self.fileno(),))) is not None:
             if not self._peer.recv(READ_SIZE):
                 return
 
     def abort(self) -> None:
         """Break the connection so that the answer can't be taken for whole."""
-        self._peer.close()
+        close(self._loop, self._peer)
--- a/packages/ashhoist/src/ashhoist/http/client.py
+++ b/packages/ashhoist/src/ashhoist/http/client.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from ..clock import Clock
+from ..loop import Loop, Steps
 from .upstream import (
     Broken,
     End,
@@ -12,7 +12,6 @@
     Piece,
     UpstreamConnection,
     Waiting,
-    Why,
 )
 
 CONNECT_TIME = timedelta(seconds=1)
@@ -32,7 +31,7 @@
 
 
 class Client:
-    """One kept connection to one address. Used by one thread at a time.
+    """One kept connection to one address. Used by one task at a time.
 
     Parameters
     ----------
@@ -40,9 +39,10 @@
         ``IP:PORT``.
     """
 
-    def __init__(self, address: str, clock: Clock) -> None:
+    def __init__(self, address: str, loop: Loop) -> None:
         self.address = address
-        self._clock = clock
+        self._loop = loop
+        self._clock = loop.clock
         self._connection: UpstreamConnection | None = None
 
     def call(
@@ -52,26 +52,28 @@
         headers: list[tuple[str, str]],
         body: bytes,
         patience: timedelta,
-    ) -> Reply | NotSent | Broken:
+    ) -> Steps[Reply | NotSent | Broken]:
         """Make a call; a connection that fails is not used again."""
         until = self._clock.monotonic() + patience
-        connection = self._open(until)
+        connection = yield from self._open(until)
         if isinstance(connection, NotSent):
             return connection
         full = [("Host", self.address), *headers, ("Content-Length", str(len(body)))]
-        failed = connection.send(method, target, full, body, until)
-        result = failed if failed is not None else self._receive(connection, until)
+        result: Reply | NotSent | Broken | None
+        result = yield from connection.send(method, target, full, body, until)
+        if result is None:
+            result = yield from self._receive(connection, until)
         if not isinstance(result, Reply) or not connection.next():
             self.close()
         return result
 
-    def _open(self, until: timedelta) -> UpstreamConnection | NotSent:
+    def _open(self, until: timedelta) -> Steps[UpstreamConnection | NotSent]:
         if self._connection is not None and self._connection.reusable():
             return self._connection
         self.close()
-        connection = UpstreamConnection(self.address, self._clock)
+        connection = UpstreamConnection(self.address, self._loop)
         limit = min(until, self._clock.monotonic() + CONNECT_TIME)
-        failed = connection.connect(limit)
+        failed = yield from connection.connect(limit)
         if failed is not None:
             return failed
         self._connection = connection
@@ -79,7 +81,7 @@
 
     def _receive(
         self, connection: UpstreamConnection, until: timedelta
-    ) -> Reply | Broken:
+    ) -> Steps[Reply | Broken]:
         head: Head | None = None
         parts: list[bytes] = []
         while True:
@@ -92,8 +94,9 @@
                 assert head is not None
                 return Reply(head, b"".join(parts))
             elif isinstance(event, Waiting):
-                if not connection.wait(until):
-                    return Broken(Why.TIMEOUT)
+                broken = yield from connection.wait(until)
+                if broken is not None:
+                    return broken
             else:
                 return event
 
--- a/packages/ashhoist/src/ashhoist/http/pool.py
+++ b/packages/ashhoist/src/ashhoist/http/pool.py
@@ -1,10 +1,9 @@
 """Kept connections to upstreams, by address."""
 
-import threading
 from collections import deque
 from datetime import timedelta
 
-from ..clock import Clock
+from ..loop import Loop, Steps
 from .upstream import NotSent, UpstreamConnection
 
 MOST_KEPT = 32
@@ -13,20 +12,17 @@
 class Pool:
     """Kept connections, newest used first so that the rest may expire.
 
-    Notes
-    -----
-    Used from many threads; a connection that was taken belongs to its taker.
+    A connection that was taken belongs to its taker.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._lock = threading.Lock()
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
         self._by_key: dict[tuple[str, str], deque[UpstreamConnection]] = {}
         self.opened = 0
 
     def take(
         self, upstream: str, address: str, until: timedelta
-    ) -> UpstreamConnection | NotSent:
+    ) -> Steps[UpstreamConnection | NotSent]:
         """Return a connection, a kept one if there is one that may be used.
 
         Parameters
@@ -39,8 +35,8 @@
         kept = self._kept(upstream, address)
         if kept is not None:
             return kept
-        connection = UpstreamConnection(address, self._clock)
-        failed = connection.connect(until)
+        connection = UpstreamConnection(address, self._loop)
+        failed = yield from connection.connect(until)
         if failed is not None:
             return failed
         self.opened += 1
@@ -48,11 +44,10 @@
 
     def _kept(self, upstream: str, address: str) -> UpstreamConnection | None:
         while True:
-            with self._lock:
-                waiting = self._by_key.get((upstream, address))
-                if not waiting:
-                    return None
-                connection = waiting.pop()
+            waiting = self._by_key.get((upstream, address))
+            if not waiting:
+                return None
+            connection = waiting.pop()
             if connection.reusable():
                 return connection
             connection.close()
@@ -63,27 +58,18 @@
             connection.close()
             return
         key = (upstream, connection.address)
-        with self._lock:
-            kept = self._by_key.setdefault(key, deque())
-            kept.append(connection)
-            surplus = kept.popleft() if len(kept) > MOST_KEPT else None
-        if surplus is not None:
-            surplus.close()
+        kept = self._by_key.setdefault(key, deque())
+        kept.append(connection)
+        if len(kept) > MOST_KEPT:
+            kept.popleft().close()
 
     def forget(self, upstream: str) -> None:
         """Close the kept connections of an upstream that has gone."""
-        with self._lock:
-            keys = [key for key in self._by_key if key[0] == upstream]
-            gone = [self._by_key.pop(key) for key in keys]
-        for connections in gone:
-            for connection in connections:
+        for key in [key for key in self._by_key if key[0] == upstream]:
+            for connection in self._by_key.pop(key):
                 connection.close()
 
     def close(self) -> None:
         """Close all kept connections."""
-        with self._lock:
-            everything = list(self._by_key.values())
-            self._by_key.clear()
-        for connections in everything:
-            for connection in connections:
-                connection.close()
+        for upstream in {upstream for upstream, _ in self._by_key}:
+            self.forget(upstream)
--- a/packages/ashhoist/src/ashhoist/http/sockets.py
+++ b/packages/ashhoist/src/ashhoist/http/sockets.py
@@ -1,102 +1,27 @@
-"""Waiting on several sockets at once, with a limit and a way to be woken."""
+"""Sockets as the loop uses them: never blocking, silence of the other side noticed."""
 
-import select
 import socket
-from collections.abc import Iterable
 from datetime import timedelta
 
-from ..clock import Clock
+from ..loop import Loop, Steps, Wait
 
-READ = select.POLLIN | select.POLLPRI
-GONE = select.POLLHUP | select.POLLERR | select.POLLNVAL
-LONGEST_WAIT = timedelta(seconds=60)
 USER_TIMEOUT_MS = 3000
-
-
-class Waker:
-    """Lets another thread end a wait on sockets.
-
-    Notes
-    -----
-    A wake-up that comes before the wait ends that wait at once.
-    """
-
-    def __init__(self) -> None:
-        self._reader, self._writer = socket.socketpair()
-        self._reader.setblocking(False)
-        self._writer.setblocking(False)
-
-    def fileno(self) -> int:
-        """Return the descriptor that becomes readable on a wake-up."""
-        return self._reader.fileno()
-
-    def wake(self) -> None:
-        """End the current or the next wait."""
-        try:
-            self._writer.send(b"w")
-        except (BlockingIOError, OSError):
-            return
-
-    def clear(self) -> None:
-        """Forget all wake-ups so far."""
-        try:
-            while self._reader.recv(64):
-                continue
-        except (BlockingIOError, OSError):
-            return
-
-    def close(self) -> None:
-        """Close both ends."""
-        self._reader.close()
-        self._writer.close()
-
-
-def milliseconds(span: timedelta) -> int:
-    """Return a wait for ``poll``, rounded up, never negative."""
-    if span <= timedelta():
-        return 0
-    return int(min(span, LONGEST_WAIT) / timedelta(milliseconds=1)) + 1
-
-
-def wait_readable(
-    descriptors: Iterable[int], until: timedelta, clock: Clock
-) -> set[int]:
-    """Wait until a descriptor is readable or its peer is gone.
-
-    Parameters
-    ----------
-    descriptors : iterable of int
-        What to watch.
-    until : timedelta
-        On the monotonic clock.
-
-    Returns
-    -------
-    set of int
-        The descriptors that have something to say; empty when time is up.
-    """
-    poll = select.poll()
-    for descriptor in descriptors:
-        poll.register(descriptor, READ)
-    while True:
-        ready = poll.poll(milliseconds(until - clock.monotonic()))
-        if ready:
-            return {descriptor for descriptor, _ in ready}
-        if clock.monotonic() >= until:
-            return set()
+"""After so long without a sign of the other side a connection counts as broken."""
 
 
 def send_all(
+    loop: Loop,
     peer: socket.socket,
     data: bytes,
     until: timedelta,
-    clock: Clock,
     stop_on_answer: bool = False,
-) -> int:
+) -> Steps[int]:
     """Send on a non-blocking socket until all is out or time is up.
 
     Parameters
     ----------
+    until : timedelta
+        On the monotonic clock.
     stop_on_answer : bool
         True to stop once the other side says something while it takes no more.
 
@@ -112,21 +37,19 @@
     """
     view = memoryview(data)
     sent = 0
+    descriptor = peer.fileno()
+    readable = (descriptor,) if stop_on_answer else ()
     while sent < len(data):
         try:
             sent += peer.send(view[sent:])
             continue
         except BlockingIOError:
             pass
-        left = until - clock.monotonic()
-        if left <= timedelta():
+        ready = yield Wait(until, readable, writable=descriptor)
+        if ready is None:
+            return sent
+        if stop_on_answer and has_bytes(peer):
             return sent
-        poll = select.poll()
-        watched = select.POLLOUT | (select.POLLIN if stop_on_answer else 0)
-        poll.register(peer.fileno(), watched)
-        for _, events in poll.poll(milliseconds(left)):
-            if events & select.POLLIN and not events & select.POLLOUT:
-                return sent
     return sent
 
 
@@ -158,6 +81,59 @@
     return listening
 
 
+def connect(loop: Loop, address: str, until: timedelta) -> Steps[socket.socket | None]:
+    """Open a connection to ``IP:PORT``; None if there is none in time.
+
+    Parameters
+    ----------
+    until : timedelta
+        On the monotonic clock.
+    """
+    host, _, port = address.rpartition(":")
+    peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        tune(peer)
+        connected = yield from _connected(peer, (host, int(port)), until)
+    except OSError:
+        connected = False
+    if connected:
+        return peer
+    close(loop, peer)
+    return None
+
+
+def _connected(
+    peer: socket.socket, address: tuple[str, int], until: timedelta
+) -> Steps[bool]:
+    try:
+        peer.connect(address)
+        return True
+    except BlockingIOError:
+        pass
+    ready = yield Wait(until, writable=peer.fileno())
+    if ready is None:
+        return False
+    return peer.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+
+
+def close(loop: Loop, peer: socket.socket) -> None:
+    """Close a socket, and drop what the loop keeps of it."""
+    if peer.fileno() >= 0:
+        loop.forget(peer.fileno())
+    peer.close()
+
+
+def has_bytes(peer: socket.socket) -> bool:
+    """Return whether something has come or the other side is gone; reads nothing."""
+    try:
+        peer.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 def has_left(peer: socket.socket) -> bool:
     """Return whether the other side has closed; reads nothing.
 
--- a/packages/ashhoist/src/ashhoist/http/upstream.py
+++ b/packages/ashhoist/src/ashhoist/http/upstream.py
@@ -12,8 +12,8 @@
 
 import h11
 
-from ..clock import Clock
-from .sockets import send_all, tune, wait_readable
+from ..loop import Loop, Steps, Wait
+from .sockets import close, connect, has_bytes, send_all
 
 READ_SIZE = 65536
 HEAD_ROOM = 65536
@@ -83,7 +83,7 @@
 
 
 class UpstreamConnection:
-    """One connection to an upstream; used by one thread at a time.
+    """One connection to an upstream; used by one task at a time.
 
     Parameters
     ----------
@@ -91,9 +91,10 @@
         ``IP:PORT``.
     """
 
-    def __init__(self, address: str, clock: Clock) -> None:
+    def __init__(self, address: str, loop: Loop) -> None:
         self.address = address
-        self._clock = clock
+        self._loop = loop
+        self._clock = loop.clock
         self._peer: socket.socket | None = None
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_ROOM)
         self._request: h11.Request | None = None
@@ -102,13 +103,13 @@
         self._failure = False
         self._framed = True
         self.used = 0
-        self.expires_at = clock.monotonic() + NO_EXPIRY
+        self.expires_at = loop.clock.monotonic() + NO_EXPIRY
 
     def fileno(self) -> int:
         """Return the socket's descriptor, or -1."""
         return self._peer.fileno() if self._peer is not None else -1
 
-    def connect(self, until: timedelta) -> NotSent | None:
+    def connect(self, until: timedelta) -> Steps[NotSent | None]:
         """Open the connection.
 
         Parameters
@@ -116,18 +117,8 @@
         until : timedelta
             On the monotonic clock.
         """
-        host, _, port = self.address.rpartition(":")
-        peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        left = (until - self._clock.monotonic()).total_seconds()
-        try:
-            peer.settimeout(max(left, 0.001))
-            peer.connect((host, int(port)))
-            tune(peer)
-        except OSError:
-            peer.close()
-            return NotSent(Why.CONNECT)
-        self._peer = peer
-        return None
+        self._peer = yield from connect(self._loop, self.address, until)
+        return None if self._peer is not None else NotSent(Why.CONNECT)
 
     # Sending
 
@@ -138,7 +129,7 @@
         headers: list[tuple[str, str]],
         body: bytes,
         until: timedelta,
-    ) -> NotSent | Broken | None:
+    ) -> Steps[NotSent | Broken | None]:
         """Send a request whole."""
         assert self._peer is not None
         request = h11.Request(method=method, target=target, headers=headers)
@@ -149,7 +140,7 @@
         data += self._http.send(h11.EndOfMessage()) or b""
         self.used += 1
         try:
-            sent = send_all(self._peer, data, until, self._clock, True)
+            sent = yield from send_all(self._loop, self._peer, data, until, True)
         except OSError:
             return Broken(Why.RESET)
         self._sent_whole = sent == len(data)
@@ -162,24 +153,7 @@
     # Receiving
 
     def next_event(self) -> Event:
-        """Return the next part of the answer that has come, without waiting."""
-        assert self._peer is not None
-        while True:
-            event = self._parsed()
-            if not isinstance(event, Waiting):
-                return event
-            try:
-                data = self._peer.recv(READ_SIZE)
-            except BlockingIOError:
-                return WAITING
-            except OSError:
-                return Broken(Why.RESET)
-            try:
-                self._http.receive_data(data)
-            except RuntimeError:
-                return Broken(Why.CLOSED)
-
-    def _parsed(self) -> Event:
+        """Return the next part of the answer that was received, without waiting."""
         try:
             event = self._http.next_event()
         except h11.RemoteProtocolError:
@@ -187,16 +161,31 @@
             return Broken(Why.CLOSED if closed and not rest else Why.MALFORMED)
         if event is h11.NEED_DATA:
             return WAITING
-        if isinstance(event, h11.Response):
-            return self._head(event)
         if isinstance(event, h11.Data):
             return Piece(bytes(event.data))
+        if isinstance(event, h11.Response):
+            return self._head(event)
         if isinstance(event, h11.EndOfMessage):
             return End()
         if isinstance(event, h11.InformationalResponse):
-            return self._parsed()
+            return self.next_event()
         return Broken(Why.CLOSED)
 
+    def receive(self) -> Broken | None:
+        """Take in what has come, once the descriptor is readable."""
+        assert self._peer is not None
+        try:
+            data = self._peer.recv(READ_SIZE)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return Broken(Why.RESET)
+        try:
+            self._http.receive_data(data)
+        except RuntimeError:
+            return Broken(Why.CLOSED)
+        return None
+
     def _head(self, event: h11.Response) -> Head:
         pairs = [
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -216,9 +205,10 @@
             kept = timedelta(seconds=int(value)) - EXPIRY_MARGIN
             self.expires_at = self._clock.monotonic() + kept
 
-    def wait(self, until: timedelta) -> bool:
-        """Wait until something has come; return False when time is up."""
-        return bool(wait_readable([self.fileno()], until, self._clock))
+    def wait(self, until: timedelta) -> Steps[Broken | None]:
+        """Wait until something has come, and take it in."""
+        ready = yield Wait(until, (self.fileno(),))
+        return Broken(Why.TIMEOUT) if ready is None else self.receive()
 
     def expect_another(self) -> bool:
         """Read on for the answer that is due, behind one that was too much.
@@ -260,7 +250,7 @@
             return False
         if self._clock.monotonic() >= self.expires_at:
             return False
-        return not wait_readable([self.fileno()], timedelta(), self._clock)
+        return not has_bytes(self._peer)
 
     def next(self) -> bool:
         """Make ready for a next request; return False if that can't be."""
@@ -277,5 +267,5 @@
     def close(self) -> None:
         """Close; an upstream that still works on a request drops it."""
         if self._peer is not None:
-            self._peer.close()
+            close(self._loop, self._peer)
             self._peer = None
--- a/packages/ashhoist/src/ashhoist/instances/__init__.py
+++ b/packages/ashhoist/src/ashhoist/instances/__init__.py
@@ -1,6 +1,6 @@
 """Talks to the other instances: one websocket link for each pair."""
 
-from . import news
+from ..links import news
 from .links import Links, Peers
 
 __all__ = ["Links", "Peers", "news"]
--- a/packages/ashhoist/src/ashhoist/instances/links.py
+++ b/packages/ashhoist/src/ashhoist/instances/links.py
@@ -1,9 +1,4 @@
-"""The links to all other instances: who dials whom, and what is sent where.
-
-Of each pair the instance with the smaller name dials, so both sides agree on
-whether there is a link. The other side dials too once it has waited for a while:
-the first may not know of it.
-"""
+"""The links to all other instances, a reader and a writer thread for each."""
 
 import random
 import socket
@@ -24,10 +19,11 @@
 from .. import messages
 from ..clock import Clock
 from ..exceptions import AddressInUseError
+from ..links import news
+from ..links.dialling import Dialling
 from ..logs import Logger
 from ..tasks import Task, handles
 from ..types import Endpoint
-from . import news
 from ._link import Link
 
 TICK = timedelta(milliseconds=400)
@@ -35,25 +31,16 @@
 HELLO_TIMEOUT = timedelta(seconds=3)
 FINISH_TIMEOUT = timedelta(seconds=2)
 FINISH_LOOK_SECONDS = 0.01
-RETRY_FIRST = timedelta(milliseconds=200)
-RETRY_LONGEST = timedelta(seconds=3)
-OTHERS_TURN = timedelta(seconds=1.5)
-"""How long the side that need not dial waits for the other side to do so."""
 
 
 class Peers:
     """The instances that there should be links to, as a message.
 
-    An endpoint without a name is an address to ask, of an instance not yet known.
-
-    Parameters
-    ----------
-    dials_all : bool
-        Whether this side dials whatever the names: the others do not look for it.
+    See `Dialling.set_peers`.
     """
 
     def __init__(self, endpoints: list[Endpoint], dials_all: bool = False) -> None:
-        self.by_address = {endpoint.address: endpoint for endpoint in endpoints}
+        self.endpoints = endpoints
         self.dials_all = dials_all
 
 
@@ -98,16 +85,9 @@
         self._count = count
         self._clock = clock
         self._executor = executor
-        self._random = random_source
         self._links: dict[str, Link] = {}
         self._lock = threading.Lock()
-        self._peers: dict[str, Endpoint] = {}
-        self._dials_all = False
-        self._names: dict[str, str] = {}
-        self._unlinked_since: dict[str, timedelta] = {}
-        self._dialling: set[str] = set()
-        self._retry_at: dict[str, timedelta] = {}
-        self._failures: dict[str, int] = {}
+        self._dialling = Dialling(own.name, random_source)
         self._server = self._listen(own.address)
 
     @property
@@ -233,30 +213,13 @@
 
     @handles(Peers)
     def _peers_changed(self, peers: Peers) -> None:
-        self._peers = peers.by_address
-        self._dials_all = peers.dials_all
+        self._dialling.set_peers(peers.endpoints, peers.dials_all)
 
     def tick(self) -> None:
         """Dial the peers to which there is no link."""
-        now = self._clock.monotonic()
-        for address, endpoint in self._peers.items():
-            if not self._due(address, endpoint, now):
-                continue
-            self._dialling.add(address)
+        for endpoint in self._dialling.begin(self._links, self._clock.monotonic()):
             threading.Thread(target=self._dial, args=(endpoint,), daemon=True).start()
 
-    def _due(self, address: str, endpoint: Endpoint, now: timedelta) -> bool:
-        name = endpoint.name or self._names.get(address, "")
-        if name in self._links or name == self._own.name:
-            self._unlinked_since.pop(address, None)
-            return False
-        since = self._unlinked_since.setdefault(address, now)
-        if address in self._dialling or self._retry_at.get(address, now) > now:
-            return False
-        if self._dials_all or not name or name > self._own.name:
-            return True
-        return now - since >= OTHERS_TURN
-
     def _dial(self, endpoint: Endpoint) -> None:
         token = min(self._tokens)
         peer = ""
@@ -282,14 +245,7 @@
 
     @handles(_Dialled)
     def _dialled(self, dialled: _Dialled) -> None:
-        address = dialled.address
-        self._dialling.discard(address)
         if dialled.peer:
-            self._names[address] = dialled.peer
-            self._failures.pop(address, None)
+            self._dialling.succeeded(dialled.address, dialled.peer)
             return
-        failures = self._failures.get(address, 0) + 1
-        self._failures[address] = failures
-        wait = min(RETRY_FIRST * 2 ** min(failures, 6), RETRY_LONGEST)
-        wait *= self._random.uniform(0.5, 1.0)
-        self._retry_at[address] = self._clock.monotonic() + wait
+        self._dialling.failed(dialled.address, self._clock.monotonic())
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/links/links.py
@@ -0,0 +1,208 @@
+"""The links to all other instances: dialled, accepted and kept."""
+
+import random
+import socket
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from .. import messages
+from ..exceptions import AddressInUseError
+from ..http.sockets import close, connect, listening_socket, tune
+from ..logs import Logger
+from ..loop import Loop, Steps, Task, Timer
+from ..types import Endpoint
+from . import news
+from .dialling import Dialling
+from .handshake import Greeted, Handshake, HandshakeError
+from .link import Link
+
+BACKLOG = 512
+ACCEPTED_AT_ONCE = 64
+DIAL_TIME = timedelta(seconds=2)
+HELLO_TIME = timedelta(seconds=3)
+
+
+class Links:
+    """All links of this instance.
+
+    Parameters
+    ----------
+    own : Endpoint
+        This instance; its address is where it listens.
+    tokens : frozenset of str
+        Tokens that the other side may show; one of them is shown by this side.
+    tell : callable
+        Takes what is in `links.news`.
+    count : callable
+        Adds to a counter of the metrics.
+
+    Raises
+    ------
+    AddressInUseError
+        If the address is taken.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        own: Endpoint,
+        incarnation: str,
+        tokens: frozenset[str],
+        tell: Callable[[Any], None],
+        count: Callable[..., None],
+        random_source: random.Random,
+        log: Logger,
+    ) -> None:
+        self._loop = loop
+        self._hello = messages.Hello(messages.PROTOCOL, own.name, incarnation)
+        self._tokens = tokens
+        self._tell = tell
+        self._count = count
+        self._log = log
+        self._dialling = Dialling(own.name, random_source)
+        self._dial_timer: Timer | None = None
+        self._by_name: dict[str, Link] = {}
+        try:
+            self._listening = listening_socket(own.address, BACKLOG)
+        except OSError as error:
+            why = f"cannot listen on {own.address}: {error}"
+            raise AddressInUseError(why) from None
+
+    @property
+    def address(self) -> str:
+        """Return the address that is listened on."""
+        host, port = self._listening.getsockname()
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Begin to accept links."""
+        self._loop.on_readable(self._listening.fileno(), self._accept)
+
+    def close(self) -> None:
+        """Close all links."""
+        close(self._loop, self._listening)
+        self._dialling.set_peers([], False)
+        for link in list(self._by_name.values()):
+            link.close()
+
+    def send_to(self, name: str, message: Any) -> bool:
+        """Send a message to an instance; return False if there is no link."""
+        link = self._by_name.get(name)
+        return link is not None and link.send(message)
+
+    def drop(self, name: str, reason: str) -> None:
+        """Close the link to an instance that is silent, or not needed any more."""
+        link = self._by_name.get(name)
+        if link is not None:
+            self._count("links_closed", reason)
+            link.close()
+
+    def set_peers(self, endpoints: list[Endpoint], dials_all: bool) -> None:
+        """Take in which links there should be; see `Dialling.set_peers`."""
+        self._dialling.set_peers(endpoints, dials_all)
+        self._plan_dials()
+
+    # Accepting
+
+    def _accept(self) -> None:
+        for _ in range(ACCEPTED_AT_ONCE):
+            try:
+                peer, _ = self._listening.accept()
+                tune(peer)
+            except OSError:
+                return
+            Task(self._loop, self._accepted(peer), "link")
+
+    def _accepted(self, peer: socket.socket) -> Steps[None]:
+        greeted = yield from self._shake(
+            peer, lambda shake: shake.accept(self._is_token)
+        )
+        if greeted is not None:
+            self._open(peer, greeted)
+
+    def _is_token(self, token: str) -> bool:
+        known = token in self._tokens
+        if not known:
+            self._count("refusals", "unauthorized")
+        return known
+
+    # Dialling
+
+    def _plan_dials(self) -> None:
+        """Dial the peers to which there is no link, or wait until one is due."""
+        now = self._loop.clock.monotonic()
+        for endpoint in self._dialling.begin(self._by_name, now):
+            Task(self._loop, self._dial(endpoint.address), "dial")
+        if self._dial_timer is not None:
+            self._dial_timer.cancel()
+        at = self._dialling.next_at(self._by_name, now)
+        plan = self._plan_dials
+        self._dial_timer = None if at is None else self._loop.call_at(at, plan)
+
+    def _dial(self, address: str) -> Steps[None]:
+        until = self._loop.clock.monotonic() + DIAL_TIME
+        peer = yield from connect(self._loop, address, until)
+        greeted: Greeted | None = None
+        if peer is not None:
+            token = min(self._tokens)
+            greeted = yield from self._shake(
+                peer, lambda shake: shake.ask(address, token)
+            )
+        if peer is not None and greeted is not None:
+            self._dialling.succeeded(address, greeted.hello.name)
+            self._open(peer, greeted)
+        else:
+            self._dialling.failed(address, self._loop.clock.monotonic())
+        self._plan_dials()
+
+    # Both
+
+    def _shake(
+        self, peer: socket.socket, begin: Callable[[Handshake], Steps[Greeted]]
+    ) -> Steps[Greeted | None]:
+        """Return who is there; None if nobody of ours is, and the socket closed."""
+        until = self._loop.clock.monotonic() + HELLO_TIME
+        try:
+            greeted = yield from begin(Handshake(self._loop, peer, self._hello, until))
+        except HandshakeError as error:
+            self._count("bad_frames", "hello")
+            self._log.info("no link", why=str(error))
+            close(self._loop, peer)
+            return None
+        if greeted.hello.name != self._hello.name:
+            return greeted
+        self._count("bad_frames", "protocol")
+        close(self._loop, peer)
+        return None
+
+    def _open(self, peer: socket.socket, greeted: Greeted) -> None:
+        """Serve a link until it closes; the newest link to a peer stays."""
+        hello = greeted.hello
+        link = Link(
+            self._loop,
+            peer,
+            greeted.protocol,
+            hello.name,
+            hello.incarnation,
+            self._deliver,
+            self._closed,
+            self._count,
+            self._log,
+        )
+        before = self._by_name.get(link.name)
+        if before is not None:
+            before.close()
+        self._by_name[link.name] = link
+        self._tell(news.PeerUp(link.name, link.incarnation))
+        link.start(greeted.frames)
+
+    def _deliver(self, link: Link, items: list[Any]) -> None:
+        self._tell(news.PeerMessages(link.name, link.incarnation, items))
+
+    def _closed(self, link: Link) -> None:
+        if self._by_name.get(link.name) is not link:
+            return
+        del self._by_name[link.name]
+        self._tell(news.PeerDown(link.name))
+        self._plan_dials()
--- a/packages/ashhoist/src/ashhoist/logs.py
+++ b/packages/ashhoist/src/ashhoist/logs.py
@@ -1,9 +1,12 @@
 """Logs: short sentences with a fixed prefix for each part."""
 
 import logging
-import queue
+import os
+import select
 import sys
-import threading
+import time
+from collections import deque
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, TextIO
 
@@ -16,58 +19,80 @@
 
 MOST_LINES_WAITING = 4096
 CLOSE_TIME = timedelta(milliseconds=300)
+WRITE_SIZE = 65536
 
 
 class LineWriter:
-    """Writes lines on a thread of its own, so that no caller waits for a pipe.
+    """Collects lines, and writes them without ever waiting for a pipe.
 
     Lines beyond what may wait are dropped; how many is told with the next line.
 
     Parameters
     ----------
-    file : TextIO
-        Where lines go.
+    descriptor : int
+        Where lines go; it is made non-blocking.
     """
 
-    def __init__(self, file: TextIO) -> None:
-        self._file = file
-        self._lines: queue.Queue[str | None] = queue.Queue(MOST_LINES_WAITING)
-        self._ended = threading.Event()
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._lines: deque[str] = deque()
+        self._unsent = b""
+        self._told = 0
         self.dropped = 0
-        threading.Thread(target=self._run, name="logs", daemon=True).start()
+        self.on_lines: Callable[[], None] | None = None
+        """Called with the first line that waits; whoever sets it calls `flush`."""
+        os.set_blocking(descriptor, False)
 
     def msg(self, message: str) -> None:
         """Take a line."""
-        try:
-            self._lines.put_nowait(message)
-        except queue.Full:
+        if len(self._lines) >= MOST_LINES_WAITING:
             self.dropped += 1
-
-    def close(self, longest: timedelta) -> None:
-        """Write what waits, and end; give up after `longest`."""
-        try:
-            self._lines.put(None, timeout=longest.total_seconds())
-        except queue.Full:
             return
-        self._ended.wait(longest.total_seconds())
+        self._lines.append(message)
+        if len(self._lines) == 1 and self.on_lines is not None:
+            self.on_lines()
 
     log = debug = info = warn = warning = error = critical = msg
     fatal = failure = exception = msg
 
-    def _run(self) -> None:
-        told = 0
-        while True:
-            line = self._lines.get()
-            if line is None:
+    def flush(self) -> bool:
+        """Write what waits; return False if the other side takes no more now."""
+        while self._lines or self._unsent:
+            if not self._unsent:
+                self._unsent = self._next_bytes()
+            try:
+                sent = os.write(self._descriptor, self._unsent)
+            except BlockingIOError:
+                return False
+            except OSError:
+                # Nobody reads any more; the lines are lost.
+                self._lines.clear()
+                self._unsent = b""
+                return True
+            self._unsent = self._unsent[sent:]
+        return True
+
+    def _next_bytes(self) -> bytes:
+        size = 0
+        lines = []
+        while self._lines and size < WRITE_SIZE:
+            lines.append(self._lines.popleft())
+            size += len(lines[-1])
+        if self.dropped > self._told:
+            lines.append(f'{{"event": "logs: lines dropped", "all": {self.dropped}}}')
+            self._told = self.dropped
+        return ("\n".join(lines) + "\n").encode()
+
+    def close(self, longest: timedelta) -> None:
+        """Write what waits; give up after `longest`."""
+        limit = time.monotonic() + longest.total_seconds()
+        while not self.flush():
+            left = limit - time.monotonic()
+            if left <= 0:
                 break
-            if self.dropped > told:
-                line += f'\n{{"event": "logs: lines dropped", "all": {self.dropped}}}'
-                told = self.dropped
-            self._file.write(line + "\n")
-            if self._lines.empty():
-                self._file.flush()
-        self._file.flush()
-        self._ended.set()
+            select.select([], [self._descriptor], [], left)
+        # Others may share the descriptor, and expect it to block.
+        os.set_blocking(self._descriptor, True)
 
 
 def configure(
@@ -82,7 +107,8 @@
     level : str
         The lowest level that is shown.
     file : TextIO or None
-        Written to by a thread of its own; None is standard error, directly.
+        Written to without waiting, by a `LineWriter`; None is standard error,
+        directly.
     """
     renderer: Any = structlog.dev.ConsoleRenderer(colors=False)
     if json_lines:
@@ -106,10 +132,15 @@
 _writers: list[LineWriter] = []
 
 
+def writers() -> list[LineWriter]:
+    """Return the writers whose lines somebody has to flush."""
+    return list(_writers)
+
+
 def _factory(file: TextIO | None) -> Any:
     if file is None:
         return structlog.PrintLoggerFactory(file=sys.stderr)
-    writer = LineWriter(file)
+    writer = LineWriter(file.fileno())
     _writers.append(writer)
     return lambda *_: writer
 
--- a/packages/ashhoist/src/ashhoist/probes.py
+++ b/packages/ashhoist/src/ashhoist/probes.py
@@ -1,24 +1,19 @@
-"""Readiness and metrics over HTTP, by ``werkzeug``."""
+"""Readiness and metrics over HTTP, on the loop."""
 
-from collections.abc import Callable, Iterable
-from concurrent.futures import Executor
-from typing import Any
-
-from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler, make_server
-from werkzeug.wrappers import Request, Response
+from collections.abc import Callable
+from datetime import timedelta
 
+from .exceptions import AddressInUseError
+from .http import CallerConnection, CallerGoneError, Listener, MalformedRequestError
+from .http.caller import CallerLimits
+from .loop import Loop, Steps
 from .metrics import Metrics
 
 METRICS_PATH = "/metrics"
-
-
-class _Quiet(WSGIRequestHandler):
-    """Writes no line for each request."""
-
-    protocol_version = "HTTP/1.1"
-
-    def log(self, type: str, message: str, *args: Any) -> None:
-        """Write nothing."""
+TEXT = ("Content-Type", "text/plain; charset=utf-8")
+ANSWER_TIME = timedelta(seconds=2)
+IDLE_TIME = timedelta(seconds=15)
+MOST_CONNECTIONS = 64
 
 
 class ProbeServer:
@@ -30,6 +25,11 @@
         ``IP:PORT``; the metrics have an address of their own or none.
     ready : callable
         Returns whether callers may be sent here.
+
+    Raises
+    ------
+    AddressInUseError
+        If an address is taken.
     """
 
     def __init__(
@@ -39,39 +39,48 @@
         readiness_path: str,
         ready: Callable[[], bool],
         metrics: Metrics,
+        loop: Loop,
     ) -> None:
         self._path = readiness_path
         self._ready = ready
         self._metrics = metrics
+        self._loop = loop
         addresses = [readiness] + ([metrics_address] if metrics_address else [])
-        self._servers = [self._server(address) for address in addresses]
-
-    def _server(self, address: str) -> BaseWSGIServer:
-        host, _, port = address.rpartition(":")
-        return make_server(
-            host, int(port), self._respond, threaded=True, request_handler=_Quiet
-        )
-
-    def start(self, executor: Executor) -> None:
-        """Answer on threads of `executor`."""
-        for server in self._servers:
-            executor.submit(server.serve_forever)
-
-    def _respond(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
-        request = Request(environ)
-        return self._answer(request.path)(environ, start)
-
-    def _answer(self, path: str) -> Response:
+        self._listeners = [self._listener(address) for address in addresses]
+
+    def _listener(self, address: str) -> Listener:
+        try:
+            return Listener(
+                address, self._serve, lambda: IDLE_TIME, MOST_CONNECTIONS, self._loop
+            )
+        except OSError as error:
+            why = f"cannot listen on {address}: {error}"
+            raise AddressInUseError(why) from None
+
+    def start(self) -> None:
+        """Begin to answer."""
+        for listener in self._listeners:
+            listener.start()
+
+    def _serve(self, caller: CallerConnection) -> Steps[bool]:
+        try:
+            request = yield from caller.read_request(CallerLimits())
+            status, body = self._answer(request.target.partition("?")[0])
+            until = self._loop.clock.monotonic() + ANSWER_TIME
+            yield from caller.respond(status, [TEXT], body, until)
+            return caller.next()
+        except (CallerGoneError, MalformedRequestError):
+            return False
+
+    def _answer(self, path: str) -> tuple[int, bytes]:
         if path == self._path:
-            if self._ready():
-                return Response("ready\n")
-            return Response("not ready\n", status=503)
+            return (200, b"ready\n") if self._ready() else (503, b"not ready\n")
         if path == METRICS_PATH:
-            return Response(self._metrics.render(), content_type="text/plain")
-        return Response("not found\n", status=404)
+            return 200, self._metrics.render()
+        return 404, b"not found\n"
 
     def close(self) -> None:
         """Stop answering."""
-        for server in self._servers:
-            server.shutdown()
-            server.server_close()
+        for listener in self._listeners:
+            listener.stop()
+            listener.close_resting()
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -2,22 +2,23 @@
 
 import random
 import sys
-import threading
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 from uuid import uuid4
 
 from . import logs
-from .clock import Clock, SystemClock
+from .clock import SystemClock
 from .control.core import Core, CoreSettings, Decode
 from .control.engines import EngineControl, EngineProtocol
 from .control.peers import InstanceRecord
-from .control.task import ControlTask, Look, SeedsChanged, StopOnPlan, StoreCalls
+from .control.store_calls import StoreCalls
+from .control.task import ControlTask
+from .exceptions import AddressInUseError
 from .http import Listener, Pool
-from .instances import Links
+from .links import Links
+from .loop import Loop, Steps, Task, sleep_until
 from .metrics import Metrics
 from .placement import Residency
 from .probes import ProbeServer
@@ -33,18 +34,17 @@
 from .types import Endpoint
 from .upstreams import Balancer, Directory, Health
 
-TASK_THREADS = 12
-ENGINE_THREADS = 64
-STORE_THREADS = 8
-STACK_BYTES = 512 * 1024
 LINK_TOKENS = frozenset({"instances"})
 NOTICE = timedelta(milliseconds=2600)
 """How long new connections are taken after readiness has gone false."""
 LAST_PART = timedelta(milliseconds=700)
 """What is left of the time to stop when requests are broken off."""
-ANSWER_WITHIN = timedelta(milliseconds=200)
 LOOK_EVERY = timedelta(milliseconds=50)
 LOOK_AT_SETTINGS = timedelta(seconds=2)
+RESERVED_DESCRIPTORS = 200
+"""For files, links, orders and the store."""
+DESCRIPTORS_A_CALL = 2
+"""A caller's connection, and one to an upstream."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,43 +52,42 @@
     """What a platform's adapter gives to the product."""
 
     dialect: Dialect
-    open_log: Callable[[str, Clock], SharedLog]
+    open_log: Callable[[str, Loop], SharedLog]
     decode: Decode
     engines: EngineProtocol
     readiness_path: str = "/readyz"
 
 
 class Process:
-    """All parts of one instance."""
+    """All parts of one instance.
 
-    def __init__(self, settings: ProcessSettings, platform: Platform) -> None:
+    Raises
+    ------
+    AddressInUseError
+        If one of the addresses is taken.
+    """
+
+    def __init__(
+        self, settings: ProcessSettings, platform: Platform, loop: Loop
+    ) -> None:
         self.settings = settings
-        self.clock: Clock = SystemClock()
+        self.loop = loop
+        self.clock = loop.clock
         self.metrics = Metrics()
         self.life = uuid4().hex[:12]
         self._source = random.Random(self.life)
         self._platform = platform
         self._log = logs.get("process")
-        self._tasks = ThreadPoolExecutor(TASK_THREADS, "task")
-        self._store_calls = ThreadPoolExecutor(STORE_THREADS, "store")
-        self._engine_calls = ThreadPoolExecutor(ENGINE_THREADS, "engine")
-        self._callers = ThreadPoolExecutor(settings.limits.threads, "caller")
         self.in_force = InForce()
         self.directory = Directory()
         self.residency = Residency()
         self.health = Health(self.clock)
-        self.pool = Pool(self.clock)
+        self.pool = Pool(loop)
         self._closing = False
-        self.control = ControlTask(logs.get("control"), self.clock)
+        self.control = ControlTask(logs.get("control"), loop)
         self._connect_control()
         self.handler = self._make_handler()
-        self.listener = Listener(
-            settings.instance.callers,
-            self.handler.serve,
-            lambda: self.handler.limits().idle_time,
-            self._callers,
-            self.clock,
-        )
+        self.listener = self._make_listener()
         self.followers = self._make_followers()
         self.probes = ProbeServer(
             settings.instance.readiness,
@@ -96,10 +95,26 @@
             platform.readiness_path,
             lambda: self.control.core.ready,
             self.metrics,
+            loop,
         )
 
     # Wiring
 
+    def _make_listener(self) -> Listener:
+        address = self.settings.instance.callers
+        descriptors = self.settings.limits.descriptors - RESERVED_DESCRIPTORS
+        try:
+            return Listener(
+                address,
+                self.handler.serve,
+                lambda: self.handler.limits().idle_time,
+                max(descriptors // DESCRIPTORS_A_CALL, 1),
+                self.loop,
+            )
+        except OSError as error:
+            why = f"cannot listen on {address}: {error}"
+            raise AddressInUseError(why) from None
+
     def _connect_control(self) -> None:
         settings, clock = self.settings.instance, self.clock
         control = self.control
@@ -127,8 +142,7 @@
             self._platform.engines,
             core.desk.may_send,
             control.send,
-            self._engine_calls,
-            clock,
+            self.loop,
         )
         own = InstanceRecord(
             settings.name,
@@ -137,7 +151,7 @@
             self.settings.limits.capacity,
         )
         store = StoreCalls(
-            own, self._open_log, control.send, self._store_calls, logs.get("store")
+            own, self._open_log, control.send, self.loop, logs.get("store")
         )
         control.connect(
             core, self._make_links(), store, engines, self.pool, self._read_now
@@ -155,20 +169,19 @@
             settings.instances,
         )
         self.links = Links(
-            logs.get("instances"),
+            self.loop,
             own,
             self.life,
             LINK_TOKENS,
             self.control.send,
             self.metrics.count,
-            self.clock,
-            self._tasks,
             self._source,
+            logs.get("instances"),
         )
         return self.links
 
     def _open_log(self) -> SharedLog:
-        return self._platform.open_log(self.settings.store.address, self.clock)
+        return self._platform.open_log(self.settings.store.address, self.loop)
 
     def _make_handler(self) -> Handler:
         dialect, clock = self._platform.dialect, self.clock
@@ -237,13 +250,13 @@
     # Life
 
     def start(self) -> None:
-        """Start all tasks."""
-        self.links.start(self._tasks)
-        self.control.start(self._tasks)
-        for follower in self.followers.values():
-            self._tasks.submit(follower.run)
-        self._tasks.submit(self.listener.run)
-        self.probes.start(self._tasks)
+        """Start all parts."""
+        self.links.start()
+        self.control.start()
+        for topic, follower in self.followers.items():
+            Task(self.loop, follower.run(), f"follower of {topic}")
+        self.listener.start()
+        self.probes.start()
         settings = self.settings.instance
         self._log.info(
             "started",
@@ -254,16 +267,18 @@
             instances=settings.instances,
         )
 
-    def stop(self) -> bool:
+    def stop(self) -> Steps[bool]:
         """Stop on plan; return whether nothing was broken off."""
         began = self.clock.monotonic()
         limit = began + self.settings.bounds.stop - LAST_PART
         self._log.info("stopping", busy=self.listener.busy)
-        self.control.send(StopOnPlan())
-        self._pause_until(lambda: False, began + NOTICE)
+        self.control.core.stop()
+        yield from sleep_until(began + NOTICE)
         self._closing = True
         self.listener.stop()
-        clean = self._pause_until(self.idle, limit)
+        while not self.idle() and self.clock.monotonic() < limit:
+            yield from sleep_until(self.clock.monotonic() + LOOK_EVERY)
+        clean = self.idle()
         self.listener.close_resting()
         self._log.info("stopped", clean=clean, busy=self.listener.busy)
         return clean
@@ -273,31 +288,20 @@
         self.settings = settings
         retries = settings.retries
         self._budget.set(retries.ratio, retries.extra, retries.window)
-        self.control.send(SeedsChanged(settings.instance.seeds))
+        self.control.core.set_seeds(settings.instance.seeds)
 
     def idle(self) -> bool:
         """Return whether nothing is in flight and all is handed over."""
-        return not self.listener.busy and self._settled()
-
-    def _settled(self) -> bool:
-        """Return whether the control task says that all is handed over.
-
-        One that does not answer in time has not: a stop must end by its limit.
-        """
-        look = Look(lambda core: core.settled, Future())
-        self.control.send(look)
-        try:
-            return bool(look.result.result(ANSWER_WITHIN.total_seconds()))
-        except TimeoutError:
-            return False
+        return not self.listener.busy and self.control.core.settled
 
-    def _pause_until(self, done: Callable[[], bool], limit: timedelta) -> bool:
-        pause = threading.Event()
-        while self.clock.monotonic() < limit:
-            if done():
-                return True
-            pause.wait(LOOK_EVERY.total_seconds())
-        return False
+    def live(self, signals: Signals, watcher: SettingsWatcher) -> Steps[bool]:
+        """Serve until a signal asks to stop; return whether the stop was clean."""
+        while not signals.stop_asked:
+            yield from signals.wait(LOOK_AT_SETTINGS)
+            changed = watcher.look(signals.take_reload())
+            if changed is not None:
+                self.apply(changed)
+        return (yield from self.stop())
 
 
 def run(settings: ProcessSettings, platform: Platform, path: Path) -> int:
@@ -313,15 +317,28 @@
     int
         The exit code: 1 if requests were broken off at the end.
     """
-    threading.stack_size(STACK_BYTES)
     logs.configure(settings.logs.format == "json", settings.logs.level, sys.stdout)
-    signals = Signals()
-    process = Process(settings, platform)
+    loop = Loop(SystemClock(), logs.get("loop"))
+    for writer in logs.writers():
+        _write_at_end_of_turns(writer, loop)
+    signals = Signals(loop)
+    process = Process(settings, platform, loop)
     process.start()
     watcher = SettingsWatcher(path, settings, logs.get("settings"))
-    while not signals.stop_asked:
-        signals.wait(LOOK_AT_SETTINGS)
-        changed = watcher.look(signals.take_reload())
-        if changed is not None:
-            process.apply(changed)
-    return 0 if process.stop() else 1
+    life = Task(loop, process.live(signals, watcher), "life")
+    life.result.add_done_callback(lambda _: loop.stop())
+    loop.run()
+    return 0 if life.result.result() else 1
+
+
+def _write_at_end_of_turns(writer: logs.LineWriter, loop: Loop) -> None:
+    """Have lines written in batches; what a full pipe holds up waits for it."""
+    descriptor = sys.stdout.fileno()
+
+    def flush() -> None:
+        loop.off_writable(descriptor)
+        if not writer.flush():
+            loop.on_writable(descriptor, flush)
+
+    writer.on_lines = lambda: loop.call_at_end_of_turn(flush)
+    writer.on_lines()
--- a/packages/ashhoist/src/ashhoist/process_settings.py
+++ b/packages/ashhoist/src/ashhoist/process_settings.py
@@ -87,7 +87,6 @@
 
     memory_mb: int = Field(default=300, ge=64)
     descriptors: int = Field(default=4096, ge=256)
-    threads: int = Field(default=384, ge=8)
     processor_share: float = Field(default=1.0, gt=0)
     processor_speed: float = Field(default=1.0, gt=0)
 
--- a/packages/ashhoist/src/ashhoist/requests/attempt.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt.py
@@ -7,13 +7,12 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
-from enum import StrEnum
 
 from ..clock import Clock
 from ..failures import Reason
 from ..http import CallerConnection, Head, NotSent, Pool, UpstreamConnection
-from ..http.sockets import wait_readable
 from ..http.upstream import Broken, End, Piece, Waiting, Why
+from ..loop import Steps, Wait
 from ..placement.asks import Target
 from .call import Call
 from .dialect import SINGLE_CONNECTION, Dialect
@@ -78,14 +77,6 @@
 Result = NotRun | MayHaveRun | Answered | Streaming | CallerLeft | OutOfTime
 
 
-class Watch(StrEnum):
-    """What ended a wait."""
-
-    DATA = "data"
-    LEFT = "left"
-    TIME = "time"
-
-
 class Attempts:
     """Sends requests to upstreams.
 
@@ -108,21 +99,24 @@
 
     def send(
         self, call: Call, target: Target, caller: CallerConnection, stream: bool
-    ) -> Result:
+    ) -> Steps[Result]:
         """Send `call` to `target` and wait for its answer or stream to begin."""
         now = self._clock.monotonic()
-        connection = self._pool.take(
+        connection = yield from self._pool.take(
             target.upstream, target.address, min(call.limit, now + CONNECT_TIME)
         )
         if isinstance(connection, NotSent):
             return NotRun(Reason.UPSTREAM_UNREACHABLE, arrived=False)
-        result = self._exchange(call, target, caller, connection, stream)
-        if not isinstance(result, Streaming):
-            self._settle(target, connection, result)
+        result: Result | None = None
+        try:
+            result = yield from self._exchange(call, target, caller, connection, stream)
+        finally:
+            if not isinstance(result, Streaming):
+                self._settle(target, connection, result)
         return result
 
     def _settle(
-        self, target: Target, connection: UpstreamConnection, result: Result
+        self, target: Target, connection: UpstreamConnection, result: Result | None
     ) -> None:
         whole = isinstance(result, Answered)
         refused = isinstance(result, NotRun) and result.head is not None
@@ -142,10 +136,10 @@
         caller: CallerConnection,
         connection: UpstreamConnection,
         stream: bool,
-    ) -> Result:
+    ) -> Steps[Result]:
         request = call.request
         headers = self.headers(call, target)
-        failed = connection.send(
+        failed = yield from connection.send(
             request.method, request.target, headers, request.body, call.limit
         )
         if isinstance(failed, NotSent):
@@ -154,7 +148,7 @@
             return OutOfTime()
         if failed is not None:
             return MayHaveRun(Reason.ANSWER_CUT)
-        return self._answer(call, caller, connection, stream)
+        return (yield from self._answer(call, caller, connection, stream))
 
     def headers(self, call: Call, target: Target) -> list[tuple[str, str]]:
         """Return the headers for an upstream: the caller's, and our own."""
@@ -189,15 +183,15 @@
         caller: CallerConnection,
         connection: UpstreamConnection,
         stream: bool,
-    ) -> Result:
+    ) -> Steps[Result]:
         for _ in range(SURPLUS_ALLOWED):
-            head = self._await_head(call, caller, connection)
+            head = yield from self._await_head(call, caller, connection)
             if not isinstance(head, Head):
                 return head
             mine = self._is_mine(call, head)
             if mine and stream and head.status == OK and self._acceptable(head):
                 return Streaming(head, connection)
-            body = self._await_body(call, caller, connection)
+            body = yield from self._await_body(call, caller, connection)
             if not isinstance(body, bytes):
                 return body
             if mine:
@@ -235,13 +229,13 @@
 
     def _await_head(
         self, call: Call, caller: CallerConnection, connection: UpstreamConnection
-    ) -> Head | MayHaveRun | CallerLeft | OutOfTime:
+    ) -> Steps[Head | MayHaveRun | CallerLeft | OutOfTime]:
         while True:
             event = connection.next_event()
             if isinstance(event, Head):
                 return event
             if isinstance(event, Waiting):
-                ended = self.wait(call, caller, connection)
+                ended = yield from self.wait(call, caller, connection)
                 if ended is not None:
                     return ended
                 continue
@@ -249,7 +243,7 @@
 
     def _await_body(
         self, call: Call, caller: CallerConnection, connection: UpstreamConnection
-    ) -> bytes | MayHaveRun | CallerLeft | OutOfTime:
+    ) -> Steps[bytes | MayHaveRun | CallerLeft | OutOfTime]:
         parts: list[bytes] = []
         size = 0
         while True:
@@ -263,7 +257,7 @@
             if isinstance(event, End):
                 return b"".join(parts)
             if isinstance(event, Waiting):
-                ended = self.wait(call, caller, connection)
+                ended = yield from self.wait(call, caller, connection)
                 if ended is not None:
                     return ended
                 continue
@@ -271,24 +265,25 @@
 
     def wait(
         self, call: Call, caller: CallerConnection, connection: UpstreamConnection
-    ) -> MayHaveRun | CallerLeft | OutOfTime | None:
-        """Wait for the upstream; None means that it has something to say."""
+    ) -> Steps[MayHaveRun | CallerLeft | OutOfTime | None]:
+        """Wait for the upstream; None means that something has come."""
         until = call.limit
         if call.patience is not None:
             until = min(until, self._clock.monotonic() + call.patience)
         while True:
-            watched = [connection.fileno()]
-            if caller.watched is not None:
-                watched.append(caller.watched)
-            ready = wait_readable(watched, until, self._clock)
-            if not ready and until < call.limit:
-                return MayHaveRun(Reason.UPSTREAM_SILENT)
-            if not ready:
-                return OutOfTime()
-            if connection.fileno() in ready:
-                return None
-            if caller.left():
-                return CallerLeft()
+            descriptor = connection.fileno()
+            watched = caller.watched
+            readable = (descriptor,) if watched is None else (descriptor, watched)
+            ready = yield Wait(until, readable)
+            if ready is None:
+                silent = until < call.limit
+                return MayHaveRun(Reason.UPSTREAM_SILENT) if silent else OutOfTime()
+            if ready != descriptor:
+                if caller.left():
+                    return CallerLeft()
+                continue
+            broken = connection.receive()
+            return None if broken is None else MayHaveRun(_reason(broken))
 
 
 def _named_by_connection(headers: list[tuple[str, str]]) -> set[str]:
--- a/packages/ashhoist/src/ashhoist/requests/budget.py
+++ b/packages/ashhoist/src/ashhoist/requests/budget.py
@@ -4,7 +4,6 @@
 heard: a part of its own requests, and its part of the fixed allowance.
 """
 
-import threading
 from collections import defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -25,7 +24,7 @@
 
 
 class RetryBudget:
-    """Second sends that are still allowed, by service. Used from many threads.
+    """Second sends that are still allowed, by service.
 
     Parameters
     ----------
@@ -52,7 +51,6 @@
         self._window = window
         self._instances = instances
         self._clock = clock
-        self._lock = threading.Lock()
         self._by_service: dict[str, _Window] = defaultdict(_Window)
 
     def set(self, ratio: float, extra: float, window: timedelta) -> None:
@@ -63,24 +61,21 @@
 
     def requested(self, service: str) -> None:
         """Count a request for a service."""
-        with self._lock:
-            window = self._by_service[service]
-            window.requests.append(self._clock.monotonic())
-            self._forget(window)
+        window = self._by_service[service]
+        window.requests.append(self._clock.monotonic())
+        self._forget(window)
 
     def allow(self, service: str) -> bool:
         """Take one second send from the budget, if there is one."""
-        with self._lock:
-            window = self._by_service[service]
-            if not self._fits(window):
-                return False
-            window.repeats.append(self._clock.monotonic())
-            return True
+        window = self._by_service[service]
+        if not self._fits(window):
+            return False
+        window.repeats.append(self._clock.monotonic())
+        return True
 
     def has_room(self, service: str) -> bool:
         """Return whether a second send would be allowed now."""
-        with self._lock:
-            return self._fits(self._by_service[service])
+        return self._fits(self._by_service[service])
 
     def _fits(self, window: _Window) -> bool:
         self._forget(window)
--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -4,6 +4,7 @@
 
 from ..failures import Reason
 from ..http import CallerConnection
+from ..loop import Steps
 from ..placement.asks import Refusal, Target
 from ..upstreams import Balancer, Directory, Health
 from .attempt import CallerLeft, OutOfTime
@@ -13,9 +14,9 @@
 
 
 class Chooser(Protocol):
-    """Chooses upstreams for requests; used from many threads."""
+    """Chooses upstreams for requests."""
 
-    def choose(self, call: Call, caller: CallerConnection) -> Choice:
+    def choose(self, call: Call, caller: CallerConnection) -> Steps[Choice]:
         """Return where `call` goes next; may wait."""
 
     def first_event(self, call: Call, target: Target) -> None:
@@ -35,8 +36,9 @@
         self._balancer = balancer
         self._health = health
 
-    def choose(self, call: Call, caller: CallerConnection) -> Choice:
+    def choose(self, call: Call, caller: CallerConnection) -> Steps[Choice]:
         """Return the upstream for `call`, or why there is none."""
+        yield from ()
         found = self._directory.view.of(call.service)
         upstream = self._balancer.choose(found, call.tried)
         if upstream is None:
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -5,7 +5,6 @@
 serve its adapter.
 """
 
-import threading
 from collections.abc import Callable
 from concurrent.futures import Future
 from datetime import timedelta
@@ -14,7 +13,7 @@
 from ..clock import Clock
 from ..failures import Reason
 from ..http import CallerConnection
-from ..http.sockets import Waker, wait_readable
+from ..loop import Steps, Wait
 from ..placement import Residency
 from ..placement.asks import (
     NoLongerWanted,
@@ -74,15 +73,14 @@
         self._holder_known = holder_known
         self._clock = clock
         self._worth = Worth()
-        self._local = threading.local()
 
-    def choose(self, call: Call, caller: CallerConnection) -> Choice:
+    def choose(self, call: Call, caller: CallerConnection) -> Steps[Choice]:
         """Return where `call` goes; waits for its adapter."""
         if call.adapter is None:
             return self._of_any_engine(call)
         call.use_id = f"{call.id}/{call.sends}"
         alone = None if self._holder_known() else self._alone(call)
-        return alone or self._ask(call, caller)
+        return alone or (yield from self._ask(call, caller))
 
     def first_event(self, call: Call, target: Target) -> None:
         """Take in that an attempt has its first event."""
@@ -145,26 +143,25 @@
 
     # With the holder
 
-    def _ask(self, call: Call, caller: CallerConnection) -> Choice:
+    def _ask(self, call: Call, caller: CallerConnection) -> Steps[Choice]:
         began = self._clock.monotonic()
-        choice = self._await_answer(call, caller, began)
+        choice = yield from self._await_answer(call, caller, began)
         call.waited += self._clock.monotonic() - began
         return choice
 
     def _await_answer(
         self, call: Call, caller: CallerConnection, began: timedelta
-    ) -> Choice:
-        waker = self._waker()
-        wanted = self._wanted(call, waker)
+    ) -> Steps[Choice]:
+        wanted = self._wanted(call)
         self._send(wanted)
         last = min(wanted.give_up_at + HOLDER_LATE, wanted.limit)
-        left = self._wait(wanted, min(began + HOLDER_SILENT, last), caller, waker)
+        left = yield from self._wait(wanted, min(began + HOLDER_SILENT, last), caller)
         if left is None and not wanted.answer.done() and not wanted.taken_in.done():
             alone = self._go_alone(call, wanted)
             if alone is not None:
                 return alone
         if left is None:
-            left = self._wait(wanted, last, caller, waker)
+            left = yield from self._wait(wanted, last, caller)
         if wanted.answer.cancel():
             self._send(NoLongerWanted(wanted.id))
             return left or Refusal(Reason.NO_PLACE, COME_BACK)
@@ -181,27 +178,19 @@
         return self._alone(call)
 
     def _wait(
-        self, wanted: Wanted, until: timedelta, caller: CallerConnection, waker: Waker
-    ) -> CallerLeft | None:
+        self, wanted: Wanted, until: timedelta, caller: CallerConnection
+    ) -> Steps[CallerLeft | None]:
         """Wait for an answer, or until time is up or the caller has left."""
-        while not wanted.answer.done():
-            watched = [waker.fileno()]
-            if caller.watched is not None:
-                watched.append(caller.watched)
-            ready = wait_readable(watched, until, self._clock)
-            if not ready:
-                return None
-            if waker.fileno() in ready:
-                waker.clear()
-                continue
-            if caller.left():
+        while not wanted.answer.done() and self._clock.monotonic() < until:
+            watched = () if caller.watched is None else (caller.watched,)
+            ready = yield Wait(until, watched, future=wanted.answer)
+            if ready is not None and caller.left():
                 return CallerLeft()
         return None
 
-    def _wanted(self, call: Call, waker: Waker) -> Wanted:
+    def _wanted(self, call: Call) -> Wanted:
         assert call.adapter is not None
         answer: Future[Target | Refusal] = Future()
-        answer.add_done_callback(lambda _: waker.wake())
         worth = self._worth.of(call)
         now = self._clock.monotonic()
         give_up_at = min(
@@ -223,10 +212,3 @@
             tuple(call.tried),
             answer,
         )
-
-    def _waker(self) -> Waker:
-        waker: Waker | None = getattr(self._local, "waker", None)
-        if waker is None:
-            waker = self._local.waker = Waker()
-        waker.clear()
-        return waker
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -10,6 +10,7 @@
 from ..http import CallerConnection, CallerGoneError, MalformedRequestError, Request
 from ..http.caller import CallerLimits
 from ..logs import Logger
+from ..loop import Steps
 from ..metrics import Metrics
 from ..routing import Route, RouteTable, Service
 from .call import Call, Sizes
@@ -24,7 +25,7 @@
 
 
 class Handler:
-    """The entry of callers' requests. Used from many threads.
+    """The entry of callers' requests.
 
     Parameters
     ----------
@@ -71,12 +72,12 @@
             limits.idle_time,
         )
 
-    def serve(self, caller: CallerConnection) -> bool:
+    def serve(self, caller: CallerConnection) -> Steps[bool]:
         """Answer what has come; return whether the connection is kept."""
         try:
-            kept = self._serve_one(caller)
+            kept = yield from self._serve_one(caller)
             while kept and caller.has_more:
-                kept = self._serve_one(caller)
+                kept = yield from self._serve_one(caller)
         except CallerGoneError:
             kept = False
         except Exception:
@@ -85,37 +86,37 @@
             caller.abort()
             return False
         if not kept:
-            caller.close()
+            yield from caller.close()
         return kept
 
-    def _serve_one(self, caller: CallerConnection) -> bool:
+    def _serve_one(self, caller: CallerConnection) -> Steps[bool]:
         try:
-            request = caller.read_request(self.limits())
+            request = yield from caller.read_request(self.limits())
         except MalformedRequestError as error:
             self._metrics.count("refusals", Reason.BAD_REQUEST)
             self._log.info(
                 "request refused", reason=Reason.BAD_REQUEST, detail=error.detail
             )
             caller.keep = False
-            self._say(caller, error.status, Reason.BAD_REQUEST, "")
+            yield from self._say(caller, error.status, Reason.BAD_REQUEST, "")
             return False
         caller.keep = caller.keep and not self._closing()
-        self._answer(caller, request)
+        yield from self._answer(caller, request)
         return caller.next()
 
-    def _answer(self, caller: CallerConnection, request: Request) -> None:
+    def _answer(self, caller: CallerConnection, request: Request) -> Steps[None]:
         table = self._table()
         request_id = request.value(self._dialect.request_id.lower())
         if table is None:
-            self._refuse(caller, 503, Reason.UNSETTLED, request_id)
+            yield from self._refuse(caller, 503, Reason.UNSETTLED, request_id)
             return
         route = table.find(request.value("host"), request.target)
         if route is None:
-            self._refuse(caller, 404, Reason.NOT_FOUND, request_id)
+            yield from self._refuse(caller, 404, Reason.NOT_FOUND, request_id)
             return
         call = self._call(table, route, request, request_id)
         chooser = self._chooser(table.configuration.services.get(call.service))
-        ending = self._serving.run(call, caller, chooser)
+        ending = yield from self._serving.run(call, caller, chooser)
         self._note(call, ending)
 
     def _chooser(self, service: Service | None) -> Chooser:
@@ -153,21 +154,21 @@
 
     def _refuse(
         self, caller: CallerConnection, status: int, reason: Reason, request_id: str
-    ) -> None:
+    ) -> Steps[None]:
         self._metrics.count("refusals", reason)
         self._log.info("request refused", request=request_id, reason=reason)
-        self._say(caller, status, reason, request_id)
+        yield from self._say(caller, status, reason, request_id)
 
     def _say(
         self, caller: CallerConnection, status: int, reason: Reason, request_id: str
-    ) -> None:
+    ) -> Steps[None]:
         headers = [("Content-Type", "text/plain")]
         if request_id:
             headers.append((self._dialect.request_id, request_id))
         if status == 503:
             headers.append((self._dialect.retry_after, "0.5"))
         until = self._clock.monotonic() + ANSWER_TIME
-        caller.respond(status, headers, f"{reason}\n".encode(), until)
+        yield from caller.respond(status, headers, f"{reason}\n".encode(), until)
 
     def _note(self, call: Call, ending: Ending) -> None:
         now = self._clock.monotonic()
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -14,6 +14,7 @@
 from ..failures import Reason
 from ..http import CallerConnection, CallerGoneError, Head, UpstreamConnection
 from ..http.upstream import Broken, End, Piece
+from ..loop import Steps
 from .attempt import Attempts, CallerLeft, MayHaveRun, OutOfTime, Streaming
 from .call import Call
 from .events import EventSplitter, StreamEvent
@@ -60,7 +61,7 @@
 
     def run(
         self, stream: Streaming, head: Head, first_event: Callable[[], None]
-    ) -> Leg:
+    ) -> Steps[Leg]:
         """Pass on the events of one upstream until its part ends.
 
         Parameters
@@ -75,7 +76,7 @@
         while True:
             event = stream.connection.next_event()
             if isinstance(event, Piece):
-                ended = self._pass_on(splitter, event.data, head)
+                ended = yield from self._pass_on(splitter, event.data, head)
                 if ended is not None:
                     return ended
                 if seen is not None and self.events > seen:
@@ -86,10 +87,10 @@
             if isinstance(event, End):
                 if not splitter.clean:
                     return MayHaveRun(Reason.ANSWER_CUT)
-                return self._finish(head)
+                return (yield from self._finish(head))
             if isinstance(event, Broken):
                 return MayHaveRun(Reason.ANSWER_CUT)
-            waited = self._wait(stream.connection)
+            waited = yield from self._wait(stream.connection)
             if waited is not None:
                 return waited
 
@@ -101,12 +102,12 @@
 
     def _wait(
         self, connection: UpstreamConnection
-    ) -> MayHaveRun | CallerLeft | OutOfTime | None:
+    ) -> Steps[MayHaveRun | CallerLeft | OutOfTime | None]:
         return self._attempts.wait(self._call, self._caller, connection)
 
     def _pass_on(
         self, splitter: EventSplitter, data: bytes, head: Head
-    ) -> MayHaveRun | CallerLeft | None:
+    ) -> Steps[MayHaveRun | CallerLeft | None]:
         fresh: list[bytes] = []
         for event in splitter.feed(data):
             place = self._place(event)
@@ -118,7 +119,7 @@
             return MayHaveRun(Reason.BAD_FRAME)
         if not fresh:
             return None
-        return self._send(b"".join(fresh), head)
+        return (yield from self._send(b"".join(fresh), head))
 
     def _place(self, event: StreamEvent) -> bool | None:
         """Return whether an event is new; None if it can't belong here."""
@@ -138,26 +139,26 @@
         self.events += 1
         return True
 
-    def _send(self, data: bytes, head: Head) -> CallerLeft | None:
+    def _send(self, data: bytes, head: Head) -> Steps[CallerLeft | None]:
         try:
             if not self.begun:
-                self._begin(head)
-            self._caller.send(data, self._limit())
+                yield from self._begin(head)
+            yield from self._caller.send(data, self._limit())
             self._call.last_event_at = self._clock.monotonic()
         except CallerGoneError:
             return CallerLeft()
         return None
 
-    def _begin(self, head: Head) -> None:
+    def _begin(self, head: Head) -> Steps[None]:
         self.begun = True
         self._call.first_event_at = self._clock.monotonic()
-        self._caller.start(head.status, head.headers, self._limit())
+        yield from self._caller.start(head.status, head.headers, self._limit())
 
-    def _finish(self, head: Head) -> WholeStream | CallerLeft:
+    def _finish(self, head: Head) -> Steps[WholeStream | CallerLeft]:
         try:
             if not self.begun:
-                self._begin(head)
-            self._caller.finish(self._limit())
+                yield from self._begin(head)
+            yield from self._caller.finish(self._limit())
         except CallerGoneError:
             return CallerLeft()
         return WholeStream(head.status)
--- a/packages/ashhoist/src/ashhoist/requests/serving.py
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -7,6 +7,7 @@
 from ..failures import Reason
 from ..http import CallerConnection, CallerGoneError, Head
 from ..logs import Logger
+from ..loop import Steps
 from ..metrics import Metrics
 from ..placement.asks import Refusal, Target
 from ..upstreams import Health
@@ -24,7 +25,7 @@
 from .call import Call
 from .choosers import Chooser
 from .dialect import SINGLE_CONNECTION, Dialect
-from .relay import Relay, WholeStream
+from .relay import Leg, Relay, WholeStream
 
 NOT_RUN_STATUS = 503
 BROKEN_STATUS = 502
@@ -48,7 +49,7 @@
 
 
 class Serving:
-    """The loop over the attempts of a call. Used from many threads."""
+    """The loop over the attempts of a call."""
 
     def __init__(
         self,
@@ -68,20 +69,22 @@
         self._metrics = metrics
         self._log = log
 
-    def run(self, call: Call, caller: CallerConnection, chooser: Chooser) -> Ending:
+    def run(
+        self, call: Call, caller: CallerConnection, chooser: Chooser
+    ) -> Steps[Ending]:
         """Serve `call` to its end; its caller has been answered or has left."""
         self._budget.requested(call.service)
         relay = Relay(call, caller, self._attempts, self._clock)
         while True:
-            target = chooser.choose(call, caller)
+            target = yield from chooser.choose(call, caller)
             if isinstance(target, CallerLeft):
                 return self._left(caller)
             if isinstance(target, OutOfTime):
-                return self._out_of_time(call, caller, relay)
+                return (yield from self._out_of_time(call, caller, relay))
             if isinstance(target, Refusal):
-                return self._refuse(call, caller, relay, target)
+                return (yield from self._refuse(call, caller, relay, target))
             try:
-                result = self._attempt(call, target, caller, relay, chooser)
+                result = yield from self._attempt(call, target, caller, relay, chooser)
             finally:
                 chooser.ended(call, target)
             if isinstance(result, WholeStream):
@@ -90,7 +93,7 @@
             self._note(call, target, result)
             if self._again(call, result, relay):
                 continue
-            return self._end(call, caller, relay, result)
+            return (yield from self._end(call, caller, relay, result))
 
     # One attempt
 
@@ -101,22 +104,27 @@
         caller: CallerConnection,
         relay: Relay,
         chooser: Chooser,
-    ) -> Result | WholeStream:
+    ) -> Steps[Result | WholeStream]:
         call.patience = self._patience(call, target)
         call.sends += 1
         call.tried.add(target.upstream)
-        result = self._attempts.send(call, target, caller, call.route.streams)
+        result = yield from self._attempts.send(
+            call, target, caller, call.route.streams
+        )
         if not isinstance(result, Streaming):
             return result
-        leg = relay.run(
-            result,
-            self._head(result.head),
-            lambda: chooser.first_event(call, target),
-        )
-        if isinstance(leg, WholeStream):
-            self._attempts.give_back(target, result.connection)
-        else:
-            result.connection.close()
+        leg: Leg | None = None
+        try:
+            leg = yield from relay.run(
+                result,
+                self._head(result.head),
+                lambda: chooser.first_event(call, target),
+            )
+        finally:
+            if isinstance(leg, WholeStream):
+                self._attempts.give_back(target, result.connection)
+            else:
+                result.connection.close()
         return leg
 
     def _patience(self, call: Call, target: Target) -> timedelta | None:
@@ -200,21 +208,22 @@
 
     def _end(
         self, call: Call, caller: CallerConnection, relay: Relay, result: Result
-    ) -> Ending:
+    ) -> Steps[Ending]:
         if isinstance(result, CallerLeft):
             return self._left(caller)
         if isinstance(result, OutOfTime):
-            return self._out_of_time(call, caller, relay)
+            return (yield from self._out_of_time(call, caller, relay))
         if isinstance(result, Answered):
-            return self._pass_answer(call, caller, relay, result)
+            return (yield from self._pass_answer(call, caller, relay, result))
         if isinstance(result, NotRun):
-            return self._refuse(call, caller, relay, Refusal(result.reason))
+            refusal = Refusal(result.reason)
+            return (yield from self._refuse(call, caller, relay, refusal))
         reason = _reason_of(result)
-        return self._answer(call, caller, relay, BROKEN_STATUS, reason)
+        return (yield from self._answer(call, caller, relay, BROKEN_STATUS, reason))
 
     def _pass_answer(
         self, call: Call, caller: CallerConnection, relay: Relay, result: Answered
-    ) -> Ending:
+    ) -> Steps[Ending]:
         if relay.begun:
             caller.abort()
             return Ending(BROKEN_STATUS, "cut")
@@ -222,10 +231,12 @@
         if status in (408, 421, 429, 503) and not call.route.repeatable:
             # The upstream does not say that it has not run: no such promise.
             reason = Reason.UPSTREAM_ERROR
-            return self._answer(call, caller, relay, BROKEN_STATUS, reason)
+            return (yield from self._answer(call, caller, relay, BROKEN_STATUS, reason))
         head = self._head(result.head)
         try:
-            caller.respond(status, head.headers, result.body, self._limit(call))
+            yield from caller.respond(
+                status, head.headers, result.body, self._limit(call)
+            )
         except CallerGoneError:
             return self._left(caller)
         return Ending(status, "whole" if status < SERVER_ERROR else "upstream_error")
@@ -236,23 +247,27 @@
         caller: CallerConnection,
         relay: Relay,
         refusal: Refusal,
-    ) -> Ending:
+    ) -> Steps[Ending]:
         if call.may_have_run:
-            return self._answer(call, caller, relay, BROKEN_STATUS, refusal.reason)
+            reason = refusal.reason
+            return (yield from self._answer(call, caller, relay, BROKEN_STATUS, reason))
         wait = refusal.retry_after
         if wait is None:
             wait = DEFAULT_RETRY_AFTER
         headers = [(self._dialect.retry_after, f"{wait.total_seconds():.3f}")]
-        return self._answer(
-            call, caller, relay, NOT_RUN_STATUS, refusal.reason, headers
+        return (
+            yield from self._answer(
+                call, caller, relay, NOT_RUN_STATUS, refusal.reason, headers
+            )
         )
 
     def _out_of_time(
         self, call: Call, caller: CallerConnection, relay: Relay
-    ) -> Ending:
+    ) -> Steps[Ending]:
+        reason = Reason.DEADLINE
         if not call.sends:
-            return self._refuse(call, caller, relay, Refusal(Reason.DEADLINE))
-        return self._answer(call, caller, relay, TIMEOUT_STATUS, Reason.DEADLINE)
+            return (yield from self._refuse(call, caller, relay, Refusal(reason)))
+        return (yield from self._answer(call, caller, relay, TIMEOUT_STATUS, reason))
 
     def _answer(
         self,
@@ -262,7 +277,7 @@
         status: int,
         reason: Reason,
         headers: list[tuple[str, str]] | None = None,
-    ) -> Ending:
+    ) -> Steps[Ending]:
         not_run = status == NOT_RUN_STATUS
         self._metrics.count("refusals" if not_run else "failures", reason)
         if relay.begun:
@@ -275,7 +290,7 @@
             *(headers or []),
         ]
         try:
-            caller.respond(status, all_headers, body, self._limit(call))
+            yield from caller.respond(status, all_headers, body, self._limit(call))
         except CallerGoneError:
             return self._left(caller)
         return Ending(status, reason, not_run)
--- a/packages/ashhoist/src/ashhoist/requests/worth.py
+++ b/packages/ashhoist/src/ashhoist/requests/worth.py
@@ -1,7 +1,5 @@
 """What an answer is worth: by the route's priority and the size of the request."""
 
-import threading
-
 from .call import Call
 
 BY_PRIORITY = (4.2, 3.5, 1.8)
@@ -14,10 +12,9 @@
 
 
 class Worth:
-    """Weighs requests against the mean size on their route. Used from many threads."""
+    """Weighs requests against the mean size on their route."""
 
     def __init__(self) -> None:
-        self._lock = threading.Lock()
         self._mean_by_route: dict[str, float] = {}
 
     def of(self, call: Call) -> float:
@@ -30,8 +27,7 @@
         weight = float(call.sizes.weight)
         if weight <= 0:
             return 1.0
-        with self._lock:
-            mean = self._mean_by_route.get(call.route.name, weight)
-            mean += (weight - mean) * SMOOTHING
-            self._mean_by_route[call.route.name] = mean
+        mean = self._mean_by_route.get(call.route.name, weight)
+        mean += (weight - mean) * SMOOTHING
+        self._mean_by_route[call.route.name] = mean
         return weight / mean
--- a/packages/ashhoist/src/ashhoist/signals.py
+++ b/packages/ashhoist/src/ashhoist/signals.py
@@ -2,13 +2,14 @@
 
 import os
 import signal
-import threading
+from concurrent.futures import Future
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
 from .exceptions import SettingsError
 from .logs import Logger
+from .loop import Loop, Steps, Wait
 from .process_settings import ProcessSettings, load
 
 AT_ONCE = ("instance.seeds", "retries.ratio", "retries.extra", "retries.window")
@@ -21,26 +22,31 @@
     SIGTERM and SIGINT ask to stop; SIGHUP says that the settings have changed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, loop: Loop) -> None:
         self.stop_asked = False
+        self._loop = loop
         self._reload_asked = False
-        self._came = threading.Event()
+        self._came: Future[None] = Future()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._stop)
         signal.signal(signal.SIGHUP, self._reload)
 
     def _stop(self, *_: Any) -> None:
         self.stop_asked = True
-        self._came.set()
+        self._loop.call_from_thread(self._tell)
 
     def _reload(self, *_: Any) -> None:
         self._reload_asked = True
-        self._came.set()
+        self._loop.call_from_thread(self._tell)
 
-    def wait(self, longest: timedelta) -> None:
+    def _tell(self) -> None:
+        if not self._came.done():
+            self._came.set_result(None)
+
+    def wait(self, longest: timedelta) -> Steps[None]:
         """Wait for a signal."""
-        self._came.wait(longest.total_seconds())
-        self._came.clear()
+        yield Wait(self._loop.clock.monotonic() + longest, future=self._came)
+        self._came = Future()
 
     def take_reload(self) -> bool:
         """Return whether SIGHUP has come since the last time."""
--- a/packages/ashhoist/src/ashhoist/store/follower.py
+++ b/packages/ashhoist/src/ashhoist/store/follower.py
@@ -1,17 +1,17 @@
 """Reads one topic from its newest records on, at its own pace."""
 
-import threading
 from collections.abc import Callable
+from concurrent.futures import Future
 from dataclasses import dataclass
 from datetime import timedelta
 
 from ..clock import Clock
 from ..logs import Logger
+from ..loop import Steps, Wait
 from .port import Gone, Newest, Record, Records, SharedLog, Topic, Unavailable
 
 FIRST_PAUSE = timedelta(milliseconds=250)
 LONGEST_PAUSE = timedelta(seconds=1)
-LOOK_AGAIN = timedelta(milliseconds=200)
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,14 +64,15 @@
 
 
 class Follower:
-    """A loop over one topic. Runs on a thread of its own.
+    """A loop over one topic; runs as a task of its own.
 
     Parameters
     ----------
     deliver : callable
-        Takes what was read; called from the follower's thread.
+        Takes what was read.
     wanted : callable
-        Returns whether to read now; what others have read may do.
+        Returns whether to read now; what others have read may do. Whoever changes
+        that pokes the follower.
     """
 
     def __init__(
@@ -95,28 +96,30 @@
         self._failures = 0
         self._wanted = wanted
         self._stopping = False
-        self._poked = threading.Event()
+        self._poked: Future[None] = Future()
 
-    def run(self) -> None:
+    def run(self) -> Steps[None]:
         """Follow the topic until `stop`."""
         while not self._stopping:
-            poked = self._poked.is_set()
-            self._poked.clear()
-            if self._next is not None and not poked and not self._wanted():
-                self._poked.wait(LOOK_AGAIN.total_seconds())
+            if self._next is not None and not self._poked.done() and not self._wanted():
+                yield self._poked
                 continue
-            self._poked.wait(self.step().total_seconds())
+            self._poked = Future()
+            pause = yield from self.step()
+            if pause > timedelta():
+                yield Wait(self._clock.monotonic() + pause, future=self._poked)
         self._records.close()
 
     def poke(self) -> None:
         """Read once, and now."""
-        self._poked.set()
+        if not self._poked.done():
+            self._poked.set_result(None)
 
-    def step(self) -> timedelta:
+    def step(self) -> Steps[timedelta]:
         """Make one call; return how long to pause before the next."""
         if self._next is None:
-            return self._start()
-        result = self._records.read(self._topic, self._next, self._pace.wait)
+            return (yield from self._start())
+        result = yield from self._records.read(self._topic, self._next, self._pace.wait)
         if isinstance(result, Unavailable):
             return self._failed(result)
         self._answered()
@@ -127,8 +130,8 @@
         self._take(result)
         return self._pace.pause
 
-    def _start(self) -> timedelta:
-        result = self._records.newest(self._topic)
+    def _start(self) -> Steps[timedelta]:
+        result = yield from self._records.newest(self._topic)
         if isinstance(result, Unavailable):
             return self._failed(result)
         self._answered()
@@ -163,4 +166,4 @@
     def stop(self) -> None:
         """End after the call under way."""
         self._stopping = True
-        self._poked.set()
+        self.poke()
--- a/packages/ashhoist/src/ashhoist/store/port.py
+++ b/packages/ashhoist/src/ashhoist/store/port.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from typing import Protocol
 
+from ..loop import Steps
+
 PATIENCE = timedelta(milliseconds=1200)
 """How long a call may take, unless its caller says otherwise."""
 
@@ -80,19 +82,19 @@
 
 
 class SharedLog(Protocol):
-    """One connection to the log. Used by one thread at a time.
+    """One connection to the log. Used by one task at a time.
 
     A topic has partitions, each with offsets and an end of its own.
     """
 
     def read(
         self, topic: Topic, start: int, wait: timedelta
-    ) -> Records | Gone | Unavailable:
+    ) -> Steps[Records | Gone | Unavailable]:
         """Return records from an offset on; wait so long for the first."""
 
     def newest(
         self, topic: Topic, patience: timedelta = PATIENCE, part: int = 0
-    ) -> Newest | Unavailable:
+    ) -> Steps[Newest | Unavailable]:
         """Return the newest record of each key."""
 
     def append(
@@ -103,7 +105,7 @@
         at: int | None,
         patience: timedelta = PATIENCE,
         part: int = 0,
-    ) -> AppendResult:
+    ) -> Steps[AppendResult]:
         """Append a record, if wanted only where the topic ends at `at`."""
 
     def close(self) -> None:
--- a/packages/ashhoist/src/ashhoist/upstreams/balance.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/balance.py
@@ -1,7 +1,6 @@
 """Chooses the upstream of a plain service, and counts what is under way there."""
 
 import random
-import threading
 from collections import Counter
 from collections.abc import Collection, Iterable
 
@@ -25,7 +24,6 @@
         self._zone = zone
         self._health = health
         self._random = source
-        self._lock = threading.Lock()
         self._under_way: Counter[str] = Counter()
 
     def choose(
@@ -56,15 +54,13 @@
 
     def begin(self, upstream: str) -> None:
         """Count a request that goes to an upstream."""
-        with self._lock:
-            self._under_way[upstream] += 1
+        self._under_way[upstream] += 1
 
     def end(self, upstream: str) -> None:
         """Count a request at an upstream as ended."""
-        with self._lock:
-            self._under_way[upstream] -= 1
-            if self._under_way[upstream] <= 0:
-                del self._under_way[upstream]
+        self._under_way[upstream] -= 1
+        if self._under_way[upstream] <= 0:
+            del self._under_way[upstream]
 
     def under_way(self, upstream: str) -> int:
         """Return how many requests of this instance are at an upstream."""
--- a/packages/ashhoist/src/ashhoist/upstreams/health.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/health.py
@@ -5,7 +5,6 @@
 time that doubles.
 """
 
-import threading
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -28,21 +27,19 @@
 
 
 class Health:
-    """Recent results of all upstreams, by id. Used from many threads."""
+    """Recent results of all upstreams, by id."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._lock = threading.Lock()
         self._by_id: dict[str, _Record] = {}
 
     def answered(self, upstream: str, took: timedelta) -> None:
         """Note an answer that the upstream meant to give."""
-        with self._lock:
-            record = self._record(upstream)
-            record.failing *= 1 - SMOOTHING
-            seconds = took.total_seconds()
-            record.seconds += (seconds - record.seconds) * SMOOTHING
-            record.pause = FIRST_PAUSE
+        record = self._record(upstream)
+        record.failing *= 1 - SMOOTHING
+        seconds = took.total_seconds()
+        record.seconds += (seconds - record.seconds) * SMOOTHING
+        record.pause = FIRST_PAUSE
 
     def failed(self, upstream: str, unreachable: bool = False) -> None:
         """Note a failure.
@@ -52,12 +49,11 @@
         unreachable : bool
             True if it could not even be connected to: it is left out at once.
         """
-        with self._lock:
-            record = self._record(upstream)
-            record.failing += (1 - record.failing) * SMOOTHING
-            if unreachable:
-                record.paused_until = self._clock.monotonic() + record.pause
-                record.pause = min(record.pause * 2, LONGEST_PAUSE)
+        record = self._record(upstream)
+        record.failing += (1 - record.failing) * SMOOTHING
+        if unreachable:
+            record.paused_until = self._clock.monotonic() + record.pause
+            record.pause = min(record.pause * 2, LONGEST_PAUSE)
 
     def usable(self, upstream: str) -> bool:
         """Return whether the upstream is not left out just now."""
@@ -76,8 +72,7 @@
 
     def forget(self, upstream: str) -> None:
         """Forget an upstream that has gone."""
-        with self._lock:
-            self._by_id.pop(upstream, None)
+        self._by_id.pop(upstream, None)
 
     def _record(self, upstream: str) -> _Record:
         return self._by_id.setdefault(upstream, _Record())
