Two that dial each other keep one link; a stop closes connections that rest; broadcasts encoded once

When a new link took the place of an old one, the old one's end made both sides dial anew at once, without end.

Change: the new link is in its place before the old one closes; of two that began together both sides keep the one the smaller name dialled; a link that ends within a second counts as a dial that failed. A stop closes resting connections, so that callers ask elsewhere at once. A message is encoded once for all links. The view changes by adapter. Claims are told without a deep copy.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import astuple, dataclass
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
@@ -527,7 +527,7 @@
             self.scheduling.epoch,
             self._in_force.version,
             self.records.knowledge.offsets(),
-            [list(astuple(claim)) for claim in claims],
+            [claim.to_row() for claim in claims],
             round(self._beat_every() / timedelta(milliseconds=1)),
             len(self.peers.by_name),
         )
--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -92,7 +92,8 @@
         try:
             while (yield from self._rest(connection)):
                 task = self._resting.pop(connection)
-                if not (yield from self._answer(connection)):
+                kept = yield from self._answer(connection)
+                if not kept or self._stopped:
                     return
                 self._resting[connection] = task
         finally:
@@ -120,12 +121,15 @@
             self.start()
 
     def stop(self) -> None:
-        """Take no further connections."""
-        if not self._stopped:
-            self._stopped = True
-            close(self._loop, self._listening)
-
-    def close_resting(self) -> None:
-        """Close the connections that rest."""
-        for task in list(self._resting.values()):
+        """Take no further connections and requests; those under way go on.
+
+        Connections that rest are closed at once: what a caller sends on one from
+        now on is not read, and it asks another instance.
+        """
+        if self._stopped:
+            return
+        self._stopped = True
+        close(self._loop, self._listening)
+        for connection, task in list(self._resting.items()):
             task.cancel()
+            connection.abort()
--- a/packages/ashhoist/src/ashhoist/links/dialling.py
+++ b/packages/ashhoist/src/ashhoist/links/dialling.py
@@ -14,6 +14,8 @@
 RETRY_FIRST = timedelta(milliseconds=200)
 RETRY_LONGEST = timedelta(seconds=3)
 MOST_DOUBLINGS = 6
+SHORT_LIVED = timedelta(seconds=1)
+"""A link that ends sooner counts as a dial that has failed."""
 OTHERS_TURN = timedelta(seconds=1.5)
 """How long the side that need not dial waits for the other side to do so."""
 
@@ -110,7 +112,22 @@
         """Take in who answered a dial."""
         self._under_way.discard(address)
         self._name_by_address[address] = name
-        self._failures.pop(address, None)
+
+    def closed(self, name: str, lasted: timedelta, now: timedelta) -> None:
+        """Take in that a link has closed; one that never lasts is dialled more seldom.
+
+        Parameters
+        ----------
+        lasted : timedelta
+            How long the link was open.
+        """
+        for address, endpoint in self._by_address.items():
+            if self._name(address, endpoint) != name:
+                continue
+            if lasted < SHORT_LIVED:
+                self.failed(address, now)
+            else:
+                self._failures.pop(address, None)
 
     def failed(self, address: str, now: timedelta) -> None:
         """Take in that a dial has failed; the next one waits longer."""
--- a/packages/ashhoist/src/ashhoist/links/link.py
+++ b/packages/ashhoist/src/ashhoist/links/link.py
@@ -36,6 +36,8 @@
         The side of the websocket, its handshake done.
     name, incarnation : str
         Who the other side said it is.
+    dialled_by : str
+        The name of the side that opened the link.
     deliver : callable
         Takes the messages that came, in their order.
     closed : callable
@@ -49,6 +51,7 @@
         protocol: Protocol,
         name: str,
         incarnation: str,
+        dialled_by: str,
         deliver: Deliver,
         closed: Callable[["Link"], None],
         count: Callable[..., None],
@@ -56,6 +59,8 @@
     ) -> None:
         self.name = name
         self.incarnation = incarnation
+        self.dialled_by = dialled_by
+        self.opened_at = loop.clock.monotonic()
         self._loop = loop
         self._peer = peer
         self._protocol = protocol
@@ -63,7 +68,7 @@
         self._closed = closed
         self._count = count
         self._log = log
-        self._queue: deque[Any] = deque()
+        self._queue: deque[bytes] = deque()
         self._unsent = b""
         self._flushes = False
         self._open = True
@@ -75,8 +80,8 @@
 
     # Sending
 
-    def send(self, message: Any) -> bool:
-        """Queue a message; return False if the link is closed.
+    def send(self, encoded: bytes) -> bool:
+        """Queue an encoded message; return False if the link is closed.
 
         A peer that takes so little that the queue grows past its bound loses
         the link.
@@ -87,7 +92,7 @@
             self._count("links_closed", "queue_full")
             self.close()
             return False
-        self._queue.append(message)
+        self._queue.append(encoded)
         if not self._flushes:
             self._flushes = True
             self._loop.call_at_end_of_turn(self._flush)
@@ -97,18 +102,17 @@
         """Send what is queued, unless the peer has yet to take what was sent."""
         self._flushes = False
         while self._open and self._queue and not self._unsent:
-            frame = messages.encode(self._batch())
+            frame = messages.join(self._batch())
             self._count("link_bytes", "sent", amount=len(frame))
             self._protocol.send_binary(frame)
             self._send_data()
 
-    def _batch(self) -> list[Any]:
-        batch: list[Any] = []
+    def _batch(self) -> list[bytes]:
+        batch: list[bytes] = []
         size = 0
         while self._queue and len(batch) < BATCH and size < BATCH_BYTES:
-            message = self._queue.popleft()
-            batch.append(message)
-            size += len(getattr(message, "data", b""))
+            batch.append(self._queue.popleft())
+            size += len(batch[-1])
         return batch
 
     def _send_data(self) -> None:
--- a/packages/ashhoist/src/ashhoist/links/links.py
+++ b/packages/ashhoist/src/ashhoist/links/links.py
@@ -21,6 +21,8 @@
 ACCEPTED_AT_ONCE = 64
 DIAL_TIME = timedelta(seconds=2)
 HELLO_TIME = timedelta(seconds=3)
+TOGETHER = timedelta(seconds=3)
+"""Two links to one peer that open within so long were dialled from both sides."""
 
 
 class Links:
@@ -63,6 +65,7 @@
         self._dialling = Dialling(own.name, random_source)
         self._dial_timer: Timer | None = None
         self._by_name: dict[str, Link] = {}
+        self._last_encoded: tuple[Any, bytes] = (None, b"")
         try:
             self._listening = listening_socket(own.address, BACKLOG)
         except OSError as error:
@@ -89,7 +92,15 @@
     def send_to(self, name: str, message: Any) -> bool:
         """Send a message to an instance; return False if there is no link."""
         link = self._by_name.get(name)
-        return link is not None and link.send(message)
+        return link is not None and link.send(self._encode(message))
+
+    def _encode(self, message: Any) -> bytes:
+        """Return a message encoded; one that goes to many is encoded once."""
+        last, encoded = self._last_encoded
+        if message is not last:
+            encoded = messages.encode_one(message)
+            self._last_encoded = (message, encoded)
+        return encoded
 
     def drop(self, name: str, reason: str) -> None:
         """Close the link to an instance that is silent, or not needed any more."""
@@ -119,7 +130,7 @@
             peer, lambda shake: shake.accept(self._is_token)
         )
         if greeted is not None:
-            self._open(peer, greeted)
+            self._open(peer, greeted, greeted.hello.name)
 
     def _is_token(self, token: str) -> bool:
         known = token in self._tokens
@@ -151,7 +162,7 @@
             )
         if peer is not None and greeted is not None:
             self._dialling.succeeded(address, greeted.hello.name)
-            self._open(peer, greeted)
+            self._open(peer, greeted, self._hello.name)
         else:
             self._dialling.failed(address, self._loop.clock.monotonic())
         self._plan_dials()
@@ -176,8 +187,8 @@
         close(self._loop, peer)
         return None
 
-    def _open(self, peer: socket.socket, greeted: Greeted) -> None:
-        """Serve a link until it closes; the newest link to a peer stays."""
+    def _open(self, peer: socket.socket, greeted: Greeted, dialled_by: str) -> None:
+        """Serve a link until it closes, unless there is a better one to that peer."""
         hello = greeted.hello
         link = Link(
             self._loop,
@@ -185,18 +196,37 @@
             greeted.protocol,
             hello.name,
             hello.incarnation,
+            dialled_by,
             self._deliver,
             self._closed,
             self._count,
             self._log,
         )
         before = self._by_name.get(link.name)
+        if before is not None and self._outranks(before, link):
+            self._count("links_closed", "twice")
+            link.close()
+            return
+        # In its place before the other is closed: so none is looked for anew.
+        self._by_name[link.name] = link
         if before is not None:
             before.close()
-        self._by_name[link.name] = link
+            self._tell(news.PeerDown(link.name))
         self._tell(news.PeerUp(link.name, link.incarnation))
         link.start(greeted.frames)
 
+    def _outranks(self, before: Link, new: Link) -> bool:
+        """Return whether the link that is there stays, and the new one goes.
+
+        The newest stays, as the other may be dead without a sign. But two that
+        began together, because both sides dialled, must not each close the other's:
+        both sides keep the one that the smaller name has dialled.
+        """
+        if before.incarnation != new.incarnation:
+            return False
+        age = self._loop.clock.monotonic() - before.opened_at
+        return age < TOGETHER and before.dialled_by < new.dialled_by
+
     def _deliver(self, link: Link, items: list[Any]) -> None:
         self._tell(news.PeerMessages(link.name, link.incarnation, items))
 
@@ -205,4 +235,6 @@
             return
         del self._by_name[link.name]
         self._tell(news.PeerDown(link.name))
+        now = self._loop.clock.monotonic()
+        self._dialling.closed(link.name, now - link.opened_at, now)
         self._plan_dials()
--- a/packages/ashhoist/src/ashhoist/messages.py
+++ b/packages/ashhoist/src/ashhoist/messages.py
@@ -14,6 +14,10 @@
 PROTOCOL = 1
 MAX_FRAME_BYTES = 4_194_304
 MAX_MESSAGES = 4096
+ARRAY = 0x80
+"""The major type of a CBOR array, in the first byte."""
+LONGEST_IN_HEAD = 24
+TWO_BYTES_FOLLOW = 25
 
 types_by_code: dict[int, type] = {}
 codes_by_type: dict[type, int] = {}
@@ -321,15 +325,25 @@
 
 def encode(messages: Sequence[Message]) -> bytes:
     """Return the frame of some messages."""
-    return cbor2.dumps(
-        [
-            [
-                codes_by_type[type(item)],
-                *(getattr(item, name) for name in item.__slots__),
-            ]
-            for item in messages
-        ]
-    )
+    return join([encode_one(item) for item in messages])
+
+
+def encode_one(item: Message) -> bytes:
+    """Return one message as it stands in a frame; see `join`."""
+    fields_in_order = [getattr(item, name) for name in item.__slots__]
+    return cbor2.dumps([codes_by_type[type(item)], *fields_in_order])
+
+
+def join(encoded: Sequence[bytes]) -> bytes:
+    """Return the frame of messages that were encoded one by one."""
+    return _array_head(len(encoded)) + b"".join(encoded)
+
+
+def _array_head(length: int) -> bytes:
+    """Return the head of a CBOR array, as RFC 8949 (section 3) has it."""
+    if length < LONGEST_IN_HEAD:
+        return bytes([ARRAY | length])
+    return bytes([ARRAY | TWO_BYTES_FOLLOW]) + length.to_bytes(2, "big")
 
 
 def decode(frame: bytes) -> list[Message]:
--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -93,6 +93,18 @@
             [self.holder, self.life, self.fence, self.released, self.before]
         )
 
+    def to_row(self) -> list[object]:
+        """Return the fields in their order, for a message."""
+        return [
+            self.key,
+            self.holder,
+            self.life,
+            self.fence,
+            self.offset,
+            self.released,
+            self.before,
+        ]
+
     @classmethod
     def decode(cls, record: Record) -> "Claim | None":
         """Return the claim in a record, or None if it is none."""
--- a/packages/ashhoist/src/ashhoist/placement/residency.py
+++ b/packages/ashhoist/src/ashhoist/placement/residency.py
@@ -25,7 +25,7 @@
 
 
 class Residency:
-    """Places by adapter. The control task writes it; requests read `view`.
+    """Places by adapter, in `view`.
 
     Notes
     -----
@@ -36,18 +36,20 @@
         self._by_upstream: dict[str, dict[Adapter, int]] = {}
         self._tokens: dict[str, int] = {}
         self._copies: dict[str, OrderedDict[Adapter, int]] = {}
-        self.view: MappingProxyType[Adapter, tuple[Place, ...]] = MappingProxyType({})
+        self._places: dict[Adapter, tuple[Place, ...]] = {}
+        self.view = MappingProxyType(self._places)
 
     def put(self, token: int, upstream: str, held: dict[Adapter, int]) -> bool:
         """Take in all that an engine serves; return whether it was news."""
         if token < self._tokens.get(upstream, -1):
             return False
         self._tokens[upstream] = token
-        if self._by_upstream.get(upstream) == held:
+        before = self._by_upstream.get(upstream, {})
+        if upstream in self._by_upstream and before == held:
             return False
         self._note_copies(upstream, held)
         self._by_upstream[upstream] = dict(held)
-        self._publish()
+        self._place(upstream, before, held)
         return True
 
     def _note_copies(self, upstream: str, held: dict[Adapter, int]) -> None:
@@ -74,14 +76,27 @@
         """Forget an engine that has gone."""
         self._tokens.pop(upstream, None)
         self._copies.pop(upstream, None)
-        if self._by_upstream.pop(upstream, None) is not None:
-            self._publish()
-
-    def _publish(self) -> None:
-        found: dict[Adapter, list[Place]] = {}
-        for upstream, held in self._by_upstream.items():
-            for adapter, version in held.items():
-                found.setdefault(adapter, []).append(Place(upstream, version))
-        self.view = MappingProxyType(
-            {adapter: tuple(places) for adapter, places in found.items()}
-        )
+        self._place(upstream, self._by_upstream.pop(upstream, {}), {})
+
+    def _place(
+        self, upstream: str, before: dict[Adapter, int], held: dict[Adapter, int]
+    ) -> None:
+        """Change the places of those adapters that an engine holds no longer, or anew.
+
+        The others stay as they are: there are thousands, and few change at once.
+        """
+        for adapter in before.keys() | held.keys():
+            version = held.get(adapter)
+            if before.get(adapter) == version:
+                continue
+            places = [
+                place
+                for place in self._places.get(adapter, ())
+                if place.upstream != upstream
+            ]
+            if version is not None:
+                places.append(Place(upstream, version))
+            if places:
+                self._places[adapter] = tuple(places)
+            else:
+                self._places.pop(adapter, None)
--- a/packages/ashhoist/src/ashhoist/probes.py
+++ b/packages/ashhoist/src/ashhoist/probes.py
@@ -83,4 +83,3 @@
         """Stop answering."""
         for listener in self._listeners:
             listener.stop()
-            listener.close_resting()
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -279,7 +279,6 @@
         while not self.idle() and self.clock.monotonic() < limit:
             yield from sleep_until(self.clock.monotonic() + LOOK_EVERY)
         clean = self.idle()
-        self.listener.close_resting()
         self._log.info("stopped", clean=clean, busy=self.listener.busy)
         return clean
 
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -179,10 +179,14 @@
         with self.connect() as caller:
             return caller.ask(path, **arguments)  # type: ignore[arg-type]
 
+    def stop(self) -> None:
+        """Begin a planned stop's last part, as a process does."""
+        self.closing = True
+        self._thread.call(self.listener.stop)
+
     def close(self) -> None:
         """Stop everything."""
         self._thread.call(self.listener.stop)
-        self._thread.call(self.listener.close_resting)
         self._thread.call(self._pool.close)
         for server in self.upstreams.values():
             server.close()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -202,6 +202,46 @@
             self.assertEqual(caller.socket.recv(1), b"")
 
 
+class StopTests(RequestTestCase):
+    """What a planned stop leaves to other instances, and what it finishes."""
+
+    def test_a_request_on_a_kept_connection_is_not_taken_any_more(self) -> None:
+        harness = self.start(good)
+        with harness.connect() as caller:
+            caller.ask("/safe/")
+            harness.stop()
+            self.assertEqual(caller.socket.recv(1), b"")
+        self.assertEqual(len(harness.calls()), 1)
+
+    def test_a_request_under_way_is_finished_and_its_connection_closed(self) -> None:
+        go_on = threading.Event()
+
+        def script(call: Call) -> None:
+            go_on.wait(10)
+            good(call)
+
+        harness = self.start(script)
+        with harness.connect() as caller:
+            caller.send("/safe/")
+            while not harness.calls():
+                time.sleep(0.005)
+            harness.stop()
+            go_on.set()
+            self.assertEqual(caller.receive().body, b"answer to body")
+            self.assertEqual(caller.socket.recv(1), b"")
+
+    def test_no_more_connections_than_allowed_are_served_at_once(self) -> None:
+        harness = self.start(good, most_connections=2)
+        with harness.connect() as first, harness.connect() as second:
+            self.assertEqual(first.ask("/safe/").status, 200)
+            self.assertEqual(second.ask("/safe/").status, 200)
+            third = harness.connect()
+            third.send("/safe/")
+            first.close()
+            self.assertEqual(third.receive().status, 200)
+            third.close()
+
+
 class AnswerTests(RequestTestCase):
     """What is no whole answer of the upstream is never a success."""
 
