Peers are asked before the store; hubs read first; metrics without objects until they are scraped

Starts: 0.57 s of processor to import, of which 0.1 for prometheus_client and the daemon's settings.

Change: who is behind asks a peer, a hub of its own zone first, and reads the log only after 0.6 s; hubs pass on that there is something large. Before a leader is known an instance reads once and waits 1.5 s; without readers the hubs read at once, all others 1.5 s later. Claims are read by who may claim, once a link tells of none. Metrics are plain numbers until somebody asks. ini.py holds what both programs' settings share.

--- a/packages/ashhoist-standins/src/ashhoist_standins/scenario.py
+++ b/packages/ashhoist-standins/src/ashhoist_standins/scenario.py
@@ -12,7 +12,7 @@
 
 from ashhoist.configuration import Change, Decision, Verdict
 from ashhoist.failures import Outcome
-from ashhoist.settings import parse_duration
+from ashhoist.ini import parse_duration
 from ashhoist.types import Priority
 
 from .world import World
--- a/packages/ashhoist/src/ashhoist/callers/_requests.py
+++ b/packages/ashhoist/src/ashhoist/callers/_requests.py
@@ -8,8 +8,9 @@
 from werkzeug.wrappers import Request
 
 from ..failures import Failure, Reason, Step, not_run
+from ..ini import parse_duration
 from ..outside import CallerRequest
-from ..settings import LimitSettings, parse_duration
+from ..settings import LimitSettings
 from ..types import Priority
 
 PRIORITY_HEADER = "X-Ashhoist-Priority"
--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -105,6 +105,7 @@
             residency,
             health,
             self.peers,
+            self._hubs,
             outside,
             self._apply_upstreams,
             clock,
@@ -119,6 +120,7 @@
             self.peers,
             self._hubs,
             outside,
+            lambda: self._knows_others and not self.peers.by_name,
             clock,
             log,
         )
--- a/packages/ashhoist/src/ashhoist/control/hubs.py
+++ b/packages/ashhoist/src/ashhoist/control/hubs.py
@@ -126,6 +126,27 @@
             and now - peer.linked_at > SURPLUS_AFTER
         ]
 
+    def is_near(self, name: str) -> bool:
+        """Return whether this instance asks that one first for what it knows.
+
+        Hubs ask any; others the hubs of their own zone, so that what is large
+        crosses to each zone but once or twice.
+        """
+        if self.is_hub(self._own.name):
+            return True
+        peer = self._peers.by_name.get(name)
+        return peer is not None and peer.zone == self._own.zone
+
+    def members(self) -> list[str]:
+        """Return the linked instances that ask this hub; none if it is no hub."""
+        if self.all_linked or not self.is_hub(self._own.name):
+            return []
+        return [
+            peer.name
+            for peer in self._peers.by_name.values()
+            if peer.linked and peer.zone == self._own.zone
+        ]
+
     def _to_link_of(self, zone: str) -> list[Peer]:
         """Return the best of a zone, and the next while these can't be reached."""
         now = self._clock.monotonic()
--- a/packages/ashhoist/src/ashhoist/control/knowledge.py
+++ b/packages/ashhoist/src/ashhoist/control/knowledge.py
@@ -11,12 +11,12 @@
 from ..store import Record, Topic
 
 SHARED_TOPICS = (Topic.CONFIGURATION, Topic.UPSTREAMS)
-BEHIND_FOR = {
-    Topic.CONFIGURATION: timedelta(milliseconds=300),
-    Topic.UPSTREAMS: timedelta(milliseconds=1100),
-}
-"""How long an instance may be behind a peer before it asks that peer."""
+FAR_PATIENCE = timedelta(milliseconds=150)
+"""So long a nearer peer may still come before one of another zone is asked."""
 PULL_PAUSE = timedelta(milliseconds=400)
+"""Between two questions, or two reads of the log, while an instance is behind."""
+PULL_PATIENCE = timedelta(milliseconds=600)
+"""How long an instance may be behind its peers before it reads the log itself."""
 MOST_RELAYED = 2000
 
 
@@ -38,6 +38,7 @@
     read_at: timedelta = ZERO
     behind_since: timedelta | None = None
     pulled_at: timedelta | None = None
+    looked_at: timedelta | None = None
 
 
 class Knowledge:
@@ -95,26 +96,43 @@
         found.sort(key=lambda record: record.offset)
         return found[:MOST_RELAYED]
 
-    def pull_due(self, topic: Topic, peer_offset: int, now: timedelta) -> int | None:
-        """Return the offset to ask a peer from, if this instance lags for long.
-
-        Parameters
-        ----------
-        peer_offset : int
-            How far the peer is.
-        """
+    def note_peer(self, topic: Topic, peer_offset: int, now: timedelta) -> bool:
+        """Take in how far a peer is; return whether this instance is behind it."""
         state = self._topics[topic]
         if peer_offset <= state.seen:
             state.behind_since = None
-            return None
+            return False
         if state.behind_since is None:
             state.behind_since = now
-        if now - state.behind_since < BEHIND_FOR[topic]:
-            return None
+        return True
+
+    def pull_due(self, topic: Topic, near: bool, now: timedelta) -> bool:
+        """Return whether to ask a peer that knows more; it counts as asked.
+
+        Parameters
+        ----------
+        near : bool
+            Whether it is a peer to ask first.
+        """
+        state = self._topics[topic]
+        assert state.behind_since is not None
+        if not near and now - state.behind_since < FAR_PATIENCE:
+            return False
         if state.pulled_at is not None and now - state.pulled_at < PULL_PAUSE:
-            return None
+            return False
         state.pulled_at = now
-        return state.seen
+        return True
+
+    def read_due(self, topic: Topic, now: timedelta) -> bool:
+        """Return whether to read the log, as peers have not helped."""
+        state = self._topics[topic]
+        assert state.behind_since is not None
+        if now - state.behind_since < PULL_PATIENCE:
+            return False
+        if state.looked_at is not None and now - state.looked_at < PULL_PAUSE:
+            return False
+        state.looked_at = now
+        return True
 
     def drop_ended(self, topic: Topic, now_listed: set[str], end: int) -> None:
         """Forget keys that a whole list, as of `end`, does not name."""
--- a/packages/ashhoist/src/ashhoist/control/order_leases.py
+++ b/packages/ashhoist/src/ashhoist/control/order_leases.py
@@ -6,6 +6,8 @@
 """
 
 import zlib
+from collections.abc import Callable
+from datetime import timedelta
 
 from ..clock import Clock
 from ..logs import Logger
@@ -19,6 +21,9 @@
 OTHER_ZONE_RANK = 10
 """So many ranks later an instance of another zone claims a zone's lease."""
 PARTITIONS = 8
+LINKS_AWAITED = timedelta(seconds=1)
+"""So long an instance that has just started waits for a first link: whoever is
+linked knows the claims, and is asked in place of the log."""
 
 
 def partition_of(zone: str) -> int:
@@ -40,6 +45,8 @@
         This machine as claims name it.
     life : str
         This process.
+    is_alone : callable
+        Returns whether there surely is no other instance.
     """
 
     def __init__(
@@ -51,6 +58,7 @@
         peers: Peers,
         hubs: Hubs,
         outside: Outside,
+        is_alone: Callable[[], bool],
         clock: Clock,
         log: Logger,
     ) -> None:
@@ -61,8 +69,10 @@
         self._peers = peers
         self._hubs = hubs
         self._outside = outside
+        self._is_alone = is_alone
         self._clock = clock
         self._log = log
+        self._began = clock.monotonic()
         self._leases: dict[str, Lease] = {}
         self._calls: dict[str, LeaseCalls] = {}
         self._held: set[str] = set()
@@ -119,11 +129,17 @@
 
     def step(self) -> None:
         """Make the store calls that are due."""
+        if self._awaits_links():
+            return
         self._set_ranks()
         for calls in self._calls.values():
             calls.step()
         self._note_holding()
 
+    def _awaits_links(self) -> bool:
+        young = self._clock.monotonic() - self._began < LINKS_AWAITED
+        return young and not self._peers.linked() and not self._is_alone()
+
     def _set_ranks(self) -> None:
         if self._ranked_at == (self._peers.revision, len(self._leases)):
             return
--- a/packages/ashhoist/src/ashhoist/control/readers.py
+++ b/packages/ashhoist/src/ashhoist/control/readers.py
@@ -1,15 +1,22 @@
 """Who reads the log: few do, and tell the others.
 
-The leader reads, and one deputy. All others read only while none of
-these two has been heard of lately as reading, so a lost reader costs about a
-second, and calls to the log do not grow with the number of instances.
+The leader reads, and one deputy. Only while none of these two has been heard of
+lately as reading do the other hubs read, and after a while all others too. So a lost
+reader costs about a second, and calls to the log do not grow with the number of
+instances.
 """
 
+from datetime import timedelta
+
 from ..clock import Clock
 from .hubs import Hubs
 from .peers import Peers, rank
 
 READERS = "readers"
+LEADER_AWAITED = timedelta(milliseconds=1500)
+"""How long an instance that has just started, and read once, waits for a leader."""
+HUBS_TURN = timedelta(milliseconds=1500)
+"""How long those that are no hubs leave it to the hubs to read."""
 
 
 class Readers:
@@ -26,6 +33,8 @@
         self._peers = peers
         self._hubs = hubs
         self._clock = clock
+        self._began = clock.monotonic()
+        self._unread_since: timedelta | None = None
 
     def reads_itself(self, leader: str | None) -> bool:
         """Return whether this instance should read the log.
@@ -35,12 +44,22 @@
         leader : str or None
             The instance that schedules.
         """
-        if leader is None or leader == self._own:
+        now = self._clock.monotonic()
+        if leader is None:
+            return now - self._began >= LEADER_AWAITED
+        if leader == self._own:
             return True
         readers = (leader, self._deputy(leader))
         if self._own in readers:
             return True
-        return not any(self._is_heard_reading(name) for name in readers)
+        if any(self._is_heard_reading(name) for name in readers):
+            self._unread_since = None
+            return False
+        if self._unread_since is None:
+            self._unread_since = now
+        if self._hubs.is_hub(self._own):
+            return True
+        return now - self._unread_since >= HUBS_TURN
 
     def _deputy(self, leader: str) -> str:
         now = self._clock.monotonic()
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -1,12 +1,11 @@
 """What the shared log says, as this instance has read it or was told.
 
-Whoever reads passes on what is new. Who is behind a peer reads too, and asks that
-peer if reading takes long.
+Whoever reads passes on what is new. Who is behind a peer asks that peer, and reads
+the log itself if that does not help.
 """
 
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
 
 from ..clock import Clock
 from ..logs import Logger
@@ -18,6 +17,7 @@
 from ..upstreams import Directory, Health, Lapses
 from . import messages
 from .changes import Change, ConfigurationPut, UpstreamEnded, UpstreamPut, VersionNamed
+from .hubs import Hubs
 from .knowledge import Knowledge
 from .outside import Outside
 from .peers import Peers
@@ -46,6 +46,7 @@
         residency: Residency,
         health: Health,
         peers: Peers,
+        hubs: Hubs,
         outside: Outside,
         upstreams_changed: Callable[[], None],
         clock: Clock,
@@ -58,6 +59,7 @@
         self._residency = residency
         self._health = health
         self._peers = peers
+        self._hubs = hubs
         self._outside = outside
         self._upstreams_changed = upstreams_changed
         self._clock = clock
@@ -66,6 +68,7 @@
         self.knowledge = Knowledge()
         self.listed = False
         self._lapses = Lapses(clock)
+        self._furthest: dict[Topic, tuple[str, int]] = {}
 
     @property
     def reads_log(self) -> bool:
@@ -102,7 +105,9 @@
         self._upstreams_changed()
 
     def tick(self) -> None:
-        """End the upstreams that have lapsed and did not come back."""
+        """End the upstreams that have lapsed; catch up where this is due."""
+        for topic, (peer, offset) in list(self._furthest.items()):
+            self.catch_up(peer, topic, offset)
         due = self._lapses.due()
         for upstream, offset in due:
             self._end_now(upstream, offset)
@@ -120,13 +125,21 @@
         return True
 
     def _pass_on(self, topic: Topic, after: int, records: list[Record]) -> None:
-        """Tell the others what was read; what is large they read themselves."""
+        """Tell the others what was read; what is large they ask for."""
+        peers = self._peers.linked()
+        if sum(_size(record) for record in records) > MOST_PUSHED:
+            self._announce(topic, peers)
+            return
+        rows = [[record.offset, record.key, record.value] for record in records]
         newest = self.knowledge.offset(topic)
-        message: Any = messages.Announce(str(topic), newest)
-        if sum(_size(record) for record in records) <= MOST_PUSHED:
-            rows = [[record.offset, record.key, record.value] for record in records]
-            message = messages.Relay(str(topic), after, newest, rows)
-        for peer in self._peers.linked():
+        relay = messages.Relay(str(topic), after, newest, rows)
+        for peer in peers:
+            self._outside.send_to(peer, relay)
+
+    def _announce(self, topic: Topic, peers: list[str]) -> None:
+        """Tell others that there is more to ask for than is told unasked."""
+        message = messages.Announce(str(topic), self.knowledge.offset(topic))
+        for peer in peers:
             self._outside.send_to(peer, message)
 
     def _drop_unlisted(self, topic: Topic, listed: set[str], end: int) -> None:
@@ -203,16 +216,20 @@
         self.catch_up(peer, Topic(message.topic), message.offset)
 
     def catch_up(self, peer: str, topic: Topic, offset: int) -> None:
-        """Read what a peer has read already; ask that peer if this takes long."""
-        if offset <= self.knowledge.seen(topic):
-            return
-        self._outside.read_now(topic)
+        """Ask a peer for what it has read already; read that if asking is no help."""
         now = self._clock.monotonic()
-        after = self.knowledge.pull_due(topic, offset, now)
-        if after is None:
+        if not self.knowledge.note_peer(topic, offset, now):
+            self._furthest.pop(topic, None)
             return
-        self._log.info("records pulled", topic=topic, peer=peer, after=after, to=offset)
-        self._outside.send_to(peer, messages.Pull(str(topic), after))
+        self._furthest[topic] = (peer, offset)
+        if self.knowledge.pull_due(topic, self._hubs.is_near(peer), now):
+            after = self.knowledge.seen(topic)
+            self._log.info(
+                "records pulled", topic=topic, peer=peer, after=after, to=offset
+            )
+            self._outside.send_to(peer, messages.Pull(str(topic), after))
+        if self.knowledge.read_due(topic, now):
+            self._outside.read_now(topic)
 
     def pulled(self, peer: str, pull: messages.Pull) -> None:
         """Tell a peer what it lacks."""
@@ -229,13 +246,15 @@
     def relayed(self, peer: str, relay: messages.Relay) -> None:
         """Take in records that a peer has read."""
         topic = Topic(relay.topic)
-        for offset, key, value in relay.records:
-            self._take_record(topic, Record(offset, key, value))
+        records = [Record(*row) for row in relay.records]
+        fresh = [record for record in records if self._take_record(topic, record)]
         if relay.after <= self.knowledge.seen(topic):
             self.knowledge.see(topic, relay.up_to)
         else:
             self.catch_up(peer, topic, relay.up_to)
         self._batch_taken(topic)
+        if sum(_size(record) for record in fresh) > MOST_PUSHED:
+            self._announce(topic, self._hubs.members())
 
 
 def _size(record: Record) -> int:
--- a/packages/ashhoist/src/ashhoist/daemon.py
+++ b/packages/ashhoist/src/ashhoist/daemon.py
@@ -79,7 +79,7 @@
     def __init__(self, settings: Settings, clock: Clock | None = None) -> None:
         self.settings = settings
         self.clock = clock or SystemClock()
-        self.metrics = Metrics()
+        self.metrics = Metrics(threading.Lock())
         self.incarnation = uuid4().hex[:12]
         instance = settings.instance
         self._own = Endpoint(
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -1,15 +1,17 @@
-"""Metrics by `prometheus_client`, in a registry of each instance's own."""
+"""Metrics: counted in plain numbers, shown by `prometheus_client`.
 
+An instance counts several times for each request, and is scraped seldom or never. So
+the library is read in, and its objects are made, when somebody asks.
+"""
+
+import bisect
 from collections import deque
-from typing import Any
+from collections.abc import Iterable
+from contextlib import AbstractContextManager, nullcontext
+from typing import TYPE_CHECKING, Any
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    generate_latest,
-)
+if TYPE_CHECKING:
+    from prometheus_client import Metric
 
 RECENT_KEPT = 4096
 SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
@@ -50,60 +52,107 @@
 FILLS = tuple(part / 10 for part in range(1, 11))
 
 
+Labels = tuple[Any, ...]
+
+
+class _Histogram:
+    """How many values fell into each bucket; the last is for what is larger."""
+
+    def __init__(self, name: str) -> None:
+        self.bounds = FILLS if name == "batch_fill" else SECONDS
+        self.counts = [0] * (len(self.bounds) + 1)
+        self.sum = 0.0
+        self.recent: deque[float] = deque(maxlen=RECENT_KEPT)
+
+    def observe(self, value: float) -> None:
+        self.counts[bisect.bisect_left(self.bounds, value)] += 1
+        self.sum += value
+        self.recent.append(value)
+
+    def buckets(self) -> list[tuple[str, float]]:
+        """Return the upper bounds with the number of values up to each."""
+        found = []
+        total = 0
+        for bound, count in zip((*self.bounds, "+Inf"), self.counts, strict=True):
+            total += count
+            found.append((str(bound), float(total)))
+        return found
+
+
 class Metrics:
-    """All metrics of one instance, by name."""
-
-    def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        self._counters = {
-            name: Counter(f"ashhoist_{name}", text, labels, registry=self.registry)
-            for name, (text, labels) in COUNTERS.items()
-        }
-        self._histograms = {
-            name: Histogram(
-                f"ashhoist_{name}",
-                text,
-                buckets=FILLS if name == "batch_fill" else SECONDS,
-                registry=self.registry,
-            )
-            for name, text in HISTOGRAMS.items()
-        }
-        self._recent: dict[str, deque[float]] = {
-            name: deque(maxlen=RECENT_KEPT) for name in HISTOGRAMS
-        }
-        self._gauges = {
-            name: Gauge(f"ashhoist_{name}", text, labels, registry=self.registry)
-            for name, (text, labels) in GAUGES.items()
-        }
+    """All metrics of one instance, by name.
+
+    Parameters
+    ----------
+    lock : context manager or None
+        Held while a number changes; None where one thread does all counting.
+    """
+
+    def __init__(self, lock: AbstractContextManager[Any] | None = None) -> None:
+        self._lock = lock if lock is not None else nullcontext()
+        self._counts: dict[str, dict[Labels, float]] = {name: {} for name in COUNTERS}
+        self._gauges: dict[str, dict[Labels, float]] = {name: {} for name in GAUGES}
+        self._histograms = {name: _Histogram(name) for name in HISTOGRAMS}
 
     def count(self, name: str, *labels: Any, amount: float = 1) -> None:
         """Add to a counter."""
-        self._counters[name].labels(*labels).inc(amount)
+        values = self._counts[name]
+        with self._lock:
+            values[labels] = values.get(labels, 0.0) + amount
 
     def observe(self, name: str, value: float) -> None:
         """Take a value into a histogram."""
-        self._histograms[name].observe(value)
-        self._recent[name].append(value)
+        with self._lock:
+            self._histograms[name].observe(value)
 
     def gauge(self, name: str, value: float, *labels: str) -> None:
         """Set a gauge."""
-        gauge = self._gauges[name]
-        (gauge.labels(*labels) if labels else gauge).set(value)
+        with self._lock:
+            self._gauges[name][labels] = value
 
     def total(self, name: str) -> float:
         """Return a counter's value over all its labels."""
-        counter = self._counters[name]
-        return sum(
-            sample.value
-            for metric in counter.collect()
-            for sample in metric.samples
-            if sample.name.endswith("_total")
-        )
+        return sum(self._counts[name].values())
 
     def recent(self, name: str) -> list[float]:
         """Return the last values of a histogram, for the demo and tests."""
-        return list(self._recent[name])
+        return list(self._histograms[name].recent)
+
+    # Shown
 
     def render(self) -> bytes:
         """Return the text form for scrapers."""
-        return generate_latest(self.registry)
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self) -> "Iterable[Metric]":
+        """Return all metrics in the library's form; it calls this."""
+        from prometheus_client import core
+
+        with self._lock:
+            for name, (text, labels) in COUNTERS.items():
+                counter = core.CounterMetricFamily(_full(name), text, labels=labels)
+                for values, value in self._counts[name].items():
+                    counter.add_metric(_texts(values), value)
+                yield counter
+            for name, (text, labels) in GAUGES.items():
+                gauge = core.GaugeMetricFamily(_full(name), text, labels=labels)
+                for values, value in self._gauges[name].items():
+                    gauge.add_metric(_texts(values), float(value))
+                yield gauge
+            for name, text in HISTOGRAMS.items():
+                found = self._histograms[name]
+                histogram = core.HistogramMetricFamily(_full(name), text)
+                histogram.add_metric([], buckets=found.buckets(), sum_value=found.sum)
+                yield histogram
+
+
+def _full(name: str) -> str:
+    return f"ashhoist_{name}"
+
+
+def _texts(labels: Labels) -> list[str]:
+    return [str(label) for label in labels]
--- a/packages/ashhoist/src/ashhoist/operators/app.py
+++ b/packages/ashhoist/src/ashhoist/operators/app.py
@@ -22,8 +22,8 @@
 )
 from ..core import Instance
 from ..failures import Failure, Outcome, Reason, Step, not_run
+from ..ini import NAME_PATTERN
 from ..resources import models_by_kind, validate
-from ..settings import NAME_PATTERN
 from ..status import status as status_of
 from ._openapi import document
 
--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -156,7 +156,7 @@
         self._timing = timing
         self._clock = clock
         self._claim: Claim | None = None
-        self._known_since = ZERO
+        self._known_since = clock.monotonic()
         self._end: int | None = None
         self._pending = False
         self._next_try = ZERO
@@ -227,8 +227,11 @@
         return action
 
     def _due(self, now: timedelta) -> LeaseAction | None:
-        if self._end is None or self._unsure is not None:
+        if self._unsure is not None:
             return ReadClaims(self.key)
+        if self._end is None:
+            # Others tell what they have read: only who may claim has to read.
+            return ReadClaims(self.key) if now >= self._claimable_from() else None
         if self.held:
             return self._due_as_holder(now)
         if self._stopping:
@@ -282,8 +285,6 @@
         unsure, self._unsure = self._unsure, None
         found = self._newest(result)
         if found is None:
-            if self._claim is None and not self._known_since:
-                self._known_since = now
             return
         before = self._claim
         self._take(found, now)
--- a/packages/ashhoist/src/ashhoist/process_settings.py
+++ b/packages/ashhoist/src/ashhoist/process_settings.py
@@ -8,12 +8,12 @@
 from pydantic import BaseModel, BeforeValidator, Field, ValidationError
 
 from .exceptions import SettingsError
-from .settings import (
+from .ini import (
     Address,
     Duration,
     LogSettings,
     Name,
-    _Section,
+    Section,
     read_sections,
     wrong_settings,
 )
@@ -34,7 +34,7 @@
 Regions = Annotated[dict[str, str], BeforeValidator(_table)]
 
 
-class InstanceSection(_Section):
+class InstanceSection(Section):
     """Who this instance is, and where it listens."""
 
     name: Name
@@ -48,7 +48,7 @@
     zones: Regions = Field(default_factory=dict)
 
 
-class StoreSection(_Section):
+class StoreSection(Section):
     """Where the shared log is, and how it is read."""
 
     address: Address
@@ -56,7 +56,7 @@
     upstreams_pause: Duration = timedelta(milliseconds=800)
 
 
-class BoundsSection(_Section):
+class BoundsSection(Section):
     """What the platform promises and demands."""
 
     drain: Duration = timedelta(seconds=2)
@@ -67,7 +67,7 @@
     contact: Duration = timedelta(seconds=3)
 
 
-class RetrySection(_Section):
+class RetrySection(Section):
     """The budget for second sends, over all instances."""
 
     ratio: float = Field(default=0.2, ge=0, le=1)
@@ -75,14 +75,14 @@
     window: Duration = timedelta(seconds=10)
 
 
-class LoadSection(_Section):
+class LoadSection(Section):
     """Bounds on loads from the weight store, over all instances."""
 
     window: Duration = timedelta(seconds=5)
     overage: float = Field(default=1.1, ge=1)
 
 
-class LimitSection(_Section):
+class LimitSection(Section):
     """What the machine allows the process."""
 
     memory_mb: int = Field(default=300, ge=64)
@@ -99,7 +99,7 @@
 class ProcessSettings(BaseModel):
     """All settings of an instance on a platform."""
 
-    model_config = _Section.model_config
+    model_config = Section.model_config
 
     instance: InstanceSection
     store: StoreSection
--- a/packages/ashhoist/src/ashhoist/resources.py
+++ b/packages/ashhoist/src/ashhoist/resources.py
@@ -10,7 +10,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
-from .settings import NAME_PATTERN, Url
+from .ini import NAME_PATTERN, Url
 
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 VersionName = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
--- a/packages/ashhoist/src/ashhoist/settings.py
+++ b/packages/ashhoist/src/ashhoist/settings.py
@@ -1,81 +1,24 @@
-"""The settings of an instance: one INI file, one checked model."""
+"""The settings of the daemon: one INI file, one checked model."""
 
-import configparser
-import ipaddress
 from datetime import timedelta
 from pathlib import Path
-from typing import Annotated, Any
-
-from pydantic import (
-    AfterValidator,
-    BaseModel,
-    BeforeValidator,
-    ConfigDict,
-    Field,
-    ValidationError,
-    model_validator,
-)
-
-from .exceptions import SettingsError
-
-NAME_PATTERN = r"^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$"
-MAX_PORT = 65535
-
-
-def _check_address(text: str) -> str:
-    host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit() or int(port) > MAX_PORT:
-        raise ValueError("an IP number and a port, such as 127.0.0.1:8000")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        raise ValueError(
-            "an IP number and a port, such as 127.0.0.1:8000; no host names"
-        ) from None
-    return text
 
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
-def _check_url(text: str) -> str:
-    scheme, separator, rest = text.partition("://")
-    if scheme not in ("http", "https") or not separator:
-        raise ValueError("http:// or https:// with an IP number and a port")
-    _check_address(rest.rstrip("/"))
-    return text.rstrip("/")
-
-
-def parse_duration(value: Any) -> Any:
-    """Return the duration in a text such as ``250ms``.
-
-    Raises
-    ------
-    ValueError
-        If the text is no duration with a unit.
-    """
-    if not isinstance(value, str):
-        return value
-    units = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
-    for unit, seconds in units.items():
-        number = value.strip().removesuffix(unit)
-        if number == value.strip():
-            continue
-        try:
-            return timedelta(seconds=float(number) * seconds)
-        except ValueError:
-            continue
-    raise ValueError("a duration with its unit, such as 250ms, 2s, 5m or 1h")
-
-
-Address = Annotated[str, AfterValidator(_check_address)]
-Url = Annotated[str, AfterValidator(_check_url)]
-Duration = Annotated[timedelta, BeforeValidator(parse_duration), Field(gt=timedelta())]
-Name = Annotated[str, Field(pattern=NAME_PATTERN)]
-
-
-class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
+from .exceptions import SettingsError
+from .ini import (
+    Address,
+    Duration,
+    LogSettings,
+    Name,
+    Section,
+    Url,
+    read_sections,
+    wrong_settings,
+)
 
 
-class InstanceSettings(_Section):
+class InstanceSettings(Section):
     """Who this instance is and where it listens."""
 
     name: Name
@@ -96,7 +39,7 @@
         return self
 
 
-class PlatformSettings(_Section):
+class PlatformSettings(Section):
     """Where the platform's services are."""
 
     log_service: Url
@@ -106,14 +49,14 @@
     log_retention: Duration = timedelta(hours=24)
 
 
-class WeightStoreSettings(_Section):
+class WeightStoreSettings(Section):
     """What the weight store allows, for the whole region."""
 
     loads_per_second: float = Field(default=2.0, gt=0)
     loads_at_full_speed: int = Field(default=1, ge=1)
 
 
-class TokenSettings(_Section):
+class TokenSettings(Section):
     """Bearer tokens. Several may be valid at once, divided by spaces."""
 
     operators: str = Field(min_length=8)
@@ -125,7 +68,7 @@
         return frozenset(getattr(self, role).split())
 
 
-class LimitSettings(_Section):
+class LimitSettings(Section):
     """Bounds on what an instance takes in."""
 
     body_bytes: int = Field(default=1_048_576, ge=1024)
@@ -138,7 +81,7 @@
     connections: int = Field(default=512, ge=1)
 
 
-class TimingSettings(_Section):
+class TimingSettings(Section):
     """Intervals and leases."""
 
     heartbeat: Duration = timedelta(seconds=1)
@@ -150,13 +93,6 @@
     load_timeout: Duration = timedelta(seconds=30)
 
 
-class LogSettings(_Section):
-    """How logs are written."""
-
-    format: str = Field(default="console", pattern="^(console|json)$")
-    level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
-
-
 class Settings(BaseModel):
     """All settings of an instance."""
 
@@ -193,37 +129,3 @@
         return Settings.model_validate(read_sections(text))
     except ValidationError as error:
         raise SettingsError(wrong_settings(error)) from None
-
-
-def read_sections(text: str) -> dict[str, dict[str, str]]:
-    """Return the sections of an INI text.
-
-    Raises
-    ------
-    SettingsError
-        If the text is no INI.
-    """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text)
-    except configparser.Error as error:
-        raise SettingsError([str(error).replace("\n", " ")]) from None
-    return {name: dict(parser[name]) for name in parser.sections()}
-
-
-def wrong_settings(error: ValidationError) -> list[str]:
-    """Return one line for each wrong setting."""
-    return [_line(problem) for problem in error.errors()]
-
-
-def _line(problem: Any) -> str:
-    section, *keys = problem["loc"]
-    place = f"[{section}] {' '.join(str(key) for key in keys)}".rstrip()
-    if problem["type"] == "missing":
-        return f"{place}: missing; it must be set"
-    if problem["type"] == "extra_forbidden":
-        return f"{place}: unknown; check the spelling"
-    shown = "" if section == "tokens" else f" = {problem['input']!r}"
-    if isinstance(problem["input"], dict):
-        shown = ""
-    return f"{place}{shown}: allowed is: {problem['msg'].removeprefix('Value error, ')}"
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -185,6 +185,7 @@
         self.engines: dict[str, EngineState] = {}
         self.seen: list[OrderSeen] = []
         self.reads = 0
+        self.lease_calls = 0
         self.deaf = False
         self.seeds: tuple[str, ...] = ()
         self.registered: set[str] = set(self.machines)
@@ -199,7 +200,7 @@
 
     # The log as operators and engines write it
 
-    def _put_configuration(self, version: int = 1) -> None:
+    def _put_configuration(self, version: int = 1, size: int = 1) -> None:
         engine = EngineSettings(
             {MODEL: EngineModel(MODEL, 16000, timedelta(seconds=0.6), 3000, 14)},
             96,
@@ -210,11 +211,12 @@
         configuration = ServingConfiguration(
             version, (), {SERVICE: Service(SERVICE, engine=engine)}
         )
-        self._write(Topic.CONFIGURATION, "config", ConfigurationPut(configuration))
+        change = ConfigurationPut(configuration)
+        self._write(Topic.CONFIGURATION, "config", change, size)
 
-    def put_configuration(self, version: int) -> None:
-        """Write a newer configuration."""
-        self._put_configuration(version)
+    def put_configuration(self, version: int, size: int = 1) -> None:
+        """Write a newer configuration, as large as wanted."""
+        self._put_configuration(version, size)
 
     def name_version(self, adapter: str, version: int) -> None:
         """Name a version of an adapter."""
@@ -258,8 +260,8 @@
         assert offset is not None
         self._decoded[Topic.UPSTREAMS, offset] = UpstreamEnded(name, offset)
 
-    def _write(self, topic: Topic, key: str, change: Change) -> None:
-        offset = self.log.append(topic, key, b"x")
+    def _write(self, topic: Topic, key: str, change: Change, size: int = 1) -> None:
+        offset = self.log.append(topic, key, b"x" * size)
         assert offset is not None
         self._decoded[topic, offset] = change
 
@@ -501,6 +503,7 @@
 
     def lease_call(self, machine: Machine, action: LeaseAction) -> None:
         """Read or append a claim."""
+        self.lease_calls += 1
         core = machine.core
         assert core is not None
         if not self._reaches_store(machine):
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -81,6 +81,52 @@
         ]
         self.assertLessEqual(len(reading), 2)
 
+    def test_a_start_of_all_makes_few_calls_for_each(self) -> None:
+        world = self.start()
+        # Each reads both topics once; two go on, every 0.4 s.
+        self.assertLessEqual(world.reads, 2 * 40 + 4 * 15)
+        # The hubs' claims; none of the others has to read who holds a lease.
+        self.assertLessEqual(world.lease_calls, 3 * 2 * ZONES * 2)
+
+    def test_a_large_change_is_asked_of_hubs_not_of_the_log(self) -> None:
+        world = self.start()
+        before = world.reads
+        world.put_configuration(2, size=20_000)
+        world.run(1.2)
+        versions = {
+            machine.core._in_force.version
+            for machine in world.machines.values()
+            if machine.core is not None
+        }
+        self.assertEqual(versions, {2})
+        # Two readers of two topics, every 0.4 s.
+        self.assertLessEqual(world.reads - before, 4 * 4)
+
+    def test_a_large_change_is_known_where_no_hub_of_the_zone_helps(self) -> None:
+        world = self.start()
+        lost = [
+            name
+            for name in self.large(world)
+            if world.machines[name].zone == "zone-1" and name not in world.leaders()
+        ]
+        for name in lost:
+            world.freeze(name, 30.0)
+        world.put_configuration(2, size=20_000)
+        world.run(1.9)
+        for machine in world.machines.values():
+            if machine.core is not None and not machine.frozen:
+                self.assertEqual(machine.core._in_force.version, 2, machine.name)
+
+    def test_where_all_readers_are_lost_the_hubs_read_and_then_all(self) -> None:
+        world = self.start()
+        for name in self.large(world):
+            world.freeze(name, 30.0)
+        world.put_configuration(2)
+        world.run(2.9)
+        for machine in world.machines.values():
+            if machine.core is not None and not machine.frozen:
+                self.assertEqual(machine.core._in_force.version, 2, machine.name)
+
     def test_requests_of_all_instances_are_served(self) -> None:
         world = self.start()
         answers = [
