--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -33,6 +33,10 @@
         Names the present attempt to the holder of the lease.
     patience : timedelta or None
         How long an upstream may be silent before the request goes elsewhere.
+    waited : timedelta
+        How long it waited for its adapter, over all attempts.
+    sent_at : timedelta or None
+        When the last attempt was begun.
     may_have_run : bool
         True once an attempt was sent and not refused expressly.
     """
@@ -53,6 +57,7 @@
     use_id: str = ""
     patience: timedelta | None = None
     waited: timedelta = timedelta()
+    sent_at: timedelta | None = None
     first_event_at: timedelta | None = None
     last_event_at: timedelta | None = None
     last_event_id: str = ""
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -173,9 +173,6 @@
     def _note(self, call: Call, ending: Ending) -> None:
         now = self._clock.monotonic()
         took = (now - call.received_at) / MILLISECOND
-        first = None
-        if call.first_event_at is not None:
-            first = round((call.first_event_at - call.received_at) / MILLISECOND)
         self._metrics.observe("request_seconds", took / 1000)
         if call.adapter is not None:
             self._metrics.observe("load_stall_seconds", call.waited.total_seconds())
@@ -188,11 +185,19 @@
             reason=ending.reason,
             sends=call.sends,
             waited_ms=round(call.waited / MILLISECOND),
-            first_ms=first,
+            sent_ms=_since(call.received_at, call.sent_at),
+            first_ms=_since(call.received_at, call.first_event_at),
             took_ms=round(took),
+            aim_ms=round(call.route.aim / MILLISECOND),
+            tokens=call.sizes.tokens_in,
         )
 
 
+def _since(began: timedelta, at: timedelta | None) -> int | None:
+    """Return the milliseconds from one moment to another, if that has come."""
+    return None if at is None else round((at - began) / MILLISECOND)
+
+
 def _sizes(text: str) -> Sizes:
     counts = [part.strip() for part in text.split(",")]
     numbers = [int(part) for part in counts if part.isdigit()]
--- a/packages/ashhoist/src/ashhoist/requests/serving.py
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -107,6 +107,7 @@
     ) -> Steps[Result | WholeStream]:
         call.patience = self._patience(call, target)
         call.sends += 1
+        call.sent_at = self._clock.monotonic()
         call.tried.add(target.upstream)
         result = yield from self._attempts.send(
             call, target, caller, call.route.streams
