Engines that fail, or keep a request waiting too long, get fewer others

One that crashed without a word, failed part of its requests or fell silent was chosen on, as its queue looked short.

An engine whose oldest unread prompt is overdue is expected to keep the next one as long.

--- a/packages/ashhoist/src/ashhoist/control/agent.py
+++ b/packages/ashhoist/src/ashhoist/control/agent.py
@@ -151,7 +151,7 @@
         """Count the end of a use."""
         self._under_way.pop(use.id, None)
         self._started.discard(use.id)
-        self._news.ended.append([use.id, use.upstream])
+        self._news.ended.append([use.id, use.upstream, str(use.end)])
 
     def tell_uses(self) -> None:
         """Tell the leader what has changed since the last time."""
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -206,8 +206,10 @@
     began : list
         Lists of id, upstream, model, name and tokens, of those that the holder
         has not granted.
-    started, ended : list
+    started : list
         Lists of id and upstream.
+    ended : list
+        Lists of id, upstream and what the end says of it (`UseEnd`).
     """
 
     began: list
--- a/packages/ashhoist/src/ashhoist/control/scheduling.py
+++ b/packages/ashhoist/src/ashhoist/control/scheduling.py
@@ -19,6 +19,7 @@
     SchedulerAction,
     Serving,
 )
+from ..placement.asks import UseEnd
 from ..placement.scheduler import Scheduler
 from ..placement.wants import Want
 from ..routing import ServingConfiguration
@@ -179,8 +180,8 @@
             self.scheduler.began(use_id, instance, beginning)
         for use_id, upstream in uses.started:
             self.scheduler.started(upstream, use_id)
-        for use_id, upstream in uses.ended:
-            self.scheduler.ended(upstream, use_id)
+        for use_id, upstream, end in uses.ended:
+            self.scheduler.ended(upstream, use_id, UseEnd(end))
 
     def answered(self, upstream: str, number: int, answer: OrderAnswer) -> None:
         """Take in how an order ended."""
--- a/packages/ashhoist/src/ashhoist/placement/asks.py
+++ b/packages/ashhoist/src/ashhoist/placement/asks.py
@@ -3,6 +3,7 @@
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 from datetime import timedelta
+from enum import StrEnum
 
 from ..adapter import Adapter
 from ..failures import Reason
@@ -97,9 +98,19 @@
     upstream: str
 
 
+class UseEnd(StrEnum):
+    """What the end of a request says of its engine."""
+
+    WELL = "well"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
+    UNKNOWN = "unknown"
+
+
 @dataclass(frozen=True, slots=True)
 class UseEnded:
     """A request at an engine has ended."""
 
     id: str
     upstream: str
+    end: UseEnd = UseEnd.UNKNOWN
--- a/packages/ashhoist/src/ashhoist/placement/rounds.py
+++ b/packages/ashhoist/src/ashhoist/placement/rounds.py
@@ -1,6 +1,6 @@
 """One round of planning: what is loaded next, where, and what gives way for it."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -65,6 +65,9 @@
         All engines.
     open_zones : set of str
         The zones whose engines orders reach now.
+    wait_at : callable
+        Takes an engine and the tokens of a prompt; returns the wait for its first
+        token.
     """
 
     def __init__(
@@ -72,10 +75,12 @@
         engines: Iterable[Engine],
         open_zones: set[str],
         popularity: Popularity,
+        wait_at: Callable[[Engine, int], timedelta],
         now: timedelta,
     ) -> None:
         self._engines = list(engines)
         self._popularity = popularity
+        self._wait_at = wait_at
         self._now = now
         self._open_zones = open_zones
         self._able = [engine for engine in self._engines if self._is_able(engine)]
@@ -164,7 +169,7 @@
         self, engine: Engine, wanted: WantedAdapter, tokens: int, zones: set[str]
     ) -> float:
         """Return what it costs to bring an adapter to an engine, in seconds."""
-        cost = engine.work.first_after(tokens).total_seconds()
+        cost = self._wait_at(engine, tokens).total_seconds()
         cost += len(engine.copies) * COPY_COST
         cost += (engine.capacity - engine.free) / engine.capacity * FULL_COST
         if not engine.has_copy(wanted.adapter, wanted.oldest_version):
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -15,7 +15,7 @@
 from ..metrics import Metrics
 from ..orders.order import EngineReport, Order, OrderAnswer, OrderKind
 from ..routing import EngineSettings
-from ..upstreams import Upstream
+from ..upstreams import Health, Upstream
 from .actions import (
     AskReport,
     Beginning,
@@ -25,6 +25,7 @@
     SchedulerAction,
     Serving,
 )
+from .asks import UseEnd
 from .engine import Engine, EngineNews, PlaceState
 from .models import ModelLoads
 from .popularity import Popularity
@@ -37,6 +38,11 @@
 WORTH_A_LOAD = timedelta(milliseconds=250)
 """By so much sooner an engine must begin that loads the adapter for it."""
 COME_BACK = timedelta(milliseconds=300)
+FAILURE_COST = timedelta(seconds=2)
+"""What a failure costs the request it happens to: about the time until it is sent
+elsewhere, and often its only chance to be in time."""
+UNREACHABLE_COST = timedelta(seconds=5)
+"""Goes there last of all, but does go if there is nothing else."""
 PLAN_EVERY = timedelta(milliseconds=4)
 """What comes within so short a time is planned for together."""
 
@@ -71,6 +77,7 @@
         self._log = log
         self._settings: dict[str, EngineSettings] = {}
         self._models = ModelLoads(clock)
+        self._health = Health(clock)
         self._orders = 0
         self._planned_at = -PLAN_EVERY
         self._has_news = True
@@ -107,6 +114,7 @@
         present = {upstream.id for upstream in found}
         for gone in set(self.engines) - present:
             del self.engines[gone]
+            self._health.forget(gone)
         for upstream in found:
             engine = self.engines.get(upstream.id)
             if engine is None:
@@ -147,11 +155,15 @@
         if engine is not None:
             engine.work.started(use_id, self._clock.monotonic())
 
-    def ended(self, upstream: str, use_id: str) -> None:
-        """Take in that a request has ended at an engine."""
+    def ended(self, upstream: str, use_id: str, end: UseEnd) -> None:
+        """Take in that a request has ended at an engine, and how."""
         engine = self.engines.get(upstream)
         if engine is None:
             return
+        if end is UseEnd.WELL:
+            self._health.answered(upstream)
+        elif end is not UseEnd.UNKNOWN:
+            self._health.failed(upstream, end is UseEnd.UNREACHABLE)
         adapter = engine.work.end(use_id)
         if adapter is not None:
             engine.touch(adapter, self._clock.monotonic())
@@ -223,7 +235,7 @@
     def _send_there(self, engine: Engine, want: Want) -> None:
         now = self._clock.monotonic()
         version = engine.serving()[want.adapter]
-        expected = engine.work.first_after(want.tokens)
+        expected = engine.work.first_after(want.tokens, now)
         engine.work.begin(want.id, want.instance, want.adapter, want.tokens, now)
         engine.touch(want.adapter, now)
         batch = self._settings[engine.upstream.service].batch
@@ -243,8 +255,8 @@
         ]
         if not serving:
             return None
-        best = min(serving, key=lambda engine: engine.work.first_after(want.tokens))
-        first = best.work.first_after(want.tokens)
+        best = min(serving, key=lambda engine: self._wait_at(engine, want.tokens))
+        first = self._wait_at(best, want.tokens)
         if first <= SOON_ENOUGH:
             return best
         elsewhere = self._first_elsewhere(want)
@@ -252,6 +264,14 @@
             return None
         return best
 
+    def _wait_at(self, engine: Engine, tokens: int) -> timedelta:
+        """Return the wait for a first token, with what a failing engine costs."""
+        wait = engine.work.first_after(tokens, self._clock.monotonic())
+        wait += FAILURE_COST * self._health.share_failing(engine.id)
+        if not self._health.usable(engine.id):
+            wait += UNREACHABLE_COST
+        return wait
+
     def _engines_for(self, want: Want) -> list[Engine]:
         return [
             engine
@@ -273,7 +293,7 @@
                 load = engine.load_time(want.adapter, want.oldest_version)
             else:
                 continue
-            first = load + engine.work.first_after(want.tokens)
+            first = load + self._wait_at(engine, want.tokens)
             if soonest is None or first < soonest:
                 soonest = first
         return soonest
@@ -324,7 +344,9 @@
         self._bring_models(open_zones)
         if not len(self.wants):
             return
-        round_ = Round(self.engines.values(), open_zones, self.popularity, now)
+        round_ = Round(
+            self.engines.values(), open_zones, self.popularity, self._wait_at, now
+        )
         self._give_up(round_, now)
         waiting = [wanted for wanted in self.wants.adapters() if wanted.adapter.name]
         for wanted in sorted(waiting, key=round_.gain, reverse=True):
@@ -426,7 +448,8 @@
             ]
             if not serving:
                 continue
-            best = min(serving, key=lambda engine: engine.work.first_after(0))
+            tokens = want.tokens
+            best = min(serving, key=lambda engine: self._wait_at(engine, tokens))
             self.wants.remove(want.id)
             self._send_there(best, want)
 
--- a/packages/ashhoist/src/ashhoist/placement/work.py
+++ b/packages/ashhoist/src/ashhoist/placement/work.py
@@ -18,6 +18,9 @@
 SMOOTHING = 0.15
 LEAST_PACE, MOST_PACE = 0.4, 8.0
 LEARN_FROM = timedelta(milliseconds=50)
+OVERDUE_TIMES = 2
+OVERDUE_MARGIN = timedelta(milliseconds=300)
+"""A first token is overdue after so many times what was expected, and this."""
 FORGOTTEN_AFTER = timedelta(seconds=60)
 
 
@@ -48,6 +51,7 @@
 
     def __init__(self) -> None:
         self._by_id: dict[str, Use] = {}
+        self._unstarted: dict[str, Use] = {}
         self._adapters: Counter[Adapter] = Counter()
         self._unread = 0
         self._pace = 1.0
@@ -64,10 +68,23 @@
         """Return how many requests use an adapter."""
         return self._adapters[adapter]
 
-    def first_after(self, tokens: int) -> timedelta:
-        """Return how long a prompt sent now would wait for its first token."""
+    def first_after(self, tokens: int, now: timedelta) -> timedelta:
+        """Return how long a prompt sent now would wait for its first token.
+
+        An engine that keeps one waiting longer than it should is expected to keep
+        the next one waiting as long again.
+        """
         reading = timedelta(seconds=(self._unread + tokens) / TOKENS_PER_SECOND)
-        return (BASE + reading) * self._pace
+        return max((BASE + reading) * self._pace, self._silent_for(now))
+
+    def _silent_for(self, now: timedelta) -> timedelta:
+        """Return how long the oldest unread prompt waits, if it is overdue."""
+        oldest = next(iter(self._unstarted.values()), None)
+        if oldest is None:
+            return timedelta()
+        age = now - oldest.sent_at
+        overdue = age > oldest.expected * OVERDUE_TIMES + OVERDUE_MARGIN
+        return age if overdue else timedelta()
 
     def begin(
         self, use_id: str, instance: str, adapter: Adapter, tokens: int, now: timedelta
@@ -75,8 +92,9 @@
         """Take in that a request is sent."""
         if use_id in self._by_id:
             return
-        expected = self.first_after(tokens)
-        self._by_id[use_id] = Use(instance, adapter, tokens, now, expected)
+        expected = self.first_after(tokens, now)
+        use = Use(instance, adapter, tokens, now, expected)
+        self._by_id[use_id] = self._unstarted[use_id] = use
         self._adapters[adapter] += 1
         self._unread += tokens
 
@@ -86,6 +104,7 @@
         if use is None or use.started:
             return
         use.started = True
+        del self._unstarted[use_id]
         self._unread -= use.tokens
         took = now - use.sent_at
         if use.expected < LEARN_FROM:
@@ -99,7 +118,7 @@
         use = self._by_id.pop(use_id, None)
         if use is None:
             return None
-        if not use.started:
+        if self._unstarted.pop(use_id, None) is not None:
             self._unread -= use.tokens
         self._adapters[use.adapter] -= 1
         if not self._adapters[use.adapter]:
--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -5,7 +5,7 @@
 from ..failures import Reason
 from ..http import CallerConnection
 from ..loop import Steps
-from ..placement.asks import Refusal, Target
+from ..placement.asks import Refusal, Target, UseEnd
 from ..upstreams import Balancer, Directory, Health
 from .attempt import CallerLeft, OutOfTime
 from .call import Call
@@ -22,8 +22,8 @@
     def first_event(self, call: Call, target: Target) -> None:
         """Take in that an attempt has its first event."""
 
-    def ended(self, call: Call, target: Target) -> None:
-        """Take in that an attempt has ended."""
+    def ended(self, call: Call, target: Target, end: UseEnd) -> None:
+        """Take in that an attempt has ended, and what that says of its upstream."""
 
 
 class PlainChooser:
@@ -49,6 +49,6 @@
     def first_event(self, call: Call, target: Target) -> None:
         """Take in that an attempt has its first event."""
 
-    def ended(self, call: Call, target: Target) -> None:
+    def ended(self, call: Call, target: Target, end: UseEnd) -> None:
         """Take in that an attempt has ended."""
         self._balancer.end(target.upstream)
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -20,6 +20,7 @@
     Refusal,
     Target,
     UseBegan,
+    UseEnd,
     UseEnded,
     UseStarted,
     Wanted,
@@ -87,11 +88,11 @@
         if call.adapter is not None:
             self._send(UseStarted(call.use_id, target.upstream))
 
-    def ended(self, call: Call, target: Target) -> None:
+    def ended(self, call: Call, target: Target, end: UseEnd) -> None:
         """Take in that an attempt has ended."""
         self._balancer.end(target.upstream)
         if call.adapter is not None:
-            self._send(UseEnded(call.use_id, target.upstream))
+            self._send(UseEnded(call.use_id, target.upstream, end))
 
     def _of_any_engine(self, call: Call) -> Choice:
         found = self._directory.view.of(call.service)
--- a/packages/ashhoist/src/ashhoist/requests/serving.py
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -9,7 +9,7 @@
 from ..logs import Logger
 from ..loop import Steps
 from ..metrics import Metrics
-from ..placement.asks import Refusal, Target
+from ..placement.asks import Refusal, Target, UseEnd
 from ..upstreams import Health
 from .attempt import (
     Answered,
@@ -83,12 +83,13 @@
                 return (yield from self._out_of_time(call, caller, relay))
             if isinstance(target, Refusal):
                 return (yield from self._refuse(call, caller, relay, target))
+            result: Result | WholeStream | None = None
             try:
                 result = yield from self._attempt(call, target, caller, relay, chooser)
             finally:
-                chooser.ended(call, target)
+                chooser.ended(call, target, _end_of_use(result))
             if isinstance(result, WholeStream):
-                self._note_time(call, target)
+                self._health.answered(target.upstream)
                 return Ending(result.status, "whole")
             self._note(call, target, result)
             if self._again(call, result, relay):
@@ -137,10 +138,6 @@
             return target.expected * EXPECTED_TIMES + LEAST_PATIENCE
         return max(call.route.aim * AIM_TIMES, LEAST_PATIENCE)
 
-    def _note_time(self, call: Call, target: Target) -> None:
-        took = self._clock.monotonic() - call.received_at
-        self._health.answered(target.upstream, took)
-
     def _note(self, call: Call, target: Target, result: Result) -> None:
         """Take in what an attempt says of its upstream, and of the call."""
         if isinstance(result, MayHaveRun | OutOfTime):
@@ -169,7 +166,7 @@
         if result.head.status >= SERVER_ERROR:
             self._health.failed(target.upstream)
             return
-        self._note_time(call, target)
+        self._health.answered(target.upstream)
 
     # Another attempt
 
@@ -315,6 +312,20 @@
         return Head(head.status, headers, head.values)
 
 
+def _end_of_use(result: Result | WholeStream | None) -> UseEnd:
+    """Return what the end of an attempt says of its upstream."""
+    if isinstance(result, WholeStream):
+        return UseEnd.WELL
+    if isinstance(result, Answered):
+        failed = result.head.status >= SERVER_ERROR
+        return UseEnd.FAILED if failed else UseEnd.WELL
+    if isinstance(result, NotRun):
+        return UseEnd.UNKNOWN if result.arrived else UseEnd.UNREACHABLE
+    if isinstance(result, MayHaveRun | OutOfTime):
+        return UseEnd.FAILED
+    return UseEnd.UNKNOWN
+
+
 def _reason_of(result: object) -> Reason:
     if isinstance(result, NotRun | MayHaveRun):
         return result.reason
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -37,7 +37,7 @@
 )
 from ashhoist.placement import Residency
 from ashhoist.placement.actions import AskReport
-from ashhoist.placement.asks import Target, UseEnded, Wanted
+from ashhoist.placement.asks import Target, UseEnd, UseEnded, Wanted
 from ashhoist.routing import EngineModel, EngineSettings, Service, ServingConfiguration
 from ashhoist.routing.in_force import InForce
 from ashhoist.store import (
@@ -672,7 +672,7 @@
             engine.users[name] = engine.users.get(name, 0) + 1
 
         def end() -> None:
-            core.agent.ended(UseEnded(wanted.id, target.upstream))
+            core.agent.ended(UseEnded(wanted.id, target.upstream, UseEnd.WELL))
             core.settle()
 
         def leave() -> None:
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -13,7 +13,7 @@
 from ashhoist.http import CallerConnection, Listener, Pool
 from ashhoist.loop import Steps
 from ashhoist.metrics import Metrics
-from ashhoist.placement.asks import Refusal, Target
+from ashhoist.placement.asks import Refusal, Target, UseEnd
 from ashhoist.requests import Dialect, Handler, RetryBudget
 from ashhoist.requests.attempt import Attempts
 from ashhoist.requests.call import Call
@@ -73,7 +73,7 @@
     def first_event(self, call: Call, target: Target) -> None:
         pass
 
-    def ended(self, call: Call, target: Target) -> None:
+    def ended(self, call: Call, target: Target, end: UseEnd) -> None:
         self.ended_count += 1
 
 
