A request waits for one load; what is promised to an engine counts as its work

And what waited together was loaded at the one idle engine, as what was on its way there did not count.

Change: a request whose adapter was loaded since it asked goes to the best engine that serves it. Prompts that wait for loads under way count as work of their engine.

--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -79,6 +79,11 @@
         Adapters that it can hold at once.
     copies : OrderedDict
         Versions of the adapters that it probably has copies of, oldest first.
+
+    Attributes
+    ----------
+    promised : int
+        Tokens of the prompts that wait for adapters on their way to it.
     """
 
     def __init__(
@@ -99,6 +104,7 @@
         self.lost: Order | None = None
         self.paused_until = timedelta()
         self.work = Work()
+        self.promised = 0
         self.models: set[str] = set(upstream.models)
         self.model_copies: set[str] = set()
         self.model_coming: EnginePlace | None = None
--- a/packages/ashhoist/src/ashhoist/placement/rounds.py
+++ b/packages/ashhoist/src/ashhoist/placement/rounds.py
@@ -1,6 +1,6 @@
 """One round of planning: what is loaded next, where, and what gives way for it."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -65,6 +65,8 @@
         All engines.
     open_zones : set of str
         The zones whose engines orders reach now.
+    waiting : iterable of WantedAdapter
+        All adapters that requests wait for.
     wait_at : callable
         Takes an engine and the tokens of a prompt; returns the wait for its first
         token.
@@ -75,6 +77,7 @@
         engines: Iterable[Engine],
         open_zones: set[str],
         popularity: Popularity,
+        waiting: Iterable[WantedAdapter],
         wait_at: Callable[[Engine, int], timedelta],
         now: timedelta,
     ) -> None:
@@ -86,6 +89,7 @@
         self._able = [engine for engine in self._engines if self._is_able(engine)]
         self._spare: dict[str, Room | None] = {}
         self._by_adapter = self._index()
+        self._note_promised(waiting)
 
     def _is_able(self, engine: Engine) -> bool:
         """Return whether an engine takes another load, now or soon."""
@@ -106,14 +110,25 @@
                 found.setdefault(order.adapter, []).append(engine)
         return found
 
+    def _note_promised(self, waiting: Iterable[WantedAdapter]) -> None:
+        """Count what will be read at each engine once its loads have ended.
+
+        Else all that wait at one moment would be sent to the engine that is idle.
+        """
+        for wanted in waiting:
+            for engine in self._bringing(wanted):
+                engine.promised += wanted.all_tokens
+
     def on_its_way(self, wanted: WantedAdapter) -> bool:
         """Return whether some engine is loading a wanted adapter."""
+        return any(True for _ in self._bringing(wanted))
+
+    def _bringing(self, wanted: WantedAdapter) -> Iterator[Engine]:
         for engine in self._by_adapter.get(wanted.adapter, ()):
             if engine.id in wanted.tried or engine.upstream.service != wanted.service:
                 continue
             if engine.brings(wanted.adapter, wanted.oldest_version, self._now):
-                return True
-        return False
+                yield engine
 
     def gain(self, wanted: WantedAdapter) -> float:
         """Return what a wanted adapter earns for each second until it answers."""
@@ -159,8 +174,9 @@
             self._spare[engine.id] = spare_room(engine, self._popularity, self._now)
         return self._spare[engine.id]
 
-    def ordered(self, engine: Engine) -> None:
+    def ordered(self, engine: Engine, wanted: WantedAdapter) -> None:
         """Note that an engine was sent an order: its room is another one now."""
+        engine.promised += wanted.all_tokens
         self._spare.pop(engine.id, None)
         if not self._is_able(engine) and engine in self._able:
             self._able.remove(engine)
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -218,19 +218,28 @@
         if news.serving_changed:
             self._act(Serving(engine.id, engine.serving()))
         if news.loaded is not None:
+            # What waits for it begins now; the next round counts the rest anew.
+            engine.promised = 0
             self._metrics.count("loads", "cold" if news.cold else "warm")
-        self._serve_waiting(engine)
+        self._serve_waiting(engine, news)
 
-    def _serve_waiting(self, engine: Engine) -> None:
+    def _serve_waiting(self, engine: Engine, news: EngineNews) -> None:
+        """Send what waits for an adapter that the engine serves now."""
+        load_began = self._clock.monotonic() - news.took
         for adapter in engine.serving():
             wanted = self.wants.of(engine.upstream.service, adapter)
             if wanted is None:
                 continue
             for want in list(wanted.by_id.values()):
-                soonest = self._soonest(want)
-                if soonest is not None:
+                # A request waits for one load: it was paid for, and the next one
+                # would end later still.
+                loaded_for_it = adapter == news.loaded and want.asked_at <= load_began
+                chosen = self._best_serving(want)
+                if not loaded_for_it:
+                    chosen = self._soonest(want)
+                if chosen is not None:
                     self.wants.remove(want.id)
-                    self._send_there(soonest, want)
+                    self._send_there(chosen, want)
 
     def _send_there(self, engine: Engine, want: Want) -> None:
         now = self._clock.monotonic()
@@ -248,14 +257,9 @@
         It waits where none serves its adapter, and where another engine would
         have loaded it and be at its prompt much sooner.
         """
-        serving = [
-            engine
-            for engine in self._engines_for(want)
-            if engine.serves(want.adapter, want.oldest_version)
-        ]
-        if not serving:
+        best = self._best_serving(want)
+        if best is None:
             return None
-        best = min(serving, key=lambda engine: self._wait_at(engine, want.tokens))
         first = self._wait_at(best, want.tokens)
         if first <= SOON_ENOUGH:
             return best
@@ -264,9 +268,23 @@
             return None
         return best
 
+    def _best_serving(self, want: Want) -> Engine | None:
+        """Return the engine that serves a request's adapter and begins soonest."""
+        serving = [
+            engine
+            for engine in self._engines_for(want)
+            if engine.serves(want.adapter, want.oldest_version)
+        ]
+        return min(
+            serving,
+            key=lambda engine: self._wait_at(engine, want.tokens),
+            default=None,
+        )
+
     def _wait_at(self, engine: Engine, tokens: int) -> timedelta:
         """Return the wait for a first token, with what a failing engine costs."""
-        wait = engine.work.first_after(tokens, self._clock.monotonic())
+        now = self._clock.monotonic()
+        wait = engine.work.first_after(tokens + engine.promised, now)
         wait += FAILURE_COST * self._health.share_failing(engine.id)
         if not self._health.usable(engine.id):
             wait += UNREACHABLE_COST
@@ -339,13 +357,19 @@
         self._has_news = False
         open_zones = self._find_open_zones()
         for engine in self.engines.values():
+            engine.promised = 0
             self._give_up_order(engine, now)
             self._maintain(engine, open_zones, now)
         self._bring_models(open_zones)
         if not len(self.wants):
             return
         round_ = Round(
-            self.engines.values(), open_zones, self.popularity, self._wait_at, now
+            self.engines.values(),
+            open_zones,
+            self.popularity,
+            self.wants.adapters(),
+            self._wait_at,
+            now,
         )
         self._give_up(round_, now)
         waiting = [wanted for wanted in self.wants.adapters() if wanted.adapter.name]
@@ -431,7 +455,7 @@
             self._unload(engine, room.after)
         else:
             self._load(engine, wanted.adapter, wanted.oldest_version)
-        round_.ordered(engine)
+        round_.ordered(engine, wanted)
 
     def _could_load(self, engine: Engine, adapter: Adapter, now: timedelta) -> bool:
         if not engine.orderly(now) or not self._may_order(engine.upstream.zone):
@@ -441,15 +465,9 @@
     def _settle_for_what_serves(self, wanted: WantedAdapter) -> None:
         """Send what waits for one more engine to those that serve already."""
         for want in list(wanted.by_id.values()):
-            serving = [
-                engine
-                for engine in self._engines_for(want)
-                if engine.serves(want.adapter, want.oldest_version)
-            ]
-            if not serving:
+            best = self._best_serving(want)
+            if best is None:
                 continue
-            tokens = want.tokens
-            best = min(serving, key=lambda engine: self._wait_at(engine, tokens))
             self.wants.remove(want.id)
             self._send_there(best, want)
 
--- a/packages/ashhoist/src/ashhoist/placement/wants.py
+++ b/packages/ashhoist/src/ashhoist/placement/wants.py
@@ -90,6 +90,11 @@
         """Return the size of the largest prompt."""
         return max(want.tokens for want in self.by_id.values())
 
+    @property
+    def all_tokens(self) -> int:
+        """Return the size of all prompts together."""
+        return sum(want.tokens for want in self.by_id.values())
+
     @property
     def zones(self) -> set[str]:
         """Return the zones of the instances where they wait."""
--- a/tests/test_engine_trust.py
+++ b/tests/test_engine_trust.py
@@ -1,75 +1,23 @@
 """Engines that fail, or say nothing, get fewer requests; and get them back."""
 
 import unittest
-from datetime import timedelta
-
-from ashhoist import logs
-from ashhoist.adapter import Adapter
-from ashhoist.clock import ManualClock
-from ashhoist.metrics import Metrics
-from ashhoist.orders import EngineReport
-from ashhoist.placement import Residency, Want
-from ashhoist.placement.actions import Placed, SchedulerAction
+
 from ashhoist.placement.asks import UseEnd
-from ashhoist.placement.scheduler import Scheduler
-from ashhoist.routing import EngineModel, EngineSettings
-from ashhoist.upstreams import Upstream
 
-MODEL, SERVICE = "base", "engines"
-ADAPTER = Adapter(MODEL, "a1")
-SECOND = timedelta(seconds=1)
-TOKENS = 800
+from .scheduler_world import SECOND, SERVICE, SchedulerWorld
 
 
 class TrustTests(unittest.TestCase):
     """Two engines serve the same adapter."""
 
     def setUp(self) -> None:
-        self.clock = ManualClock()
-        self.clock.advance(10 * SECOND)
-        self.actions: list[SchedulerAction] = []
-        self.scheduler = Scheduler(
-            lambda zone: True,
-            self.actions.append,
-            Residency(),
-            self.clock,
-            Metrics(),
-            logs.get("control"),
-        )
-        model = EngineModel(MODEL, 16000, SECOND, 100, 14)
-        settings = EngineSettings({MODEL: model}, 96, 16500, 6, 2.0)
-        upstreams = [
-            Upstream(name, SERVICE, f"{name}:1", "zone", slots=96, models=(MODEL,))
-            for name in ("one", "two")
-        ]
-        self.scheduler.set_upstreams({SERVICE: settings}, upstreams)
-        report = EngineReport(0, (MODEL,), (), {ADAPTER: 1}, {}, False, 0, 0)
-        for upstream in upstreams:
-            self.scheduler.reported(upstream.id, report)
-        self.number = 0
+        self.world = SchedulerWorld({"one": [1], "two": [1]})
+        self.scheduler = self.world.scheduler
+        self.clock = self.world.clock
 
     def place(self) -> tuple[str, str]:
         """Place a request; return its id and engine."""
-        self.number += 1
-        now = self.clock.monotonic()
-        want = Want(
-            f"r{self.number}",
-            "instance",
-            SERVICE,
-            ADAPTER,
-            0,
-            TOKENS,
-            1.0,
-            0.3,
-            now,
-            now + SECOND,
-            now + 5 * SECOND,
-            now + 2 * SECOND,
-        )
-        self.scheduler.want(want)
-        [placed] = [action for action in self.actions if isinstance(action, Placed)]
-        self.actions.clear()
-        return want.id, placed.upstream
+        return self.world.place(1)
 
     def finish(self, use: tuple[str, str], end: UseEnd, started: bool = True) -> None:
         use_id, upstream = use
@@ -127,8 +75,8 @@
 
     def test_a_failing_engine_is_better_than_none(self) -> None:
         self.fail(UseEnd.UNREACHABLE, 3)
-        only = self.scheduler.engines["one"].upstream
-        self.scheduler.set_upstreams(self.scheduler._settings, [only])
+        only = self.world.upstreams[:1]
+        self.scheduler.set_upstreams({SERVICE: self.world.settings}, only)
         self.assertEqual(self.place()[1], "one")
 
 
