A connection that broke while it was answered is not kept; a wait on a closed one ends its task

The error went past the task: its last part never ran, and its place among the connections was lost for good.

Change: a closed connection has no next request; an error in setting up a wait is thrown into the steps that wait.

Tests: both fail before.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -257,7 +257,7 @@
         """Make ready for the next request; return False if there is none."""
         self.answered += 1
         self._watched = True
-        if not self.keep or self._http.our_state is not h11.DONE:
+        if self.fileno() < 0 or not self.keep or self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
             return False
--- a/packages/ashhoist/src/ashhoist/loop/task.py
+++ b/packages/ashhoist/src/ashhoist/loop/task.py
@@ -15,7 +15,7 @@
 as ``Steps[Result]``.
 """
 
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from concurrent.futures import Future
 from dataclasses import dataclass
 from datetime import timedelta
@@ -95,8 +95,11 @@
             self._go_on(None)
 
     def _go_on(self, value: Any) -> None:
+        self._step(lambda: self._steps.send(value))
+
+    def _step(self, step: Callable[[], Any]) -> None:
         try:
-            waits = self._steps.send(value)
+            waits = step()
         except StopIteration as stop:
             self._end()
             self.result.set_result(stop.value)
@@ -108,7 +111,13 @@
             return
         if isinstance(waits, Future):
             waits = Wait(future=waits)
-        self._wait(waits)
+        try:
+            self._wait(waits)
+        except (OSError, ValueError) as error:
+            # It waits for a descriptor that is closed: its steps must know.
+            failed = error
+            self._stop_waiting()
+            self._step(lambda: self._steps.throw(failed))
 
     def _end(self) -> None:
         if self._alarm is not None:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -174,6 +174,25 @@
         self.assertTrue(task.result.cancelled())
 
 
+class ClosedDescriptorTests(unittest.TestCase):
+    def test_who_waits_for_a_closed_descriptor_is_told_and_ends(self) -> None:
+        loop = new_loop()
+        self.addCleanup(loop.close)
+        peer = socket.socket()
+        peer.close()
+        ended: list[str] = []
+
+        def steps() -> Steps[None]:
+            try:
+                yield Wait(readable=(peer.fileno(),))
+            finally:
+                ended.append("ended")
+
+        with self.assertRaises(ValueError):
+            run(loop, steps())
+        self.assertEqual(ended, ["ended"])
+
+
 class SocketTests(LoopTestCase):
     def reader(self, peer: socket.socket, until: timedelta) -> Steps[None]:
         while True:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -6,8 +6,11 @@
 import unittest
 from datetime import timedelta
 
+from ashhoist.http import CallerConnection, CallerGoneError
+from ashhoist.http.caller import CallerLimits
 from ashhoist.routing import Limits
 
+from .loops import new_loop, run
 from .platform_stand_ins.server import Call, Handler
 from .request_harness import DIALECT, HOST, ID, Harness, event, sealed
 
@@ -242,6 +245,23 @@
             third.close()
 
 
+class CallerConnectionTests(unittest.TestCase):
+    def test_a_connection_that_broke_during_its_answer_is_not_kept(self) -> None:
+        loop = new_loop()
+        self.addCleanup(loop.close)
+        here, there = socket.socketpair()
+        here.setblocking(False)
+        caller = CallerConnection(here, loop)
+        there.sendall(b"GET /safe/ HTTP/1.1\r\nHost: a\r\n\r\n")
+        run(loop, caller.read_request(CallerLimits()))
+        there.close()
+        until = loop.clock.monotonic() + timedelta(seconds=5)
+        with self.assertRaises(CallerGoneError):
+            run(loop, caller.respond(200, [], b"x", until))
+        caller.abort()
+        self.assertFalse(caller.next())
+
+
 class AnswerTests(RequestTestCase):
     """What is no whole answer of the upstream is never a success."""
 
