What was asked before a leader began is asked again

Cause (control cores in virtual time, 50 killed and started in one instant: 98 of 100 requests were never answered): followers elect the lowest rank before that one leads, and ask it; it passes the question over and answers with a beat. When it begins to lead, its followers' leader has not changed, so nothing was asked again: the requests waited until they were refused.

Ruled out: lost links, reports of engines (the leader knew all engines 0.63 s after the start, with nothing waiting there).

Change: the first beat in which the followed instance says that it leads makes its followers tell all that waits and runs.

Test: test_starts, requests 0.1 s after a start of all (fails before).

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -338,6 +338,7 @@
 
     def _beaten(self, peer: str, beat: messages.Beat) -> None:
         now = self._clock.monotonic()
+        led_before = self.peers.leads(peer)
         told_news = self.peers.beat(peer, beat, now)
         for row in beat.claims:
             self.leases.heard(Claim(*row))
@@ -345,6 +346,9 @@
         self._ask_for_instances(peer, beat.instances)
         if told_news:
             self._elect()
+        if beat.leads and not led_before and peer == self.leader:
+            # What it was told before it began to lead, it has passed over.
+            self.agent.greet_leader()
         for topic in SHARED_TOPICS:
             self.records.catch_up(peer, topic, beat.offsets.get(str(topic), -1))
 
--- a/packages/ashhoist/src/ashhoist/control/peers.py
+++ b/packages/ashhoist/src/ashhoist/control/peers.py
@@ -159,6 +159,11 @@
         self.revision += 1
         return True
 
+    def leads(self, name: str) -> bool:
+        """Return whether an instance has said that it schedules."""
+        peer = self.by_name.get(name)
+        return peer is not None and peer.leads
+
     def rows(self) -> list[list[object]]:
         """Return all instances as an `Instances` message has them."""
         return [
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -7,9 +7,11 @@
 from ashhoist.control.messages import Relay
 from ashhoist.control.relays import LARGEST, LONG, from_row, to_row
 from ashhoist.orders import LeaseTiming
+from ashhoist.placement.asks import Target
 from ashhoist.store import Record, Topic
 
 from .control_world import World
+from .test_leases import want
 
 ZONES = 3
 HUBS = 2 * ZONES
@@ -106,6 +108,31 @@
         self.assertTrue(world.run(1.2, ready))
 
 
+class FirstRequestTests(unittest.TestCase):
+    """All start anew; requests come before there is a leader."""
+
+    def setUp(self) -> None:
+        self.world = running()
+        for number in range(20):
+            want(self.world, f"instance-{number}", f"a{number}")
+        self.world.run(3.0)
+        for name in list(self.world.machines):
+            self.world.kill(name)
+        self.world.run(0.5)
+        self.world.start()
+        self.world.run(0.1)
+
+    def test_what_was_asked_before_the_leader_began_is_not_lost(self) -> None:
+        answers = [
+            want(self.world, name, f"a{number % 20}")
+            for number, name in enumerate(self.world.machines)
+        ]
+        answered = lambda: all(answer.done() for answer in answers)  # noqa: E731
+        self.assertTrue(self.world.run(1.5, answered))
+        for answer in answers:
+            self.assertIsInstance(answer.result(0), Target)
+
+
 class RelayTests(unittest.TestCase):
     @given(
         st.integers(0, 2**40),
