--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -26,7 +26,6 @@
 from ..routing.in_force import InForce
 from ..store import AppendResult, Newest, Unavailable
 from ..store.follower import Followed
-from ..types import Endpoint
 from ..upstreams import Directory, Health
 from . import messages
 from .agent import Agent
@@ -36,6 +35,7 @@
 from .hubs import Hubs, Identity
 from .knowledge import SHARED_TOPICS
 from .lookups import Lookups
+from .membership import Membership
 from .order_desk import OrderDesk
 from .order_leases import OrderLeases
 from .outside import Outside
@@ -48,7 +48,6 @@
 """How often links that are silent, or not needed, are looked for."""
 LAST_ORDERS = timedelta(milliseconds=600)
 """How long a planned stop waits for answers to its last orders."""
-REGISTER_AGAIN = timedelta(seconds=2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +95,9 @@
         holder = f"{settings.name}@{settings.address}"
         self.peers = Peers(settings.name)
         self._hubs = Hubs(settings.identity, self.peers, clock)
+        self.membership = Membership(
+            settings.identity, settings.seeds, self.peers, self._hubs, outside, clock
+        )
         self.agent = Agent(settings.zone, directory, self._tell_leader, clock)
         self.records = SharedRecords(
             decode,
@@ -119,7 +121,7 @@
             self.peers,
             self._hubs,
             outside,
-            lambda: self._knows_others and not self.peers.by_name,
+            lambda: self.membership.knows_others and not self.peers.by_name,
             clock,
             log,
         )
@@ -144,9 +146,6 @@
         )
         self._election = Election(settings.name, self.peers, self._hubs, clock)
         self.leader: str | None = None
-        self._seeds = settings.seeds
-        self._knows_others = False
-        self._register_at = ZERO
         self.stopping = False
         self._release_at: timedelta | None = None
         self._first_read = FirstRead(self._hubs, clock)
@@ -163,7 +162,6 @@
             clock,
         )
         self._looked_after_at = ZERO
-        self._links: tuple[tuple[str, ...], bool] = ((), False)
 
     @property
     def ready(self) -> bool:
@@ -179,12 +177,8 @@
 
     def start(self) -> None:
         """Register, and begin to link to the others."""
-        self._register(self._clock.monotonic())
-        self._relink()
-
-    def _register(self, now: timedelta) -> None:
-        self._register_at = now + REGISTER_AGAIN
-        self._outside.register()
+        self.membership.register_if_due()
+        self.membership.relink()
 
     def stop(self) -> None:
         """Begin a planned stop."""
@@ -197,15 +191,12 @@
 
     def instances(self, records: list[InstanceRecord]) -> None:
         """Take in that this instance is registered, and which others are."""
-        self._knows_others = True
-        for record in records:
-            self.peers.registered(record)
-        self._relink()
+        self.membership.registered(records)
         self._read_first()
 
     def _read_first(self) -> None:
         """Read the log while nothing is known, where peers are not the ones to ask."""
-        if not self._informed and self._first_read.due(self._knows_others):
+        if not self._informed and self._first_read.due(self.membership.knows_others):
             for topic in SHARED_TOPICS:
                 self._outside.read_now(topic)
 
@@ -214,27 +205,6 @@
         """Return whether this instance knows a configuration and the upstreams."""
         return self._in_force.table is not None and self.records.listed
 
-    def set_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Take in which instances to ask while none is linked."""
-        self._seeds = seeds
-        self._relink()
-
-    def _relink(self) -> None:
-        endpoints = self._hubs.to_link()
-        known = {endpoint.address for endpoint in endpoints}
-        if not self.peers.linked():
-            endpoints += [
-                Endpoint("", "", "", address)
-                for address in self._seeds
-                if address not in known and address != self._settings.address
-            ]
-        addresses = tuple(sorted(endpoint.address for endpoint in endpoints))
-        dials_all = not self._hubs.is_hub(self._settings.name)
-        if (addresses, dials_all) == self._links:
-            return
-        self._links = (addresses, dials_all)
-        self._outside.link(endpoints, dials_all)
-
     # What the log says
 
     def followed(self, followed: Followed) -> None:
@@ -281,13 +251,9 @@
         now = self._clock.monotonic()
         self.peers.up(peer, now)
         self._log.info("instance linked", peer=peer)
-        own = self._settings
-        introduce = messages.Introduce(
-            own.name, own.zone, own.address, own.capacity, self._knows_others
-        )
-        self._outside.send_to(peer, introduce)
+        self.membership.introduce(peer)
         self._beats.greet(peer, self.leader)
-        self._relink()
+        self.membership.relink()
 
     def peer_down(self, peer: str) -> None:
         """Take in that a link is gone."""
@@ -296,7 +262,7 @@
         self.scheduling.instance_gone(peer)
         self._beats.forget(peer)
         self._elect()
-        self._relink()
+        self.membership.relink()
 
     def peer_message(self, peer: str, message: Any) -> None:
         """Take in a message of a linked instance."""
@@ -307,34 +273,13 @@
         handler(self, peer, message)
 
     def _introduced(self, peer: str, message: messages.Introduce) -> None:
-        now = self._clock.monotonic()
-        record = InstanceRecord(
-            message.name, message.zone, message.address, message.capacity
-        )
-        self.peers.introduced(record, now)
-        if not message.knows_others:
-            self._asked_for_instances(peer, messages.AskInstances())
+        self.membership.introduced(peer, message)
 
     def _told_instances(self, peer: str, message: messages.Instances) -> None:
-        """Take in who is there from an instance that knows; the register knows best."""
-        for row in message.rows:
-            record = InstanceRecord(*row)
-            if self._knows_others and record.name in self.peers.by_name:
-                continue
-            self.peers.registered(record)
-        self._relink()
+        self.membership.told(message)
 
     def _asked_for_instances(self, peer: str, message: messages.AskInstances) -> None:
-        self._outside.send_to(peer, messages.Instances(self.peers.rows()))
-
-    def _ask_for_instances(self, peer: str, known_there: int) -> None:
-        """Ask a peer that knows more instances, while each should link to each.
-
-        Who started early has read of few. Where there are many by now, it would
-        go on with links to all of those few.
-        """
-        if self._hubs.all_linked and known_there > len(self.peers.by_name):
-            self._outside.send_to(peer, messages.AskInstances())
+        self.membership.asked(peer)
 
     def _beaten(self, peer: str, beat: messages.Beat) -> None:
         now = self._clock.monotonic()
@@ -343,7 +288,7 @@
         for row in beat.claims:
             self.leases.heard(Claim(*row))
         self.scheduling.heard(beat.epoch)
-        self._ask_for_instances(peer, beat.instances)
+        self.membership.compare(peer, beat.instances)
         if told_news:
             self._elect()
         if beat.leads and not led_before and peer == self.leader:
@@ -473,7 +418,7 @@
             return
         self.leader = leader
         self._log.info("leader changed", leader=leader)
-        self._relink()
+        self.membership.relink()
         if leader is None:
             return
         self.agent.greet_leader()
@@ -508,8 +453,8 @@
     def tick(self) -> None:
         """Do what is due by time."""
         now = self._clock.monotonic()
-        if not self._knows_others and not self.stopping and now >= self._register_at:
-            self._register(now)
+        if not self.stopping:
+            self.membership.register_if_due()
         self._read_first()
         self.records.tick()
         self._release_when_quiet(now)
@@ -540,7 +485,7 @@
         for peer in self._hubs.surplus():
             self._outside.drop(peer, "surplus")
         self.peers.forget_lost(now)
-        self._relink()
+        self.membership.relink()
 
     def _make_beat(self, every: timedelta, claims: list[Claim]) -> messages.Beat:
         return messages.Beat(
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -286,7 +286,7 @@
         self.settings = settings
         retries = settings.retries
         self._budget.set(retries.ratio, retries.extra, retries.window)
-        self.control.core.set_seeds(settings.instance.seeds)
+        self.control.core.membership.set_seeds(settings.instance.seeds)
 
     def idle(self) -> bool:
         """Return whether nothing is in flight and all is handed over."""
