A holder whose token an engine refuses rests it and claims anew

Orders with the same token went on, each refused again, for as long as the lease was renewed; nothing was loaded.

Weighed and not done: succeeding a holder that can't be reached within a second where engines check tokens. One that lives and is only unreachable from its rival goes on to order until it learns of the claim: orders of A, B and A reach an engine within the three seconds in which turns are forbidden, refused or not. Waiting the term out is what rules that out; a holder that starts again on its machine claims at once as it is.

Change: the answer is named (FENCED), its token is used no more, a new claim follows, and its first order waits as after another holder.

Tests: RefusedTokenTests (the request is never answered before), two of the state machine.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -433,6 +433,8 @@
     def order_answered(self, order: Order, answer: OrderAnswer) -> None:
         """Take in how an order ended."""
         self.desk.ended()
+        if answer is OrderAnswer.FENCED:
+            self.leases.order_fenced(order.zone, order.fence)
         if order.origin == self._settings.name:
             self.scheduling.answered(order.upstream, order.number, answer)
             return
--- a/packages/ashhoist/src/ashhoist/control/order_leases.py
+++ b/packages/ashhoist/src/ashhoist/control/order_leases.py
@@ -140,6 +140,13 @@
         young = self._clock.monotonic() - self._began < LINKS_AWAITED
         return young and not self._peers.linked() and not self._is_alone()
 
+    def order_fenced(self, zone: str, token: int) -> None:
+        """Take in that an engine refused an order: it has seen a higher token."""
+        lease = self._leases.get(zone)
+        if lease is not None:
+            self._log.info("lease token refused", zone=zone, token=token)
+            lease.refused(token)
+
     def _set_ranks(self) -> None:
         if self._ranked_at == (self._peers.revision, len(self._leases)):
             return
--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -6,6 +6,9 @@
 which is later; and its claim is appended only if the topic has not grown, so a
 renewal in between makes it fail. The same machine may claim again at once: its
 earlier process has ended.
+
+Where engines do check tokens, one that refuses this holder's has been ordered by a
+successor: no order leaves with that token any more, and the holder claims anew.
 """
 
 from dataclasses import dataclass, replace
@@ -166,6 +169,7 @@
         self._resting = False
         self._stopping = False
         self._rank = 0
+        self._refused_token: int | None = None
 
     # What others need to know
 
@@ -182,6 +186,8 @@
             return None
         if self._resting or claim.released or now < self._orders_from:
             return None
+        if claim.token == self._refused_token:
+            return None
         until = self._renewed_at + self._timing.term - self._timing.send_margin
         return claim.token if now < until else None
 
@@ -201,6 +207,10 @@
         """Set how many instances should try to claim before this one."""
         self._rank = rank
 
+    def refused(self, token: int) -> None:
+        """Take in that an engine has seen a higher token than this one."""
+        self._refused_token = token
+
     def rest(self) -> None:
         """Permit no order any more, but keep the lease."""
         self._resting = True
@@ -244,6 +254,8 @@
         assert self._claim is not None and self._renewed_at is not None
         if self._stopping:
             return self._append(self._renewal(released=True), now)
+        if self._claim.token == self._refused_token:
+            return self._append(self._first_claim(), now)
         if now < self._renewed_at + self._timing.renew_every:
             return None
         return self._append(self._renewal(), now)
@@ -344,11 +356,13 @@
         """Set when the first order may be sent, behind the claim `before`.
 
         If this machine held the lease right before the last holder, its own
-        last order may be a moment ago.
+        last order may be a moment ago; so may it if an engine has refused its token.
         """
         returns = (
             before is not None
             and before.holder != self._own
             and before.before == self._own
         )
-        self._orders_from = now + self._timing.turn if returns else now
+        was_refused = before is not None and before.token == self._refused_token
+        waits = returns or was_refused
+        self._orders_from = now + self._timing.turn if waits else now
--- a/packages/ashhoist/src/ashhoist/orders/order.py
+++ b/packages/ashhoist/src/ashhoist/orders/order.py
@@ -60,6 +60,8 @@
     """Another order count, or too much under way; nothing was done."""
     REFUSED = "refused"
     """It will never be carried out in this form."""
+    FENCED = "fenced"
+    """The engine has seen a higher fencing token; it was not carried out."""
     NOT_SENT = "not_sent"
     """No byte has left."""
     UNKNOWN = "unknown"
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -215,6 +215,9 @@
             return EngineNews()
         if answer is OrderAnswer.CONFLICT and not order.adapter.name:
             return self._model_answered(order, OrderAnswer.ACCEPTED, now)
+        if answer is OrderAnswer.FENCED:
+            # Another instance has ordered it meanwhile: read what it holds now.
+            return self._refused(order, OrderAnswer.REFUSED, now)
         if answer in (OrderAnswer.CONFLICT, OrderAnswer.REFUSED):
             return self._refused(order, answer, now)
         if not order.adapter.name:
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -190,6 +190,7 @@
         self.counts_bytes = False
         self.far_bytes: Counter[str] = Counter()
         self.sent: Counter[str] = Counter()
+        self.refuse_below = -1
         self.deaf = False
         self.seeds: tuple[str, ...] = ()
         self.registered: set[str] = set(self.machines)
@@ -615,8 +616,10 @@
             self.after(3.0, lambda: self._carry_out(engine, order))
             self._answer_order(machine, core, order, OrderAnswer.UNKNOWN, 0.25)
             return
-        status = self._carry_out(engine, order)
-        answer = ANSWERS.get(status, OrderAnswer.REFUSED)
+        answer = OrderAnswer.FENCED
+        if order.fence >= self.refuse_below:
+            status = self._carry_out(engine, order)
+            answer = ANSWERS.get(status, OrderAnswer.REFUSED)
         self._answer_order(machine, core, order, answer, LINK_S)
 
     def _carry_out(self, engine: EngineState, order: Order) -> int:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -440,6 +440,27 @@
         self.assertTrue(any(day.world.broken_turns() for day in days))
 
 
+class RefusedTokenTests(unittest.TestCase):
+    """An engine that checks tokens has seen a higher one than the holder's."""
+
+    def test_no_order_with_that_token_follows_and_loads_go_on(self) -> None:
+        world = World(3, 2, LeaseTiming())
+        world.start()
+        world.run(3.0)
+        [holder] = world.holders()
+        core = world.machines[holder].core
+        assert core is not None
+        token = core.leases.fence("zone-0")
+        assert token is not None
+        world.refuse_below = token + 1
+        answer = want(world, "instance-0", "a1", 30.0)
+        world.run(12.0)
+        self.assertIsInstance(answer.result(0), Target)
+        refused = [order for order in world.seen if order.fence == token]
+        # What was under way when the first was refused.
+        self.assertLessEqual(len(refused), 2)
+
+
 class LeaseTests(unittest.TestCase):
     """The state machine by itself."""
 
@@ -495,6 +516,27 @@
         self.lease.appended(self.claim(), Appended(6))
         self.assertIsNone(self.lease.fence())
 
+    def test_a_refused_token_rests_and_another_one_is_claimed(self) -> None:
+        self.read(end=0)
+        self.lease.appended(self.claim(), Appended(0))
+        self.assertEqual(self.lease.fence(), 0)
+        self.lease.refused(0)
+        self.assertIsNone(self.lease.fence())
+        action = self.claim()
+        self.assertEqual(action.claim.fence, -1)
+        self.lease.appended(action, Appended(7))
+        # Whoever has ordered meanwhile may have done so a moment ago.
+        self.assertIsNone(self.lease.fence())
+
+    def test_after_its_turn_the_new_token_counts(self) -> None:
+        lease = self.lease = Lease("orders", "one", "one-1", LeaseTiming(), self.clock)
+        self.read(end=0)
+        lease.appended(self.claim(), Appended(0))
+        lease.refused(0)
+        lease.appended(self.claim(), Appended(7))
+        self.clock.advance(LeaseTiming().turn)
+        self.assertEqual(lease.fence(), 7)
+
     def test_the_fence_stays_while_the_lease_is_renewed(self) -> None:
         self.read(end=0)
         self.lease.appended(self.claim(), Appended(0))
