--- a/packages/ashhoist/src/ashhoist/loop/loop.py
+++ b/packages/ashhoist/src/ashhoist/loop/loop.py
@@ -24,6 +24,8 @@
 MOST_EVENTS = 256
 """Sockets that are served in one turn; the others follow in the next."""
 NO_WAIT = 0.0
+LONG_TURN = timedelta(milliseconds=50)
+"""A turn that takes so long is logged: all else has waited for it."""
 
 Callback = Callable[[], None]
 
@@ -67,12 +69,18 @@
         Timers go by its monotonic time.
     poller : Poller or None
         What waits for sockets; None takes the operating system's.
+
+    Attributes
+    ----------
+    on_turn : callable or None
+        Takes how long each turn took, its wait left out.
     """
 
     def __init__(self, clock: Clock, log: Logger, poller: Poller | None = None) -> None:
         self.clock = clock
         self.log = log
         self.turns = 0
+        self.on_turn: Callable[[timedelta], None] | None = None
         self._poller: Poller = select.epoll() if poller is None else poller
         self._masks: dict[int, int] = {}
         self._readers: dict[int, Callback] = {}
@@ -98,6 +106,7 @@
     def run_turn(self) -> None:
         """Wait once, then run all that is due."""
         events = self._poller.poll(self._longest_wait(), MOST_EVENTS)
+        began = self.clock.monotonic()
         self.turns += 1
         for descriptor, mask in events:
             self._dispatch(descriptor, mask)
@@ -107,6 +116,15 @@
         ends, self._at_end_of_turn = self._at_end_of_turn, []
         for callback in ends:
             self._guarded(callback)
+        self._measure_turn(began, len(events))
+
+    def _measure_turn(self, began: timedelta, events: int) -> None:
+        took = self.clock.monotonic() - began
+        if self.on_turn is not None:
+            self.on_turn(took)
+        if took >= LONG_TURN:
+            took_ms = round(took / timedelta(milliseconds=1))
+            self.log.warning("loop held up", took_ms=took_ms, events=events)
 
     def stop(self) -> None:
         """End `run` after the present turn."""
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -14,7 +14,7 @@
     from prometheus_client import Metric
 
 RECENT_KEPT = 4096
-SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
+SECONDS = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
 
 COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
     "orders": ("Orders to engines that ended", ("kind", "answer")),
@@ -35,6 +35,7 @@
     "request_seconds": "Time from a request's first byte to its end",
     "load_stall_seconds": "Time that requests waited for their adapter",
     "queue_seconds": "Time that requests waited before they were sent",
+    "loop_turn_seconds": "Time for which all else waited on a turn of the event loop",
     "batch_fill": "Running requests over the largest batch, when one is sent",
 }
 GAUGES: dict[str, tuple[str, tuple[str, ...]]] = {
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -321,6 +321,9 @@
         _write_at_end_of_turns(writer, loop)
     signals = Signals(loop)
     process = Process(settings, platform, loop)
+    loop.on_turn = lambda took: process.metrics.observe(
+        "loop_turn_seconds", took.total_seconds()
+    )
     process.start()
     watcher = SettingsWatcher(path, settings, logs.get("settings"))
     life = Task(loop, process.live(signals, watcher), "life")
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+import unittest.mock
 from concurrent.futures import Future
 from datetime import timedelta
 from typing import Any
@@ -53,6 +54,29 @@
         return events
 
 
+class LongTurnTests(unittest.TestCase):
+    """A callback that holds up all others is seen."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.loop = Loop(self.clock, logs.get("loop"), CountingPoller(self.clock))
+        self.addCleanup(self.loop.close)
+        self.turns: list[timedelta] = []
+        self.loop.on_turn = self.turns.append
+
+    def test_a_turn_is_measured_without_its_wait(self) -> None:
+        took = timedelta(milliseconds=30)
+        self.loop.call_at(SECOND, lambda: self.clock.advance(took))
+        self.loop.run_turn()
+        self.assertEqual(self.turns, [took])
+
+    def test_a_long_turn_is_logged(self) -> None:
+        self.loop.call_soon(lambda: self.clock.advance(timedelta(milliseconds=80)))
+        with unittest.mock.patch.object(self.loop, "log") as log:
+            self.loop.run_turn()
+        log.warning.assert_called_once_with("loop held up", took_ms=80, events=0)
+
+
 class LoopTestCase(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
