A new leader places requests before engines report to it

Cause (control cores in virtual time: a killed leader's successor answers a request for an adapter that engines hold after 0.275 s): it knows what engines serve, as every hub does, but began with empty places and waited for each engine's report.

Ruled out: finding the successor (0.025 s when the link breaks).

Change: places begin with what the last leader told; orders still wait for the report. Found on the way: greeting oneself as leader changed the questions while they were read.

Tests: NewLeaderTests (first fails before); test_no_two_holders_order_in_turn found the other.

--- a/packages/ashhoist/src/ashhoist/control/agent.py
+++ b/packages/ashhoist/src/ashhoist/control/agent.py
@@ -132,7 +132,7 @@
     def greet_leader(self) -> None:
         """Tell a new leader all that is under way and all that waits."""
         self._tell_leader(self._all_uses())
-        for wanted in self._open.values():
+        for wanted in list(self._open.values()):
             self._tell_leader(self._ask(wanted))
 
     # What runs at engines
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -194,6 +194,17 @@
         warm = self.has_copy(adapter, version)
         return self.warm_load if warm else self.cold_load
 
+    def expect(self, held: dict[Adapter, int], now: timedelta) -> None:
+        """Take what an earlier leader told of its places for true until it reports.
+
+        Requests for what it holds need not wait for its report; orders do.
+        """
+        for adapter, version in held.items():
+            if adapter.name:
+                place = EnginePlace(adapter, version, PlaceState.SERVING, now, now)
+                place.used_at = now
+                self.places[adapter] = place
+
     # Orders
 
     def begin(self, order: Order, now: timedelta) -> None:
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -57,7 +57,7 @@
     act : callable
         Carries out an action.
     residency : Residency
-        What the last holder has told of copies.
+        What the last leader has told of places and copies.
     """
 
     def __init__(
@@ -121,6 +121,8 @@
                 places = settings[upstream.service].adapter_places
                 copies = self._residency.copies(upstream.id)
                 engine = Engine(upstream, places, copies)
+                held = self._residency.of(upstream.id)
+                engine.expect(held, self._clock.monotonic())
                 self.engines[upstream.id] = engine
             engine.upstream = upstream
 
--- a/tests/scheduler_world.py
+++ b/tests/scheduler_world.py
@@ -36,10 +36,11 @@
         self.clock = ManualClock()
         self.clock.advance(10 * SECOND)
         self.actions: list[SchedulerAction] = []
+        self.residency = Residency()
         self.scheduler = Scheduler(
             lambda zone: True,
             self.actions.append,
-            Residency(),
+            self.residency,
             self.clock,
             Metrics(),
             logs.get("control"),
@@ -52,11 +53,23 @@
         ]
         self.scheduler.set_upstreams({SERVICE: self.settings}, self.upstreams)
         for name, numbers in held.items():
-            serves = {adapter(number): 1 for number in numbers}
-            report = EngineReport(0, (MODEL,), (), serves, {}, False, 0, 0)
-            self.scheduler.reported(name, report)
+            self.report(name, numbers)
         self._requests = 0
 
+    def report(self, engine: str, numbers: list[int]) -> None:
+        """Let an engine say what it holds."""
+        serves = {adapter(number): 1 for number in numbers}
+        report = EngineReport(0, (MODEL,), (), serves, {}, False, 0, 0)
+        self.scheduler.reported(engine, report)
+
+    def add_engine(self, name: str) -> None:
+        """Let there be one more engine, which has not reported yet."""
+        upstream = Upstream(
+            name, SERVICE, f"{name}:1", "zone", slots=96, models=(MODEL,)
+        )
+        self.upstreams.append(upstream)
+        self.scheduler.set_upstreams({SERVICE: self.settings}, self.upstreams)
+
     def want(
         self, number: int, tokens: int = 800, worth: float = 1.0, aim_s: float = 1.0
     ) -> str:
--- a/tests/test_residency_feed.py
+++ b/tests/test_residency_feed.py
@@ -13,6 +13,7 @@
 from ashhoist.placement.residency import Place
 
 from .control_world import MODEL, World
+from .scheduler_world import SchedulerWorld, adapter
 from .test_leases import want
 
 ZONES = 3
@@ -91,6 +92,32 @@
         self.assertEqual(self.residency.of("e"), {A3: 2})
 
 
+class NewLeaderTests(unittest.TestCase):
+    """A leader that begins knows what the last one told of an engine."""
+
+    def setUp(self) -> None:
+        self.world = SchedulerWorld({"one": []})
+        self.world.residency.put(1, "two", {Adapter(MODEL): 0, adapter(7): 1})
+        self.world.add_engine("two")
+
+    def test_requests_go_there_before_it_reports(self) -> None:
+        _, upstream = self.world.place(7)
+        self.assertEqual(upstream, "two")
+
+    def test_no_order_does(self) -> None:
+        self.world.want(8)
+        for _ in range(6):
+            orders = self.world.plan()
+            self.assertNotIn("two", [order.upstream for order in orders])
+
+    def test_its_report_knows_better(self) -> None:
+        self.world.report("two", [9])
+        want_id = self.world.want(7)
+        self.assertNotIn(want_id, self.world.placed())
+        _, upstream = self.world.place(9)
+        self.assertEqual(upstream, "two")
+
+
 class ManyInstancesTests(unittest.TestCase):
     """Forty instances, six of them hubs."""
 
