--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -329,14 +329,10 @@
         self._outside.lease_call_for(peer, message)
 
     def _claims_read(self, peer: str, message: messages.ClaimsRead) -> None:
-        calls = self.leases.of_zone(message.zone)
-        if calls is not None:
-            calls.claims_read(peer, message)
+        self.leases.claims_read(peer, message)
 
     def _claim_appended(self, peer: str, message: messages.ClaimAppended) -> None:
-        calls = self.leases.of_zone(message.zone)
-        if calls is not None:
-            calls.claim_appended(peer, message)
+        self.leases.claim_appended(peer, message)
 
     def _carry(self, peer: str, message: messages.Carry) -> None:
         self.desk.carry(peer, message)
--- a/packages/ashhoist/src/ashhoist/control/order_leases.py
+++ b/packages/ashhoist/src/ashhoist/control/order_leases.py
@@ -13,6 +13,7 @@
 from ..logs import Logger
 from ..orders import AppendClaim, Claim, Lease, LeaseTiming
 from ..store import AppendResult, Newest, Unavailable
+from . import messages
 from .hubs import Hubs, Identity
 from .lease_calls import LeaseCalls
 from .outside import Outside
@@ -179,9 +180,17 @@
         """Take in how an append of this instance ended."""
         self._calls[action.claim.key].appended(action, result)
 
-    def of_zone(self, zone: str) -> LeaseCalls | None:
-        """Return the calls of one zone's lease."""
-        return self._calls.get(zone)
+    def claims_read(self, peer: str, message: messages.ClaimsRead) -> None:
+        """Take in the newest claims that an instance has read for this one."""
+        calls = self._calls.get(message.zone)
+        if calls is not None:
+            calls.claims_read(peer, message)
+
+    def claim_appended(self, peer: str, message: messages.ClaimAppended) -> None:
+        """Take in how an append that an instance has made for this one ended."""
+        calls = self._calls.get(message.zone)
+        if calls is not None:
+            calls.claim_appended(peer, message)
 
     def _note_holding(self) -> None:
         held = set(self.held)
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import replace
 from datetime import timedelta
 
 from ..adapter import Adapter
@@ -13,11 +12,10 @@
 from ..failures import Reason
 from ..logs import Logger
 from ..metrics import Metrics
-from ..orders.order import EngineReport, Order, OrderAnswer, OrderKind
+from ..orders.order import EngineReport, OrderAnswer, OrderKind
 from ..routing import EngineSettings
 from ..upstreams import Health, Upstream
 from .actions import (
-    AskReport,
     Beginning,
     Held,
     Placed,
@@ -27,6 +25,7 @@
 )
 from .asks import UseEnd
 from .engine import Engine, EngineNews, PlaceState
+from .engine_orders import EngineOrders
 from .models import ModelLoads
 from .popularity import Popularity
 from .residency import Residency
@@ -78,7 +77,7 @@
         self._settings: dict[str, EngineSettings] = {}
         self._models = ModelLoads(clock)
         self._health = Health(clock)
-        self._orders = 0
+        self._orders = EngineOrders(act, clock)
         self._planned_at = -PLAN_EVERY
         self._has_news = True
         self.engines: dict[str, Engine] = {}
@@ -361,7 +360,7 @@
         for engine in self.engines.values():
             engine.promised = 0
             self._give_up_order(engine, now)
-            self._maintain(engine, open_zones, now)
+            self._orders.look_after(engine, open_zones, now)
         self._bring_models(open_zones)
         if not len(self.wants):
             return
@@ -400,36 +399,6 @@
         if order is not None and now - engine.sent_at > ORDER_LOST_AFTER:
             self.answered(engine.id, order.number, OrderAnswer.UNKNOWN)
 
-    def _maintain(self, engine: Engine, open_zones: set[str], now: timedelta) -> None:
-        """Ask what has to be asked: lost orders, reports, loads that should end."""
-        if engine.report_due(now):
-            engine.reporting = True
-            self._act(AskReport(engine.id, engine.upstream.address))
-            return
-        if engine.sending is not None or now < engine.paused_until:
-            return
-        if engine.upstream.zone not in open_zones:
-            return
-        model = engine.model_coming
-        if engine.lost is None and model is not None:
-            if model.look_at <= now:
-                self._load(engine, model.adapter, 0)
-            return
-        if engine.lost is not None:
-            self._send(engine, engine.lost)
-            return
-        if not engine.can_order(now):
-            return
-        for place in engine.places.values():
-            if place.look_at > now:
-                continue
-            if place.state is PlaceState.COMING:
-                self._load(engine, place.adapter, place.version)
-                return
-            if place.state is PlaceState.GOING:
-                self._unload(engine, place.adapter)
-                return
-
     def _bring_models(self, open_zones: set[str]) -> None:
         """Load a base model on engines that hold none."""
         reached = {
@@ -439,7 +408,7 @@
         }
         for choice in self._models.due(reached, self._settings, self.popularity):
             engine = self.engines[choice.upstream]
-            self._load(engine, Adapter(choice.model), 0)
+            self._orders.load(engine, Adapter(choice.model), 0)
 
     def _bring(self, round_: Round, wanted: WantedAdapter, now: timedelta) -> None:
         """Load a wanted adapter, or make room for it."""
@@ -454,9 +423,9 @@
         room = round_.room(engine, wanted.adapter)
         assert room is not None
         if room.after is not None:
-            self._unload(engine, room.after)
+            self._orders.unload(engine, room.after)
         else:
-            self._load(engine, wanted.adapter, wanted.oldest_version)
+            self._orders.load(engine, wanted.adapter, wanted.oldest_version)
         round_.ordered(engine, wanted)
 
     def _could_load(self, engine: Engine, adapter: Adapter, now: timedelta) -> bool:
@@ -472,36 +441,3 @@
                 continue
             self.wants.remove(want.id)
             self._send_there(best, want)
-
-    def _load(self, engine: Engine, adapter: Adapter, version: int) -> None:
-        assert engine.order_count is not None
-        order = Order(
-            engine.id,
-            engine.upstream.address,
-            OrderKind.LOAD,
-            adapter,
-            engine.order_count,
-            version or None,
-            engine.upstream.zone,
-        )
-        self._send(engine, order)
-
-    def _unload(self, engine: Engine, adapter: Adapter) -> None:
-        assert engine.order_count is not None
-        if engine.leave(adapter):
-            self._act(Serving(engine.id, engine.serving()))
-        order = Order(
-            engine.id,
-            engine.upstream.address,
-            OrderKind.UNLOAD,
-            adapter,
-            engine.order_count,
-            zone=engine.upstream.zone,
-        )
-        self._send(engine, order)
-
-    def _send(self, engine: Engine, order: Order) -> None:
-        self._orders += 1
-        order = replace(order, number=self._orders)
-        engine.begin(order, self._clock.monotonic())
-        self._act(order)
