Only who knows all that the log says passes for one that does, and takes callers

Cause (reading the change that lets starters ask their peers): an instance that had been pushed one small record told others its offset as how far it knew, and answered a question for all records with that one; the asker took it for the whole list of upstreams, or of named versions. And of more than 2,000 records the first 2,000 were sent as if they were all.

Change: each topic is whole once it was read, or told without a gap from its beginning; before that it is told to nobody, no offset is named and the instance is not ready. Parts that don't fit one message follow one another.

Tests: test_starts (2,500 named versions; one that knows a part: both fail before).

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -203,7 +203,7 @@
     @property
     def _informed(self) -> bool:
         """Return whether this instance knows a configuration and the upstreams."""
-        return self._in_force.table is not None and self.records.listed
+        return self._in_force.table is not None and self.records.knows_all
 
     # What the log says
 
--- a/packages/ashhoist/src/ashhoist/control/knowledge.py
+++ b/packages/ashhoist/src/ashhoist/control/knowledge.py
@@ -29,12 +29,16 @@
     offset : int
         Of the newest record that has changed something.
     seen : int
-        How far the topic was read, or told.
+        How far the topic was read, or told, without a gap.
+    whole : bool
+        Whether all keys were read, or told, once. Who knows but some of them must
+        not pass for one that knows all, here or to others.
     """
 
     by_key: dict[str, Record] = field(default_factory=dict)
     offset: int = -1
     seen: int = -1
+    whole: bool = False
     read_at: timedelta = ZERO
     behind_since: timedelta | None = None
     pulled_at: timedelta | None = None
@@ -60,9 +64,22 @@
         state = self._topics[topic]
         state.seen = max(state.seen, offset)
 
+    def known_to(self, topic: Topic) -> int:
+        """Return up to which offset all changes are known here; -1 if not all are."""
+        state = self._topics[topic]
+        return min(state.offset, state.seen) if state.whole else -1
+
+    def is_whole(self, topic: Topic) -> bool:
+        """Return whether all keys of a topic are known."""
+        return self._topics[topic].whole
+
+    def note_whole(self, topic: Topic) -> None:
+        """Note that all keys of a topic were read, or told."""
+        self._topics[topic].whole = True
+
     def offsets(self) -> dict[str, int]:
-        """Return the newest offset of each topic at which something changed."""
-        return {str(topic): state.offset for topic, state in self._topics.items()}
+        """Return for each topic up to which offset all changes are known here."""
+        return {str(topic): self.known_to(topic) for topic in self._topics}
 
     def is_news(self, topic: Topic, record: Record) -> bool:
         """Return whether a record is newer than what is known of its key."""
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -18,7 +18,7 @@
 from . import messages
 from .changes import Change, ConfigurationPut, UpstreamEnded, UpstreamPut, VersionNamed
 from .hubs import Hubs
-from .knowledge import Knowledge
+from .knowledge import MOST_RELAYED, SHARED_TOPICS, Knowledge
 from .outside import Outside
 from .peers import Peers
 from .relays import from_row, to_row
@@ -67,7 +67,6 @@
         self._metrics = metrics
         self._log = log
         self.knowledge = Knowledge()
-        self.listed = False
         self._lapses = Lapses(clock)
         self._furthest: dict[Topic, tuple[str, int]] = {}
 
@@ -75,7 +74,12 @@
     def reads_log(self) -> bool:
         """Return whether the log has answered this instance lately."""
         age = self._clock.monotonic() - self.knowledge.read_at(Topic.UPSTREAMS)
-        return self.listed and age < READS_LOG_FOR
+        return self.knows_all and age < READS_LOG_FOR
+
+    @property
+    def knows_all(self) -> bool:
+        """Return whether all that the log says was read, or told."""
+        return all(self.knowledge.is_whole(topic) for topic in SHARED_TOPICS)
 
     # Taken in
 
@@ -90,6 +94,7 @@
         if followed.whole:
             listed = {record.key for record in followed.records}
             self._drop_unlisted(topic, listed, followed.end)
+            self.knowledge.note_whole(topic)
         self.knowledge.reached(topic, followed.read_to, now)
         self._batch_taken(topic)
         if fresh:
@@ -99,7 +104,6 @@
         """Put in force what a batch of records says of upstreams together."""
         if topic is not Topic.UPSTREAMS:
             return
-        self.listed = True
         known = len(self._directory.view.by_id)
         for upstream, offset in self._lapses.settle(known):
             self._end_now(upstream, offset)
@@ -236,26 +240,41 @@
         """Tell a peer what it lacks."""
         topic = Topic(pull.topic)
         rows = [to_row(record) for record in self.knowledge.after(topic, pull.after)]
-        newest = self.knowledge.offset(topic)
-        if rows:
-            relay = messages.Relay(pull.topic, pull.after, newest, rows)
-            self._outside.send_to(peer, relay)
+        if not rows or not self.knowledge.is_whole(topic):
+            # One that knows but a part would pass it on as all there is.
+            return
+        up_to = self.knowledge.known_to(topic)
+        if len(rows) == MOST_RELAYED:
+            up_to = min(up_to, rows[-1][0])
+        relay = messages.Relay(pull.topic, pull.after, up_to, rows)
+        self._outside.send_to(peer, relay)
 
     def relayed(self, peer: str, relay: messages.Relay) -> None:
         """Take in records that a peer has read."""
         topic = Topic(relay.topic)
         records = [from_row(row) for row in relay.records]
         fresh = [record for record in records if self._take_record(topic, record)]
-        if relay.after <= self.knowledge.seen(topic):
+        seen = self.knowledge.seen(topic)
+        if relay.after <= seen:
             self.knowledge.see(topic, relay.up_to)
-            self._batch_taken(topic)
+            self._go_on(peer, topic, seen)
         else:
-            # Some upstreams are not known yet: to take work now would refuse it.
             self.catch_up(peer, topic, relay.up_to)
-            self._upstreams_changed()
+        self._batch_taken(topic)
         if sum(_size(record) for record in fresh) > MOST_PUSHED:
             self._announce(topic, self._hubs.members())
 
+    def _go_on(self, peer: str, topic: Topic, seen_before: int) -> None:
+        """Ask for the next part of what a peer knows, or note that it was the last."""
+        seen = self.knowledge.seen(topic)
+        _, furthest = self._furthest.get(topic, (peer, -1))
+        if furthest > seen:
+            if seen > seen_before:
+                self._outside.send_to(peer, messages.Pull(str(topic), seen))
+            return
+        self._furthest.pop(topic, None)
+        self.knowledge.note_whole(topic)
+
 
 def _size(record: Record) -> int:
     return len(record.value or b"")
--- a/packages/ashhoist/src/ashhoist/control/relays.py
+++ b/packages/ashhoist/src/ashhoist/control/relays.py
@@ -7,6 +7,7 @@
 
 import functools
 import zlib
+from typing import Any
 
 from ..store import Record
 
@@ -19,7 +20,7 @@
 """Bytes that a value may have: more is a defect, and not unpacked."""
 
 
-def to_row(record: Record) -> list[object]:
+def to_row(record: Record) -> list[Any]:
     """Return a record as a list of offset, key, value, and whether it is compressed."""
     value = record.value
     if value is None or len(value) < LONG:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -4,13 +4,15 @@
 
 from hypothesis import given, strategies as st
 
-from ashhoist.control.messages import Relay
+from ashhoist.adapter import Adapter
+from ashhoist.control.knowledge import MOST_RELAYED, Knowledge
+from ashhoist.control.messages import Pull, Relay
 from ashhoist.control.relays import LARGEST, LONG, from_row, to_row
 from ashhoist.orders import LeaseTiming
 from ashhoist.placement.asks import Target
 from ashhoist.store import Record, Topic
 
-from .control_world import World
+from .control_world import MODEL, World
 from .test_leases import want
 
 ZONES = 3
@@ -81,7 +83,35 @@
         row = to_row(Record(offset, "engine-5", value))
         relay = Relay(str(Topic.UPSTREAMS), offset - 1, offset, [row])
         core.peer_message("instance-0", relay)
-        self.assertFalse(core.records.listed)
+        self.assertFalse(core.records.knows_all)
+        self.assertEqual(core.records.knowledge.offsets()[str(Topic.UPSTREAMS)], -1)
+
+    def test_more_than_fits_one_message_is_told_before_it_is_ready(self) -> None:
+        for number in range(MOST_RELAYED + 500):
+            self.world.name_version(f"a{number}", 2)
+        self.world.run(2.0)
+        reads = self.world.reads
+        self.world.start(SMALL)
+        self.assertTrue(self.world.run(0.5, lambda: is_ready(self.world, SMALL)))
+        core = self.world.machines[SMALL].core
+        assert core is not None
+        last = Adapter(MODEL, f"a{MOST_RELAYED + 499}")
+        self.assertIsNotNone(core._in_force.wanted(last))
+        self.assertLessEqual(self.world.reads - reads, 6)
+
+    def test_one_that_knows_a_part_tells_nobody(self) -> None:
+        hub = self.world.machines["instance-0"].core
+        assert hub is not None
+        hub.records.knowledge = Knowledge()
+        log = self.world.log.topics[Topic.UPSTREAMS]
+        offset, value = log.newest["engine-5"]
+        row = to_row(Record(offset, "engine-5", value))
+        hub.peer_message(
+            "instance-3", Relay(str(Topic.UPSTREAMS), offset - 1, offset, [row])
+        )
+        self.world.counts_bytes = True
+        hub.peer_message("instance-33", Pull(str(Topic.UPSTREAMS), -1))
+        self.assertEqual(self.world.sent["Relay"], 0)
 
 
 class AllStartTests(unittest.TestCase):
