--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,5 +1,6 @@
 """The pages keep up with the code."""
 
+import re
 import unittest
 from pathlib import Path
 
@@ -10,6 +11,9 @@
 
 ROOT = Path(__file__).parent.parent
 DOCS = ROOT / "docs"
+PRODUCT = ROOT / "packages" / "ashhoist" / "src" / "ashhoist"
+NAMED = re.compile(r"`([a-z_/]+\.py)`(?:\s*\(((?:`[A-Za-z_.]+`(?:, )?)+)\))?")
+"""A file, and in brackets the names in it that the text follows."""
 
 
 class DocsTests(unittest.TestCase):
@@ -24,6 +28,18 @@
         for name in commands_by_name:
             self.assertIn(f"`{name}", text.replace(", `", ", `"), name)
 
+    def test_the_architecture_names_files_and_functions_that_exist(self) -> None:
+        text = (DOCS / "architecture.md").read_text().partition("# The older way")[0]
+        found = NAMED.findall(text)
+        self.assertGreater(len(found), 30)
+        for file, names in found:
+            folder = ROOT if file.startswith(("platform/", "tests/")) else PRODUCT
+            self.assertTrue((folder / file).is_file(), file)
+            source = (folder / file).read_text()
+            for part in re.findall(r"[A-Za-z_]+", names):
+                defined = re.compile(rf"^ *(class|def) {part}\b", re.MULTILINE)
+                self.assertRegex(source, defined, f"{part} in {file}")
+
     def test_reasons_are_lower_case_words(self) -> None:
         for reason in Reason:
             self.assertRegex(reason.value, r"^[a-z_]+$")
