--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,4 +1,7 @@
-"""Runs all tests and closes with one line that counts them."""
+"""Runs all tests and closes with one line that counts them.
+
+Failures that `KNOWN-RED.txt` lists are passed over and printed.
+"""
 
 import sys
 import unittest
@@ -6,6 +9,8 @@
 
 from ashhoist import logs
 
+from . import known_red
+
 
 def main() -> int:
     logs.configure(level="error")
@@ -13,9 +18,16 @@
     suite = unittest.defaultTestLoader.discover(
         str(here), pattern="test_*.py", top_level_dir=str(here.parent)
     )
+    known = known_red.read()
     result = unittest.TextTestRunner(verbosity=1).run(suite)
-    failed = len(result.failures) + len(result.errors)
-    skipped = len(result.skipped)
+    failures = [test.id() for test, _ in [*result.failures, *result.errors]]
+    passed_over = sorted(set(failures) & set(known))
+    for name in passed_over:
+        print(f"known red: {name}: {known[name].cause} (issue {known[name].issue})")
+    for name in sorted(set(known) - set(failures)):
+        print(f"listed as red, but did not fail: {name}")
+    failed = len([name for name in failures if name not in known])
+    skipped = len(result.skipped) + len(passed_over)
     passed = result.testsRun - failed - skipped
     print(f"{passed} passed, {failed} failed, {skipped} skipped")
     return 1 if failed or not result.testsRun else 0
--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,46 @@
+"""Tests that fail for a known fault, as `KNOWN-RED.txt` at the root lists them.
+
+One line each: the test's id, its cause, its issue, with bars between.
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+LIST = Path(__file__).parent.parent / "KNOWN-RED.txt"
+MOST = 3
+
+
+class KnownRedError(ValueError):
+    """The list is malformed or too long."""
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRed:
+    """One test that is known to fail."""
+
+    test: str
+    cause: str
+    issue: str
+
+
+def read(path: Path = LIST) -> dict[str, KnownRed]:
+    """Return the listed tests by id; none where there is no list.
+
+    Raises
+    ------
+    KnownRedError
+        If a line is malformed, or there are more than three.
+    """
+    if not path.exists():
+        return {}
+    found = {}
+    for line in path.read_text().splitlines():
+        if not line.strip():
+            continue
+        parts = [part.strip() for part in line.split("|")]
+        if len(parts) != 3 or not all(parts):
+            raise KnownRedError(f"not a test, its cause and its issue: {line!r}")
+        found[parts[0]] = KnownRed(*parts)
+    if len(found) > MOST:
+        raise KnownRedError(f"{len(found)} tests are listed; {MOST} at most")
+    return found
