--- /dev/null
+++ b/tests/test_many_faults.py
@@ -0,0 +1,120 @@
+"""Many instances under random faults: what must hold, and that all is well after."""
+
+import random
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from ashhoist.orders import LeaseTiming
+
+from .control_world import World
+from .test_leases import want
+
+INSTANCES = 24
+ZONES = 3
+HUBS = 2 * ZONES
+STEPS = 30
+HEALS = 14.0
+"""Longer than a lease lasts, and than any fault below."""
+
+
+class ManyFaultsDay:
+    """Instances in three zones, six of them hubs, and faults drawn from a seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.source = random.Random(seed)
+        self.world = World(INSTANCES, 6, LeaseTiming(), zones=ZONES)
+        for index, machine in enumerate(self.world.machines.values()):
+            machine.capacity = 2.15 if index < HUBS else 0.52
+        self.version = 1
+        self.world.start()
+        self.world.run(6.0)
+
+    def play(self) -> "ManyFaultsDay":
+        """Play to the end, and let all heal."""
+        for _ in range(STEPS):
+            if self.source.random() < 0.5:
+                self._disturb()
+            for name, machine in self.world.machines.items():
+                if machine.core is not None and self.source.random() < 0.2:
+                    want(self.world, name, f"a{self.source.randrange(40)}")
+            self.world.run(self.source.uniform(0.1, 0.6))
+        self.world.run(HEALS)
+        return self
+
+    def _disturb(self) -> None:
+        fault = self.source.choice(
+            (self._herd, self._freeze, self._cut_store, self._cut_zone, self._change)
+        )
+        fault()
+
+    def _some(self) -> list[str]:
+        """Return a few machines, hubs more often than others."""
+        names = list(self.world.machines)
+        few = self.source.sample(names[:HUBS], self.source.randrange(1, 4))
+        return few + self.source.sample(names[HUBS:], self.source.randrange(0, 8))
+
+    def _herd(self) -> None:
+        """Kill many at the same moment; they come back after about a second."""
+        whole = self.source.random() < 0.3
+        for name in list(self.world.machines) if whole else self._some():
+            if self.world.machines[name].core is not None:
+                self.world.kill(name)
+                after = self.source.uniform(0.4, 1.6)
+                self.world.after(after, lambda name=name: self._start(name))
+
+    def _start(self, name: str) -> None:
+        if self.world.machines[name].core is None:
+            self.world.start(name)
+
+    def _freeze(self) -> None:
+        for name in self._some()[:3]:
+            machine = self.world.machines[name]
+            if machine.core is not None and not machine.frozen:
+                self.world.freeze(name, self.source.uniform(0.3, 5.0))
+
+    def _cut_store(self) -> None:
+        for name in self._some():
+            machine = self.world.machines[name]
+            machine.store_cut = True
+            after = self.source.uniform(0.5, 6.0)
+            self.world.after(after, lambda m=machine: setattr(m, "store_cut", False))
+
+    def _cut_zone(self) -> None:
+        zone = f"zone-{self.source.randrange(ZONES)}"
+        self.world.cut_zones.add(zone)
+        after = self.source.uniform(0.5, 5.0)
+        self.world.after(after, lambda: self.world.cut_zones.discard(zone))
+
+    def _change(self) -> None:
+        self.version += 1
+        size = self.source.choice((1, 20_000))
+        self.world.put_configuration(self.version, size)
+
+
+class ManyFaultsTests(unittest.TestCase):
+    @settings(max_examples=12, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32))
+    def test_all_is_well_after_any_mix_of_faults(self, seed: int) -> None:
+        day = ManyFaultsDay(seed).play()
+        world = day.world
+        self.assertEqual(world.broken_turns(), [])
+        self.assertEqual(world.fallen(), [])
+        [leader] = world.leaders()
+        answers = {
+            name: want(world, name, f"b{number}")
+            for number, name in enumerate(world.machines)
+        }
+        world.run(4.0)
+        for name, machine in world.machines.items():
+            core = machine.core
+            assert core is not None
+            self.assertTrue(core.ready, name)
+            self.assertEqual(core.leader, leader, name)
+            self.assertEqual(core._in_force.version, day.version, name)
+            self.assertEqual(len(core._directory.view.by_id), 6, name)
+            self.assertTrue(answers[name].done(), name)
+
+
+if __name__ == "__main__":
+    unittest.main()
