Hubs take over from a leader that is none: the others could never hear of it

Ruled out: links (all there should be were up), beats (fresh), the questions asked again when a leader begins (nobody began).

Change: who leads goes on only if it is a hub, or there is none; else the best hub begins, and the other ends with its first beat.

--- a/packages/ashhoist/src/ashhoist/control/election.py
+++ b/packages/ashhoist/src/ashhoist/control/election.py
@@ -1,5 +1,8 @@
 """Who schedules: the hub with the lowest rank among those heard of lately.
 
+Whoever leads goes on to, unless it is no hub: only hubs are linked to all, so the
+others would never hear of it, and would ask a hub that does not lead.
+
 Scheduling needs no exclusive right: orders go through the holder of a zone's
 lease, and each names the count at which alone it is valid. So two instances that
 schedule at once, on the two sides of a cut or for a moment, do no harm, and no
@@ -47,16 +50,19 @@
         leading = [peer.name for peer in candidates if peer.leads]
         if leads and not stopping:
             leading.append(self._own)
-        if leading:
-            return self._lowest(leading)
+        best = self._lowest(leading) if leading else None
+        if best is not None and self._hubs.is_hub(best):
+            return best
         names = [peer.name for peer in candidates]
         if not stopping:
             names.append(self._own)
         if not names:
             return None
         lowest = self._lowest(names)
-        if lowest == self._own and self._is_new(bool(candidates)):
-            return None
+        if best is not None and not self._hubs.is_hub(lowest):
+            return best
+        if lowest == self._own and not leads and self._is_new(bool(candidates)):
+            return best
         return lowest
 
     def _lowest(self, names: list[str]) -> str:
--- a/tests/test_many_faults.py
+++ b/tests/test_many_faults.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import example, given, settings, strategies as st
 
 from ashhoist.orders import LeaseTiming
 
@@ -92,9 +92,33 @@
         self.world.put_configuration(self.version, size)
 
 
+class FirstLeaderTests(unittest.TestCase):
+    """One that is no hub starts first, and leads before there are hubs."""
+
+    def test_hubs_take_over_from_a_leader_that_is_none(self) -> None:
+        world = World(INSTANCES, 6, LeaseTiming(), zones=ZONES)
+        for index, machine in enumerate(world.machines.values()):
+            machine.capacity = 2.15 if index < HUBS else 0.52
+        world.start("instance-15")
+        world.run(3.0)
+        self.assertEqual(world.leaders(), ["instance-15"])
+        world.start(*(name for name in world.machines if name != "instance-15"))
+        world.run(6.0)
+        [leader] = world.leaders()
+        self.assertLess(int(leader.removeprefix("instance-")), HUBS)
+        followed = {
+            machine.core.leader for machine in world.machines.values() if machine.core
+        }
+        self.assertEqual(followed, {leader})
+        answer = want(world, "instance-20", "a1")
+        world.run(1.0)
+        self.assertTrue(answer.done())
+
+
 class ManyFaultsTests(unittest.TestCase):
     @settings(max_examples=12, deadline=None, derandomize=True)
     @given(st.integers(0, 2**32))
+    @example(32)  # One that is no hub led, and only hubs could hear of it.
     def test_all_is_well_after_any_mix_of_faults(self, seed: int) -> None:
         day = ManyFaultsDay(seed).play()
         world = day.world
