The log's age is told for each topic; who reads the log is logged

Cause: the log's age was that of the upstreams alone, 0.04 s on an instance whose configuration was nine seconds old, and no line said who reads or leaves it to others. Change: topic_lag_seconds by topic (log_lag_seconds is the greatest), reads_log, a line when an instance begins or ceases to read, and how long the call took that a log was lost with.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -457,7 +457,7 @@
         self.records.tick()
         self._release_when_quiet(now)
         self._elect()
-        self.reads_itself = self._readers.reads_itself(self.leader)
+        self._choose_readers()
         self.leases.step()
         self._beats.send_due(self.leader)
         if now - self._looked_after_at >= LOOK_AFTER_PEERS_EVERY:
@@ -467,6 +467,15 @@
         self.settle()
         self.scheduling.plan(by_time=True)
 
+    def _choose_readers(self) -> None:
+        """Decide whether this instance reads the log itself."""
+        reads = self._readers.reads_itself(self.leader)
+        if reads == self.reads_itself:
+            return
+        self.reads_itself = reads
+        event = "reads the log" if reads else "leaves the log to others"
+        self._log.info(event, leader=self.leader)
+
     def _release_when_quiet(self, now: timedelta) -> None:
         """Hand the lease over once no order of this instance is under way."""
         if self._release_at is None:
--- a/packages/ashhoist/src/ashhoist/control/gauges.py
+++ b/packages/ashhoist/src/ashhoist/control/gauges.py
@@ -1,9 +1,11 @@
 """The gauges that say how one instance sees the deployment."""
 
+from datetime import timedelta
+
 from ..clock import Clock
 from ..metrics import Metrics
-from ..store import Topic
 from ..upstreams import Directory
+from .knowledge import SHARED_TOPICS
 from .peers import Peers
 from .records import SharedRecords
 from .scheduling import Scheduling
@@ -34,14 +36,23 @@
         now = self._clock.monotonic()
         scheduler = self._scheduling.scheduler
         waiting = len(scheduler.wants) if scheduler is not None else 0
-        read_at = self._records.knowledge.read_at(Topic.UPSTREAMS)
         gauge = self._metrics.gauge
         gauge("ready", ready)
         gauge("leads", self._scheduling.leads)
         gauge("requests_waiting", waiting)
         gauge("instances_in_contact", len(self._peers.fresh(now)))
-        gauge("log_lag_seconds", (now - read_at).total_seconds())
+        gauge("reads_log", self._records.reads_log)
+        self._measure_lags(now)
         view = self._directory.view
         self._services.update(view.by_service)
         for service in self._services:
             gauge("upstreams", len(view.of(service)), service)
+
+    def _measure_lags(self, now: timedelta) -> None:
+        """Set how long ago each topic was read; the log's age is the greatest."""
+        lags: list[float] = []
+        for topic in SHARED_TOPICS:
+            lag = (now - self._records.knowledge.read_at(topic)).total_seconds()
+            self._metrics.gauge("topic_lag_seconds", lag, topic)
+            lags.append(lag)
+        self._metrics.gauge("log_lag_seconds", max(lags))
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -44,6 +44,8 @@
     "open_calls": ("Open requests of callers here", ()),
     "configuration_offset": ("Offset that is in force here", ()),
     "log_lag_seconds": ("Time since the log last answered", ()),
+    "topic_lag_seconds": ("Time since the log answered a read", ("topic",)),
+    "reads_log": ("1 if this instance reads the log itself", ()),
     "instances_in_contact": ("Instances heard of lately", ()),
     "ready": ("1 if callers may be sent here", ()),
     "leads": ("1 if this instance schedules", ()),
--- a/packages/ashhoist/src/ashhoist/store/follower.py
+++ b/packages/ashhoist/src/ashhoist/store/follower.py
@@ -119,9 +119,10 @@
         """Make one call; return how long to pause before the next."""
         if self._next is None:
             return (yield from self._start())
+        began = self._clock.monotonic()
         result = yield from self._records.read(self._topic, self._next, self._pace.wait)
         if isinstance(result, Unavailable):
-            return self._failed(result)
+            return self._failed(result, began)
         self._answered()
         if isinstance(result, Gone):
             self._log.info("history gone", topic=self._topic, at=self._next)
@@ -131,9 +132,10 @@
         return self._pace.pause
 
     def _start(self) -> Steps[timedelta]:
+        began = self._clock.monotonic()
         result = yield from self._records.newest(self._topic)
         if isinstance(result, Unavailable):
-            return self._failed(result)
+            return self._failed(result, began)
         self._answered()
         assert isinstance(result, Newest)
         self._next = result.end
@@ -148,11 +150,17 @@
         read_to = self._next - 1
         self._deliver(Followed(self._topic, result.records, result.end, read_to, False))
 
-    def _failed(self, result: Unavailable) -> timedelta:
+    def _failed(self, result: Unavailable, began: timedelta) -> timedelta:
         self._failures += 1
         if self._available is not False:
             self._available = False
-            self._log.warning("log lost", topic=self._topic, detail=result.detail)
+            took = self._clock.monotonic() - began
+            self._log.warning(
+                "log lost",
+                topic=self._topic,
+                detail=result.detail,
+                after_s=took.total_seconds(),
+            )
             self._deliver(FollowerState(self._topic, False))
         return min(FIRST_PAUSE * 2 ** min(self._failures - 1, 4), LONGEST_PAUSE)
 
