--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -22,7 +22,7 @@
 from .metrics import Metrics
 from .placement import Residency
 from .probes import ProbeServer
-from .process_settings import ProcessSettings
+from .process_settings import ProcessSettings, paces
 from .requests import Dialect, Handler, RetryBudget
 from .requests.attempt import Attempts
 from .requests.choosers import Chooser, PlainChooser
@@ -30,7 +30,7 @@
 from .requests.serving import Serving
 from .routing.in_force import InForce
 from .signals import SettingsWatcher, Signals
-from .store import Follower, Pace, SharedLog, Topic
+from .store import Follower, SharedLog, Topic
 from .types import Endpoint
 from .upstreams import Balancer, Directory, Health
 
@@ -228,11 +228,6 @@
         return len(self.control.core.peers.by_name) + 1
 
     def _make_followers(self) -> dict[Topic, Follower]:
-        store = self.settings.store
-        paces = {
-            Topic.CONFIGURATION: Pace(store.configuration_wait, timedelta()),
-            Topic.UPSTREAMS: Pace(timedelta(), store.upstreams_pause),
-        }
         return {
             topic: Follower(
                 topic,
@@ -243,7 +238,7 @@
                 self.clock,
                 logs.get("store"),
             )
-            for topic, pace in paces.items()
+            for topic, pace in paces(self.settings.store, self.settings.bounds).items()
         }
 
     # Life
--- a/packages/ashhoist/src/ashhoist/process_settings.py
+++ b/packages/ashhoist/src/ashhoist/process_settings.py
@@ -17,6 +17,7 @@
     read_sections,
     wrong_settings,
 )
+from .store import Pace, Topic
 
 
 def _items(value: Any) -> Any:
@@ -67,6 +68,14 @@
     contact: Duration = timedelta(seconds=3)
 
 
+def paces(store: StoreSection, bounds: BoundsSection) -> dict[Topic, Pace]:
+    """Return how each topic of the log is read."""
+    return {
+        Topic.CONFIGURATION: Pace(store.configuration_wait, timedelta()),
+        Topic.UPSTREAMS: Pace(timedelta(), store.upstreams_pause),
+    }
+
+
 class RetrySection(Section):
     """The budget for second sends, over all instances."""
 
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -23,6 +23,7 @@
     VersionNamed,
 )
 from ashhoist.control.core import Core, CoreSettings
+from ashhoist.control.knowledge import SHARED_TOPICS
 from ashhoist.control.lease_calls import append_answer, read_answer
 from ashhoist.control.messages import ReadClaimsFor
 from ashhoist.control.peers import InstanceRecord
@@ -39,6 +40,7 @@
 from ashhoist.placement import Residency
 from ashhoist.placement.actions import AskReport
 from ashhoist.placement.asks import Target, UseEnd, UseEnded, Wanted
+from ashhoist.process_settings import BoundsSection, StoreSection, paces
 from ashhoist.routing import EngineModel, EngineSettings, Service, ServingConfiguration
 from ashhoist.routing.in_force import InForce
 from ashhoist.store import (
@@ -50,12 +52,12 @@
     Unavailable,
     Unknown,
 )
-from ashhoist.store.follower import Followed
 from ashhoist.types import Endpoint
 from ashhoist.upstreams import Directory, Health, Upstream, UpstreamState
 
 from .platform_stand_ins.engine_state import EngineState
 from .platform_stand_ins.log_state import LogState
+from .world_log import WorldFollower
 
 SERVICE = "engines"
 MODEL = "base"
@@ -106,6 +108,9 @@
     loses_appends: bool = False
     lives: int = 0
     waiting: list[Callable[[], None]] = field(default_factory=list)
+    followers: dict[Topic, WorldFollower] = field(default_factory=dict)
+    unread: set[Topic] = field(default_factory=set)
+    """Topics of which the store leaves this machine's reads unanswered."""
 
 
 class _Outside:
@@ -195,6 +200,8 @@
         self.seeds: tuple[str, ...] = ()
         self.registered: set[str] = set(self.machines)
         self.patience_s = PATIENCE_S
+        self.logger: logs.Logger = logs.get("control")
+        self.paces = paces(StoreSection(address="127.0.0.1:1"), BoundsSection())
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._links: set[tuple[str, str]] = set()
@@ -302,13 +309,14 @@
             outside,
             self.clock,
             Metrics(),
-            logs.get("control"),
+            self.logger,
         )
         machine.core, machine.outside = core, outside
+        machine.followers = {
+            topic: self._follow(machine, core, topic) for topic in SHARED_TOPICS
+        }
         core.start()
         self._tick(machine, core)
-        self._follow(machine, core, Topic.CONFIGURATION, None)
-        self._follow(machine, core, Topic.UPSTREAMS, None)
 
     def kill(self, name: str) -> None:
         """End a process without a word."""
@@ -340,7 +348,11 @@
 
     def _tick(self, machine: Machine, core: Core) -> None:
         def step() -> None:
+            read_itself = core.reads_itself
             core.tick()
+            if core.reads_itself and not read_itself:
+                for topic in SHARED_TOPICS:
+                    self.read_now(machine, topic)
             self._relink(machine)
             self.after(TICK, lambda: self._tick(machine, core))
 
@@ -447,48 +459,24 @@
         """Return whether two zones reach each other."""
         return one == other or not self.cut_zones & {one, other}
 
-    def _follow(
-        self, machine: Machine, core: Core, topic: Topic, start: int | None
-    ) -> None:
-        def step() -> None:
-            following = start
-            if self._reaches_store(machine) and core.reads_itself:
-                followed = self._read(topic, start)
-                core.followed(followed)
-                following = followed.read_to + 1
-            self.after(0.4, lambda: self._follow(machine, core, topic, following))
+    def _follow(self, machine: Machine, core: Core, topic: Topic) -> WorldFollower:
+        """Let a process read a topic as the product does."""
+        return WorldFollower(
+            self,
+            topic,
+            self.paces[topic],
+            lambda: self._answers_reads(machine, topic),
+            lambda: core.reads_itself,
+            core.followed,
+            lambda step: self._do(machine, core, step),
+        )
 
-        self._do(machine, core, step)
+    def _answers_reads(self, machine: Machine, topic: Topic) -> bool:
+        return self._reaches_store(machine) and topic not in machine.unread
 
     def read_now(self, machine: Machine, topic: Topic) -> None:
-        """Read a topic once more, soon."""
-        core = machine.core
-        assert core is not None
-
-        def step() -> None:
-            if self._reaches_store(machine):
-                core.followed(self._read(topic, None))
-
-        self.after(STORE_S, lambda: self._do(machine, core, step))
-
-    def _read(self, topic: Topic, start: int | None) -> Followed:
-        self.reads += 1
-        found = self.log.topics[topic]
-        records = None if start is None else self.log.read(topic, start)
-        if records is None or start is None:
-            newest = tuple(
-                Record(offset, key, value)
-                for key, (offset, value) in found.newest.items()
-            )
-            read_to = max((record.offset for record in newest), default=-1)
-            return Followed(topic, newest, found.end, read_to, True)
-        numbered = tuple(
-            Record(start + index, key, value)
-            for index, (key, value) in enumerate(records)
-        )
-        if self.deaf:
-            return Followed(topic, (), found.end, start - 1, False)
-        return Followed(topic, numbered, found.end, found.end - 1, False)
+        """Read a topic once more, now."""
+        machine.followers[topic].follower.poke()
 
     def register(self, machine: Machine) -> None:
         """Register a machine and tell it who is there."""
--- /dev/null
+++ b/tests/world_log.py
@@ -0,0 +1,163 @@
+"""How the machines of a `World` read its log: the product's followers, on its clock.
+
+A read that the store leaves unanswered costs its whole time, as on a machine.
+"""
+
+from collections.abc import Callable, Generator
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import Any, Protocol
+
+from ashhoist import logs
+from ashhoist.clock import Clock
+from ashhoist.loop import Steps, Wait
+from ashhoist.store import (
+    PATIENCE,
+    Follower,
+    Gone,
+    Newest,
+    Pace,
+    Record,
+    Records,
+    Topic,
+    Unavailable,
+)
+from ashhoist.store.follower import Followed, FollowerState
+
+from .platform_stand_ins.log_state import LogState
+
+ANSWERED_IN = timedelta(milliseconds=4)
+LOOKS_EVERY = timedelta(milliseconds=20)
+"""How often a read that is held looks for records."""
+
+
+class Reach(Protocol):
+    """What a machine's reads depend on."""
+
+    clock: Clock
+    log: LogState
+    deaf: bool
+    reads: int
+
+    def after(self, seconds: float, step: Callable[[], None]) -> None:
+        """Do a step later."""
+
+
+class WorldLog:
+    """One machine's connection to the store, for one topic.
+
+    Parameters
+    ----------
+    reaches : callable
+        Returns whether the store takes this machine's calls now. One that is not
+        taken, or that is held when that ends, is never answered.
+    """
+
+    def __init__(self, world: Reach, reaches: Callable[[], bool]) -> None:
+        self._world = world
+        self._reaches = reaches
+
+    def read(
+        self, topic: Topic, start: int, wait: timedelta
+    ) -> Steps[Records | Gone | Unavailable]:
+        self._world.reads += 1
+        began = self._world.clock.monotonic()
+        while True:
+            if not self._reaches():
+                yield Wait(began + wait + PATIENCE)
+                return Unavailable("timeout")
+            found = self._world.log.read(topic, start)
+            if found is None:
+                return Gone()
+            now = self._world.clock.monotonic()
+            if found or now - began >= wait:
+                break
+            yield Wait(min(now + LOOKS_EVERY, began + wait))
+        yield Wait(self._world.clock.monotonic() + ANSWERED_IN)
+        end = self._world.log.topics[topic].end
+        if self._world.deaf:
+            return Records((), end)
+        numbered = enumerate(found, start)
+        return Records(
+            tuple(Record(at, key, value) for at, (key, value) in numbered), end
+        )
+
+    def newest(
+        self, topic: Topic, patience: timedelta = PATIENCE, part: int = 0
+    ) -> Steps[Newest | Unavailable]:
+        self._world.reads += 1
+        if not self._reaches():
+            yield Wait(self._world.clock.monotonic() + patience)
+            return Unavailable("timeout")
+        yield Wait(self._world.clock.monotonic() + ANSWERED_IN)
+        found = self._world.log.topics[topic]
+        newest = tuple(
+            Record(offset, key, value) for key, (offset, value) in found.newest.items()
+        )
+        return Newest(newest, found.end)
+
+    def append(self, *_: Any, **__: Any) -> Any:
+        raise NotImplementedError("followers only read")
+
+    def close(self) -> None:
+        pass
+
+
+class WorldFollower:
+    """Runs one follower of a machine.
+
+    Parameters
+    ----------
+    do : callable
+        Runs a step of the machine's process, if it still lives.
+    """
+
+    def __init__(
+        self,
+        world: Reach,
+        topic: Topic,
+        pace: Pace,
+        reaches: Callable[[], bool],
+        wanted: Callable[[], bool],
+        take: Callable[[Followed], None],
+        do: Callable[[Callable[[], None]], None],
+    ) -> None:
+        self._world = world
+        self._take = take
+        self._do = do
+        self._waits = 0
+        self.follower = Follower(
+            topic,
+            WorldLog(world, reaches),
+            pace,
+            self._deliver,
+            wanted,
+            world.clock,
+            logs.get("store"),
+        )
+        self._steps: Generator[Any, Any, None] = self.follower.run()
+        self._go_on()
+
+    def _deliver(self, news: Followed | FollowerState) -> None:
+        if isinstance(news, Followed):
+            self._take(news)
+
+    def _go_on(self) -> None:
+        waits = next(self._steps, None)
+        if waits is None:
+            return
+        wait = Wait(future=waits) if isinstance(waits, Future) else waits
+        self._waits += 1
+        number = self._waits
+
+        def wake() -> None:
+            if number == self._waits:
+                self._go_on()
+
+        if wait.until is not None:
+            seconds = (wait.until - self._world.clock.monotonic()).total_seconds()
+            self._world.after(max(seconds, 0.0), lambda: self._do(wake))
+        if wait.future is not None:
+            wait.future.add_done_callback(
+                lambda _: self._world.after(0.0, lambda: self._do(wake))
+            )
