A read that is never answered ends in time for a change; a reader reads all topics

Cause, two of one kind: a wait, or a sign of life, that is trusted for longer or for more than the promise behind it allows. (1) A read of the configuration was given up 6.2 s after it was sent (5 s that the log may hold it, 1.2 s on top, up to 1 s pause behind that), where a confirmed change has 2 s. (2) A beat's reads_log was the age of the upstreams topic; five instances left the log to two whose other read hung.

Change: how long the log may hold a read follows from the time that a change has (bound - 1.2 s - 0.3 s: 0.5, 1.5, 2.5 s where the bound is 2, 3, 4 s); the pause after a failure counts from the call's beginning; reads_log asks for every topic.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -4,7 +4,7 @@
 many instances on one manual clock with small fakes between them.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -24,7 +24,7 @@
 from ..placement import Residency
 from ..routing import ServingConfiguration
 from ..routing.in_force import InForce
-from ..store import AppendResult, Newest, Unavailable
+from ..store import AppendResult, Newest, Pace, Topic, Unavailable
 from ..store.follower import Followed
 from ..upstreams import Directory, Health
 from . import messages
@@ -58,6 +58,7 @@
     zone: str
     address: str
     life: str
+    paces: Mapping[Topic, Pace]
     seeds: tuple[str, ...] = ()
     lease: LeaseTiming = LeaseTiming()
     capacity: float = 1.0
@@ -108,6 +109,7 @@
             self.peers,
             self._hubs,
             outside,
+            settings.paces,
             self._apply_upstreams,
             clock,
             metrics,
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -4,7 +4,7 @@
 the log itself if that does not help.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 
 from ..clock import Clock
@@ -12,7 +12,7 @@
 from ..metrics import Metrics
 from ..placement import Residency
 from ..routing.in_force import InForce
-from ..store import Record, Topic
+from ..store import Pace, Record, Topic
 from ..store.follower import Followed
 from ..upstreams import Directory, Health, Lapses
 from . import messages
@@ -23,7 +23,8 @@
 from .peers import Peers
 from .relays import from_row, to_row
 
-READS_LOG_FOR = timedelta(milliseconds=1500)
+READ_OVERDUE_AFTER = timedelta(milliseconds=700)
+"""Beyond a topic's round, its next answer is overdue: slow answers take so long."""
 MOST_PUSHED = 2048
 """Bytes of records that are told to others unasked."""
 
@@ -35,6 +36,8 @@
 
     Parameters
     ----------
+    paces : mapping
+        How each topic is read, where this instance reads it.
     upstreams_changed : callable
         Called when which upstreams there are, or what is in force, has changed.
     """
@@ -49,6 +52,7 @@
         peers: Peers,
         hubs: Hubs,
         outside: Outside,
+        paces: Mapping[Topic, Pace],
         upstreams_changed: Callable[[], None],
         clock: Clock,
         metrics: Metrics,
@@ -62,6 +66,7 @@
         self._peers = peers
         self._hubs = hubs
         self._outside = outside
+        self._paces = paces
         self._upstreams_changed = upstreams_changed
         self._clock = clock
         self._metrics = metrics
@@ -72,9 +77,16 @@
 
     @property
     def reads_log(self) -> bool:
-        """Return whether the log has answered this instance lately."""
-        age = self._clock.monotonic() - self.knowledge.read_at(Topic.UPSTREAMS)
-        return self.knows_all and age < READS_LOG_FOR
+        """Return whether the log has lately answered reads of every topic here.
+
+        One topic does not stand for another: others leave all of them to a reader.
+        """
+        now = self._clock.monotonic()
+        for topic, pace in self._paces.items():
+            age = now - self.knowledge.read_at(topic)
+            if age >= pace.round + READ_OVERDUE_AFTER:
+                return False
+        return self.knows_all
 
     @property
     def knows_all(self) -> bool:
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -75,6 +75,7 @@
         self.clock = loop.clock
         self.metrics = Metrics()
         self.life = uuid4().hex[:12]
+        self._paces = paces(settings.store, settings.bounds)
         self._source = random.Random(self.life)
         self._platform = platform
         self._log = logs.get("process")
@@ -123,6 +124,7 @@
             settings.availability_zone,
             settings.instances,
             self.life,
+            self._paces,
             settings.seeds,
             capacity=self.settings.limits.capacity,
         )
@@ -238,7 +240,7 @@
                 self.clock,
                 logs.get("store"),
             )
-            for topic, pace in paces(self.settings.store, self.settings.bounds).items()
+            for topic, pace in self._paces.items()
         }
 
     # Life
--- a/packages/ashhoist/src/ashhoist/process_settings.py
+++ b/packages/ashhoist/src/ashhoist/process_settings.py
@@ -17,7 +17,7 @@
     read_sections,
     wrong_settings,
 )
-from .store import Pace, Topic
+from .store import PATIENCE, Pace, Topic
 
 
 def _items(value: Any) -> Any:
@@ -31,6 +31,11 @@
 
 
 CAPACITY_DIGITS = 3
+TOLD_WITHIN = timedelta(milliseconds=300)
+"""From a read's answer until the last instance has a change in force: connecting, a
+configuration of 330 kB over a link of 10 Mbit/s, and two hops between instances."""
+SHORTEST_WAIT = timedelta(milliseconds=200)
+"""How long the log may hold a read at least: five calls a second and reader."""
 Addresses = Annotated[tuple[Address, ...], BeforeValidator(_items)]
 Regions = Annotated[dict[str, str], BeforeValidator(_table)]
 
@@ -53,7 +58,6 @@
     """Where the shared log is, and how it is read."""
 
     address: Address
-    configuration_wait: Duration = timedelta(seconds=5)
     upstreams_pause: Duration = timedelta(milliseconds=800)
 
 
@@ -69,9 +73,14 @@
 
 
 def paces(store: StoreSection, bounds: BoundsSection) -> dict[Topic, Pace]:
-    """Return how each topic of the log is read."""
+    """Return how each topic of the log is read.
+
+    A read of the configuration may never be answered: it is given up, and the next
+    one answered and told, before a change has to be in force.
+    """
+    wait = bounds.configuration - PATIENCE - TOLD_WITHIN
     return {
-        Topic.CONFIGURATION: Pace(store.configuration_wait, timedelta()),
+        Topic.CONFIGURATION: Pace(max(wait, SHORTEST_WAIT), timedelta()),
         Topic.UPSTREAMS: Pace(timedelta(), store.upstreams_pause),
     }
 
--- a/packages/ashhoist/src/ashhoist/store/follower.py
+++ b/packages/ashhoist/src/ashhoist/store/follower.py
@@ -29,6 +29,11 @@
     wait: timedelta
     pause: timedelta
 
+    @property
+    def round(self) -> timedelta:
+        """Return the time between two answers where nothing is new."""
+        return self.wait + self.pause
+
 
 @dataclass(frozen=True, slots=True)
 class Followed:
@@ -152,9 +157,9 @@
 
     def _failed(self, result: Unavailable, began: timedelta) -> timedelta:
         self._failures += 1
+        took = self._clock.monotonic() - began
         if self._available is not False:
             self._available = False
-            took = self._clock.monotonic() - began
             self._log.warning(
                 "log lost",
                 topic=self._topic,
@@ -162,7 +167,9 @@
                 after_s=took.total_seconds(),
             )
             self._deliver(FollowerState(self._topic, False))
-        return min(FIRST_PAUSE * 2 ** min(self._failures - 1, 4), LONGEST_PAUSE)
+        pause = min(FIRST_PAUSE * 2 ** min(self._failures - 1, 4), LONGEST_PAUSE)
+        # Counted from the call's beginning: one that hung was pause enough.
+        return max(pause - took, timedelta())
 
     def _answered(self) -> None:
         self._failures = 0
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -297,6 +297,7 @@
                 machine.zone,
                 machine.name,
                 f"{machine.name}-{machine.lives}",
+                self.paces,
                 self.seeds,
                 self.timing_by_machine.get(machine.name, self.timing),
                 machine.capacity,
