--- a/tests/test_many_changes.py
+++ b/tests/test_many_changes.py
@@ -16,9 +16,13 @@
 import unittest
 from dataclasses import dataclass, field
 from datetime import timedelta
+from unittest import mock
 
 from hypothesis import example, given, settings, strategies as st
 
+from ashhoist import process_settings
+from ashhoist.control import beats
+from ashhoist.control.records import SharedRecords
 from ashhoist.orders import LeaseTiming
 from ashhoist.process_settings import BoundsSection
 from ashhoist.store import Topic
@@ -31,6 +35,8 @@
 ZONES = 3
 STEP = 0.1
 TROUBLES = 6
+SEEDS_OF_VARIANTS = (17, 31)
+"""Days in which every variant below does harm; nothing is wrong without one."""
 
 
 @dataclass
@@ -56,6 +62,8 @@
     touched: dict[str, float] = field(init=False)
     confirmed: list[Confirmed] = field(default_factory=list)
     late: list[str] = field(default_factory=list)
+    went_back: list[str] = field(default_factory=list)
+    seen: dict[tuple[str, int], int] = field(default_factory=dict)
     version: int = 1
 
     def __post_init__(self) -> None:
@@ -117,6 +125,16 @@
                 due = max(change.at + self.within_s, in_contact_at)
                 if self.world.now > due + STEP and not _knows(machine, change):
                     self.late.append(f"{name} at {self.world.now:.2f}: {change}")
+            self._look_back(name, machine)
+
+    def _look_back(self, name: str, machine: Machine) -> None:
+        """Note a version that is older than one that this process has had in force."""
+        assert machine.core is not None
+        version = machine.core._in_force.version
+        life = (name, machine.lives)
+        if version < self.seen.get(life, -1):
+            self.went_back.append(f"{name} at {self.world.now:.2f}: {version}")
+        self.seen[life] = version
 
     # Troubles: each ends by itself and touches the machines that it strikes.
 
@@ -227,20 +245,62 @@
 
 
 class ManyChangesTests(unittest.TestCase):
+    def check(self, day: ChangesDay) -> None:
+        self.assertEqual(day.late[:3], [])
+        self.assertEqual(day.went_back, [])
+        self.assertEqual(versions(day.world), {day.version})
+
     @settings(max_examples=20, deadline=None, derandomize=True)
     @given(st.integers(0, 2**32))
     @example(34)  # Leader and deputy were cut off; one was trusted to read for 2.4 s.
     def test_a_mesh_of_few_instances(self, seed: int) -> None:
-        day = ChangesDay(7, seed).play()
-        self.assertEqual(day.late[:3], [])
-        self.assertEqual(versions(day.world), {day.version})
+        self.check(ChangesDay(7, seed).play())
 
     @settings(max_examples=8, deadline=None, derandomize=True)
     @given(st.integers(0, 2**32), st.integers(2, 4))
     def test_many_instances_with_hubs(self, seed: int, within_s: int) -> None:
-        day = ChangesDay(24, seed, within_s).play()
-        self.assertEqual(day.late[:3], [])
-        self.assertEqual(versions(day.world), {day.version})
+        self.check(ChangesDay(24, seed, within_s).play())
+
+
+class BrokenVariantTests(unittest.TestCase):
+    """Each mechanism, broken on purpose: some of a few days must show it."""
+
+    def is_caught(self) -> bool:
+        """Return whether any of a few days finds something wrong."""
+        for seed in SEEDS_OF_VARIANTS:
+            day = ChangesDay(7, seed).play()
+            if day.late or day.went_back or versions(day.world) != {day.version}:
+                return True
+        return False
+
+    def test_the_days_find_nothing_in_what_is_whole(self) -> None:
+        self.assertFalse(self.is_caught())
+
+    def test_a_read_that_is_waited_for_too_long(self) -> None:
+        with mock.patch.object(process_settings, "PATIENCE", timedelta(seconds=-4)):
+            self.assertTrue(self.is_caught())
+
+    def test_one_topic_that_stands_for_all(self) -> None:
+        upstreams_alone = property(
+            lambda records: records.knowledge.is_whole(Topic.UPSTREAMS)
+        )
+        with mock.patch.object(SharedRecords, "reads_log", upstreams_alone):
+            self.assertTrue(self.is_caught())
+
+    def test_readers_that_are_trusted_for_too_long(self) -> None:
+        with mock.patch.object(beats, "READER_BEATS", timedelta(seconds=2)):
+            self.assertTrue(self.is_caught())
+
+    def test_what_is_read_and_not_told_to_others(self) -> None:
+        with (
+            mock.patch.object(SharedRecords, "_pass_on"),
+            mock.patch.object(SharedRecords, "catch_up"),
+        ):
+            self.assertTrue(self.is_caught())
+
+    def test_peers_that_are_asked_and_do_not_answer(self) -> None:
+        with mock.patch.object(SharedRecords, "pulled"):
+            self.assertTrue(self.is_caught())
 
 
 if __name__ == "__main__":
