Taking in many upstreams no longer costs the square of their number

Change: the view is made when it is next asked for; an upstream's end looks only itself up.

Decoding 1,001 records on the platform takes 0.016 s: ruled out. Tests: a plain model of what requests see; 101 and 200 rebuilds for 100 upstreams before, red.

--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -209,7 +209,7 @@
         return True
 
     def _end_upstream(self, change: UpstreamEnded) -> bool:
-        known = self._directory.view.by_id.get(change.upstream_id)
+        known = self._directory.get(change.upstream_id)
         if known is None or not known.takes_work:
             return self._end_now(change.upstream_id, change.offset)
         if known.offset >= change.offset:
--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -62,13 +62,29 @@
 
 
 class Directory:
-    """All known upstreams. One task owns it; others read `view`."""
+    """All known upstreams. The control task writes it; requests read `view`.
+
+    The view is made anew when it is next asked for: a start before 800 upstreams
+    takes them in one by one, 0.5 s of a core if each made a view of all (a profile
+    of 30 control cores in virtual time).
+    """
 
     def __init__(self) -> None:
         self._by_id: dict[str, Upstream] = {}
         self._ended: dict[str, tuple[int, timedelta]] = {}
         self.offset = -1
-        self.view = _view({})
+        self._view: DirectoryView | None = None
+
+    @property
+    def view(self) -> DirectoryView:
+        """Return what requests see now."""
+        if self._view is None:
+            self._view = _view(self._by_id)
+        return self._view
+
+    def get(self, upstream_id: str) -> Upstream | None:
+        """Return an upstream, or None if it is not known."""
+        return self._by_id.get(upstream_id)
 
     def put(self, upstream: Upstream) -> bool:
         """Take in a record; return whether something a request sees changed."""
@@ -83,7 +99,7 @@
         self._ended.pop(upstream.id, None)
         if known is not None and _same(known, upstream):
             return False
-        self._publish()
+        self._view = None
         return True
 
     def end(self, upstream_id: str, offset: int, now: timedelta) -> bool:
@@ -97,7 +113,7 @@
         if known is None:
             return False
         del self._by_id[upstream_id]
-        self._publish()
+        self._view = None
         return True
 
     def missing_from(self, listed: set[str], end: int) -> list[str]:
@@ -117,9 +133,6 @@
             if now - ended_at > REMEMBER_ENDED:
                 del self._ended[upstream_id]
 
-    def _publish(self) -> None:
-        self.view = _view(self._by_id)
-
 
 def _same(one: Upstream, other: Upstream) -> bool:
     return (
