The test world is six modules, each with one job

Tests only, no check changed: what tests set is named by its part (world.store.is_down, world.links.cut_zones).

--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -61,7 +61,7 @@
         names = list(world.machines)
         for index, machine in enumerate(world.machines.values()):
             machine.capacity = 2.15 if index < 2 * ZONES else 0.52
-        world.registered = set()
+        world.store.registered = set()
         for first in range(0, 40, 10):
             world.start(*names[first : first + 10])
             world.run(2.0)
@@ -84,13 +84,13 @@
     def test_a_start_of_all_makes_few_calls_for_each(self) -> None:
         world = self.start()
         # The hubs read both topics once or twice; two go on, every 0.4 s.
-        self.assertLessEqual(world.reads, 2 * 2 * 2 * ZONES + 4 * 15)
+        self.assertLessEqual(world.store.reads, 2 * 2 * 2 * ZONES + 4 * 15)
         # The hubs' claims; none of the others has to read who holds a lease.
-        self.assertLessEqual(world.lease_calls, 3 * 2 * ZONES * 2)
+        self.assertLessEqual(world.store.lease_calls, 3 * 2 * ZONES * 2)
 
     def test_a_large_change_is_asked_of_hubs_not_of_the_log(self) -> None:
         world = self.start()
-        before = world.reads
+        before = world.store.reads
         world.put_configuration(2, size=20_000)
         world.run(1.2)
         versions = {
@@ -100,7 +100,7 @@
         }
         self.assertEqual(versions, {2})
         # Two readers of two topics, every 0.4 s.
-        self.assertLessEqual(world.reads - before, 4 * 4)
+        self.assertLessEqual(world.store.reads - before, 4 * 4)
 
     def test_a_large_change_is_known_where_no_hub_of_the_zone_helps(self) -> None:
         world = self.start()
@@ -161,12 +161,12 @@
 
     def test_both_sides_of_a_cut_have_one_leader(self) -> None:
         world = self.start()
-        world.cut_zones.add("zone-1")
+        world.links.cut_zones.add("zone-1")
         world.run(4.0)
         zones = [world.machines[name].zone for name in world.leaders()]
         self.assertEqual(len(zones), 2)
         self.assertEqual(zones.count("zone-1"), 1)
-        world.cut_zones.clear()
+        world.links.cut_zones.clear()
         self.assertTrue(world.run(8.0, lambda: len(world.leaders()) == 1))
         for number in range(20):
             want(world, f"instance-{number}", f"b{number}")
@@ -175,9 +175,9 @@
 
     def test_a_cut_of_more_than_a_minute_heals(self) -> None:
         world = self.start(24)
-        world.cut_zones.add("zone-1")
+        world.links.cut_zones.add("zone-1")
         world.run(timedelta(seconds=75).total_seconds())
-        world.cut_zones.clear()
+        world.links.cut_zones.clear()
         self.assertTrue(world.run(8.0, lambda: len(world.leaders()) == 1))
 
     def test_leases_are_held_by_hubs(self) -> None:
@@ -210,12 +210,12 @@
     def test_one_that_could_not_register_does_so_later(self) -> None:
         world = self.start()
         world.kill("instance-30")
-        world.registered.discard("instance-30")
+        world.store.registered.discard("instance-30")
         world.machines["instance-30"].store_cut = True
         world.start("instance-30")
         world.run(2.0)
         world.machines["instance-30"].store_cut = False
-        self.assertTrue(world.run(5.0, lambda: "instance-30" in world.registered))
+        self.assertTrue(world.run(5.0, lambda: "instance-30" in world.store.registered))
 
 
 if __name__ == "__main__":
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -50,10 +50,10 @@
     def test_two_instances_read_while_all_is_well(self) -> None:
         world = started(8)
         world.run(2.0)
-        before = world.reads
+        before = world.store.reads
         world.run(10.0)
         # Two topics, each read every 0.4 s by two instances.
-        self.assertLess(world.reads - before, 120)
+        self.assertLess(world.store.reads - before, 120)
 
     def test_a_restart_makes_nobody_read_more(self) -> None:
         world = started(8)
@@ -62,9 +62,9 @@
         world.kill(other)
         world.start(other)
         world.run(3.0)
-        before = world.reads
+        before = world.store.reads
         world.run(10.0)
-        self.assertLess(world.reads - before, 120)
+        self.assertLess(world.store.reads - before, 120)
 
     def test_where_the_store_turns_machines_away_the_others_tell(self) -> None:
         for away in range(1, 6):
@@ -105,11 +105,11 @@
     def test_what_the_log_did_not_show_is_told_by_the_others(self) -> None:
         # For a while reads show nothing new, but say that the log has grown.
         world = started(6)
-        world.deaf = True
+        world.store.deaf = True
         world.put_configuration(2)
         world.run(1.0)
         self.assertNotIn(2, versions(world))
-        world.deaf = False
+        world.store.deaf = False
         for topic in (Topic.CONFIGURATION, Topic.UPSTREAMS):
             world.log.forget_history(topic)
         world.run(1.5)
@@ -139,7 +139,7 @@
 
     def test_an_instance_that_starts_while_the_store_is_down_is_told(self) -> None:
         world = started(3)
-        world.store_down = True
+        world.store.is_down = True
         world.kill("instance-2")
         world.start("instance-2")
         world.run(4.0)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -182,7 +182,7 @@
                 world.kill(other)
                 core.stop()
                 world.machines[first].loses_appends = True
-                world.patience_s = 1.5
+                world.store.patience_s = 1.5
                 for number in range(100):
                     if number == 20 + 5 * when:
                         world.start(other)
@@ -195,14 +195,14 @@
     def test_a_lost_answer_to_a_renewal_keeps_the_lease(self) -> None:
         world = started()
         before = world.holders()
-        world.lose_appends = 1
+        world.store.lose_appends = 1
         for _ in range(40):
             world.run(0.1)
             self.assertEqual(world.holders(), before)
 
     def test_a_late_claim_of_a_loser_takes_nothing(self) -> None:
         world = World(2, 1)
-        world.late_appends = 1
+        world.store.late_appends = 1
         world.start()
         for number in range(30):
             if world.machines["instance-0"].core is not None:
@@ -230,14 +230,14 @@
 
     def test_both_sides_of_a_cut_go_on_loading(self) -> None:
         world = self.start()
-        world.cut_zones.add("zone-1")
+        world.links.cut_zones.add("zone-1")
         world.run(1.6)
         inside = want(world, "instance-1", "a1")
         outside = want(world, "instance-0", "a2")
         self.assertTrue(world.run(2.0, lambda: inside.done() and outside.done()))
         self.assertEqual(inside.result().upstream, "engine-1")
         self.assertNotEqual(outside.result().upstream, "engine-1")
-        world.cut_zones.clear()
+        world.links.cut_zones.clear()
         for number in range(20):
             want(world, f"instance-{number % 6}", f"b{number}")
             world.run(0.3)
@@ -246,7 +246,7 @@
 
     def test_loads_go_on_while_the_store_is_down(self) -> None:
         world = self.start()
-        world.store_down = True
+        world.store.is_down = True
         for number in range(7):
             world.run(0.5)
             answer = want(world, f"instance-{number % 6}", f"a{number}")
@@ -302,8 +302,8 @@
         fault = source.choice([*sorted(FAULTS), "cut zone", "cut zone"])
         if fault == "cut zone":
             zone = f"zone-{source.randrange(3)}"
-            world.cut_zones.add(zone)
-            world.after(healed_after, lambda: world.cut_zones.discard(zone))
+            world.links.cut_zones.add(zone)
+            world.after(healed_after, lambda: world.links.cut_zones.discard(zone))
             return
         machine = world.machines[source.choice(sorted(world.machines))]
         if machine.core is not None:
@@ -391,16 +391,16 @@
 
 
 def _store_down(world: World, machine: Machine, healed_after: float) -> None:
-    world.store_down = True
-    world.after(healed_after, lambda: setattr(world, "store_down", False))
+    world.store.is_down = True
+    world.after(healed_after, lambda: setattr(world.store, "is_down", False))
 
 
 def _lose_append(world: World, machine: Machine, healed_after: float) -> None:
-    world.lose_appends += 1
+    world.store.lose_appends += 1
 
 
 def _late_append(world: World, machine: Machine, healed_after: float) -> None:
-    world.late_appends += 1
+    world.store.late_appends += 1
 
 
 def _lose_orders(world: World, machine: Machine, healed_after: float) -> None:
--- a/tests/test_log_returns.py
+++ b/tests/test_log_returns.py
@@ -58,9 +58,9 @@
         late = []
         for outage in OUTAGES:
             world = running()
-            world.store_down = True
+            world.store.is_down = True
             world.run(outage)
-            world.store_down = False
+            world.store.is_down = False
             world.put_configuration(2)
             world.run((IN_FORCE_WITHIN + RELAYED).total_seconds())
             if versions(world) != {2}:
@@ -79,9 +79,9 @@
         world = running()
         world.run(before)
         for version, outage in enumerate(outages, 2):
-            world.store_down = True
+            world.store.is_down = True
             world.run(outage)
-            world.store_down = False
+            world.store.is_down = False
             world.put_configuration(version)
             world.run((after + 0.3) / version)
         world.put_configuration(9)
--- a/tests/test_many_changes.py
+++ b/tests/test_many_changes.py
@@ -103,7 +103,7 @@
 
     def change(self) -> None:
         """Write a change, where the log takes it."""
-        if self.world.store_down:
+        if self.world.store.is_down:
             return
         if self.source.random() < 0.7:
             self.version += 1
@@ -155,8 +155,8 @@
 
     def log_down(self, lasts: float) -> None:
         self.touch(list(self.world.machines), lasts)
-        self.world.store_down = True
-        self.world.after(lasts, lambda: setattr(self.world, "store_down", False))
+        self.world.store.is_down = True
+        self.world.after(lasts, lambda: setattr(self.world.store, "is_down", False))
 
     def reads_unanswered(self, lasts: float) -> None:
         """Answers of the log are lost, at some instances and for some topics."""
@@ -189,8 +189,8 @@
     def zone_cut(self, lasts: float) -> None:
         zone = f"zone-{self.source.randrange(ZONES)}"
         self.touch([n for n, m in self.world.machines.items() if m.zone == zone], lasts)
-        self.world.cut_zones.add(zone)
-        self.world.after(lasts, lambda: self.world.cut_zones.discard(zone))
+        self.world.links.cut_zones.add(zone)
+        self.world.after(lasts, lambda: self.world.links.cut_zones.discard(zone))
 
     def freeze(self, lasts: float) -> None:
         for name in self.some():
@@ -218,7 +218,7 @@
             self.touch([name], 0.0)
             for other in self.world.machines:
                 if other != name:
-                    self.world.unlink(name, other)
+                    self.world.links.unlink(name, other)
 
 
 TROUBLE_KINDS = (
--- a/tests/test_many_faults.py
+++ b/tests/test_many_faults.py
@@ -91,9 +91,9 @@
 
     def _cut_zone(self) -> None:
         zone = f"zone-{self.source.randrange(ZONES)}"
-        self.world.cut_zones.add(zone)
+        self.world.links.cut_zones.add(zone)
         after = self.source.uniform(0.5, 5.0)
-        self.world.after(after, lambda: self.world.cut_zones.discard(zone))
+        self.world.after(after, lambda: self.world.links.cut_zones.discard(zone))
 
     def _cut_links(self) -> None:
         """Cut single machines off from all others."""
@@ -108,7 +108,7 @@
         for name in self._some():
             for other in self.world.machines:
                 if other != name:
-                    self.world.unlink(name, other)
+                    self.world.links.unlink(name, other)
 
     def _stop(self) -> None:
         """Stop some machines on plan, one after the other, and start them again."""
@@ -129,14 +129,14 @@
             self.world.kill(name)
 
     def _store_down(self) -> None:
-        self.world.store_down = True
+        self.world.store.is_down = True
         after = self.source.uniform(0.5, 6.0)
-        self.world.after(after, lambda: setattr(self.world, "store_down", False))
+        self.world.after(after, lambda: setattr(self.world.store, "is_down", False))
 
     def _lose(self) -> None:
         """Lose answers of the store and of engines."""
-        self.world.lose_appends += self.source.randrange(2)
-        self.world.late_appends += self.source.randrange(2)
+        self.world.store.lose_appends += self.source.randrange(2)
+        self.world.store.late_appends += self.source.randrange(2)
         self.world.lose_orders += self.source.randrange(4)
 
     def _change(self) -> None:
--- a/tests/test_residency_feed.py
+++ b/tests/test_residency_feed.py
@@ -144,9 +144,9 @@
         return lookup.answer
 
     def test_only_hubs_are_told_of_loads(self) -> None:
-        self.world.counts_bytes = True
+        self.world.links.counts_bytes = True
         self.load(20)
-        told = self.world.sent["Holds"] + self.world.sent["HoldsChanged"]
+        told = self.world.links.sent["Holds"] + self.world.links.sent["HoldsChanged"]
         rounds = 8  # Two seconds, four times a second.
         self.assertGreater(told, 0)
         self.assertLessEqual(told, (HUBS - 1) * rounds)
@@ -193,9 +193,9 @@
         self.assertEqual(answer.result(0), ())
 
     def test_bytes_between_zones_grow_less_than_the_instances(self) -> None:
-        self.world.counts_bytes = True
+        self.world.links.counts_bytes = True
         self.load(20)
-        found = sum(self.world.far_bytes.values())
+        found = sum(self.world.links.far_bytes.values())
         # 40 instances: 34 beats a second and hub to those of two other zones, and
         # the same back at their slower pace; requests and residency beside them.
         self.assertLess(found / 2, 75_000)
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -44,14 +44,14 @@
         self.world.run(1.0)
 
     def test_peers_tell_it_all_and_it_reads_nothing(self) -> None:
-        reads = self.world.reads
+        reads = self.world.store.reads
         self.world.start(SMALL)
         self.assertTrue(self.world.run(0.3, lambda: is_ready(self.world, SMALL)))
         core = self.world.machines[SMALL].core
         assert core is not None
         self.assertEqual(len(core._directory.view.by_id), 6)
         # The two that read the log go on to, every 0.4 s.
-        self.assertLessEqual(self.world.reads - reads, 4)
+        self.assertLessEqual(self.world.store.reads - reads, 4)
 
     def test_it_reads_the_log_where_no_peer_answers(self) -> None:
         for index in range(40):
@@ -64,10 +64,10 @@
         for index in range(40):
             if index != 30:
                 self.world.freeze(f"instance-{index}", 30.0)
-        self.world.store_down = True
+        self.world.store.is_down = True
         self.world.start(SMALL)
         self.world.run(1.5)
-        self.world.store_down = False
+        self.world.store.is_down = False
         self.assertTrue(self.world.run(3.0, lambda: is_ready(self.world, SMALL)))
 
     def test_the_rest_of_what_upstreams_there_are_is_waited_for(self) -> None:
@@ -90,14 +90,14 @@
         for number in range(MOST_RELAYED + 500):
             self.world.name_version(f"a{number}", 2)
         self.world.run(2.0)
-        reads = self.world.reads
+        reads = self.world.store.reads
         self.world.start(SMALL)
         self.assertTrue(self.world.run(0.5, lambda: is_ready(self.world, SMALL)))
         core = self.world.machines[SMALL].core
         assert core is not None
         last = Adapter(MODEL, f"a{MOST_RELAYED + 499}")
         self.assertIsNotNone(core._in_force.wanted(last))
-        self.assertLessEqual(self.world.reads - reads, 6)
+        self.assertLessEqual(self.world.store.reads - reads, 6)
 
     def test_one_that_knows_a_part_tells_nobody(self) -> None:
         hub = self.world.machines["instance-0"].core
@@ -109,9 +109,9 @@
         hub.peer_message(
             "instance-3", Relay(str(Topic.UPSTREAMS), offset - 1, offset, [row])
         )
-        self.world.counts_bytes = True
+        self.world.links.counts_bytes = True
         hub.peer_message("instance-33", Pull(str(Topic.UPSTREAMS), -1))
-        self.assertEqual(self.world.sent["Relay"], 0)
+        self.assertEqual(self.world.links.sent["Relay"], 0)
 
 
 class AllStartTests(unittest.TestCase):
@@ -120,12 +120,12 @@
         for name in list(world.machines):
             world.kill(name)
         world.run(0.5)
-        reads = world.reads
+        reads = world.store.reads
         world.start()
         names = list(world.machines)
         ready = lambda: all(is_ready(world, name) for name in names)  # noqa: E731
         self.assertTrue(world.run(0.5, ready))
-        self.assertLessEqual(world.reads - reads, 2 * HUBS)
+        self.assertLessEqual(world.store.reads - reads, 2 * HUBS)
 
     def test_all_are_ready_soon_where_the_hubs_do_not_come_back(self) -> None:
         world = running()
