--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -5,8 +5,15 @@
 one verdict on any machine, so that check and the deadline of an example are off.
 """
 
+import sys
+from pathlib import Path
+
 from hypothesis import HealthCheck, settings
 
+ROOT = Path(__file__).parent.parent
+"""Of the repository; the platform's adapter is not a package that is installed."""
+sys.path.insert(0, str(ROOT / "platform"))
+
 settings.register_profile(
     "any-machine", deadline=None, suppress_health_check=[HealthCheck.too_slow]
 )
--- a/tests/platform_stand_ins/store.py
+++ b/tests/platform_stand_ins/store.py
@@ -21,6 +21,8 @@
         Other than 0: every call is answered with it, and nothing is done.
     lose_answers : bool
         Writes are done and not answered.
+    unanswered_reads : int
+        So many of the next reads get no answer, and their connections say no more.
     calls : int
         How many there were.
     """
@@ -29,6 +31,7 @@
         self.state = LogState()
         self.status = 0
         self.lose_answers = False
+        self.unanswered_reads = 0
         self.calls = 0
         self._changed = threading.Condition()
         self.server = Server(self._handle)
@@ -85,6 +88,11 @@
         call.respond(200, json.dumps({"offset": offset, "end": end}).encode())
 
     def _read(self, call: Call, query: dict[str, str]) -> None:
+        if self.unanswered_reads:
+            self.unanswered_reads -= 1
+            call.keep = False
+            call.wait_for_close()
+            return
         start = int(query["from"])
         wait = int(query.get("wait-ms", "0")) / 1000
         with self._changed:
