An older end that comes late no longer brings an upstream back

Cause: each end replaced the one remembered, also a newer one. Change: the newest end is kept. Test: the example is pinned, red before.

--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -108,7 +108,10 @@
         known = self._by_id.get(upstream_id)
         if known is not None and known.offset >= offset:
             return False
-        self._ended[upstream_id] = (offset, now)
+        ended = self._ended.get(upstream_id)
+        if ended is None or ended[0] < offset:
+            # An older end that comes late must not hide a newer one.
+            self._ended[upstream_id] = (offset, now)
         self._forget_ended(now)
         if known is None:
             return False
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 from unittest import mock
 
-from hypothesis import given, strategies as st
+from hypothesis import example, given, strategies as st
 
 from ashhoist.upstreams import Directory, Upstream, UpstreamState, directory
 
@@ -56,6 +56,8 @@
             )
         )
     )
+    # An older end came late and hid the newer one; a record before that came back.
+    @example([(2, 5, "end"), (2, 2, "end"), (2, 4, "ready")])
     def test_requests_see_the_newest_of_each(
         self, steps: list[tuple[int, int, str]]
     ) -> None:
