Customers: keys, proof that they are current, and quotas over all instances

Cause: no module read customers from the configuration.

Change: a room of its own, customers/. Keys are looked up by digest, checked when a request comes and before each time it is sent. Knowing the configuration is a lease: keys are accepted while it can be shown that what is known here was the newest less than the bound ago, counted from before the question. Tokens are granted by the leader, out of shares that instances leave to it for a while.

Test that was wrong: a malformed configuration decoded to nothing, silently; it is now a refusal that names the wrong fields and none of their values, and the test asks for that.

--- a/packages/ashhoist/src/ashhoist/control/changes.py
+++ b/packages/ashhoist/src/ashhoist/control/changes.py
@@ -14,6 +14,20 @@
     configuration: ServingConfiguration
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationRefused:
+    """A record that is no acceptable configuration; what is in force stays.
+
+    Parameters
+    ----------
+    why : str
+        Names the fields that are wrong, and none of their values.
+    """
+
+    key: str
+    why: str
+
+
 @dataclass(frozen=True, slots=True)
 class VersionNamed:
     """A version of an adapter that requests must now get."""
@@ -37,4 +51,6 @@
     offset: int
 
 
-Change = ConfigurationPut | VersionNamed | UpstreamPut | UpstreamEnded
+Change = (
+    ConfigurationPut | ConfigurationRefused | VersionNamed | UpstreamPut | UpstreamEnded
+)
--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -4,13 +4,13 @@
 many instances on one manual clock with small fakes between them.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
-from ..adapter import Adapter
 from ..clock import ZERO, Clock
+from ..customers import Proof, QuotaBounds
 from ..logs import Logger
 from ..metrics import Metrics
 from ..orders import (
@@ -27,7 +27,7 @@
 from ..store import AppendResult, Newest, Pace, Topic, Unavailable
 from ..store.follower import Followed
 from ..upstreams import Directory, Health
-from . import messages
+from . import inbox, messages
 from .agent import Agent
 from .beats import Beats
 from .election import Election
@@ -40,6 +40,8 @@
 from .order_leases import OrderLeases
 from .outside import Outside
 from .peers import InstanceRecord, Peers
+from .proofs import MICROSECOND, Proofs
+from .quotas import Quotas
 from .readers import FirstRead, Readers
 from .records import Decode, SharedRecords
 from .scheduling import Scheduling
@@ -62,6 +64,7 @@
     seeds: tuple[str, ...] = ()
     lease: LeaseTiming = LeaseTiming()
     capacity: float = 1.0
+    quotas: QuotaBounds = QuotaBounds()
 
     @property
     def identity(self) -> Identity:
@@ -80,6 +83,7 @@
         directory: Directory,
         residency: Residency,
         health: Health,
+        proof: Proof,
         outside: Outside,
         clock: Clock,
         metrics: Metrics,
@@ -88,8 +92,8 @@
         self._settings = settings
         self._in_force = in_force
         self._directory = directory
-        self._residency = residency
-        self._outside = outside
+        self.residency = residency
+        self.outside = outside
         self._clock = clock
         self._metrics = metrics
         self._log = log
@@ -142,6 +146,29 @@
             metrics,
             log,
         )
+        self.quotas = Quotas(
+            settings.name,
+            settings.quotas,
+            in_force,
+            self.peers,
+            self._tell,
+            clock,
+            metrics,
+            log,
+        )
+        self.proofs = Proofs(
+            proof,
+            self.records.knowledge,
+            self.peers,
+            self._hubs,
+            outside,
+            lambda: self._has_customers,
+            self.quotas.leaves_since,
+            self._catch_up_configuration,
+            self._tell,
+            clock,
+            log,
+        )
         self.lookups = Lookups(settings.name, residency, self._hubs, self._tell)
         self._gauges = Gauges(
             directory, self.peers, self.records, self.scheduling, metrics, clock
@@ -189,7 +216,7 @@
         self.stopping = True
         self.leases.rest()
         self._release_at = now + LAST_ORDERS
-        self._outside.unregister()
+        self.outside.unregister()
         self._beats.send_all(self.leader)
 
     def instances(self, records: list[InstanceRecord]) -> None:
@@ -201,7 +228,7 @@
         """Read the log while nothing is known, where peers are not the ones to ask."""
         if not self._informed and self._first_read.due(self.membership.knows_others):
             for topic in SHARED_TOPICS:
-                self._outside.read_now(topic)
+                self.outside.read_now(topic)
 
     @property
     def _informed(self) -> bool:
@@ -214,6 +241,16 @@
         """Take in records that were read from the log."""
         self.leases.log_answers()
         self.records.followed(followed)
+        if followed.topic is Topic.CONFIGURATION and followed.complete:
+            self.proofs.read(followed.asked_at)
+
+    def _catch_up_configuration(self, peer: str, offset: int) -> None:
+        self.records.catch_up(peer, Topic.CONFIGURATION, offset)
+
+    @property
+    def _has_customers(self) -> bool:
+        table = self._in_force.table
+        return table is not None and bool(table.customers)
 
     def _apply_upstreams(self) -> None:
         configuration = self._configuration()
@@ -264,27 +301,17 @@
         self._log.info("instance lost", peer=peer)
         self.scheduling.instance_gone(peer)
         self._beats.forget(peer)
+        self.quotas.forget(peer)
         self._elect()
         self.membership.relink()
 
     def peer_message(self, peer: str, message: Any) -> None:
         """Take in a message of a linked instance."""
-        handler = self._HANDLERS.get(type(message))
-        if handler is None:
+        if not inbox.handle(self, peer, message):
             self._metrics.count("bad_frames", "unexpected")
-            return
-        handler(self, peer, message)
-
-    def _introduced(self, peer: str, message: messages.Introduce) -> None:
-        self.membership.introduced(peer, message)
-
-    def _told_instances(self, peer: str, message: messages.Instances) -> None:
-        self.membership.told(message)
-
-    def _asked_for_instances(self, peer: str, message: messages.AskInstances) -> None:
-        self.membership.asked(peer)
 
-    def _beaten(self, peer: str, beat: messages.Beat) -> None:
+    def beaten(self, peer: str, beat: messages.Beat) -> None:
+        """Take in another instance's sign of life."""
         now = self._clock.monotonic()
         led_before = self.peers.leads(peer)
         told_news = self.peers.beat(peer, beat, now)
@@ -292,6 +319,7 @@
             self.leases.heard(Claim(*row))
         self.scheduling.heard(beat.epoch)
         self.membership.compare(peer, beat.instances)
+        self.quotas.beaten(peer, beat)
         if told_news:
             self._elect()
         if beat.leads and not led_before and peer == self.leader:
@@ -300,103 +328,19 @@
         for topic in SHARED_TOPICS:
             self.records.catch_up(peer, topic, beat.offsets.get(str(topic), -1))
 
-    def _announced(self, peer: str, message: messages.Announce) -> None:
-        self.records.announced(peer, message)
-
-    def _pulled(self, peer: str, pull: messages.Pull) -> None:
-        self.records.pulled(peer, pull)
-
-    def _relayed(self, peer: str, relay: messages.Relay) -> None:
-        self.records.relayed(peer, relay)
-
-    def _held(self, peer: str, holds: messages.Holds) -> None:
-        held = {Adapter(model, name): int(v) for model, name, v in holds.adapters}
-        self._residency.put(holds.epoch, holds.upstream, held)
-
-    def _holds_changed(self, peer: str, change: messages.HoldsChanged) -> None:
-        for upstream, served, gone in change.rows:
-            self._residency.change(
-                change.epoch,
-                upstream,
-                {Adapter(model, name): int(v) for model, name, v in served},
-                [Adapter(model, name) for model, name in gone],
-            )
-
-    def _asked_where(self, peer: str, locate: messages.Locate) -> None:
-        self.lookups.asked(peer, locate)
-
-    def _told_where(self, peer: str, located: messages.Located) -> None:
-        self.lookups.answered(located)
-
-    def _asked_for_lease(self, peer: str, message: Any) -> None:
-        self._outside.lease_call_for(peer, message)
-
-    def _claims_read(self, peer: str, message: messages.ClaimsRead) -> None:
-        self.leases.claims_read(peer, message)
-
-    def _claim_appended(self, peer: str, message: messages.ClaimAppended) -> None:
-        self.leases.claim_appended(peer, message)
-
-    def _carry(self, peer: str, message: messages.Carry) -> None:
-        self.desk.carry(peer, message)
-
-    def _carried(self, peer: str, message: messages.Carried) -> None:
-        answer = OrderAnswer(message.answer)
-        self.scheduling.answered(message.upstream, message.number, answer)
-
-    def _asked(self, peer: str, ask: messages.Ask) -> None:
+    def asked(self, peer: str, ask: messages.Ask) -> None:
+        """Take in a request of another instance that waits for its adapter."""
         if not self.scheduling.leads:
             # The asker knows no better yet; it hears of the leader with a beat.
             self._beats.greet(peer, self.leader)
             return
         self.scheduling.asked(peer, ask)
 
-    def _withdrawn(self, peer: str, message: messages.Withdraw) -> None:
-        self.scheduling.withdrawn(message.id)
-
-    def _used(self, peer: str, uses: messages.Uses) -> None:
-        self.scheduling.used(peer, uses)
-
-    def _granted(self, peer: str, granted: messages.Granted) -> None:
-        self.agent.granted(granted)
-
-    def _waits(self, peer: str, message: messages.Waits) -> None:
-        self.agent.waits(message)
-
-    def _declined(self, peer: str, declined: messages.Declined) -> None:
-        self.agent.declined(declined)
-
-    _HANDLERS: dict[type, Callable[["Core", str, Any], None]] = {
-        messages.Introduce: _introduced,
-        messages.Instances: _told_instances,
-        messages.AskInstances: _asked_for_instances,
-        messages.Beat: _beaten,
-        messages.Announce: _announced,
-        messages.Pull: _pulled,
-        messages.Relay: _relayed,
-        messages.Holds: _held,
-        messages.HoldsChanged: _holds_changed,
-        messages.Locate: _asked_where,
-        messages.Located: _told_where,
-        messages.Ask: _asked,
-        messages.Withdraw: _withdrawn,
-        messages.Uses: _used,
-        messages.Granted: _granted,
-        messages.Declined: _declined,
-        messages.Waits: _waits,
-        messages.ReadClaimsFor: _asked_for_lease,
-        messages.AppendClaimFor: _asked_for_lease,
-        messages.ClaimsRead: _claims_read,
-        messages.ClaimAppended: _claim_appended,
-        messages.Carry: _carry,
-        messages.Carried: _carried,
-    }
-
     def _tell(self, instance: str, message: Any) -> None:
         if instance == self._settings.name:
             self.peer_message(instance, message)
             return
-        self._outside.send_to(instance, message)
+        self.outside.send_to(instance, message)
 
     def _tell_leader(self, message: Any) -> None:
         if self.leader is not None:
@@ -416,6 +360,7 @@
         if leader == self.leader:
             return
         self.leader = leader
+        self.quotas.follow(leader)
         self._log.info("leader changed", leader=leader)
         self.membership.relink()
         if leader is None:
@@ -461,6 +406,8 @@
         self._release_when_quiet(now)
         self._elect()
         self._choose_readers()
+        self.proofs.keep(self.leader)
+        self.quotas.return_left_over()
         self.leases.step()
         self._beats.send_due(self.leader)
         if now - self._looked_after_at >= LOOK_AFTER_PEERS_EVERY:
@@ -491,9 +438,9 @@
     def _look_after_peers(self, now: timedelta) -> None:
         for peer in self.peers.silent(now):
             self._log.info("instance silent", peer=peer)
-            self._outside.drop(peer, "silent")
+            self.outside.drop(peer, "silent")
         for peer in self._hubs.surplus():
-            self._outside.drop(peer, "surplus")
+            self.outside.drop(peer, "surplus")
         self.peers.forget_lost(now)
         self.membership.relink()
 
@@ -508,4 +455,5 @@
             [claim.to_row() for claim in claims],
             round(every / timedelta(milliseconds=1)),
             len(self.peers.by_name),
+            self._clock.monotonic() // MICROSECOND,
         )
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -69,6 +69,9 @@
         When the next beat follows.
     instances : int
         How many other instances the sender knows.
+    sent_at : int
+        The sender's steady clock, in microseconds. It means nothing to others, who
+        only tell it back.
     """
 
     stopping: bool
@@ -80,6 +83,7 @@
     claims: list
     every_ms: int
     instances: int
+    sent_at: int
 
 
 @message(42)
@@ -361,3 +365,88 @@
     number: int
     upstream: str
     answer: str
+
+
+@message(65)
+@dataclass(frozen=True, slots=True)
+class AskProof:
+    """Ask how long ago what the receiver knows of the configuration was the newest.
+
+    Whoever asks the leader leaves its share of all quotas to it.
+
+    Parameters
+    ----------
+    asked_at : int
+        The sender's steady clock, in microseconds; it stands in the answer.
+    leaves_since : int
+        The newest `Beat.sent_at` of the receiver from which on the sender leaves its
+        share to it; -1 if it does not.
+    """
+
+    asked_at: int
+    leaves_since: int
+
+
+@message(66)
+@dataclass(frozen=True, slots=True)
+class Proven:
+    """What the sender knew was the newest, so long before it sent this.
+
+    Parameters
+    ----------
+    offset : int
+        Up to which it knew all changes of the configuration.
+    """
+
+    asked_at: int
+    age_us: int
+    offset: int
+
+
+@message(67)
+@dataclass(frozen=True, slots=True)
+class DrawTokens:
+    """Ask for tokens of a customer's quota.
+
+    Parameters
+    ----------
+    needed : float
+        For the request that waits.
+    extra : float
+        What the next ones will likely need.
+    """
+
+    number: int
+    customer: str
+    needed: float
+    extra: float
+
+
+@message(68)
+@dataclass(frozen=True, slots=True)
+class TokensDrawn:
+    """Tokens that the receiver may spend.
+
+    Parameters
+    ----------
+    tokens : float
+        0 if the quota does not hold what is needed now.
+    wait_ms : int
+        When it will; -1 if the sender can't tell, or grants nothing now.
+    used, spare : float
+        Of the quota's rate, and of its burst; see `customers.granter.Use`.
+    """
+
+    number: int
+    tokens: float
+    wait_ms: int
+    used: float
+    spare: float
+
+
+@message(69)
+@dataclass(frozen=True, slots=True)
+class ReturnTokens:
+    """Tokens that were not spent: lists of customer and tokens."""
+
+    rows: list
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -16,7 +16,14 @@
 from ..store.follower import Followed
 from ..upstreams import Directory, Health, Lapses
 from . import messages
-from .changes import Change, ConfigurationPut, UpstreamEnded, UpstreamPut, VersionNamed
+from .changes import (
+    Change,
+    ConfigurationPut,
+    ConfigurationRefused,
+    UpstreamEnded,
+    UpstreamPut,
+    VersionNamed,
+)
 from .hubs import Hubs
 from .knowledge import MOST_RELAYED, SHARED_TOPICS, Knowledge
 from .outside import Outside
@@ -169,6 +176,10 @@
         """Take in a change; return whether it was one."""
         if isinstance(change, ConfigurationPut):
             return self._put_configuration(change)
+        if isinstance(change, ConfigurationRefused):
+            self._log.warning("configuration refused", key=change.key, why=change.why)
+            self._metrics.count("refused_records", change.key)
+            return False
         if isinstance(change, VersionNamed):
             return self._name_version(change)
         if isinstance(change, UpstreamPut):
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import Any
 
+from ..customers.charges import Charge, ChargeUnanswered, TokensUnused
 from ..http import Pool
 from ..links import Links, news
 from ..logs import Logger
@@ -234,6 +235,18 @@
     def _use_ended(self, message: UseEnded) -> None:
         self.core.agent.ended(message)
 
+    @_handles(Charge)
+    def _charge(self, message: Charge) -> None:
+        self.core.quotas.charge(message)
+
+    @_handles(ChargeUnanswered)
+    def _charge_unanswered(self, message: ChargeUnanswered) -> None:
+        self.core.quotas.unanswered(message)
+
+    @_handles(TokensUnused)
+    def _tokens_unused(self, message: TokensUnused) -> None:
+        self.core.quotas.unused(message)
+
     @_handles(OrderDone)
     def _order_done(self, message: OrderDone) -> None:
         self.core.order_answered(message.order, message.answer)
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/customers/__init__.py
@@ -0,0 +1,22 @@
+"""Customers: their keys, how long these may be trusted, and their quotas."""
+
+from .allowance import Allowances
+from .bucket import Bucket
+from .customer import Customer, CustomerTable, Quota, QuotaUnit, digest, shown
+from .granter import Grant, Granter, QuotaBounds
+from .proof import Proof
+
+__all__ = [
+    "Allowances",
+    "Bucket",
+    "Customer",
+    "CustomerTable",
+    "Grant",
+    "Granter",
+    "Proof",
+    "Quota",
+    "QuotaBounds",
+    "QuotaUnit",
+    "digest",
+    "shown",
+]
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/customers/granter.py
@@ -0,0 +1,184 @@
+"""Grants customers' tokens, for all instances that leave their share to it.
+
+Every instance owns an equal share of each quota. It leaves that to the instance that
+leads, for a while, and anew before that ends; the leader grants from all shares that it
+has been left, to whoever needs tokens. So whatever is cut off, frozen or restarted, and
+however many lead at once, what is granted never adds up to more than the whole: a share
+is granted from by one instance only.
+
+For how long a share is left counts on the leader's clock, from a moment that the leader
+itself has told (`Beat.sent_at`). The instance that leaves it counts from when it heard
+of that moment, so it takes its share back later than the leader lets go.
+"""
+
+import math
+from dataclasses import dataclass
+from datetime import timedelta
+
+from .bucket import Bucket, Pace
+from .customer import Quota
+
+LEFT_FOR = timedelta(milliseconds=2500)
+"""For how long a share is left to the leader. Beats tell its moments each 0.5 s, and
+shares are left anew each second; one of both may be lost."""
+EXTRA_PART = 0.5
+"""Of what a bucket holds for each instance, that one may be granted beyond its need."""
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaBounds:
+    """By how much a quota may be passed.
+
+    Parameters
+    ----------
+    window : timedelta
+        What is spent is counted over any span of this length.
+    overage : float
+        Above rate times window and burst, as a share of these.
+    """
+
+    window: timedelta = timedelta(seconds=8)
+    overage: float = 0.1
+
+    def spare(self, quota: Quota) -> float:
+        """Return the units by which a window may be passed."""
+        whole = quota.rate * self.window.total_seconds() + quota.burst
+        return whole * self.overage
+
+
+@dataclass(frozen=True, slots=True)
+class Use:
+    """How much of a quota is in use.
+
+    Parameters
+    ----------
+    rate : float
+        Of its rate, what was granted of late.
+    spare : float
+        Of its burst, what could be granted at once.
+    """
+
+    rate: float = 1.0
+    spare: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """What was granted; nothing if `tokens` is 0.
+
+    Parameters
+    ----------
+    wait : timedelta or None
+        When to ask again; None if nothing is known of that.
+    """
+
+    tokens: float
+    wait: timedelta | None = timedelta()
+    use: Use = Use()
+
+
+@dataclass(slots=True)
+class _Account:
+    """One customer's tokens, as far as they are granted from here."""
+
+    bucket: Bucket
+    pace: Pace
+
+
+class Granter:
+    """The tokens of all customers, as far as shares were left here.
+
+    Parameters
+    ----------
+    own : str
+        This instance's name; its own share is always here.
+    """
+
+    def __init__(self, own: str, bounds: QuotaBounds) -> None:
+        self._own = own
+        self._bounds = bounds
+        self._left_until: dict[str, timedelta] = {}
+        self._accounts: dict[str, _Account] = {}
+
+    def left(self, instance: str, told_at: timedelta) -> None:
+        """Take in that an instance leaves its share here.
+
+        Parameters
+        ----------
+        told_at : timedelta
+            The newest moment of this instance that it has heard of.
+        """
+        until = told_at + LEFT_FOR
+        self._left_until[instance] = max(until, self._left_until.get(instance, until))
+
+    def share(self, instances: int, now: timedelta) -> float:
+        """Return which share of every quota is granted from here.
+
+        Parameters
+        ----------
+        instances : int
+            How many instances there are, this one included.
+        """
+        for instance, until in list(self._left_until.items()):
+            if until <= now:
+                del self._left_until[instance]
+        return min((len(self._left_until) + 1) / max(instances, 1), 1.0)
+
+    def grant(
+        self,
+        customer: str,
+        quota: Quota,
+        needed: float,
+        extra: float,
+        instances: int,
+        now: timedelta,
+    ) -> Grant:
+        """Return what an instance may spend for a customer.
+
+        Parameters
+        ----------
+        needed : float
+            For the request that asks.
+        extra : float
+            What the next requests there will likely need.
+        """
+        account = self._account(customer, quota, instances, now)
+        bucket = account.bucket
+        if not bucket.take(needed, now):
+            return Grant(0.0, bucket.wait(needed, now))
+        plenty = bucket.spare(now) * EXTRA_PART / max(instances, 1)
+        more = math.floor(min(extra, plenty))
+        granted = needed
+        if more > 0 and bucket.take(more, now):
+            granted += more
+        account.pace.note(granted, now)
+        return Grant(granted, use=self._use(account, now))
+
+    def _use(self, account: _Account, now: timedelta) -> Use:
+        bucket = account.bucket
+        rate = account.pace.of(now) / bucket.rate
+        spare = bucket.spare(now) / bucket.burst if bucket.burst else 0.0
+        return Use(min(rate, 1.0), spare)
+
+    def give_back(self, customer: str, tokens: float, now: timedelta) -> None:
+        """Take back what was granted and not spent."""
+        account = self._accounts.get(customer)
+        if account is not None:
+            account.bucket.give_back(tokens, now)
+            account.pace.note(-tokens, now)
+
+    def _account(
+        self, customer: str, quota: Quota, instances: int, now: timedelta
+    ) -> _Account:
+        """Return a customer's tokens, as many as what was left here allows."""
+        share = self.share(instances, now)
+        rate, burst = quota.rate * share, quota.burst * share
+        account = self._accounts.get(customer)
+        if account is None:
+            # What was granted before this instance led is not known. Half of what a
+            # window may be passed by is: so two changes in one window stay within.
+            level = min(self._bounds.spare(quota) / 2, quota.burst) * share
+            account = _Account(Bucket(rate, burst, level, now), Pace())
+            self._accounts[customer] = account
+        account.bucket.resize(rate, burst, now)
+        return account
--- a/packages/ashhoist/src/ashhoist/http/__init__.py
+++ b/packages/ashhoist/src/ashhoist/http/__init__.py
@@ -6,7 +6,13 @@
 built on ``h11`` (see ``docs/design/platform.md``).
 """
 
-from .caller import CallerConnection, CallerGoneError, MalformedRequestError, Request
+from .caller import (
+    CallerConnection,
+    CallerGoneError,
+    Headers,
+    MalformedRequestError,
+    Request,
+)
 from .listener import Listener
 from .pool import Pool
 from .upstream import Broken, Head, NotSent, UpstreamConnection
@@ -16,6 +22,7 @@
     "CallerConnection",
     "CallerGoneError",
     "Head",
+    "Headers",
     "Listener",
     "MalformedRequestError",
     "NotSent",
--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -1,7 +1,7 @@
 """The caller's side of a request: one kept connection, many requests."""
 
 import socket
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 import h11
@@ -97,7 +97,12 @@
     # Reading
 
     def read_request(self, limits: CallerLimits) -> Steps[Request]:
-        """Read the next request whole.
+        """Read the next request whole. Raises as `read_head` does."""
+        head = yield from self.read_head(limits)
+        return (yield from self.read_body(head, limits))
+
+    def read_head(self, limits: CallerLimits) -> Steps[Request]:
+        """Read the next request up to its body; see `read_body` and `skip_body`.
 
         Raises
         ------
@@ -113,7 +118,6 @@
             limits.header_bytes
         ):
             raise MalformedRequestError(431, "headers too large")
-        body = yield from self._read_body(limits)
         pairs = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers.raw_items()
@@ -122,7 +126,7 @@
             head.method.decode("ascii"),
             head.target.decode("latin-1"),
             pairs,
-            body,
+            b"",
             begun,
             {name.lower(): value for name, value in pairs},
         )
@@ -133,6 +137,25 @@
             return event
         raise CallerGoneError
 
+    def read_body(self, request: Request, limits: CallerLimits) -> Steps[Request]:
+        """Read the body that belongs to a head, and return both.
+
+        Raises
+        ------
+        CallerGoneError, MalformedRequestError
+            As for `read_head`.
+        """
+        body = yield from self._read_body(limits)
+        return replace(request, body=body) if body else request
+
+    def skip_body(self) -> None:
+        """Pass over a body that has come already, so that the connection may stay."""
+        try:
+            while isinstance(self._http.next_event(), h11.Data):
+                pass
+        except h11.RemoteProtocolError:
+            self.keep = False
+
     def _read_body(self, limits: CallerLimits) -> Steps[bytes]:
         until = self._clock.monotonic() + limits.idle_time
         if self._http.they_are_waiting_for_100_continue:
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -14,6 +14,9 @@
     from prometheus_client import Metric
 
 RECENT_KEPT = 4096
+MOST_SERIES = 1024
+"""Label values of one counter; what comes beyond is counted as `OTHER`."""
+OTHER = "other"
 SECONDS = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
 
 COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
@@ -29,6 +32,10 @@
     "transfer_bytes": ("Bytes of HTTP to the outside", ("kind",)),
     "loads": ("Adapter loads that ended", ("result",)),
     "appends": ("Appends to the log", ("stream", "result")),
+    "customer_requests": ("Requests of a customer that ended", ("customer", "end")),
+    "customer_tokens": ("Charged to a customer's quota", ("customer", "end")),
+    "charged_alone": ("Charges without an answer of the leader", ("result",)),
+    "refused_records": ("Records of the log that are not acceptable", ("key",)),
     "http_requests": ("HTTP requests of callers and operators", ("status",)),
 }
 HISTOGRAMS = {
@@ -45,6 +52,7 @@
     "configuration_offset": ("Offset that is in force here", ()),
     "log_lag_seconds": ("Time since the log last answered", ()),
     "topic_lag_seconds": ("Time since the log answered a read", ("topic",)),
+    "proof_age_seconds": ("Age of the proof that the configuration is current", ()),
     "reads_log": ("1 if this instance reads the log itself", ()),
     "instances_in_contact": ("Instances heard of lately", ()),
     "ready": ("1 if callers may be sent here", ()),
@@ -100,6 +108,8 @@
     def count(self, name: str, *labels: Any, amount: float = 1) -> None:
         """Add to a counter."""
         values = self._counts[name]
+        if labels not in values and len(values) >= MOST_SERIES:
+            labels = (OTHER,) * len(labels)
         with self._lock:
             values[labels] = values.get(labels, 0.0) + amount
 
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -15,6 +15,7 @@
 from .control.peers import InstanceRecord
 from .control.store_calls import StoreCalls
 from .control.task import ControlTask
+from .customers import Proof, QuotaBounds
 from .exceptions import AddressInUseError
 from .http import Listener, Pool
 from .links import Links
@@ -25,8 +26,10 @@
 from .process_settings import ProcessSettings, paces
 from .requests import Dialect, Handler, RetryBudget
 from .requests.attempt import Attempts
+from .requests.charging import Charging
 from .requests.choosers import Chooser, PlainChooser
 from .requests.engine_chooser import EngineChooser
+from .requests.keys import Keys
 from .requests.serving import Serving
 from .routing.in_force import InForce
 from .signals import SettingsWatcher, Signals
@@ -83,6 +86,7 @@
         self.directory = Directory()
         self.residency = Residency()
         self.health = Health(self.clock)
+        self.proof = Proof(settings.bounds.revocation)
         self.pool = Pool(loop)
         self._closing = False
         self.control = ControlTask(logs.get("control"), loop)
@@ -127,6 +131,9 @@
             self._paces,
             settings.seeds,
             capacity=self.settings.limits.capacity,
+            quotas=QuotaBounds(
+                self.settings.quotas.window, self.settings.quotas.overage
+            ),
         )
         core = Core(
             core_settings,
@@ -135,6 +142,7 @@
             self.directory,
             self.residency,
             self.health,
+            self.proof,
             control,
             clock,
             self.metrics,
@@ -193,11 +201,20 @@
         self._budget = RetryBudget(
             retries.ratio, retries.extra, retries.window, self._instances, clock
         )
+        keys = Keys(
+            dialect.key.lower(),
+            lambda: self.in_force.table,
+            self.proof,
+            self.settings.bounds.configuration,
+            clock,
+        )
         serving = Serving(
             dialect,
             Attempts(dialect, self.pool, clock),
             self._budget,
             self.health,
+            keys,
+            Charging(self.control.send, clock, self.metrics, self._source),
             clock,
             self.metrics,
             logs.get("requests"),
@@ -219,6 +236,7 @@
             serving,
             lambda: self.in_force.table,
             choosers,
+            keys,
             lambda: self._closing,
             clock,
             self.metrics,
--- a/packages/ashhoist/src/ashhoist/process_settings.py
+++ b/packages/ashhoist/src/ashhoist/process_settings.py
@@ -36,6 +36,9 @@
 configuration of 330 kB over a link of 10 Mbit/s, and two hops between instances."""
 SHORTEST_WAIT = timedelta(milliseconds=200)
 """How long the log may hold a read at least: five calls a second and reader."""
+PROOF_EVERY = timedelta(milliseconds=500)
+"""How often a reader proves that it knows the newest configuration, where keys depend
+on that: two calls a second and reader, and proof is half a second old at most."""
 Addresses = Annotated[tuple[Address, ...], BeforeValidator(_items)]
 Regions = Annotated[dict[str, str], BeforeValidator(_table)]
 
@@ -62,7 +65,14 @@
 
 
 class BoundsSection(Section):
-    """What the platform promises and demands."""
+    """What the platform promises and demands.
+
+    Parameters
+    ----------
+    revocation : timedelta or None
+        Within so long after it was confirmed that a key is taken away, nothing runs
+        with it any more, anywhere; None if that is not promised.
+    """
 
     drain: Duration = timedelta(seconds=2)
     stop: Duration = timedelta(seconds=8)
@@ -70,6 +80,7 @@
     version: Duration = timedelta(seconds=5)
     configuration: Duration = timedelta(seconds=2)
     contact: Duration = timedelta(seconds=3)
+    revocation: Duration | None = None
 
 
 def paces(store: StoreSection, bounds: BoundsSection) -> dict[Topic, Pace]:
@@ -79,8 +90,12 @@
     one answered and told, before a change has to be in force.
     """
     wait = bounds.configuration - PATIENCE - TOLD_WITHIN
+    pace = Pace(max(wait, SHORTEST_WAIT), timedelta())
+    if bounds.revocation is not None:
+        # An answer shows what was so when it was asked for: none may be held long.
+        pace = Pace(timedelta(), PROOF_EVERY)
     return {
-        Topic.CONFIGURATION: Pace(max(wait, SHORTEST_WAIT), timedelta()),
+        Topic.CONFIGURATION: pace,
         Topic.UPSTREAMS: Pace(timedelta(), store.upstreams_pause),
     }
 
@@ -93,6 +108,13 @@
     window: Duration = timedelta(seconds=10)
 
 
+class QuotaSection(Section):
+    """How the platform measures what customers spend of their quotas."""
+
+    window: Duration = timedelta(seconds=8)
+    overage: float = Field(default=0.1, ge=0, le=1)
+
+
 class LoadSection(Section):
     """Bounds on loads from the weight store, over all instances."""
 
@@ -124,6 +146,7 @@
     bounds: BoundsSection = BoundsSection()
     retries: RetrySection = RetrySection()
     loads: LoadSection = LoadSection()
+    quotas: QuotaSection = QuotaSection()
     limits: LimitSection = LimitSection()
     logs: LogSettings = LogSettings()
 
--- a/packages/ashhoist/src/ashhoist/requests/attempt.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt.py
@@ -23,7 +23,11 @@
 MISDIRECTED = 421
 OK = 200
 SURPLUS_ALLOWED = 4
-URGENCY_STEP = 2
+LEAST_URGENT = 9
+CUSTOMER_STEP = 3
+"""Urgencies between two priorities of customers, of ten in all."""
+ROUTE_STEP = 2
+"""The same between two priorities of routes, where there are no customers."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,8 +173,9 @@
         if target.version is not None:
             headers.append((dialect.expect_version, str(target.version)))
         if call.adapter is not None:
-            urgency = min(call.route.priority * URGENCY_STEP, 9)
-            headers.append((dialect.urgency, str(urgency)))
+            headers.append((dialect.urgency, str(_urgency(call))))
+        if call.identity.customer is not None:
+            headers.append((dialect.customer, call.identity.customer.name))
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             headers.append(("Content-Length", str(len(request.body))))
         return headers
@@ -286,6 +291,15 @@
             return None if broken is None else MayHaveRun(_reason(broken))
 
 
+def _urgency(call: Call) -> int:
+    """Return a call's urgency for engines, 0 to 9; 0 is first."""
+    of_customer, of_route = call.priority
+    if call.identity.customer is None:
+        return min(of_route * ROUTE_STEP, LEAST_URGENT)
+    within = min(of_route, CUSTOMER_STEP - 1)
+    return min(of_customer * CUSTOMER_STEP + within, LEAST_URGENT)
+
+
 def _named_by_connection(headers: list[tuple[str, str]]) -> set[str]:
     return {
         part.strip().lower()
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -6,6 +6,7 @@
 from ..adapter import Adapter
 from ..http import Request
 from ..routing import Route
+from .keys import ANYBODY, Identity
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +21,11 @@
         """Return the work it stands for: a token out costs ten in."""
         return self.tokens_in + 10 * self.tokens_out
 
+    @property
+    def tokens(self) -> int:
+        """Return the tokens of the prompt and, at most, of the answer."""
+        return self.tokens_in + self.tokens_out
+
 
 @dataclass(slots=True)
 class Call:
@@ -39,6 +45,12 @@
         When the last attempt was begun.
     may_have_run : bool
         True once an attempt was sent and not refused expressly.
+    unrefused : bool
+        True while an attempt was sent of which nothing says that it has not run.
+    identity : Identity
+        Who sent it.
+    charged : float
+        To its customer's quota, in the quota's unit.
     """
 
     id: str
@@ -53,6 +65,9 @@
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
+    unrefused: bool = False
+    identity: Identity = ANYBODY
+    charged: float = 0.0
     tried: set[str] = field(default_factory=set)
     use_id: str = ""
     patience: timedelta | None = None
@@ -67,6 +82,24 @@
         """Return when its first byte was seen."""
         return self.request.received_at
 
+    @property
+    def has_run(self) -> bool:
+        """Return whether an upstream has, or may have, begun to work on it."""
+        return self.may_have_run or self.unrefused or self.runs > 0
+
+    @property
+    def customer_name(self) -> str:
+        """Return the name of the customer that sent it, or nothing."""
+        customer = self.identity.customer
+        return "" if customer is None else customer.name
+
+    @property
+    def priority(self) -> tuple[int, int]:
+        """Return its rank: its customer's goes before its route's; 0 is first."""
+        customer = self.identity.customer
+        own = 0 if customer is None else customer.priority
+        return (own, self.route.priority)
+
     @property
     def left_at(self) -> timedelta:
         """Return when its caller leaves if no other event comes before."""
--- a/packages/ashhoist/src/ashhoist/requests/dialect.py
+++ b/packages/ashhoist/src/ashhoist/requests/dialect.py
@@ -38,6 +38,10 @@
         Of the prompt, and most out, divided by a comma.
     prompt_parts : str
         ``ID:TOKENS`` by commas, in order.
+    key : str
+        By which a caller shows which customer it is; never passed on.
+    customer : str
+        Tells upstreams the customer's name; only the system sets it.
     foreign : frozenset of str
         In lower case: further headers that a caller must not set.
     """
@@ -55,6 +59,8 @@
     expect_instance: str = "Ashhoist-Expect-Incarnation"
     expect_version: str = "Ashhoist-Expect-Version"
     urgency: str = "Ashhoist-Urgency"
+    key: str = "Ashhoist-Key"
+    customer: str = "Ashhoist-Customer"
     foreign: frozenset[str] = frozenset()
 
     def own_headers(self) -> frozenset[str]:
@@ -63,5 +69,7 @@
             self.expect_instance.lower(),
             self.expect_version.lower(),
             self.urgency.lower(),
+            self.key.lower(),
+            self.customer.lower(),
         }
         return frozenset(own | self.foreign)
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from ..adapter import Adapter
@@ -16,12 +17,30 @@
 from .call import Call, Sizes
 from .choosers import Chooser
 from .dialect import Dialect
+from .keys import Identity, Keys
 from .serving import Ending, Serving
 
 ANSWER_TIME = timedelta(seconds=2)
 FIRST_TRY_SHARE = 0.9
 """A caller that has less of the route's time has tried before."""
 MILLISECOND = timedelta(milliseconds=1)
+STATUS_BY_REASON = {Reason.NOT_FOUND: 404, Reason.UNAUTHORIZED: 401}
+"""Of requests that are refused by their head; else 503."""
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """What the head of a request that may be served says.
+
+    Parameters
+    ----------
+    table : RouteTable
+        What was in force when it came.
+    """
+
+    table: RouteTable
+    route: Route
+    identity: Identity
 
 
 class Handler:
@@ -43,6 +62,7 @@
         serving: Serving,
         table: Callable[[], RouteTable | None],
         choosers: dict[str, Chooser],
+        keys: Keys,
         closing: Callable[[], bool],
         clock: Clock,
         metrics: Metrics,
@@ -53,6 +73,7 @@
         self._serving = serving
         self._table = table
         self._choosers = choosers
+        self._keys = keys
         self._closing = closing
         self._clock = clock
         self._metrics = metrics
@@ -91,7 +112,12 @@
 
     def _serve_one(self, caller: CallerConnection) -> Steps[bool]:
         try:
-            request = yield from caller.read_request(self.limits())
+            limits = self.limits()
+            request = yield from caller.read_head(limits)
+            caller.keep = caller.keep and not self._closing()
+            admitted = self._admit(request)
+            if isinstance(admitted, Admitted):
+                request = yield from caller.read_body(request, limits)
         except MalformedRequestError as error:
             self._metrics.count("refusals", Reason.BAD_REQUEST)
             self._log.info(
@@ -100,22 +126,35 @@
             caller.keep = False
             yield from self._say(caller, error.status, Reason.BAD_REQUEST, "")
             return False
-        caller.keep = caller.keep and not self._closing()
-        yield from self._answer(caller, request)
+        if isinstance(admitted, Admitted):
+            yield from self._answer(caller, request, admitted)
+        else:
+            caller.skip_body()
+            yield from self._refuse(caller, admitted, request)
         return caller.next()
 
-    def _answer(self, caller: CallerConnection, request: Request) -> Steps[None]:
+    def _admit(self, request: Request) -> Admitted | Reason:
+        """Return the route of a request and who sent it, or why it is not served.
+
+        Its head says so: a body that nobody is going to read need not be sent.
+        """
         table = self._table()
-        request_id = request.value(self._dialect.request_id.lower())
         if table is None:
-            yield from self._refuse(caller, 503, Reason.UNSETTLED, request_id)
-            return
+            return Reason.UNSETTLED
         route = table.find(request.value("host"), request.target)
         if route is None:
-            yield from self._refuse(caller, 404, Reason.NOT_FOUND, request_id)
-            return
-        call = self._call(table, route, request, request_id)
-        chooser = self._chooser(table.configuration.services.get(call.service))
+            return Reason.NOT_FOUND
+        identity = self._keys.identify(table, route, request.headers)
+        if isinstance(identity, Reason):
+            return identity
+        return Admitted(table, route, identity)
+
+    def _answer(
+        self, caller: CallerConnection, request: Request, admitted: Admitted
+    ) -> Steps[None]:
+        call = self._call(admitted, request)
+        services = admitted.table.configuration.services
+        chooser = self._chooser(services.get(call.service))
         ending = yield from self._serving.run(call, caller, chooser)
         self._note(call, ending)
 
@@ -123,18 +162,17 @@
         engine = service is not None and service.engine is not None
         return self._choosers["engine" if engine else "plain"]
 
-    def _call(
-        self, table: RouteTable, route: Route, request: Request, request_id: str
-    ) -> Call:
+    def _call(self, admitted: Admitted, request: Request) -> Call:
         dialect = self._dialect
+        route = admitted.route
         limit = request.received_at + route.timeout
         told = request.value(dialect.deadline_ms.lower())
         if told.isdigit():
             limit = min(limit, request.received_at + int(told) * MILLISECOND)
-        service = self._service(table, route)
+        service = self._service(route)
         adapter = request.value(dialect.adapter.lower())
         return Call(
-            id=request_id,
+            id=request.value(dialect.request_id.lower()),
             request=request,
             route=route,
             service=service,
@@ -143,9 +181,10 @@
             adapter=Adapter.parse(adapter) if adapter else None,
             sizes=_sizes(request.value(dialect.token_counts.lower())),
             prompt_parts=_parts(request.value(dialect.prompt_parts.lower())),
+            identity=admitted.identity,
         )
 
-    def _service(self, table: RouteTable, route: Route) -> str:
+    def _service(self, route: Route) -> str:
         if len(route.services) == 1:
             return route.services[0].service
         weights = [part.weight for part in route.services]
@@ -153,10 +192,17 @@
         return chosen.service
 
     def _refuse(
-        self, caller: CallerConnection, status: int, reason: Reason, request_id: str
+        self, caller: CallerConnection, reason: Reason, request: Request
     ) -> Steps[None]:
+        request_id = request.value(self._dialect.request_id.lower())
         self._metrics.count("refusals", reason)
-        self._log.info("request refused", request=request_id, reason=reason)
+        self._log.info(
+            "request refused",
+            request=request_id,
+            reason=reason,
+            proof_age_ms=self._keys.proof_age_ms,
+        )
+        status = STATUS_BY_REASON.get(reason, 503)
         yield from self._say(caller, status, reason, request_id)
 
     def _say(
@@ -174,12 +220,14 @@
         now = self._clock.monotonic()
         took = (now - call.received_at) / MILLISECOND
         self._metrics.observe("request_seconds", took / 1000)
+        self._metrics.count("customer_requests", call.customer_name, ending.reason)
         if call.adapter is not None:
             self._metrics.observe("load_stall_seconds", call.waited.total_seconds())
         self._log.info(
             "request ended",
             request=call.id,
             route=call.route.name,
+            customer=call.customer_name,
             adapter=str(call.adapter or ""),
             status=ending.status,
             reason=ending.reason,
--- a/packages/ashhoist/src/ashhoist/requests/serving.py
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -23,11 +23,20 @@
 )
 from .budget import RetryBudget
 from .call import Call
+from .charging import Charging
 from .choosers import Chooser
 from .dialect import SINGLE_CONNECTION, Dialect
+from .keys import Keys
 from .relay import Leg, Relay, WholeStream
 
 NOT_RUN_STATUS = 503
+UNAUTHORIZED_STATUS = 401
+STATUS_BY_REASON = {
+    Reason.OVER_QUOTA: 429,
+    Reason.UNAUTHORIZED: UNAUTHORIZED_STATUS,
+    Reason.KEY_REMOVED: UNAUTHORIZED_STATUS,
+}
+"""Of requests that have not run; else 503."""
 BROKEN_STATUS = 502
 TIMEOUT_STATUS = 504
 REFUSED_SENDS = 3
@@ -57,10 +66,14 @@
         attempts: Attempts,
         budget: RetryBudget,
         health: Health,
+        keys: Keys,
+        charging: Charging,
         clock: Clock,
         metrics: Metrics,
         log: Logger,
     ) -> None:
+        self._keys = keys
+        self._charging = charging
         self._dialect = dialect
         self._attempts = attempts
         self._budget = budget
@@ -74,7 +87,20 @@
     ) -> Steps[Ending]:
         """Serve `call` to its end; its caller has been answered or has left."""
         self._budget.requested(call.service)
+        try:
+            return (yield from self._run(call, caller, chooser))
+        finally:
+            self._charging.settle(call)
+
+    def _run(
+        self, call: Call, caller: CallerConnection, chooser: Chooser
+    ) -> Steps[Ending]:
         relay = Relay(call, caller, self._attempts, self._clock)
+        charged = yield from self._charging.charge(call, caller)
+        if isinstance(charged, CallerLeft):
+            return self._left(caller)
+        if charged is not None:
+            return (yield from self._refuse(call, caller, relay, charged))
         while True:
             target = yield from chooser.choose(call, caller)
             if isinstance(target, CallerLeft):
@@ -83,6 +109,11 @@
                 return (yield from self._out_of_time(call, caller, relay))
             if isinstance(target, Refusal):
                 return (yield from self._refuse(call, caller, relay, target))
+            invalid = self._keys.still_valid(call.identity)
+            if invalid is not None:
+                chooser.ended(call, target, UseEnd.UNKNOWN)
+                refusal = Refusal(invalid)
+                return (yield from self._refuse(call, caller, relay, refusal))
             result: Result | WholeStream | None = None
             try:
                 result = yield from self._attempt(call, target, caller, relay, chooser)
@@ -110,6 +141,7 @@
         call.sends += 1
         call.sent_at = self._clock.monotonic()
         call.tried.add(target.upstream)
+        call.unrefused = True
         result = yield from self._attempts.send(
             call, target, caller, call.route.streams
         )
@@ -144,6 +176,8 @@
             call.may_have_run = True
             call.runs += 1
             self._health.failed(target.upstream)
+        if isinstance(result, NotRun):
+            call.unrefused = False
         if isinstance(result, NotRun) and not result.arrived:
             self._health.failed(target.upstream, unreachable=True)
         if isinstance(result, Answered):
@@ -253,9 +287,12 @@
         if wait is None:
             wait = DEFAULT_RETRY_AFTER
         headers = [(self._dialect.retry_after, f"{wait.total_seconds():.3f}")]
+        status = STATUS_BY_REASON.get(refusal.reason, NOT_RUN_STATUS)
+        if status == UNAUTHORIZED_STATUS:
+            headers = []
         return (
             yield from self._answer(
-                call, caller, relay, NOT_RUN_STATUS, refusal.reason, headers
+                call, caller, relay, status, refusal.reason, headers
             )
         )
 
@@ -276,7 +313,7 @@
         reason: Reason,
         headers: list[tuple[str, str]] | None = None,
     ) -> Steps[Ending]:
-        not_run = status == NOT_RUN_STATUS
+        not_run = status == NOT_RUN_STATUS or reason in STATUS_BY_REASON
         self._metrics.count("refusals" if not_run else "failures", reason)
         if relay.begun:
             caller.abort()
--- a/packages/ashhoist/src/ashhoist/routing/configuration.py
+++ b/packages/ashhoist/src/ashhoist/routing/configuration.py
@@ -4,6 +4,8 @@
 from datetime import timedelta
 from enum import StrEnum
 
+from ..customers import Customer
+
 
 class RouteKind(StrEnum):
     """What may be repeated on a route."""
@@ -44,6 +46,8 @@
     caller_patience : timedelta or None
         How long the caller of a stream waits for the next event, the first one
         too, before it leaves; None if only the time counts.
+    public : bool
+        Whether requests need no customer's key.
     """
 
     name: str
@@ -58,6 +62,7 @@
     resumable: bool = False
     longest_pause: timedelta = timedelta(seconds=1)
     caller_patience: timedelta | None = None
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -139,12 +144,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ServingConfiguration:
-    """One version of the whole, in force from the moment it is known."""
+    """One version of the whole, in force from the moment it is known.
+
+    Parameters
+    ----------
+    customers : tuple of Customer
+        If there are none, anybody may call every route.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service] = field(default_factory=dict)
     limits: Limits = Limits()
+    customers: tuple[Customer, ...] = ()
 
     def engine_services(self) -> dict[str, EngineSettings]:
         """Return the settings of all services of model engines, by name."""
--- a/packages/ashhoist/src/ashhoist/routing/table.py
+++ b/packages/ashhoist/src/ashhoist/routing/table.py
@@ -1,5 +1,6 @@
 """Finds the route of a request: by host, then the longest prefix of the path."""
 
+from ..customers import CustomerTable
 from .configuration import Route, ServingConfiguration
 
 
@@ -9,11 +10,12 @@
     Parameters
     ----------
     configuration : ServingConfiguration
-        Version and routes are taken from it.
+        Version, routes and customers are taken from it.
     """
 
     def __init__(self, configuration: ServingConfiguration) -> None:
         self.configuration = configuration
+        self.customers = CustomerTable(configuration.customers)
         self._by_prefix: dict[tuple[str, str], Route] = {
             (route.host, route.path_prefix): route for route in configuration.routes
         }
--- a/packages/ashhoist/src/ashhoist/store/follower.py
+++ b/packages/ashhoist/src/ashhoist/store/follower.py
@@ -48,6 +48,8 @@
         end behind it without having shown the rest.
     whole : bool
         True if these are the newest of all keys: what is not named has gone.
+    asked_at : timedelta
+        When the read was sent, on the steady clock.
     """
 
     topic: Topic
@@ -55,6 +57,12 @@
     end: int
     read_to: int
     whole: bool
+    asked_at: timedelta
+
+    @property
+    def complete(self) -> bool:
+        """Return whether nothing was missing behind it when the read was sent."""
+        return self.whole or self.read_to + 1 >= self.end
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,7 +141,7 @@
             self._log.info("history gone", topic=self._topic, at=self._next)
             self._next = None
             return timedelta()
-        self._take(result)
+        self._take(result, began)
         return self._pace.pause
 
     def _start(self) -> Steps[timedelta]:
@@ -145,15 +153,19 @@
         assert isinstance(result, Newest)
         self._next = result.end
         read_to = max((record.offset for record in result.records), default=-1)
-        self._deliver(Followed(self._topic, result.records, result.end, read_to, True))
+        self._deliver(
+            Followed(self._topic, result.records, result.end, read_to, True, began)
+        )
         return self._pace.pause
 
-    def _take(self, result: Records) -> None:
+    def _take(self, result: Records, asked_at: timedelta) -> None:
         if result.records:
             self._next = result.records[-1].offset + 1
         assert self._next is not None
         read_to = self._next - 1
-        self._deliver(Followed(self._topic, result.records, result.end, read_to, False))
+        self._deliver(
+            Followed(self._topic, result.records, result.end, read_to, False, asked_at)
+        )
 
     def _failed(self, result: Unavailable, began: timedelta) -> timedelta:
         self._failures += 1
--- a/tests/world_machine.py
+++ b/tests/world_machine.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 
 from ashhoist.control.core import Core
+from ashhoist.customers import Proof
+from ashhoist.routing.in_force import InForce
 from ashhoist.store import Topic
 from ashhoist.types import Endpoint
 
@@ -18,6 +20,8 @@
     name: str
     zone: str = "zone-0"
     core: Core | None = None
+    in_force: InForce = field(default_factory=InForce)
+    proof: Proof = field(default_factory=Proof)
     endpoints: list[Endpoint] = field(default_factory=list)
     """To which its process wants links."""
     frozen: bool = False
