Quotas while no leader answers: a customer below its limit goes on being served

Found by random troubles, too: an instance alone spent more at each change between being answered and not; one that had just started, cut off, took itself for the only one.

Change: shares are left at each beat of the leader and for 1.2 s, so a new leader finds them free when it is chosen; the leader tells all who is close to its limit; any other customer gets an equal part beside, and one request at once.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -151,6 +151,7 @@
             settings.quotas,
             in_force,
             self.peers,
+            lambda: self.membership.knows_others,
             self._tell,
             clock,
             metrics,
@@ -322,6 +323,8 @@
         self.quotas.beaten(peer, beat)
         if told_news:
             self._elect()
+        if beat.leads and peer == self.leader:
+            self.proofs.heard(peer)
         if beat.leads and not led_before and peer == self.leader:
             # What it was told before it began to lead, it has passed over.
             self.agent.greet_leader()
@@ -456,4 +459,5 @@
             round(every / timedelta(milliseconds=1)),
             len(self.peers.by_name),
             self._clock.monotonic() // MICROSECOND,
+            self.quotas.tight(),
         )
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -72,6 +72,8 @@
     sent_at : int
         The sender's steady clock, in microseconds. It means nothing to others, who
         only tell it back.
+    tight : list
+        Names of the customers that are close to their limit; the leader knows.
     """
 
     stopping: bool
@@ -84,6 +86,7 @@
     every_ms: int
     instances: int
     sent_at: int
+    tight: list
 
 
 @message(42)
--- a/packages/ashhoist/src/ashhoist/control/quotas.py
+++ b/packages/ashhoist/src/ashhoist/control/quotas.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from ..clock import ZERO, Clock
-from ..customers import Allowances, Customer, Grant, Granter, QuotaBounds
+from ..customers import Allowances, Customer, Granter, QuotaBounds, Standing
 from ..customers.charges import Charge, Charged, ChargeUnanswered, TokensUnused
 from ..customers.granter import LEFT_FOR, Use
 from ..logs import Logger
@@ -26,6 +26,8 @@
 MOST_OPEN = 1024
 """Questions that are remembered; the oldest is forgotten first."""
 NOT_KNOWN = -1
+LOGGED_EVERY = timedelta(seconds=1)
+"""That a customer's quota is used up; each refused request has a line of its own."""
 
 
 @dataclass(slots=True)
@@ -41,8 +43,10 @@
 
     Parameters
     ----------
-    tell_leader : callable
-        Takes a message for the instance that leads.
+    knows_others : callable
+        Returns whether this instance has read which others there are.
+    tell : callable
+        Takes the name of an instance, this one included, and a message.
     """
 
     def __init__(
@@ -51,6 +55,7 @@
         bounds: QuotaBounds,
         in_force: InForce,
         peers: Peers,
+        knows_others: Callable[[], bool],
         tell: Callable[[str, Any], None],
         clock: Clock,
         metrics: Metrics,
@@ -60,19 +65,21 @@
         self._bounds = bounds
         self._in_force = in_force
         self._peers = peers
+        self._knows_others = knows_others
         self._tell = tell
         self._clock = clock
         self._metrics = metrics
         self._log = log
         self._allowances = Allowances()
         self._granter: Granter | None = None
-        self._granting_since = ZERO
         self._leader: str | None = None
         self._open: dict[int, _Open] = {}
         self._numbers = 0
         self._left_to: str | None = None
         self._left_until = ZERO
         self._heard: dict[str, tuple[int, timedelta]] = {}
+        self._tight: frozenset[str] | None = None
+        self._logged_at: dict[str, timedelta] = {}
 
     # Who grants
 
@@ -85,16 +92,23 @@
         self._open.clear()
         own = leader == self._own
         self._granter = Granter(self._own, self._bounds) if own else None
-        self._granting_since = self._clock.monotonic()
 
     @property
     def _instances(self) -> int:
-        return len(self._peers.by_name) + 1
+        """Return how many instances there are; 0 while that is not known.
+
+        One that has just started, and has neither read the register nor met another,
+        would else take every quota for its own.
+        """
+        others = len(self._peers.by_name)
+        return others + 1 if others or self._knows_others() else 0
 
     def beaten(self, peer: str, beat: Beat) -> None:
         """Take in a moment of another instance."""
         now = self._clock.monotonic()
         self._heard[peer] = (beat.sent_at, now)
+        if peer == self._leader and beat.leads:
+            self._tight = frozenset(beat.tight)
         if peer == self._left_to and not beat.leads:
             # It grants no more, and has said so itself.
             self._left_to, self._left_until = None, ZERO
@@ -103,6 +117,12 @@
         """Forget an instance that is no longer linked."""
         self._heard.pop(peer, None)
 
+    def tight(self) -> list[str]:
+        """Return the customers that are close to their limit, as this leader knows."""
+        if self._granter is None:
+            return []
+        return self._granter.tight(self._clock.monotonic())
+
     def leaves_since(self, peer: str) -> int:
         """Return since which moment of the leader this share is left to it, or -1."""
         now = self._clock.monotonic()
@@ -164,10 +184,16 @@
             self._allowances.spend(charge.customer, charge.tokens, now)
             charge.settle(Charged(True))
             return
-        if drawn.wait_ms == NOT_KNOWN:
+        if not self._grants_my_share:
             self._charge_alone(charge)
             return
-        charge.settle(Charged(False, True, drawn.wait_ms * MILLISECOND))
+        wait = drawn.wait_ms * MILLISECOND if drawn.wait_ms != NOT_KNOWN else None
+        charge.settle(Charged(False, True, wait))
+
+    @property
+    def _grants_my_share(self) -> bool:
+        """Return whether the leader grants from this instance's share too."""
+        return self._granter is not None or self._left_to == self._leader
 
     def _forget_older(self, number: int) -> None:
         """Forget questions before one that was answered: theirs were lost."""
@@ -188,17 +214,25 @@
         if customer is None or customer.quota is None:
             charge.settle(Charged(customer is not None))
             return
+        if not self._instances:
+            charge.settle(Charged(False))
+            return
         wait = self._allowances.spend_alone(
             charge.customer,
             customer.quota,
             charge.tokens,
             self._instances,
-            now < self._left_until or self._granter is not None,
+            self._standing(charge.customer),
             now,
         )
         self._metrics.count("charged_alone", "refused" if wait else "spent")
         charge.settle(Charged(wait is None, False, wait))
 
+    def _standing(self, customer: str) -> Standing:
+        if self._tight is None:
+            return Standing.UNKNOWN
+        return Standing.TIGHT if customer in self._tight else Standing.BELOW
+
     def unused(self, message: TokensUnused) -> None:
         """Take back what a request was charged that has not run."""
         now = self._clock.monotonic()
@@ -219,7 +253,7 @@
 
     def _grant(self, draw: DrawTokens) -> TokensDrawn:
         customer = self._customer(draw.customer)
-        if self._granter is None or customer is None:
+        if self._granter is None or customer is None or not self._instances:
             return TokensDrawn(draw.number, 0.0, NOT_KNOWN, 0.0, 0.0)
         if customer.quota is None:
             return TokensDrawn(draw.number, draw.needed, 0, 0.0, 0.0)
@@ -235,24 +269,26 @@
         if grant.tokens:
             use = grant.use
             return TokensDrawn(draw.number, grant.tokens, 0, use.rate, use.spare)
-        wait = self._wait_ms(grant, now)
+        wait = NOT_KNOWN if grant.wait is None else int(grant.wait / MILLISECOND)
+        self._log_used_up(customer.name, draw.needed, wait, now)
+        return TokensDrawn(draw.number, 0.0, wait, 0.0, 0.0)
+
+    def _log_used_up(
+        self, customer: str, needed: float, wait_ms: int, now: timedelta
+    ) -> None:
+        logged_at = self._logged_at.get(customer)
+        if logged_at is not None and now - logged_at < LOGGED_EVERY:
+            return
+        self._logged_at[customer] = now
+        assert self._granter is not None
+        share = round(self._granter.share(self._instances, now), 3)
         self._log.info(
             "quota used up",
-            customer=customer.name,
-            needed=draw.needed,
-            wait_ms=wait,
-            share=round(self._granter.share(self._instances, now), 3),
+            customer=customer,
+            needed=needed,
+            wait_ms=wait_ms,
+            share=share,
         )
-        return TokensDrawn(draw.number, 0.0, wait, 0.0, 0.0)
-
-    def _wait_ms(self, grant: Grant, now: timedelta) -> int:
-        """Return when to ask again, if this instance can tell.
-
-        One that has led for a moment lacks what is still left to the leader before.
-        """
-        if grant.wait is None or now - self._granting_since < LEFT_FOR:
-            return NOT_KNOWN
-        return int(grant.wait / MILLISECOND)
 
     def returned(self, message: ReturnTokens) -> None:
         """Take back what an instance has not spent."""
--- a/packages/ashhoist/src/ashhoist/customers/__init__.py
+++ b/packages/ashhoist/src/ashhoist/customers/__init__.py
@@ -1,6 +1,6 @@
 """Customers: their keys, how long these may be trusted, and their quotas."""
 
-from .allowance import Allowances
+from .allowance import Allowances, Standing
 from .bucket import Bucket
 from .customer import Customer, CustomerTable, Quota, QuotaUnit, digest, shown
 from .granter import Grant, Granter, QuotaBounds
@@ -17,6 +17,7 @@
     "Quota",
     "QuotaBounds",
     "QuotaUnit",
+    "Standing",
     "digest",
     "shown",
 ]
--- a/packages/ashhoist/src/ashhoist/customers/allowance.py
+++ b/packages/ashhoist/src/ashhoist/customers/allowance.py
@@ -1,14 +1,17 @@
 """What one instance may still spend for each customer without asking.
 
 Tokens come from the leader, a little more than the request that asks needs. While the
-leader does not answer, an instance goes on as before: it has that part of the quota and
-of what is left of the burst, that it had of all that was spent. The sum of these is the
-quota, and for as long as shares are left to the leader nobody else is granted more.
-After that an instance has its own share.
+leader does not answer, for about a second until another one leads, an instance goes on
+by itself. A customer that was close to its limit gets what it had here: that part of
+the quota that this instance had of all that was spent. Any other one gets an equal part
+beside, and one request at once: its clients may call wherever they like, and what a
+window may have of it is far from used. An instance that has just started knows of no
+customer how it stands; it has left its share to nobody, and spends that.
 """
 
 from dataclasses import dataclass, field
 from datetime import timedelta
+from enum import Enum, auto
 
 from .bucket import Bucket, Pace
 from .customer import Quota
@@ -20,6 +23,14 @@
 """An instance asks for what it will likely need within so long."""
 
 
+class Standing(Enum):
+    """How close to its limit a customer is, as far as an instance was told."""
+
+    UNKNOWN = auto()
+    BELOW = auto()
+    TIGHT = auto()
+
+
 @dataclass(slots=True)
 class _Account:
     """One customer's tokens here.
@@ -103,7 +114,7 @@
         quota: Quota,
         tokens: float,
         instances: int,
-        is_left: bool,
+        standing: Standing,
         now: timedelta,
     ) -> timedelta | None:
         """Spend tokens without the leader; return None, or the time to wait.
@@ -112,27 +123,34 @@
         ----------
         instances : int
             How many instances there are, this one included.
-        is_left : bool
-            Whether this instance's share is still left to a leader.
+        standing : Standing
+            Of the customer, when the leader was last heard.
         """
         account = self._by_customer.setdefault(customer, _Account())
-        if is_left:
-            rate, burst = _part(account.pace.of(now), account.use, quota)
-        else:
-            rate, burst = (
-                quota.rate / max(instances, 1),
-                quota.burst / max(instances, 1),
-            )
+        rate, burst = _part(account.pace.of(now), account.use, quota)
+        if standing is not Standing.TIGHT:
+            rate += quota.rate / max(instances, 1)
+            burst += quota.burst / max(instances, 1)
         if account.alone is None:
-            # Half a request less: of requests that come one by one at an instance, the
-            # first would else always be one more than its part.
-            account.alone = Bucket(rate, burst, burst - tokens / 2, now)
+            level = _first_level(standing, burst, tokens)
+            account.alone = Bucket(rate, burst, level, now)
         account.alone.resize(rate, burst, now)
         if rate > 0 and account.alone.take(tokens, now):
             return None
         return account.alone.wait(tokens, now) or LEFT_FOR
 
 
+def _first_level(standing: Standing, burst: float, tokens: float) -> float:
+    """Return what is there when an instance begins to spend by itself."""
+    if standing is Standing.BELOW:
+        return burst
+    if standing is Standing.UNKNOWN:
+        return 0.0
+    # Of requests that come one by one, the first would always be more than this
+    # instance's part: half a request less is even.
+    return burst - tokens / 2
+
+
 def _part(pace: float, use: Use, quota: Quota) -> tuple[float, float]:
     """Return the rate and burst that belong to a part of all that is spent."""
     part = pace / max(use.rate * quota.rate, pace, 1e-9)
--- a/packages/ashhoist/src/ashhoist/customers/granter.py
+++ b/packages/ashhoist/src/ashhoist/customers/granter.py
@@ -18,9 +18,12 @@
 from .bucket import Bucket, Pace
 from .customer import Quota
 
-LEFT_FOR = timedelta(milliseconds=2500)
-"""For how long a share is left to the leader. Beats tell its moments each 0.5 s, and
-shares are left anew each second; one of both may be lost."""
+LEFT_FOR = timedelta(milliseconds=1200)
+"""For how long a share is left to the leader: it is left anew at each of the leader's
+beats, which come each 0.5 s, and after this time without one another leader is chosen.
+So whoever follows finds all shares free."""
+TIGHT_BELOW = 0.25
+"""Of its burst: a customer that has less left is told to all as close to its limit."""
 EXTRA_PART = 0.5
 """Of what a bucket holds for each instance, that one may be granted beyond its need."""
 
@@ -160,6 +163,15 @@
         spare = bucket.spare(now) / bucket.burst if bucket.burst else 0.0
         return Use(min(rate, 1.0), spare)
 
+    def tight(self, now: timedelta) -> list[str]:
+        """Return the customers that are close to their limit."""
+        found = []
+        for customer, account in self._accounts.items():
+            bucket = account.bucket
+            if bucket.spare(now) < bucket.burst * TIGHT_BELOW:
+                found.append(customer)
+        return found
+
     def give_back(self, customer: str, tokens: float, now: timedelta) -> None:
         """Take back what was granted and not spent."""
         account = self._accounts.get(customer)
--- a/tests/test_many_customers.py
+++ b/tests/test_many_customers.py
@@ -267,6 +267,36 @@
             self.assertIn("needless", self.finds())
 
 
+class LonelyStartTests(unittest.TestCase):
+    def test_one_that_knows_of_no_other_grants_nothing(self) -> None:
+        """Who has just started can't tell that it is alone.
+
+        Symptom: a customer got seven times its quota. Sequence: all were killed and
+        started cut off from each other and from the store; each led, and took itself
+        for the only one. Cause: what is not known of others counted as none.
+        """
+        world = World(3)
+        world.customers = (Customer(HOT, frozenset(), quota=QUOTA_BY_NAME[HOT]),)
+        world.put_configuration(2)
+        world.store.registered = set()
+        for machine in world.machines.values():
+            machine.links_cut = True
+        world.start("instance-0")
+        core = world.machines["instance-0"].core
+        assert core is not None
+        core.membership.knows_others = False
+        world.run(3.0)
+        core.membership.knows_others = False
+        charge = Charge(HOT, TOKENS)
+        core.quotas.charge(charge)
+        self.assertFalse(charge.answer.result().spent)
+        core.membership.knows_others = True
+        world.run(1.0)
+        charge = Charge(HOT, TOKENS)
+        core.quotas.charge(charge)
+        self.assertTrue(charge.answer.result().spent)
+
+
 class ToldProofTests(unittest.TestCase):
     def setUp(self) -> None:
         self.world = World(3)
