Placing a request and planning a round look only at engines that matter

Cause: each request that came looked through all engines, and each adapter that waited computed the cost at every one: a round of 90 waiting requests before 1,000 engines was the suspect of the slow restart, and holds up the leader's event loop.

Change: engines note in an index what they hold and keep copies of (placement/holders). A round sorts engines once by what any adapter costs there, and stops looking where no other can be cheaper; the same engine is found (test against looking at all).

--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -13,6 +13,7 @@
 from ..adapter import Adapter
 from ..orders.order import EngineReport, Order, OrderAnswer, OrderKind
 from ..upstreams import Upstream
+from .holders import Holders
 from .residency import MOST_COPIES
 from .work import Work
 
@@ -79,6 +80,8 @@
         Adapters that it can hold at once.
     copies : OrderedDict
         Versions of the adapters that it probably has copies of, oldest first.
+    holders : Holders or None
+        Where to note what it holds.
 
     Attributes
     ----------
@@ -91,9 +94,11 @@
         upstream: Upstream,
         capacity: int,
         copies: "OrderedDict[Adapter, int] | None" = None,
+        holders: Holders | None = None,
     ) -> None:
         self.upstream = upstream
         self.capacity = capacity
+        self._holders = holders or Holders()
         self.places: dict[Adapter, EnginePlace] = {}
         self.copies: OrderedDict[Adapter, int] = copies or OrderedDict()
         self.order_count: int | None = None
@@ -110,6 +115,16 @@
         self.model_coming: EnginePlace | None = None
         self.cold_load = COLD_LOAD
         self.warm_load = WARM_LOAD
+        for adapter in self.copies:
+            self._holders.copied(self, adapter)
+
+    def _put(self, place: EnginePlace) -> None:
+        self.places[place.adapter] = place
+        self._holders.placed(self, place.adapter)
+
+    def _remove(self, adapter: Adapter) -> None:
+        del self.places[adapter]
+        self._holders.removed(self, adapter)
 
     # What it has room for
 
@@ -203,7 +218,7 @@
             if adapter.name:
                 place = EnginePlace(adapter, version, PlaceState.SERVING, now, now)
                 place.used_at = now
-                self.places[adapter] = place
+                self._put(place)
 
     # Orders
 
@@ -294,7 +309,7 @@
             cold,
             used_at=now,
         )
-        self.places[order.adapter] = place
+        self._put(place)
         return place
 
     def _loaded(self, place: EnginePlace, now: timedelta) -> EngineNews:
@@ -315,8 +330,10 @@
     def _copied(self, adapter: Adapter, version: int) -> None:
         self.copies[adapter] = version
         self.copies.move_to_end(adapter)
+        self._holders.copied(self, adapter)
         while len(self.copies) > MOST_COPIES:
-            self.copies.popitem(last=False)
+            lost, _ = self.copies.popitem(last=False)
+            self._holders.copy_lost(self, lost)
 
     def _unload_answered(
         self, order: Order, answer: OrderAnswer, now: timedelta
@@ -333,7 +350,7 @@
             # It waits for requests that still use it.
             place.look_at = now + LOOK_AT_GOING
             return EngineNews()
-        del self.places[order.adapter]
+        self._remove(order.adapter)
         self._copied(place.adapter, place.version)
         return EngineNews()
 
@@ -369,8 +386,9 @@
         self.models = set(report.models)
         self.model_copies = set(report.model_copies) | self.models
         self.model_coming = None
-        known = self.places
-        self.places = {}
+        known = dict(self.places)
+        for adapter in known:
+            self._remove(adapter)
         for adapter, version in report.adapters.items():
             self._restore(known, adapter, version, PlaceState.SERVING, now)
         for adapter, version in report.coming.items():
@@ -389,6 +407,6 @@
         place = EnginePlace(adapter, version, state, now, now, used_at=now)
         if before is not None:
             place.used_at = before.used_at
-        self.places[adapter] = place
+        self._put(place)
         if state is PlaceState.SERVING:
             self._copied(adapter, version)
--- a/packages/ashhoist/src/ashhoist/placement/rounds.py
+++ b/packages/ashhoist/src/ashhoist/placement/rounds.py
@@ -1,12 +1,15 @@
 """One round of planning: what is loaded next, where, and what gives way for it."""
 
+import bisect
+import itertools
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from ..adapter import Adapter
 from ..orders.order import OrderKind
 from .engine import COLD_LOAD, MOST_COMING, WARM_LOAD, Engine, PlaceState
+from .holders import Holders
 from .popularity import Popularity
 from .wants import WantedAdapter
 
@@ -63,6 +66,8 @@
     ----------
     engines : iterable of Engine
         All engines.
+    holders : Holders
+        Which of them hold what.
     open_zones : set of str
         The zones whose engines orders reach now.
     waiting : iterable of WantedAdapter
@@ -75,21 +80,25 @@
     def __init__(
         self,
         engines: Iterable[Engine],
+        holders: Holders,
         open_zones: set[str],
         popularity: Popularity,
         waiting: Iterable[WantedAdapter],
         wait_at: Callable[[Engine, int], timedelta],
         now: timedelta,
     ) -> None:
-        self._engines = list(engines)
+        engines = list(engines)
+        self._holders = holders
         self._popularity = popularity
         self._wait_at = wait_at
         self._now = now
         self._open_zones = open_zones
-        self._able = [engine for engine in self._engines if self._is_able(engine)]
         self._spare: dict[str, Room | None] = {}
-        self._by_adapter = self._index()
+        self._sending = _loads_being_sent(engines)
         self._note_promised(waiting)
+        self._able = {engine.id: engine for engine in engines if self._is_able(engine)}
+        self._queue: list[_Candidate] | None = None
+        self._least_seconds_a_token = 0.0
 
     def _is_able(self, engine: Engine) -> bool:
         """Return whether an engine takes another load, now or soon."""
@@ -97,19 +106,6 @@
             return False
         return engine.orderly(self._now) and engine.coming < MOST_COMING
 
-    def _index(self) -> dict[Adapter, list[Engine]]:
-        """Return the engines that hold, load or were ordered to load each adapter."""
-        found: dict[Adapter, list[Engine]] = {}
-        for engine in self._engines:
-            for adapter in engine.places:
-                found.setdefault(adapter, []).append(engine)
-            order = engine.sending
-            if order is None or order.kind is not OrderKind.LOAD:
-                continue
-            if order.adapter not in engine.places:
-                found.setdefault(order.adapter, []).append(engine)
-        return found
-
     def _note_promised(self, waiting: Iterable[WantedAdapter]) -> None:
         """Count what will be read at each engine once its loads have ended.
 
@@ -124,7 +120,10 @@
         return any(True for _ in self._bringing(wanted))
 
     def _bringing(self, wanted: WantedAdapter) -> Iterator[Engine]:
-        for engine in self._by_adapter.get(wanted.adapter, ()):
+        holding = self._holders.of(wanted.adapter)
+        sending = self._sending.get(wanted.adapter, ())
+        new = (engine for engine in sending if engine.id not in holding)
+        for engine in itertools.chain(holding.values(), new):
             if engine.id in wanted.tried or engine.upstream.service != wanted.service:
                 continue
             if engine.brings(wanted.adapter, wanted.oldest_version, self._now):
@@ -142,7 +141,8 @@
         if wanted.cold is None:
             adapter, version = wanted.adapter, wanted.oldest_version
             wanted.cold = not any(
-                engine.has_copy(adapter, version) for engine in self._engines
+                engine.has_copy(adapter, version)
+                for engine in self._holders.with_copy(adapter).values()
             )
         return wanted.cold
 
@@ -152,20 +152,49 @@
         least = 0.0
         tokens = wanted.most_tokens
         zones = wanted.zones
-        for engine in self._able:
-            if engine.upstream.service != wanted.service or engine.id in wanted.tried:
-                continue
-            if wanted.adapter.model not in engine.models:
-                continue
-            if engine.serves(wanted.adapter, wanted.oldest_version):
-                continue
-            if self.room(engine, wanted.adapter) is None:
+        for engine in self._holders.with_copy(wanted.adapter).values():
+            if engine.id in self._able and self._suits(engine, wanted):
+                cost = self._cost(engine, wanted, tokens, zones)
+                if best is None or cost < least:
+                    best, least = engine, cost
+        candidates = self._candidates()
+        more = COLD_COST + tokens * self._least_seconds_a_token
+        for candidate in candidates:
+            if best is not None and candidate.least_cost + more >= least:
+                # Whatever comes behind costs as much at least.
+                break
+            engine = candidate.engine
+            if not self._suits(engine, wanted):
                 continue
             cost = self._cost(engine, wanted, tokens, zones)
             if best is None or cost < least:
                 best, least = engine, cost
         return best
 
+    def _suits(self, engine: Engine, wanted: WantedAdapter) -> bool:
+        """Return whether an engine can be told to load a wanted adapter."""
+        if engine.upstream.service != wanted.service or engine.id in wanted.tried:
+            return False
+        if wanted.adapter.model not in engine.models:
+            return False
+        if engine.serves(wanted.adapter, wanted.oldest_version):
+            return False
+        return self.room(engine, wanted.adapter) is not None
+
+    def _candidates(self) -> "list[_Candidate]":
+        """Return all able engines, by what any adapter costs there at least."""
+        if self._queue is None:
+            self._queue = [
+                _Candidate(self._cost_of_any(engine), engine.id, engine)
+                for engine in self._able.values()
+            ]
+            self._queue.sort()
+            self._least_seconds_a_token = min(
+                (engine.work.seconds_a_token for engine in self._able.values()),
+                default=0.0,
+            )
+        return self._queue
+
     def room(self, engine: Engine, adapter: Adapter) -> Room | None:
         """Return the room that an engine has for an adapter, or None."""
         if adapter in engine.places:
@@ -178,18 +207,48 @@
         """Note that an engine was sent an order: its room is another one now."""
         engine.promised += wanted.all_tokens
         self._spare.pop(engine.id, None)
-        if not self._is_able(engine) and engine in self._able:
-            self._able.remove(engine)
+        able = self._is_able(engine)
+        if not able:
+            self._able.pop(engine.id, None)
+        if self._queue is None:
+            return
+        self._queue = [entry for entry in self._queue if entry.engine is not engine]
+        if able:
+            cost = self._cost_of_any(engine)
+            bisect.insort(self._queue, _Candidate(cost, engine.id, engine))
 
     def _cost(
         self, engine: Engine, wanted: WantedAdapter, tokens: int, zones: set[str]
     ) -> float:
         """Return what it costs to bring an adapter to an engine, in seconds."""
-        cost = self._wait_at(engine, tokens).total_seconds()
-        cost += len(engine.copies) * COPY_COST
-        cost += (engine.capacity - engine.free) / engine.capacity * FULL_COST
+        cost = self._cost_of_any(engine, tokens)
         if not engine.has_copy(wanted.adapter, wanted.oldest_version):
             cost += COLD_COST
         if engine.upstream.zone not in zones:
             cost += OTHER_ZONE_COST
         return cost
+
+    def _cost_of_any(self, engine: Engine, tokens: int = 0) -> float:
+        """Return what of that holds for any adapter."""
+        cost = self._wait_at(engine, tokens).total_seconds()
+        cost += len(engine.copies) * COPY_COST
+        return cost + (engine.capacity - engine.free) / engine.capacity * FULL_COST
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class _Candidate:
+    """An engine, and what it costs at least to bring an adapter there."""
+
+    least_cost: float
+    engine_id: str
+    engine: Engine = field(compare=False)
+
+
+def _loads_being_sent(engines: Iterable[Engine]) -> dict[Adapter, list[Engine]]:
+    """Return the engines whose order to load an adapter has no answer yet."""
+    found: dict[Adapter, list[Engine]] = {}
+    for engine in engines:
+        order = engine.sending
+        if order is not None and order.kind is OrderKind.LOAD:
+            found.setdefault(order.adapter, []).append(engine)
+    return found
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -26,6 +26,7 @@
 from .asks import UseEnd
 from .engine import Engine, EngineNews, PlaceState
 from .engine_orders import EngineOrders
+from .holders import Holders
 from .models import ModelLoads
 from .popularity import Popularity
 from .residency import Residency
@@ -80,6 +81,7 @@
         self._orders = EngineOrders(act, clock)
         self._planned_at = -PLAN_EVERY
         self._has_news = True
+        self._holders = Holders()
         self.engines: dict[str, Engine] = {}
         self.wants = Wants()
         self.popularity = Popularity(clock)
@@ -112,14 +114,14 @@
         self._has_news = True
         present = {upstream.id for upstream in found}
         for gone in set(self.engines) - present:
-            del self.engines[gone]
+            self._holders.forget(self.engines.pop(gone))
             self._health.forget(gone)
         for upstream in found:
             engine = self.engines.get(upstream.id)
             if engine is None:
                 places = settings[upstream.service].adapter_places
                 copies = self._residency.copies(upstream.id)
-                engine = Engine(upstream, places, copies)
+                engine = Engine(upstream, places, copies, self._holders)
                 held = self._residency.of(upstream.id)
                 engine.expect(held, self._clock.monotonic())
                 self.engines[upstream.id] = engine
@@ -271,10 +273,13 @@
 
     def _best_serving(self, want: Want) -> Engine | None:
         """Return the engine that serves a request's adapter and begins soonest."""
+        holding = self._holders.of(want.adapter) if want.adapter.name else self.engines
         serving = [
             engine
-            for engine in self._engines_for(want)
-            if engine.serves(want.adapter, want.oldest_version)
+            for engine in holding.values()
+            if engine.upstream.service == want.service
+            and engine.id not in want.tried
+            and engine.serves(want.adapter, want.oldest_version)
         ]
         return min(
             serving,
@@ -366,6 +371,7 @@
             return
         round_ = Round(
             self.engines.values(),
+            self._holders,
             open_zones,
             self.popularity,
             self.wants.adapters(),
--- a/packages/ashhoist/src/ashhoist/placement/work.py
+++ b/packages/ashhoist/src/ashhoist/placement/work.py
@@ -64,6 +64,11 @@
         """Return how much longer than expected first tokens take; 1 is normal."""
         return self._pace
 
+    @property
+    def seconds_a_token(self) -> float:
+        """Return how long it takes to read one token of a prompt."""
+        return self._pace / TOKENS_PER_SECOND
+
     def uses(self, adapter: Adapter) -> int:
         """Return how many requests use an adapter."""
         return self._adapters[adapter]
--- a/tests/test_many_customers.py
+++ b/tests/test_many_customers.py
@@ -263,7 +263,7 @@
             self.assertIn("over quota", self.finds())
 
     def test_proof_that_nobody_is_asked_for(self) -> None:
-        with mock.patch.object(Proofs, "keep"):
+        with mock.patch.object(Proofs, "keep"), mock.patch.object(Proofs, "heard"):
             self.assertIn("needless", self.finds())
 
 
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -1,10 +1,14 @@
 """What a round of planning loads, and where."""
 
 import unittest
+from random import Random
+
+from hypothesis import given, settings, strategies as st
 
 from ashhoist.orders import OrderAnswer
+from ashhoist.placement.rounds import Round
 
-from .scheduler_world import SchedulerWorld, adapter
+from .scheduler_world import SECOND, SchedulerWorld, adapter
 
 
 class LoadPlaceTests(unittest.TestCase):
@@ -51,5 +55,56 @@
         self.assertEqual(world.plan(), [])
 
 
+class BestEngineTests(unittest.TestCase):
+    """The engine that a round finds without looking at all of them."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.randoms(use_true_random=False), st.integers(1, 12))
+    def test_it_is_the_one_that_looking_at_all_finds(
+        self, source: Random, engines: int
+    ) -> None:
+        world = SchedulerWorld({f"e{index}": [] for index in range(engines)}, places=3)
+        self.fill(world, source)
+        for number in range(100, 108):
+            world.want(number, tokens=source.choice((200, 2400, 9000)))
+        scheduler = world.scheduler
+        round_ = Round(
+            scheduler.engines.values(),
+            scheduler._holders,
+            {"zone"},
+            scheduler.popularity,
+            scheduler.wants.adapters(),
+            scheduler._wait_at,
+            world.clock.monotonic(),
+        )
+        for wanted in scheduler.wants.adapters():
+            found = round_.best_engine(wanted)
+            costs = {
+                engine.id: round_._cost(
+                    engine, wanted, wanted.most_tokens, wanted.zones
+                )
+                for engine in scheduler.engines.values()
+                if round_._suits(engine, wanted)
+            }
+            if found is None:
+                self.assertEqual(costs, {})
+                continue
+            self.assertAlmostEqual(costs[found.id], min(costs.values()))
+            found.promised += source.choice((0, 5000))
+            round_.ordered(found, wanted)
+
+    def fill(self, world: SchedulerWorld, source: Random) -> None:
+        """Let engines hold and have copies of some adapters, and be busy."""
+        for name, engine in world.scheduler.engines.items():
+            copies = source.sample(range(95, 115), source.randrange(6))
+            world.report(name, copies[:3])
+            world.report(name, copies[3:])
+            for number in range(source.randrange(5)):
+                now = world.clock.monotonic()
+                use_id, tokens = f"{name}-{number}", source.randrange(9000)
+                engine.work.begin(use_id, "instance", adapter(1), tokens, now)
+        world.clock.advance(SECOND)
+
+
 if __name__ == "__main__":
     unittest.main()
