--- a/packages/ashhoist/src/ashhoist/placement/rounds.py
+++ b/packages/ashhoist/src/ashhoist/placement/rounds.py
@@ -1,13 +1,14 @@
 """One round of planning: what is loaded next, where, and what gives way for it."""
 
-import bisect
 import itertools
+import math
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 
 from ..adapter import Adapter
 from ..orders.order import OrderKind
+from .candidates import Candidates
 from .engine import COLD_LOAD, MOST_COMING, WARM_LOAD, Engine, PlaceState
 from .holders import Holders
 from .popularity import Popularity
@@ -97,8 +98,7 @@
         self._sending = _loads_being_sent(engines)
         self._note_promised(waiting)
         self._able = {engine.id: engine for engine in engines if self._is_able(engine)}
-        self._queue: list[_Candidate] | None = None
-        self._least_seconds_a_token = 0.0
+        self._candidates: Candidates | None = None
 
     def _is_able(self, engine: Engine) -> bool:
         """Return whether an engine takes another load, now or soon."""
@@ -148,29 +148,30 @@
 
     def best_engine(self, wanted: WantedAdapter) -> Engine | None:
         """Return where a wanted adapter is loaded at the least cost, or None."""
-        best: Engine | None = None
-        least = 0.0
         tokens = wanted.most_tokens
-        zones = wanted.zones
-        for engine in self._holders.with_copy(wanted.adapter).values():
-            if engine.id in self._able and self._suits(engine, wanted):
-                cost = self._cost(engine, wanted, tokens, zones)
-                if best is None or cost < least:
-                    best, least = engine, cost
-        candidates = self._candidates()
-        more = COLD_COST + tokens * self._least_seconds_a_token
-        for candidate in candidates:
-            if best is not None and candidate.least_cost + more >= least:
-                # Whatever comes behind costs as much at least.
-                break
-            engine = candidate.engine
-            if not self._suits(engine, wanted):
+        best: Engine | None = None
+        least = math.inf
+        copies = self._holders.with_copy(wanted.adapter).values()
+        others = self._cheapest.below(lambda: least - COLD_COST, tokens)
+        for engine in itertools.chain(copies, others):
+            if engine.id not in self._able or not self._suits(engine, wanted):
                 continue
-            cost = self._cost(engine, wanted, tokens, zones)
-            if best is None or cost < least:
+            cost = self._cost(engine, wanted, tokens)
+            if cost < least:
                 best, least = engine, cost
         return best
 
+    @property
+    def _cheapest(self) -> Candidates:
+        if self._candidates is None:
+            self._candidates = Candidates(self._able.values(), self._least_cost)
+        return self._candidates
+
+    def _least_cost(self, engine: Engine) -> float | None:
+        if engine.work.is_overdue(self._now):
+            return None
+        return self._cost_of_any(engine, 0)
+
     def _suits(self, engine: Engine, wanted: WantedAdapter) -> bool:
         """Return whether an engine can be told to load a wanted adapter."""
         if engine.upstream.service != wanted.service or engine.id in wanted.tried:
@@ -181,20 +182,6 @@
             return False
         return self.room(engine, wanted.adapter) is not None
 
-    def _candidates(self) -> "list[_Candidate]":
-        """Return all able engines, by what any adapter costs there at least."""
-        if self._queue is None:
-            self._queue = [
-                _Candidate(self._cost_of_any(engine), engine.id, engine)
-                for engine in self._able.values()
-            ]
-            self._queue.sort()
-            self._least_seconds_a_token = min(
-                (engine.work.seconds_a_token for engine in self._able.values()),
-                default=0.0,
-            )
-        return self._queue
-
     def room(self, engine: Engine, adapter: Adapter) -> Room | None:
         """Return the room that an engine has for an adapter, or None."""
         if adapter in engine.places:
@@ -210,40 +197,25 @@
         able = self._is_able(engine)
         if not able:
             self._able.pop(engine.id, None)
-        if self._queue is None:
-            return
-        self._queue = [entry for entry in self._queue if entry.engine is not engine]
-        if able:
-            cost = self._cost_of_any(engine)
-            bisect.insort(self._queue, _Candidate(cost, engine.id, engine))
-
-    def _cost(
-        self, engine: Engine, wanted: WantedAdapter, tokens: int, zones: set[str]
-    ) -> float:
+        if self._candidates is not None:
+            self._candidates.changed(engine, able)
+
+    def _cost(self, engine: Engine, wanted: WantedAdapter, tokens: int) -> float:
         """Return what it costs to bring an adapter to an engine, in seconds."""
         cost = self._cost_of_any(engine, tokens)
         if not engine.has_copy(wanted.adapter, wanted.oldest_version):
             cost += COLD_COST
-        if engine.upstream.zone not in zones:
+        if engine.upstream.zone not in wanted.zones:
             cost += OTHER_ZONE_COST
         return cost
 
-    def _cost_of_any(self, engine: Engine, tokens: int = 0) -> float:
+    def _cost_of_any(self, engine: Engine, tokens: int) -> float:
         """Return what of that holds for any adapter."""
         cost = self._wait_at(engine, tokens).total_seconds()
         cost += len(engine.copies) * COPY_COST
         return cost + (engine.capacity - engine.free) / engine.capacity * FULL_COST
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class _Candidate:
-    """An engine, and what it costs at least to bring an adapter there."""
-
-    least_cost: float
-    engine_id: str
-    engine: Engine = field(compare=False)
-
-
 def _loads_being_sent(engines: Iterable[Engine]) -> dict[Adapter, list[Engine]]:
     """Return the engines whose order to load an adapter has no answer yet."""
     found: dict[Adapter, list[Engine]] = {}
--- a/packages/ashhoist/src/ashhoist/placement/work.py
+++ b/packages/ashhoist/src/ashhoist/placement/work.py
@@ -82,6 +82,10 @@
         reading = timedelta(seconds=(self._unread + tokens) / TOKENS_PER_SECOND)
         return max((BASE + reading) * self._pace, self._silent_for(now))
 
+    def is_overdue(self, now: timedelta) -> bool:
+        """Return whether a first token is overdue, so that waits are guessed."""
+        return self._silent_for(now) > timedelta()
+
     def _silent_for(self, now: timedelta) -> timedelta:
         """Return how long the oldest unread prompt waits, if it is overdue."""
         oldest = next(iter(self._unstarted.values()), None)
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -80,9 +80,7 @@
         for wanted in scheduler.wants.adapters():
             found = round_.best_engine(wanted)
             costs = {
-                engine.id: round_._cost(
-                    engine, wanted, wanted.most_tokens, wanted.zones
-                )
+                engine.id: round_._cost(engine, wanted, wanted.most_tokens)
                 for engine in scheduler.engines.values()
                 if round_._suits(engine, wanted)
             }
