Rounds of planning take a quarter of the leader's time at most

Change: the next round begins after four times what the last one took. Test: a leader whose rounds take 50 ms.

--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -45,6 +45,9 @@
 """Goes there last of all, but does go if there is nothing else."""
 PLAN_EVERY = timedelta(milliseconds=4)
 """What comes within so short a time is planned for together."""
+PLANNING_SHARE = 0.25
+"""Of the leader's time, spent on planning at most. Else rounds grow with what waits,
+and what waits grows while they keep the leader from hearing that loads have ended."""
 
 
 class Scheduler:
@@ -79,7 +82,7 @@
         self._models = ModelLoads(clock)
         self._health = Health(clock)
         self._orders = EngineOrders(act, clock)
-        self._planned_at = -PLAN_EVERY
+        self._plan_from = -PLAN_EVERY
         self._has_news = True
         self._holders = Holders()
         self.engines: dict[str, Engine] = {}
@@ -357,10 +360,14 @@
             planned only where a request waits anew or an engine has said something.
         """
         now = self._clock.monotonic()
-        if not (by_time or self._has_news) or now - self._planned_at < PLAN_EVERY:
+        if not (by_time or self._has_news) or now < self._plan_from:
             return
-        self._planned_at = now
         self._has_news = False
+        self._plan_round(now)
+        took = self._clock.monotonic() - now
+        self._plan_from = now + max(PLAN_EVERY, took / PLANNING_SHARE)
+
+    def _plan_round(self, now: timedelta) -> None:
         open_zones = self._find_open_zones()
         for engine in self.engines.values():
             engine.promised = 0
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -1,6 +1,7 @@
 """What a round of planning loads, and where."""
 
 import unittest
+from datetime import timedelta
 from random import Random
 
 from hypothesis import given, settings, strategies as st
@@ -55,6 +56,34 @@
         self.assertEqual(world.plan(), [])
 
 
+class PlanningTimeTests(unittest.TestCase):
+    def test_rounds_that_take_long_come_seldom(self) -> None:
+        """A leader that only plans does not hear that loads have ended.
+
+        Symptom: after a burst all requests were late for seconds, though engines were
+        idle. Sequence: many requests waited; a round took 50 ms and was followed by the
+        next at once; answers lay unread, so still more waited. Cause: the time between
+        rounds did not depend on how long they take.
+        """
+        world = SchedulerWorld({"one": [], "two": []})
+        scheduler = world.scheduler
+        rounds = 0
+        whole = scheduler._plan_round
+
+        def slow(now: timedelta) -> None:
+            nonlocal rounds
+            rounds += 1
+            whole(now)
+            world.clock.advance(timedelta(milliseconds=50))
+
+        scheduler._plan_round = slow  # type: ignore[method-assign]
+        began = world.clock.monotonic()
+        while world.clock.monotonic() - began < 10 * SECOND:
+            scheduler.plan(by_time=True)
+            world.clock.advance(timedelta(milliseconds=1))
+        self.assertLessEqual(rounds, 10 / 0.2 + 1)
+
+
 class BestEngineTests(unittest.TestCase):
     """The engine that a round finds without looking at all of them."""
 
