--- a/packages/ashhoist/src/ashhoist/placement/rounds.py
+++ b/packages/ashhoist/src/ashhoist/placement/rounds.py
@@ -96,6 +96,7 @@
         self._open_zones = open_zones
         self._spare: dict[str, Room | None] = {}
         self._sending = _loads_being_sent(engines)
+        self._on_its_way: dict[int, WantedAdapter] = {}
         self._note_promised(waiting)
         self._able = {engine.id: engine for engine in engines if self._is_able(engine)}
         self._candidates: Candidates | None = None
@@ -114,10 +115,11 @@
         for wanted in waiting:
             for engine in self._bringing(wanted):
                 engine.promised += wanted.all_tokens
+                self._on_its_way[id(wanted)] = wanted
 
     def on_its_way(self, wanted: WantedAdapter) -> bool:
-        """Return whether some engine is loading a wanted adapter."""
-        return any(True for _ in self._bringing(wanted))
+        """Return whether some engine was loading a wanted adapter when this began."""
+        return id(wanted) in self._on_its_way
 
     def _bringing(self, wanted: WantedAdapter) -> Iterator[Engine]:
         holding = self._holders.of(wanted.adapter)
