Quotas: an instance that leads but itself spends its own share; who is close to its limit is told at once

Change: who leads and is followed by nobody spends its own share, and lets one request through at once; what a leader said of customers counts until another one leads, which passes it on; a customer's first refusal is told to all at once.

--- a/packages/ashhoist-bench/src/ashhoist_bench/quota_ways.py
+++ b/packages/ashhoist-bench/src/ashhoist_bench/quota_ways.py
@@ -367,7 +367,8 @@
         extra = allowances.ahead(arrival.customer, net.time)
 
         def ask() -> None:
-            grant = self._granter(leader).grant(
+            granter = self._granter(leader)
+            grant = granter.grant(
                 arrival.customer,
                 self._quotas[arrival.customer],
                 arrival.tokens,
@@ -378,7 +379,8 @@
 
             def taken() -> None:
                 mine = leader in (arrival.instance, self._left_to[arrival.instance])
-                if not grant.tokens and not mine:
+                alone = granter.is_alone(net.instances, net.time)
+                if not grant.tokens and (alone or not mine):
                     self._alone(arrival, answered)
                     return
                 if not grant.tokens:
--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -397,6 +397,8 @@
         """Do what is due after a round of messages."""
         if self.leader is not None:
             self.agent.tell_uses()
+        if self.quotas.take_news():
+            self._beats.send_all(self.leader)
         self.scheduling.plan(by_time=False)
 
     def tick(self) -> None:
--- a/packages/ashhoist/src/ashhoist/control/quotas.py
+++ b/packages/ashhoist/src/ashhoist/control/quotas.py
@@ -26,6 +26,13 @@
 MOST_OPEN = 1024
 """Questions that are remembered; the oldest is forgotten first."""
 NOT_KNOWN = -1
+STANDING_KNOWN_FOR = LEFT_FOR + timedelta(milliseconds=600)
+"""What a leader has said of customers counts until another one leads."""
+WITHOUT_HISTORY = timedelta(seconds=3)
+"""So long a new leader passes on who the one before it said was close to a limit: its
+own buckets begin with some tokens, whoever has spent before."""
+LONGEST_WAIT = timedelta(seconds=60)
+"""What a caller is told at most, also where a quota lets nothing through."""
 LOGGED_EVERY = timedelta(seconds=1)
 """That a customer's quota is used up; each refused request has a line of its own."""
 
@@ -72,13 +79,16 @@
         self._log = log
         self._allowances = Allowances()
         self._granter: Granter | None = None
+        self._granting_since = ZERO
         self._leader: str | None = None
         self._open: dict[int, _Open] = {}
         self._numbers = 0
         self._left_to: str | None = None
         self._left_until = ZERO
         self._heard: dict[str, tuple[int, timedelta]] = {}
-        self._tight: frozenset[str] | None = None
+        self._tight: frozenset[str] = frozenset()
+        self._tight_at = -STANDING_KNOWN_FOR
+        self._has_news = False
         self._logged_at: dict[str, timedelta] = {}
 
     # Who grants
@@ -90,8 +100,10 @@
         self._leader = leader
         self._allowances.forget_granted()
         self._open.clear()
-        own = leader == self._own
-        self._granter = Granter(self._own, self._bounds) if own else None
+        self._granter = None
+        if leader == self._own:
+            self._granter = Granter(self._own, self._bounds)
+            self._granting_since = self._clock.monotonic()
 
     @property
     def _instances(self) -> int:
@@ -109,6 +121,7 @@
         self._heard[peer] = (beat.sent_at, now)
         if peer == self._leader and beat.leads:
             self._tight = frozenset(beat.tight)
+            self._tight_at = now
         if peer == self._left_to and not beat.leads:
             # It grants no more, and has said so itself.
             self._left_to, self._left_until = None, ZERO
@@ -117,11 +130,26 @@
         """Forget an instance that is no longer linked."""
         self._heard.pop(peer, None)
 
+    def take_news(self) -> bool:
+        """Return, once, whether all should be told of one more that is at its limit.
+
+        The next beat would come half a second later; a leader that is lost before it
+        would leave others in the belief that the customer is far below.
+        """
+        has_news, self._has_news = self._has_news, False
+        return has_news
+
     def tight(self) -> list[str]:
         """Return the customers that are close to their limit, as this leader knows."""
+        now = self._clock.monotonic()
         if self._granter is None:
             return []
-        return self._granter.tight(self._clock.monotonic())
+        if not self._is_alone(now):
+            found = frozenset(self._granter.tight(now))
+            is_new = now - self._granting_since < WITHOUT_HISTORY
+            self._tight = found | self._tight if is_new else found
+            self._tight_at = now
+        return list(self._tight)
 
     def leaves_since(self, peer: str) -> int:
         """Return since which moment of the leader this share is left to it, or -1."""
@@ -149,10 +177,16 @@
         if self._allowances.spend(charge.customer, charge.tokens, now):
             charge.settle(Charged(True))
             return
-        if self._leader is None or self._is_silent(now):
+        if self._leader is None or self._is_silent(now) or self._is_alone(now):
             self._charge_alone(charge)
         self._draw(charge, now)
 
+    def _is_alone(self, now: timedelta) -> bool:
+        """Return whether this instance leads, but nobody else follows it."""
+        return self._granter is not None and self._granter.is_alone(
+            self._instances, now
+        )
+
     def _is_silent(self, now: timedelta) -> bool:
         oldest = next(iter(self._open.values()), None)
         return oldest is not None and now - oldest.asked_at > SILENT_AFTER
@@ -184,11 +218,10 @@
             self._allowances.spend(charge.customer, charge.tokens, now)
             charge.settle(Charged(True))
             return
-        if not self._grants_my_share:
+        if drawn.wait_ms == NOT_KNOWN or not self._grants_my_share:
             self._charge_alone(charge)
             return
-        wait = drawn.wait_ms * MILLISECOND if drawn.wait_ms != NOT_KNOWN else None
-        charge.settle(Charged(False, True, wait))
+        charge.settle(Charged(False, True, drawn.wait_ms * MILLISECOND))
 
     @property
     def _grants_my_share(self) -> bool:
@@ -229,7 +262,7 @@
         charge.settle(Charged(wait is None, False, wait))
 
     def _standing(self, customer: str) -> Standing:
-        if self._tight is None:
+        if self._clock.monotonic() - self._tight_at >= STANDING_KNOWN_FOR:
             return Standing.UNKNOWN
         return Standing.TIGHT if customer in self._tight else Standing.BELOW
 
@@ -253,11 +286,13 @@
 
     def _grant(self, draw: DrawTokens) -> TokensDrawn:
         customer = self._customer(draw.customer)
-        if self._granter is None or customer is None or not self._instances:
+        now = self._clock.monotonic()
+        grants = self._granter is not None and not self._is_alone(now)
+        if not grants or customer is None or not self._instances:
             return TokensDrawn(draw.number, 0.0, NOT_KNOWN, 0.0, 0.0)
         if customer.quota is None:
             return TokensDrawn(draw.number, draw.needed, 0, 0.0, 0.0)
-        now = self._clock.monotonic()
+        assert self._granter is not None
         grant = self._granter.grant(
             customer.name,
             customer.quota,
@@ -269,7 +304,8 @@
         if grant.tokens:
             use = grant.use
             return TokensDrawn(draw.number, grant.tokens, 0, use.rate, use.spare)
-        wait = NOT_KNOWN if grant.wait is None else int(grant.wait / MILLISECOND)
+        self._has_news = self._has_news or customer.name not in self._tight
+        wait = int((grant.wait or LONGEST_WAIT) / MILLISECOND)
         self._log_used_up(customer.name, draw.needed, wait, now)
         return TokensDrawn(draw.number, 0.0, wait, 0.0, 0.0)
 
--- a/packages/ashhoist/src/ashhoist/customers/allowance.py
+++ b/packages/ashhoist/src/ashhoist/customers/allowance.py
@@ -4,9 +4,9 @@
 leader does not answer, for about a second until another one leads, an instance goes on
 by itself. A customer that was close to its limit gets what it had here: that part of
 the quota that this instance had of all that was spent. Any other one gets an equal part
-beside, and one request at once: its clients may call wherever they like, and what a
-window may have of it is far from used. An instance that has just started knows of no
-customer how it stands; it has left its share to nobody, and spends that.
+if that is more, and one request at once: its clients may call wherever they like, and
+what a window may have of it is far from used. Where no leader has spoken for longer, an
+instance has left its share to nobody, and spends that.
 """
 
 from dataclasses import dataclass, field
@@ -129,8 +129,8 @@
         account = self._by_customer.setdefault(customer, _Account())
         rate, burst = _part(account.pace.of(now), account.use, quota)
         if standing is not Standing.TIGHT:
-            rate += quota.rate / max(instances, 1)
-            burst += quota.burst / max(instances, 1)
+            rate = max(rate, quota.rate / max(instances, 1))
+            burst = min(max(burst, quota.burst / max(instances, 1)), tokens)
         if account.alone is None:
             level = _first_level(standing, burst, tokens)
             account.alone = Bucket(rate, burst, level, now)
--- a/packages/ashhoist/src/ashhoist/customers/granter.py
+++ b/packages/ashhoist/src/ashhoist/customers/granter.py
@@ -127,6 +127,13 @@
                 del self._left_until[instance]
         return min((len(self._left_until) + 1) / max(instances, 1), 1.0)
 
+    def is_alone(self, instances: int, now: timedelta) -> bool:
+        """Return whether no other instance leaves its share here, though there are any.
+
+        What it would grant is its own share, which an instance spends without granting.
+        """
+        return self.share(instances, now) * instances <= 1.0 < instances
+
     def grant(
         self,
         customer: str,
