--- a/packages/ashhoist/src/ashhoist/customers/allowance.py
+++ b/packages/ashhoist/src/ashhoist/customers/allowance.py
@@ -142,10 +142,8 @@
 
 def _first_level(standing: Standing, burst: float, tokens: float) -> float:
     """Return what is there when an instance begins to spend by itself."""
-    if standing is Standing.BELOW:
+    if standing is not Standing.TIGHT:
         return burst
-    if standing is Standing.UNKNOWN:
-        return 0.0
     # Of requests that come one by one, the first would always be more than this
     # instance's part: half a request less is even.
     return burst - tokens / 2
