Shares that are left later bring what a granter begins with; the first proof is asked for at once

Cause: after a restart of all a customer's bucket was reckoned by the first share that came, so it was refused as over its quota for a second or two; an instance that had just started asked for proof with its next tick only.

--- a/packages/ashhoist/src/ashhoist/control/inbox.py
+++ b/packages/ashhoist/src/ashhoist/control/inbox.py
@@ -75,7 +75,7 @@
 @_handles(messages.Relay)
 def _relayed(core: "Core", peer: str, relay: messages.Relay) -> None:
     core.records.relayed(peer, relay)
-    core.proofs.learned()
+    core.proofs.learned(core.leader)
 
 
 @_handles(messages.AskProof)
--- a/packages/ashhoist/src/ashhoist/control/proofs.py
+++ b/packages/ashhoist/src/ashhoist/control/proofs.py
@@ -96,11 +96,14 @@
     def _prove(self, proven: Proven) -> None:
         self._proof.prove((proven.asked_at - proven.age_us) * MICROSECOND)
 
-    def learned(self) -> None:
+    def learned(self, leader: str | None) -> None:
         """Take in that more of the configuration is known here."""
         if self._pending is not None and self._knows(self._pending):
             self._prove(self._pending)
             self._pending = None
+        if self._proof.proved_at is None:
+            # One that has just started: its callers wait for the first proof.
+            self.keep(leader)
 
     # Shown to others
 
--- a/packages/ashhoist/src/ashhoist/customers/granter.py
+++ b/packages/ashhoist/src/ashhoist/customers/granter.py
@@ -82,10 +82,17 @@
 
 @dataclass(slots=True)
 class _Account:
-    """One customer's tokens, as far as they are granted from here."""
+    """One customer's tokens, as far as they are granted from here.
+
+    Parameters
+    ----------
+    share : float
+        The largest share of the quota that was left here so far.
+    """
 
     bucket: Bucket
     pace: Pace
+    share: float
 
 
 class Granter:
@@ -194,10 +201,14 @@
         rate, burst = quota.rate * share, quota.burst * share
         account = self._accounts.get(customer)
         if account is None:
-            # What was granted before this instance led is not known. Half of what a
-            # window may be passed by is: so two changes in one window stay within.
-            level = min(self._bounds.spare(quota) / 2, quota.burst) * share
-            account = _Account(Bucket(rate, burst, level, now), Pace())
+            account = _Account(Bucket(rate, burst, 0.0, now), Pace(), 0.0)
             self._accounts[customer] = account
         account.bucket.resize(rate, burst, now)
+        if share > account.share:
+            # What was granted before this instance led is not known. A third of what a
+            # window may be passed by is granted: so some changes in one window, and what
+            # instances spend by themselves meanwhile, stay within.
+            begins_with = min(self._bounds.spare(quota) / 3, quota.burst)
+            account.bucket.give_back(begins_with * (share - account.share), now)
+            account.share = share
         return account
