--- a/packages/ashhoist/src/ashhoist/customers/granter.py
+++ b/packages/ashhoist/src/ashhoist/customers/granter.py
@@ -206,7 +206,7 @@
         account.bucket.resize(rate, burst, now)
         if share > account.share:
             # What was granted before this instance led is not known. A third of what a
-            # window may be passed by is granted: so some changes in one window, and what
+            # window may be passed by is granted: some changes in one window, and what
             # instances spend by themselves meanwhile, stay within.
             begins_with = min(self._bounds.spare(quota) / 3, quota.burst)
             account.bucket.give_back(begins_with * (share - account.share), now)
