Sight: log lines of requests and attempts carry a fingerprint of what a caller sends again

Cause: tries of one request have different ids; which belong together could not be seen, so the hypotheses on engines that end under one request could not be told apart. Change: a digest of method, host, path, caller's address and body on two log lines.

--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -35,6 +35,8 @@
     ----------
     limit : timedelta
         When it ends: the route's time or the caller's, whichever is first.
+    fingerprint : str
+        The same for all tries of its caller, at whichever instance.
     use_id : str
         Names the present attempt to the holder of the lease.
     patience : timedelta or None
@@ -62,6 +64,7 @@
     sizes: Sizes = Sizes()
     prompt_parts: tuple[str, ...] = ()
     first_try: bool = True
+    fingerprint: str = ""
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -17,6 +17,7 @@
 from .call import Call, Sizes
 from .choosers import Chooser
 from .dialect import Dialect
+from .fingerprint import fingerprint
 from .keys import Identity, Keys
 from .serving import Ending, Serving
 
@@ -152,7 +153,7 @@
     def _answer(
         self, caller: CallerConnection, request: Request, admitted: Admitted
     ) -> Steps[None]:
-        call = self._call(admitted, request)
+        call = self._call(admitted, request, caller.address)
         services = admitted.table.configuration.services
         chooser = self._chooser(services.get(call.service))
         ending = yield from self._serving.run(call, caller, chooser)
@@ -162,7 +163,7 @@
         engine = service is not None and service.engine is not None
         return self._choosers["engine" if engine else "plain"]
 
-    def _call(self, admitted: Admitted, request: Request) -> Call:
+    def _call(self, admitted: Admitted, request: Request, caller: str) -> Call:
         dialect = self._dialect
         route = admitted.route
         limit = request.received_at + route.timeout
@@ -182,6 +183,7 @@
             sizes=_sizes(request.value(dialect.token_counts.lower())),
             prompt_parts=_parts(request.value(dialect.prompt_parts.lower())),
             identity=admitted.identity,
+            fingerprint=fingerprint(request, caller),
         )
 
     def _service(self, route: Route) -> str:
@@ -226,6 +228,7 @@
         self._log.info(
             "request ended",
             request=call.id,
+            fingerprint=call.fingerprint,
             route=call.route.name,
             customer=call.customer_name,
             adapter=str(call.adapter or ""),
--- a/packages/ashhoist/src/ashhoist/requests/serving.py
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -188,6 +188,7 @@
         self._log.info(
             "attempt ended",
             request=call.id,
+            fingerprint=call.fingerprint,
             upstream=target.upstream,
             address=target.address,
             send=call.sends,
