--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -202,13 +202,13 @@
         """Return the requests that an upstream has got."""
         return self.upstreams[f"upstream-{index}"].calls
 
-    def connect(self) -> "Caller":
-        """Return a new caller."""
-        return Caller(self.listener.address)
+    def connect(self, source: str = "127.0.0.1") -> "Caller":
+        """Return a new caller at an address of its own."""
+        return Caller(self.listener.address, source)
 
-    def ask(self, path: str, **arguments: object) -> Answer:
+    def ask(self, path: str, source: str = "127.0.0.1", **arguments: object) -> Answer:
         """Ask once, on a connection of its own."""
-        with self.connect() as caller:
+        with self.connect(source) as caller:
             return caller.ask(path, **arguments)  # type: ignore[arg-type]
 
     def stop(self) -> None:
@@ -228,9 +228,11 @@
 class Caller:
     """A caller's connection."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, source: str = "127.0.0.1") -> None:
         host, _, port = address.rpartition(":")
-        self.socket = socket.create_connection((host, int(port)), PATIENCE)
+        self.socket = socket.create_connection(
+            (host, int(port)), PATIENCE, source_address=(source, 0)
+        )
         self._http = h11.Connection(h11.CLIENT)
         self._numbers = 0
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -126,6 +126,15 @@
         self.assertEqual(len(found), 1)
         self.assertEqual(len(self.told(harness, RequestCut)), 4)
 
+    def test_it_is_the_same_request_from_another_address(self) -> None:
+        # A caller with one machine in each zone sent it on from all of them; counted
+        # by address, three upstreams ended for each: 16 in all.
+        harness = self.start(reset, attempts=1)
+        for source in ("127.0.0.1", "127.0.0.2", "127.0.0.3"):
+            harness.ask("/unsafe/x", source)
+        found = {message.request for message in self.told(harness, RequestCut)}
+        self.assertEqual(len(found), 1)
+
     def test_another_path_or_body_is_another_request(self) -> None:
         harness = self.start(reset, attempts=1)
         harness.ask("/safe/x")
