A request is the same from whatever address it comes

Cause: the fingerprint held the caller's address, and one caller comes from an address in each zone; each of the four was counted alone. Change: method, host, path, adapter and body.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -94,14 +94,6 @@
         """Return the socket's descriptor."""
         return self._peer.fileno()
 
-    @property
-    def address(self) -> str:
-        """Return the caller's IP address; empty once it has gone."""
-        try:
-            return str(self._peer.getpeername()[0])
-        except OSError:
-            return ""
-
     # Reading
 
     def read_request(self, limits: CallerLimits) -> Steps[Request]:
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -36,7 +36,7 @@
     limit : timedelta
         When it ends: the route's time or the caller's, whichever is first.
     fingerprint : str
-        The same for all tries of its caller, at whichever instance.
+        The same for all tries, at whichever instance.
     upstream_life : str
         Names the life of the upstream that the present attempt goes to.
     use_id : str
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -153,7 +153,7 @@
     def _answer(
         self, caller: CallerConnection, request: Request, admitted: Admitted
     ) -> Steps[None]:
-        call = self._call(admitted, request, caller.address)
+        call = self._call(admitted, request)
         services = admitted.table.configuration.services
         chooser = self._chooser(services.get(call.service))
         ending = yield from self._serving.run(call, caller, chooser)
@@ -163,7 +163,7 @@
         engine = service is not None and service.engine is not None
         return self._choosers["engine" if engine else "plain"]
 
-    def _call(self, admitted: Admitted, request: Request, caller: str) -> Call:
+    def _call(self, admitted: Admitted, request: Request) -> Call:
         dialect = self._dialect
         route = admitted.route
         limit = request.received_at + route.timeout
@@ -183,7 +183,7 @@
             sizes=_sizes(request.value(dialect.token_counts.lower())),
             prompt_parts=_parts(request.value(dialect.prompt_parts.lower())),
             identity=admitted.identity,
-            fingerprint=fingerprint(request, caller),
+            fingerprint=fingerprint(request, adapter),
         )
 
     def _service(self, route: Route) -> str:
