Leases and proofs end while a machine is suspended

Cause: time.monotonic stands still while a machine is suspended, so leases and proofs held for as much longer than everybody else thought. Ruled out: sleeping timers (the control task looks every 0.2 s at most, and every send checks its lease by the clock). Change: the steady clock is CLOCK_BOOTTIME where the system has it.

--- a/packages/ashhoist/src/ashhoist/clock.py
+++ b/packages/ashhoist/src/ashhoist/clock.py
@@ -5,6 +5,9 @@
 from typing import Protocol
 
 ZERO = timedelta()
+STEADY = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""Counts the time for which the machine is suspended: leases and proofs end meanwhile.
+Where a system has no such clock, it is the one that stands still."""
 
 
 class Clock(Protocol):
@@ -14,7 +17,10 @@
         """Return the wall-clock time in UTC. It may jump; use it for display."""
 
     def monotonic(self) -> timedelta:
-        """Return the time since an arbitrary start. It never goes back."""
+        """Return the time since an arbitrary start.
+
+        It never goes back, and does not stand still while the machine is suspended.
+        """
 
 
 class SystemClock:
@@ -26,7 +32,7 @@
 
     def monotonic(self) -> timedelta:
         """Return the time since an arbitrary start."""
-        return timedelta(microseconds=time.monotonic_ns() // 1000)
+        return timedelta(microseconds=time.clock_gettime_ns(STEADY) // 1000)
 
 
 class ManualClock:
