Upstreams that start again under their id; records of upstreams that others wrote

Cause, first: a life was told by its id alone. An engine that came back under its id passed for the one before: its places, copies, health and connections were kept, and two crashes counted as one. Cause, second: what a record lacked was filled in, what had another type was converted, any state but draining was ready; a record without a readable key ended the read. Change: born is read from records and reports; another start forgets all that the one before has shown, hubs are told that it serves nothing, and a crash counts by life. Records are checked strictly; one that is none is logged and counted, names no upstream, and keeps its place in the log. What operators write and can't be read is logged too, not only config.

--- a/packages/ashhoist/src/ashhoist/control/changes.py
+++ b/packages/ashhoist/src/ashhoist/control/changes.py
@@ -43,6 +43,21 @@
     upstream: Upstream
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamRefused:
+    """A record of upstreams that names none: somebody else has written it.
+
+    Parameters
+    ----------
+    why : str
+        Names the fields that are wrong, and none of their values.
+    """
+
+    upstream_id: str
+    offset: int
+    why: str
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamEnded:
     """An upstream has gone."""
@@ -52,5 +67,10 @@
 
 
 Change = (
-    ConfigurationPut | ConfigurationRefused | VersionNamed | UpstreamPut | UpstreamEnded
+    ConfigurationPut
+    | ConfigurationRefused
+    | VersionNamed
+    | UpstreamPut
+    | UpstreamRefused
+    | UpstreamEnded
 )
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -23,6 +23,7 @@
     ConfigurationRefused,
     UpstreamEnded,
     UpstreamPut,
+    UpstreamRefused,
     VersionNamed,
 )
 from .hubs import Hubs
@@ -206,6 +207,8 @@
             return self._name_version(change)
         if isinstance(change, UpstreamPut):
             return self._put_upstream(change)
+        if isinstance(change, UpstreamRefused):
+            return self._refuse_upstream(change)
         return self._end_upstream(change)
 
     def _name_version(self, change: VersionNamed) -> bool:
@@ -228,18 +231,31 @@
     def _put_upstream(self, change: UpstreamPut) -> bool:
         upstream = change.upstream
         back = self._lapses.back(upstream.id)
+        before = self._directory.get(upstream.id)
         if not self._directory.put(upstream) and not back:
             return False
+        if before is not None and before.life != upstream.life:
+            self._log.info("upstream restarted", upstream=upstream.id)
+            self._forget(upstream.id)
         self._log.info(
             "upstream changed",
             upstream=upstream.id,
             service=upstream.service,
             address=upstream.address,
             state=upstream.state,
+            born=upstream.born,
             offset=upstream.offset,
         )
         return True
 
+    def _refuse_upstream(self, change: UpstreamRefused) -> bool:
+        """Use nothing that a record says; an upstream it has replaced is gone."""
+        self._log.warning(
+            "upstream refused", upstream=change.upstream_id, why=change.why
+        )
+        self._metrics.count("refused_records", Topic.UPSTREAMS)
+        return self._end_upstream(UpstreamEnded(change.upstream_id, change.offset))
+
     def _end_upstream(self, change: UpstreamEnded) -> bool:
         known = self._directory.get(change.upstream_id)
         if known is None or not known.takes_work:
@@ -253,10 +269,14 @@
         if not self._directory.end(upstream, offset, self._clock.monotonic()):
             return False
         self._log.info("upstream ended", upstream=upstream, offset=offset)
+        self._forget(upstream)
+        return True
+
+    def _forget(self, upstream: str) -> None:
+        """Forget all that a life of an upstream has shown: it is over."""
         self._residency.forget(upstream)
         self._health.forget(upstream)
         self._outside.forget_upstream(upstream)
-        return True
 
     # Told by peers, and told to them
 
--- a/packages/ashhoist/src/ashhoist/orders/order.py
+++ b/packages/ashhoist/src/ashhoist/orders/order.py
@@ -80,6 +80,8 @@
         Base models that it holds, and those it has copies of close by.
     adapters, coming : dict
         Versions by adapter.
+    born : int
+        When it started, in Unix milliseconds; 0 if it does not say.
     """
 
     order_count: int
@@ -90,3 +92,4 @@
     busy: bool = False
     running: int = 0
     waiting: int = 0
+    born: int = 0
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -113,6 +113,7 @@
         self.models: set[str] = set(upstream.models)
         self.model_copies: set[str] = set()
         self.model_coming: EnginePlace | None = None
+        self._born = upstream.born
         self.cold_load = COLD_LOAD
         self.warm_load = WARM_LOAD
         for adapter in self.copies:
@@ -380,6 +381,9 @@
         if report is None:
             self.report_at = now + REFUSED_PAUSE
             return EngineNews()
+        if report.born and self._born and report.born != self._born:
+            self._forget_copies()
+        self._born = report.born or self._born
         self.report_at = None
         self.lost = None
         self.order_count = report.order_count
@@ -395,6 +399,12 @@
             self._restore(known, adapter, version, PlaceState.COMING, now)
         return EngineNews(serving_changed=True)
 
+    def _forget_copies(self) -> None:
+        """Take its copies for gone: it has started again."""
+        for adapter in self.copies:
+            self._holders.copy_lost(self, adapter)
+        self.copies.clear()
+
     def _restore(
         self,
         known: dict[Adapter, EnginePlace],
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -115,20 +115,28 @@
         """
         self._settings = settings
         self._has_news = True
-        present = {upstream.id for upstream in found}
-        for gone in set(self.engines) - present:
-            self._holders.forget(self.engines.pop(gone))
-            self._health.forget(gone)
+        life_by_id = {upstream.id: upstream.life for upstream in found}
+        for engine in list(self.engines.values()):
+            if engine.upstream.life == life_by_id.get(engine.id):
+                continue
+            del self.engines[engine.id]
+            self._holders.forget(engine)
+            self._health.forget(engine.id)
+            if engine.id in life_by_id:
+                # Its new life holds nothing until it reports.
+                self._residency.forget(engine.id)
+                self._act(Serving(engine.id, {}))
         for upstream in found:
-            engine = self.engines.get(upstream.id)
-            if engine is None:
+            known = self.engines.get(upstream.id)
+            if known is not None:
+                known.upstream = upstream
+            else:
                 places = settings[upstream.service].adapter_places
                 copies = self._residency.copies(upstream.id)
                 engine = Engine(upstream, places, copies, self._holders)
                 held = self._residency.of(upstream.id)
                 engine.expect(held, self._clock.monotonic())
                 self.engines[upstream.id] = engine
-            engine.upstream = upstream
 
     def want(self, want: Want) -> None:
         """Take in a request that needs an adapter."""
--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -27,11 +27,13 @@
     Parameters
     ----------
     id : str
-        New with every start of the upstream.
+        Often new with every start; an upstream may also start again under its id.
     address : str
         ``IP:PORT``; may belong to another upstream later.
     offset : int
         Where its newest record stands on the log.
+    born : int
+        When it started, in Unix milliseconds by its own clock; 0 if it does not say.
     """
 
     id: str
@@ -42,11 +44,12 @@
     slots: int = 1
     models: tuple[str, ...] = ()
     offset: int = -1
+    born: int = 0
 
     @property
     def life(self) -> str:
         """Return the name of this life; no two starts of any upstream share it."""
-        return self.id
+        return f"{self.id}@{self.born}" if self.born else self.id
 
     @property
     def takes_work(self) -> bool:
@@ -155,6 +158,7 @@
         and one.zone == other.zone
         and one.slots == other.slots
         and one.models == other.models
+        and one.life == other.life
     )
 
 
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -148,6 +148,7 @@
         self.timing_by_machine: dict[str, LeaseTiming] = {}
         self.lose_orders = 0
         self.engine_zones: dict[str, str] = {}
+        self.born_by_engine: dict[str, int] = {}
         self.engines: dict[str, EngineState] = {}
         self.seen: list[OrderSeen] = []
         self.refuse_below = -1
@@ -178,7 +179,7 @@
             customers=self.customers,
         )
         change = ConfigurationPut(configuration)
-        self._write(Topic.CONFIGURATION, "config", change, size)
+        self.write(Topic.CONFIGURATION, "config", change, size)
 
     def put_configuration(self, version: int, size: int = 1) -> None:
         """Write a newer configuration, as large as wanted."""
@@ -187,7 +188,7 @@
     def name_version(self, adapter: str, version: int) -> None:
         """Name a version of an adapter."""
         named = VersionNamed(Adapter(MODEL, adapter), version)
-        self._write(Topic.CONFIGURATION, f"version/{adapter}", named)
+        self.write(Topic.CONFIGURATION, f"version/{adapter}", named)
         for engine in self.engines.values():
             engine.newest[adapter] = version
 
@@ -211,9 +212,16 @@
             96,
             (MODEL,),
             offset,
+            self.born_by_engine.get(name, 0),
         )
         change = UpstreamPut(upstream)
-        self._write(Topic.UPSTREAMS, name, change)
+        self.write(Topic.UPSTREAMS, name, change)
+
+    def restart_engine(self, name: str) -> None:
+        """Let an engine start again under its id; it knows nothing of before."""
+        self.engines[name] = EngineState(name, {MODEL})
+        self.born_by_engine[name] = self.born_by_engine.get(name, 0) + 1
+        self.write_engine(name)
 
     def end_engine(self, name: str) -> None:
         """Remove an engine's record; the engine is gone."""
@@ -226,7 +234,8 @@
         assert offset is not None
         self._decoded[Topic.UPSTREAMS, offset] = UpstreamEnded(name, offset)
 
-    def _write(self, topic: Topic, key: str, change: Change, size: int = 1) -> None:
+    def write(self, topic: Topic, key: str, change: Change, size: int = 1) -> None:
+        """Write a record that says so, as long as wanted."""
         offset = self.log.append(topic, key, b"x" * size)
         assert offset is not None
         self._decoded[topic, offset] = change
@@ -391,6 +400,7 @@
                 (),
                 {Adapter(MODEL, name): v for name, v in engine.adapters.items()},
                 {Adapter(MODEL, name): v for name, (v, _) in engine.coming.items()},
+                born=self.born_by_engine.get(request.upstream, 0),
             )
         step = lambda: self._settled(  # noqa: E731
             core, lambda: core.reported(request.upstream, report)
--- a/tests/platform_stand_ins/fleet.py
+++ b/tests/platform_stand_ins/fleet.py
@@ -4,14 +4,14 @@
 
 from .server import Call
 from .store import StoreServer
-from .worker import PlainWorker
+from .worker import BORN, PlainWorker
 
 
 class _CrashingWorker(PlainWorker):
     """One life of a worker of a `CrashingFleet`."""
 
-    def __init__(self, id: str, fleet: "CrashingFleet") -> None:
-        super().__init__(id)
+    def __init__(self, id: str, fleet: "CrashingFleet", born: int) -> None:
+        super().__init__(id, born)
         self._fleet = fleet
 
     def _handle(self, call: Call) -> None:
@@ -30,22 +30,32 @@
     ----------
     path : str
         Whoever runs a request with this in its path crashes.
+    keeps_ids : bool
+        Whether they start again under the id that they had.
     """
 
-    def __init__(self, store: StoreServer, service: str, size: int, path: str) -> None:
+    def __init__(
+        self,
+        store: StoreServer,
+        service: str,
+        size: int,
+        path: str,
+        keeps_ids: bool = False,
+    ) -> None:
         self.path = path
+        self.keeps_ids = keeps_ids
         self.crashed: list[str] = []
         self._store = store
         self._service = service
         self._started = 0
         self._lock = threading.Lock()
         self._workers: dict[str, _CrashingWorker] = {}
-        for _ in range(size):
-            self._start()
+        for number in range(size):
+            self._start(f"i-plain-{number}")
 
-    def _start(self) -> None:
+    def _start(self, id: str) -> None:
         self._started += 1
-        worker = _CrashingWorker(f"i-plain-{self._started}", self)
+        worker = _CrashingWorker(id, self, BORN + self._started)
         self._workers[worker.id] = worker
         self._store.put(
             "keyed.servers", worker.id, worker.record(self._service, "zone-1")
@@ -57,8 +67,11 @@
             self.crashed.append(worker.id)
             del self._workers[worker.id]
             worker.close()
+            if self.keeps_ids:
+                self._start(worker.id)
+                return
             self._store.put("keyed.servers", worker.id, None)
-            self._start()
+            self._start(f"{worker.id}+")
 
     def close(self) -> None:
         """Stop all workers."""
--- a/tests/platform_stand_ins/worker.py
+++ b/tests/platform_stand_ins/worker.py
@@ -10,6 +10,8 @@
 Document = dict[str, object]
 SEAL = "X-Server-Seal"
 ID = "X-Attempt-Id"
+BORN = 1_776_000_000_000
+"""When workers started, in Unix milliseconds, unless a test says otherwise."""
 
 
 def sealed(call: Call, worker: str) -> dict[str, str]:
@@ -28,7 +30,10 @@
         Streams wait for it before their last event.
     """
 
-    def __init__(self, id: str, model: str, models: bool = True) -> None:
+    def __init__(
+        self, id: str, model: str, models: bool = True, born: int = BORN
+    ) -> None:
+        self.born = born
         self.state = EngineState(id, {model} if models else set(), model_s=0.1)
         self.model = model
         self.events = 3
@@ -51,6 +56,7 @@
             "slots": 96,
             "state": state,
             "sequence": 1,
+            "born": self.born,
             "models": [{"name": name, "version": 1} for name in self.state.models],
         }
 
@@ -93,6 +99,7 @@
             ]
             report = {
                 "stage": "both",
+                "born": self.born,
                 "models": models,
                 "busy": self.state.model_coming is not None,
                 "sequence": self.state.sequence,
@@ -129,8 +136,9 @@
 class PlainWorker:
     """One life of a plain worker that says who it is."""
 
-    def __init__(self, id: str) -> None:
+    def __init__(self, id: str, born: int = BORN) -> None:
         self.id = id
+        self.born = born
         self.ran: list[Call] = []
         self.server = Server(self._handle)
 
@@ -146,6 +154,7 @@
             "slots": 6,
             "state": state,
             "sequence": 1,
+            "born": self.born,
         }
 
     def _handle(self, call: Call) -> None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -85,6 +85,20 @@
                 lambda process=process: process.ask("/lobby/well", "well")[0] == 200
             )
 
+    def test_upstreams_that_keep_their_ids_count_each_time_they_start(self) -> None:
+        # Counted by id alone, two upstreams that crash and start again in turn were
+        # two for ever, and the request was sent on without end.
+        self.fleet.close()
+        for number in range(4):
+            self.store.put("keyed.servers", f"i-plain-{number}", None)
+        fleet = CrashingFleet(self.store, "plain-service", 2, "crash", keeps_ids=True)
+        self.addCleanup(fleet.close)
+        process = self.start("node-1")
+        self.wait(
+            lambda: len(fleet.crashed) > CRASHES + FURTHER or self.refused(process)
+        )
+        self.assertEqual(len(fleet.crashed), CRASHES)
+
     def test_one_that_starts_later_knows_it_too(self) -> None:
         one = self.start("node-1")
         self.wait(lambda: self.refused(one))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,7 @@
     ConfigurationRefused,
     UpstreamEnded,
     UpstreamPut,
+    UpstreamRefused,
     VersionNamed,
 )
 from ashhoist.http.client import Client
@@ -120,8 +121,10 @@
             "service": "engines",
             "address": "10.0.0.1:80",
             "zone": "z",
+            "version": "v1",
             "slots": 96,
             "state": "draining",
+            "sequence": 3,
             "models": [{"name": MODEL, "version": 1, "adapters": ["a1@2"]}],
         }
         change = decode(Topic.UPSTREAMS, record("i-1", worker))
@@ -139,7 +142,9 @@
 
     def test_what_is_malformed_or_foreign_changes_nothing(self) -> None:
         self.assertIsNone(decode(Topic.CONFIGURATION, record("other", {"x": 1})))
-        self.assertIsNone(decode(Topic.UPSTREAMS, Record(1, "i-1", b"\xff")))
+        foreign = decode(Topic.UPSTREAMS, Record(1, "i-1", b"\xff"))
+        assert isinstance(foreign, UpstreamRefused)
+        self.assertEqual((foreign.upstream_id, foreign.offset), ("i-1", 1))
 
 
 class WorkerProtocolTests(unittest.TestCase):
