Ends of upstreams are forgotten oldest first; tests share one start of processes; a plainer name

Directory.end went through all remembered ends at each end, the square where many end together; they stand in order now. The start of real processes stood in two tests. Core._choose_readers decided only for its own instance: _choose_to_read.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -428,7 +428,7 @@
         self.records.tick()
         self._release_when_quiet(now)
         self._elect()
-        self._choose_readers()
+        self._choose_to_read()
         self.proofs.keep(self.leader)
         self.quotas.return_left_over()
         self.crashes.tick()
@@ -441,7 +441,7 @@
         self.settle()
         self.scheduling.plan(by_time=True)
 
-    def _choose_readers(self) -> None:
+    def _choose_to_read(self) -> None:
         """Decide whether this instance reads the log itself."""
         reads = self._readers.reads_itself(self.leader)
         if reads == self.reads_itself:
--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -124,6 +124,7 @@
         ended = self._ended.get(upstream_id)
         if ended is None or ended[0] < offset:
             # An older end that comes late must not hide a newer one.
+            self._ended.pop(upstream_id, None)
             self._ended[upstream_id] = (offset, now)
         self._forget_ended(now)
         if known is None:
@@ -145,9 +146,12 @@
         return dict(self._by_id)
 
     def _forget_ended(self, now: timedelta) -> None:
-        for upstream_id, (_, ended_at) in list(self._ended.items()):
-            if now - ended_at > REMEMBER_ENDED:
-                del self._ended[upstream_id]
+        """Forget the oldest ends; they stand in the order in which they came."""
+        while self._ended:
+            upstream_id, (_, ended_at) = next(iter(self._ended.items()))
+            if now - ended_at <= REMEMBER_ENDED:
+                return
+            del self._ended[upstream_id]
 
 
 def _same(one: Upstream, other: Upstream) -> bool:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -13,21 +13,16 @@
 A caller's tries have different ids, but path, address and body in common.
 """
 
-import tempfile
 import time
 import unittest
-from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 from ashhoist.quarantine import Crash, RequestCut, RequestWhole, Whole
 
+from .platform_process import PlatformProcess, ProcessTestCase
 from .platform_stand_ins.fleet import CrashingFleet
 from .platform_stand_ins.server import Call, Handler
-from .platform_stand_ins.store import StoreServer
 from .request_harness import Harness, event, sealed
-from .test_platform import CONFIGURATION, SOON
-from .test_platform_process import PlatformProcess
 from .test_requests import good, refuse, reset
 
 CRASHES = 3
@@ -37,31 +32,14 @@
 PATH = "/lobby/crash"
 
 
-class TwoInstancesTests(unittest.TestCase):
+class TwoInstancesTests(ProcessTestCase):
     """Real processes, a store, and plain workers that start again."""
 
     def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = Path(folder.name)
-        self.store = StoreServer()
-        self.addCleanup(self.store.close)
-        self.store.put("keyed.op", "config", CONFIGURATION)
+        super().setUp()
         self.fleet = CrashingFleet(self.store, "plain-service", 4, "crash")
         self.addCleanup(self.fleet.close)
 
-    def start(self, name: str) -> PlatformProcess:
-        process = PlatformProcess(self.folder, self.store.address, name)
-        self.addCleanup(process.end)
-        self.wait(lambda: process.get(process.readiness, "/api/ready")[0] == 200)
-        return process
-
-    def wait(self, true: Callable[[], bool]) -> None:
-        limit = time.monotonic() + SOON
-        while not true():
-            self.assertLess(time.monotonic(), limit, "did not come true in time")
-            time.sleep(0.02)
-
     def refused(self, process: PlatformProcess) -> bool:
         """Return whether the request is refused for what it does to upstreams."""
         answer = process.ask(PATH, f"try-{time.monotonic_ns()}")
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -3,16 +3,12 @@
 import os
 import re
 import signal
-import socket
 import subprocess
 import sys
-import tempfile
 import threading
 import time
 import unittest
-from collections.abc import Callable
 from datetime import timedelta
-from pathlib import Path
 
 from ashhoist_platform.dialect import DIALECT
 from ashhoist_platform.engines import WorkerProtocol
@@ -20,116 +16,24 @@
 from ashhoist_platform.store import Store
 
 from ashhoist import process_settings
-from ashhoist.http.client import Client
 from ashhoist.process import Platform, Process
 
 from . import ROOT
-from .loops import new_loop, run
-from .platform_stand_ins.store import StoreServer
+from .loops import new_loop
+from .platform_process import PlatformProcess, ProcessTestCase, free_ports
 from .platform_stand_ins.worker import ModelWorker, PlainWorker
-from .test_platform import CONFIGURATION, HOST, MODEL, SOON
+from .test_platform import CONFIGURATION, MODEL, SOON
 
 
-class PlatformProcess:
-    """One instance as the platform starts it."""
-
-    def __init__(self, folder: Path, store: str, name: str) -> None:
-        ports = _free_ports(4)
-        self.callers, self.readiness, self.instances, self.metrics = [
-            f"127.0.0.1:{port}" for port in ports
-        ]
-        self.settings = folder / f"{name}.ini"
-        self.settings.write_text(self._text(name, store))
-        environment = {**os.environ, "ASHHOIST_SETTINGS": str(self.settings)}
-        self.process = subprocess.Popen(
-            [sys.executable, str(ROOT / "platform" / "start.py")],
-            env=environment,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-        )
-
-    def _text(self, name: str, store: str, seeds: str = "") -> str:
-        return f"""
-            [instance]
-            name = {name}
-            availability_zone = zone-1
-            region = region-1
-            callers = {self.callers}
-            readiness = {self.readiness}
-            instances = {self.instances}
-            metrics = {self.metrics}
-            seeds = {seeds}
-            [store]
-            address = {store}
-            [logs]
-            format = json
-        """.replace("            ", "")
-
-    def rewrite(self, store: str, seeds: str) -> None:
-        """Change the settings file."""
-        self.settings.write_text(self._text(self.settings.stem, store, seeds))
-
-    def get(self, address: str, path: str) -> tuple[int, bytes]:
-        """Return status and body of a GET, or 0."""
-        loop = new_loop()
-        client = Client(address, loop)
-        reply = run(loop, client.call("GET", path, [], b"", timedelta(seconds=2)))
-        client.close()
-        loop.close()
-        status = getattr(reply, "status", 0)
-        return status, getattr(reply, "body", b"")
-
-    def ask(self, path: str, id: str, model: str = "") -> tuple[int, bytes]:
-        """Ask as a client of the platform does."""
-        headers = [("Host", HOST), ("X-Attempt-Id", id), ("X-Deadline-Ms", "4000")]
-        if model:
-            headers += [("X-Model", model), ("X-Token-Count", "100,10")]
-        with socket.create_connection(_pair(self.callers), SOON) as peer:
-            lines = [f"POST {path} HTTP/1.1"]
-            lines += [f"{name}: {value}" for name, value in headers]
-            lines += ["Content-Length: 2", "Connection: close", "", "ab"]
-            peer.sendall("\r\n".join(lines).encode())
-            data = b""
-            while part := peer.recv(65536):
-                data += part
-        status = int(data.split(b" ", 2)[1]) if data else 0
-        return status, data.partition(b"\r\n\r\n")[2]
-
-    def end(self) -> str:
-        """Kill the process if it runs; return what it wrote."""
-        if self.process.poll() is None:
-            self.process.kill()
-        out, _ = self.process.communicate(timeout=SOON)
-        return out.decode()
-
-
-def _pair(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
-def _free_ports(count: int) -> list[int]:
-    servers = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [server.getsockname()[1] for server in servers]
-    for server in servers:
-        server.close()
-    return ports
-
-
-class ProcessTests(unittest.TestCase):
-    """Whole processes against the stand-ins, on loopback and the real clock."""
+class ProcessTests(ProcessTestCase):
+    """An engine, a plain worker, and what callers get of them."""
 
     def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = Path(folder.name)
-        self.store = StoreServer()
-        self.addCleanup(self.store.close)
+        super().setUp()
         self.engine = ModelWorker("i-engine", MODEL)
         self.plain = PlainWorker("i-plain")
         for worker in (self.engine, self.plain):
             self.addCleanup(worker.close)
-        self.store.put("keyed.op", "config", CONFIGURATION)
         self.store.put(
             "keyed.servers", "i-engine", self.engine.record("engines", "zone-1")
         )
@@ -137,18 +41,6 @@
             "keyed.servers", "i-plain", self.plain.record("plain-service", "zone-1")
         )
 
-    def start(self, name: str = "node-1") -> PlatformProcess:
-        process = PlatformProcess(self.folder, self.store.address, name)
-        self.addCleanup(process.end)
-        self.wait(lambda: process.get(process.readiness, "/api/ready")[0] == 200)
-        return process
-
-    def wait(self, true: Callable[[], bool], seconds: float = SOON) -> None:
-        limit = time.monotonic() + seconds
-        while not true():
-            self.assertLess(time.monotonic(), limit, "did not come true in time")
-            time.sleep(0.02)
-
     def test_plain_requests_and_streams_are_served(self) -> None:
         process = self.start()
         self.assertEqual(
@@ -234,7 +126,7 @@
 
     def test_a_control_task_that_does_not_answer_is_not_settled(self) -> None:
         # It raised here before, and the process then hung past its limit.
-        addresses = [f"127.0.0.1:{port}" for port in _free_ports(4)]
+        addresses = [f"127.0.0.1:{port}" for port in free_ports(4)]
         fields = ("callers", "readiness", "instances", "metrics")
         text = "\n".join(
             [
