What was seen while an older record of the same life comes back is written too

Cause, found in reading the change: an instance's own record, read back in the turn in which further requests were cut by the same upstream, took the place of what it had seen since, and the next record was made from it; those requests were never told. Change: what was seen since the last write is kept by itself and always in the next record. Test: fails before (one of three requests written).

--- a/packages/ashhoist/src/ashhoist/control/crash_reports.py
+++ b/packages/ashhoist/src/ashhoist/control/crash_reports.py
@@ -53,7 +53,7 @@
         self._clock = clock
         self._metrics = metrics
         self._log = log
-        self._seen: dict[str, Crash] = {}
+        self._seen_by_life: dict[str, set[str]] = {}
         self._unwritten: dict[str, bytes] = {}
         self._not_own: set[str] = set()
         self._handed_over: dict[str, bytes] = {}
@@ -66,7 +66,7 @@
         """Take in that an upstream broke off under a request of this instance."""
         crash = Crash(message.life, self._own, frozenset({message.request}))
         self._quarantine.seen(crash)
-        self._seen[crash.key] = crash
+        self._seen_by_life.setdefault(message.life, set()).add(message.request)
 
     def whole(self, message: RequestWhole) -> None:
         """Take in that a suspected request was answered whole."""
@@ -91,9 +91,10 @@
 
     def _enqueue_seen(self) -> None:
         """Have written what was seen since the last time, one record for each life."""
-        seen, self._seen = self._seen, {}
-        for key, crash in seen.items():
-            self._enqueue(key, self._quarantine.to_write(crash).encode())
+        seen, self._seen_by_life = self._seen_by_life, {}
+        for life, requests in seen.items():
+            crash = Crash(life, self._own, frozenset(requests))
+            self._enqueue(crash.key, self._quarantine.to_write(crash).encode())
 
     def step(self) -> None:
         """Write the next record, one at a time."""
--- a/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
@@ -88,14 +88,15 @@
         self._link(crash.key, fresh)
 
     def to_write(self, crash: Crash) -> Crash:
-        """Return all that this instance knows of a life, less what was cleared since.
+        """Return what was just seen, with all that is known of that life by then.
 
-        What is written again counts as newer than the whole answer that cleared it.
+        Less what was cleared since: what is written again counts as newer than the
+        whole answer that cleared it.
         """
         known = self._by_key.get(crash.key)
-        requests = crash.requests if known is None else known.crash.requests
-        kept = {name for name in requests if crash.life in self._lives(name)}
-        return Crash(crash.life, crash.instance, frozenset(kept))
+        before = frozenset() if known is None else known.crash.requests
+        kept = {name for name in before if crash.life in self._lives(name)}
+        return Crash(crash.life, crash.instance, crash.requests | kept)
 
     def put(self, key: str, said: Crash | Whole | None, offset: int) -> bool:
         """Take in a record of the log; return whether it changed anything.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,16 +6,22 @@
 
 from hypothesis import given, settings, strategies as st
 
+from ashhoist import logs
 from ashhoist.clock import ManualClock
+from ashhoist.control.crash_reports import CrashReports
+from ashhoist.control.peers import Peers
+from ashhoist.metrics import Metrics
 from ashhoist.quarantine import (
     CRASHES,
     WINDOW,
     Crash,
     MalformedRecordError,
     Quarantine,
+    RequestCut,
     Whole,
     decode_record,
 )
+from ashhoist.store import Appended
 
 STEP = timedelta(seconds=1)
 BATCH = 96
@@ -75,6 +81,38 @@
             self.quarantine.seen(seen)
         self.assertEqual(self.quarantine.to_write(seen).requests, {"one", "two"})
 
+    def test_an_older_record_of_its_own_does_not_hide_what_it_saw_since(self) -> None:
+        # The record of the first cut comes back from the log in the turn in which the
+        # next two are taken in.
+        reports, written = self.reports()
+        reports.cut(RequestCut("first", "a"))
+        reports.step()
+        for request in ("second", "third"):
+            reports.cut(RequestCut(request, "a"))
+        key, value = written[0]
+        self.quarantine.put(key, decode_record(value), 0)
+        reports.appended(Appended(0))
+        said = decode_record(written[-1][1])
+        assert isinstance(said, Crash)
+        self.assertEqual(said.requests, {"first", "second", "third"})
+
+    def reports(self) -> tuple[CrashReports, list[tuple[str, bytes]]]:
+        """Return what reports crashes of one instance, and what it writes."""
+        written: list[tuple[str, bytes]] = []
+        outside = mock.Mock()
+        outside.append_crash = lambda key, value: written.append((key, value))
+        reports = CrashReports(
+            "one",
+            self.quarantine,
+            Peers("one"),
+            lambda: False,
+            outside,
+            self.clock,
+            Metrics(),
+            logs.get("control"),
+        )
+        return reports, written
+
     def test_a_batch_that_is_cut_costs_no_more_for_each_than_one(self) -> None:
         with mock.patch.object(
             Quarantine, "_judge", autospec=True, side_effect=Quarantine._judge
