--- a/tests/test_many_crashes.py
+++ b/tests/test_many_crashes.py
@@ -124,8 +124,8 @@
         self.assertEqual(holding(world), everybody(world))
 
     def test_a_log_that_is_away_is_not_asked_without_end(self) -> None:
-        # Each instance that had something to tell tried twice a second, all of a fleet at
-        # once, while the log was away: 80 tries of three instances in 18 seconds.
+        # Each instance that had something to tell tried twice a second while the log
+        # was away, all of a fleet at once: 80 tries of three instances in 18 seconds.
         world = self.start(7)
         world.store.is_down = True
         self.crash_at_three(world)
