Log lines and a counter for what answers say of their upstreams

Cause: no line told that an answer spoke of its upstream, so two hypotheses of the incident looked alike. Change: the dialect names the header of upstreams that leave; Attempts hands each head to Notices, which logs 'upstream says it leaves' and 'upstream asks for rest' and counts them; nothing else reads them yet.

--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -31,6 +31,7 @@
 from .requests.choosers import Chooser, PlainChooser
 from .requests.engine_chooser import EngineChooser
 from .requests.keys import Keys
+from .requests.notices import Notices
 from .requests.serving import Serving
 from .requests.suspicion import Suspicion
 from .routing.in_force import InForce
@@ -212,9 +213,10 @@
             self.settings.bounds.configuration,
             clock,
         )
+        notices = Notices(dialect, self.metrics, logs.get("requests"))
         serving = Serving(
             dialect,
-            Attempts(dialect, self.pool, clock),
+            Attempts(dialect, self.pool, notices, clock),
             self._budget,
             self.health,
             keys,
--- a/packages/ashhoist/src/ashhoist/requests/attempt.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt.py
@@ -16,6 +16,7 @@
 from ..placement.asks import Target
 from .call import Call
 from .dialect import SINGLE_CONNECTION, Dialect
+from .notices import Notices
 
 CONNECT_TIME = timedelta(milliseconds=700)
 LARGEST_ANSWER = 16_777_216
@@ -90,11 +91,16 @@
         Header names.
     pool : Pool
         Kept connections.
+    notices : Notices
+        Takes in what answers say of their upstreams.
     """
 
-    def __init__(self, dialect: Dialect, pool: Pool, clock: Clock) -> None:
+    def __init__(
+        self, dialect: Dialect, pool: Pool, notices: Notices, clock: Clock
+    ) -> None:
         self._dialect = dialect
         self._pool = pool
+        self._notices = notices
         self._clock = clock
         self._own = dialect.own_headers()
         self._replaced = frozenset({dialect.deadline_ms.lower(), "content-length"})
@@ -152,7 +158,7 @@
             return OutOfTime()
         if failed is not None:
             return MayHaveRun(Reason.ANSWER_CUT)
-        return (yield from self._answer(call, caller, connection, stream))
+        return (yield from self._answer(call, target, caller, connection, stream))
 
     def headers(self, call: Call, target: Target) -> list[tuple[str, str]]:
         """Return the headers for an upstream: the caller's, and our own."""
@@ -185,6 +191,7 @@
     def _answer(
         self,
         call: Call,
+        target: Target,
         caller: CallerConnection,
         connection: UpstreamConnection,
         stream: bool,
@@ -193,6 +200,7 @@
             head = yield from self._await_head(call, caller, connection)
             if not isinstance(head, Head):
                 return head
+            self._notices.heard(call, target, head)
             mine = self._is_mine(call, head)
             if mine and stream and head.status == OK and self._acceptable(head):
                 return Streaming(head, connection)
--- a/packages/ashhoist/src/ashhoist/requests/dialect.py
+++ b/packages/ashhoist/src/ashhoist/requests/dialect.py
@@ -42,6 +42,8 @@
         By which a caller shows which customer it is; never passed on.
     customer : str
         Tells upstreams the customer's name; only the system sets it.
+    leaving, leaving_value : str
+        Stand in the answers of an upstream that is going to end.
     foreign : frozenset of str
         In lower case: further headers that a caller must not set.
     """
@@ -56,6 +58,8 @@
     last_event_id: str = "Last-Event-ID"
     not_run: str = "Ashhoist-Not-Run"
     retry_after: str = "Retry-After"
+    leaving: str = "Ashhoist-Leaving"
+    leaving_value: str = "1"
     expect_instance: str = "Ashhoist-Expect-Incarnation"
     expect_version: str = "Ashhoist-Expect-Version"
     urgency: str = "Ashhoist-Urgency"
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -24,6 +24,7 @@
 from ashhoist.requests.charging import Charging
 from ashhoist.requests.choosers import Choice
 from ashhoist.requests.keys import Keys
+from ashhoist.requests.notices import Notices
 from ashhoist.requests.serving import Serving
 from ashhoist.requests.suspicion import Suspicion
 from ashhoist.routing import (
@@ -169,7 +170,12 @@
         budget = RetryBudget(0.0, extra, timedelta(seconds=10), lambda: 1, clock)
         serving = Serving(
             DIALECT,
-            Attempts(DIALECT, self._pool, clock),
+            Attempts(
+                DIALECT,
+                self._pool,
+                Notices(DIALECT, self.metrics, logs.get("requests")),
+                clock,
+            ),
             budget,
             Health(clock),
             keys,
