--- a/tests/platform_stand_ins/worker.py
+++ b/tests/platform_stand_ins/worker.py
@@ -14,6 +14,38 @@
 """When workers started, in Unix milliseconds, unless a test says otherwise."""
 
 
+class Notices:
+    """What a worker says of itself in its answers to requests.
+
+    Attributes
+    ----------
+    leaves : bool
+        Every answer says that it leaves.
+    rest : str
+        Requests are turned away, and told to come back after so many seconds.
+    arrived : int
+        How many requests there were, those that were turned away included.
+    """
+
+    def __init__(self) -> None:
+        self.leaves = False
+        self.rest = ""
+        self.arrived = 0
+
+    def headers(self) -> dict[str, str]:
+        """Return what stands in every answer."""
+        return {"Server-Leaving": "1"} if self.leaves else {}
+
+    def turns_away(self, call: Call) -> bool:
+        """Count a request; return whether it was turned away."""
+        self.arrived += 1
+        if not self.rest:
+            return False
+        refused = {"X-Not-Executed": "1", "Retry-After": self.rest}
+        call.respond(503, b"", refused | self.headers())
+        return True
+
+
 def sealed(call: Call, worker: str) -> dict[str, str]:
     """Return the headers of a proper answer."""
     return {ID: call.headers[ID.lower()], SEAL: f"seal-of-{worker}"}
@@ -41,6 +73,7 @@
         self.hold.set()
         self.orders: list[dict[str, object]] = []
         self.ran: list[Call] = []
+        self.says = Notices()
         self._lock = threading.Lock()
         self.server = Server(self._handle)
 
@@ -111,6 +144,8 @@
         call.respond(200, json.dumps(report).encode())
 
     def _run(self, call: Call) -> None:
+        if self.says.turns_away(call):
+            return
         model, _, adapter = call.headers["x-model"].partition("/")
         with self._lock:
             self.state.settle(time.monotonic())
@@ -121,7 +156,7 @@
             call.respond(421, b"", {"X-Instance-Id": self.state.id})
             return
         self.ran.append(call)
-        call.start_stream(sealed(call, self.state.id))
+        call.start_stream(sealed(call, self.state.id) | self.says.headers())
         for number in range(1, self.events + 1):
             if number == self.events:
                 self.hold.wait(10)
@@ -140,6 +175,7 @@
         self.id = id
         self.born = born
         self.ran: list[Call] = []
+        self.says = Notices()
         self.server = Server(self._handle)
 
     def record(
@@ -161,8 +197,11 @@
         if call.headers.get("x-expect-instance", self.id) != self.id:
             call.respond(421)
             return
+        if self.says.turns_away(call):
+            return
         self.ran.append(call)
-        call.respond(200, f"{self.id} {call.target}".encode(), sealed(call, self.id))
+        headers = sealed(call, self.id) | self.says.headers()
+        call.respond(200, f"{self.id} {call.target}".encode(), headers)
 
     def close(self) -> None:
         self.server.close()
