What was placed at an upstream that has gone, leaves or rests is placed anew, with a line

Cause: a place is chosen by the leader or before a wait; meanwhile the upstream may have ended, said that it leaves, or asked for rest, and the request went there all the same. Change: right before a send the directory and the rests are asked once more; such a place is given back, logged and counted as a retry by its reason. A 503 that is passed on asks its caller for our own Retry-After in place of the upstream's, which was meant for this instance.

--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -86,7 +86,7 @@
             return self._any_engine.least_work(call)
         if self._all_rest(call.service):
             return Refusal(Reason.UPSTREAMS_REST)
-        call.use_id = f"{call.id}/{call.sends}"
+        call.use_id = f"{call.id}/{len(call.tried)}"
         if not self._holder_known():
             found = yield from self._known_to_serve(call)
             if found is not None:
--- a/packages/ashhoist/src/ashhoist/requests/serving.py
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -124,7 +124,7 @@
             if barred is not None:
                 chooser.ended(call, target, UseEnd.UNKNOWN)
                 return (yield from self._refuse(call, caller, relay, barred))
-            if not self._takes_work(target):
+            if self._gives_back(call, target):
                 chooser.ended(call, target, UseEnd.UNKNOWN)
                 call.tried.add(target.upstream)
                 continue
@@ -149,16 +149,31 @@
             return Refusal(invalid)
         return self._suspicion.refusal(call)
 
-    def _takes_work(self, target: Target) -> bool:
-        """Return whether an upstream may be sent a request after all.
+    def _gives_back(self, call: Call, target: Target) -> bool:
+        """Return whether a call must not go to where it was placed after all.
 
-        It was chosen by the leader, or before this call waited; since then it may
-        have said that it leaves, or that it wants nothing from this instance.
+        The leader chose the place, or this call has waited since.
         """
-        known = self._directory.view.by_id.get(target.upstream)
-        if known is not None and not known.takes_work:
+        reason = self._unfit(target.upstream)
+        if reason is None:
             return False
-        return not self._rests.rests(target.upstream)
+        self._metrics.count("retries", reason)
+        self._log.info(
+            "place given back",
+            request=call.id,
+            upstream=target.upstream,
+            reason=reason,
+        )
+        return True
+
+    def _unfit(self, upstream: str) -> Reason | None:
+        """Return why an upstream must be sent nothing now; None if it may be."""
+        known = self._directory.view.by_id.get(upstream)
+        if known is None:
+            return Reason.NO_UPSTREAM
+        if not known.takes_work:
+            return Reason.UPSTREAM_LEAVING
+        return Reason.UPSTREAMS_REST if self._rests.rests(upstream) else None
 
     # One attempt
 
@@ -325,7 +340,7 @@
         wait = refusal.retry_after
         if wait is None:
             wait = DEFAULT_RETRY_AFTER
-        headers = [(self._dialect.retry_after, f"{wait.total_seconds():.3f}")]
+        headers = [self._retry_after(wait)]
         status = STATUS_BY_REASON.get(refusal.reason, NOT_RUN_STATUS)
         if status == UNAUTHORIZED_STATUS:
             headers = []
@@ -385,8 +400,27 @@
             if name.lower() not in SINGLE_CONNECTION
             and name.lower() != "content-length"
         ]
+        if head.status == NOT_RUN_STATUS:
+            headers = self._with_own_retry_after(headers)
         return Head(head.status, headers, head.values)
 
+    def _with_own_retry_after(
+        self, headers: list[tuple[str, str]]
+    ) -> list[tuple[str, str]]:
+        """Return headers that ask the caller for no rest on an upstream's behalf.
+
+        What the upstream asked for was meant for this instance; the caller's next try
+        reaches another one, or another upstream.
+        """
+        own = self._dialect.retry_after
+        kept = [pair for pair in headers if pair[0].lower() != own.lower()]
+        if len(kept) == len(headers):
+            return headers
+        return [*kept, self._retry_after(DEFAULT_RETRY_AFTER)]
+
+    def _retry_after(self, wait: timedelta) -> tuple[str, str]:
+        return (self._dialect.retry_after, f"{wait.total_seconds():.3f}")
+
 
 def _end_of_use(result: Result | WholeStream | None) -> UseEnd:
     """Return what the end of an attempt says of its upstream."""
--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -129,10 +129,11 @@
         return replace(upstream, state=UpstreamState.DRAINING)
 
     def leaves(self, notice: UpstreamLeaves) -> bool:
-        """Take in that an upstream leaves; return whether it was to take work yet.
+        """Take in that an upstream leaves; return whether that is news.
 
-        It stays so for that life, whatever its records say: one that was written
-        before may be read later, and a record may lapse and come back.
+        It is none where its record says so already. It stays so for that life,
+        whatever its records say: one that was written before may be read later, and a
+        record may lapse and come back.
         """
         if notice.life in self._leaving_by_life:
             return False
@@ -140,7 +141,9 @@
         self._leaving_by_life[notice.life] = notice
         if len(self._leaving_by_life) > MOST_LEAVING:
             del self._leaving_by_life[next(iter(self._leaving_by_life))]
-        if known is None or known.life != notice.life or not known.takes_work:
+        if known is None:
+            return True
+        if known.life != notice.life or not known.takes_work:
             return False
         self._view = None
         return True
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -36,7 +36,7 @@
     ServingConfiguration,
     WeightedService,
 )
-from ashhoist.upstreams import Directory, Health, Rests
+from ashhoist.upstreams import Directory, Health, Rests, Upstream
 
 from .loops import ThreadLoop
 from .platform_stand_ins.server import Call as UpstreamCall, Handler as Script, Server
@@ -161,6 +161,7 @@
         self._pool = Pool(self.loop)
         self.directory = Directory()
         self.rests = Rests(self.directory.life_of, clock)
+        self.list_upstreams()
         keys = Keys(
             DIALECT.key.lower(),
             lambda: self.table,
@@ -202,6 +203,11 @@
             Random(1),
         )
 
+    def list_upstreams(self) -> None:
+        """Put the upstreams that there are now into the directory."""
+        for name, server in self.upstreams.items():
+            self.directory.put(Upstream(name, "service", server.address, "zone"))
+
     def _notices(self) -> Notices:
         log = logs.get("requests")
         return Notices(DIALECT, self.rests, self._control, self.metrics, log)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -358,6 +358,7 @@
         host, port = listening.getsockname()
         harness.upstreams["upstream-0"].close()
         harness.upstreams = {"early": _Address(f"{host}:{port}")}  # type: ignore[dict-item]
+        harness.list_upstreams()
         for _ in range(2):
             self.assertEqual(harness.ask("/unsafe/", body=b"x" * 2_000_000).status, 503)
         self.assertEqual(len(seen), 2)
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -8,10 +8,17 @@
 from ashhoist.clock import ManualClock
 from ashhoist.failures import Reason
 from ashhoist.placement.asks import Refusal, Target, Wanted
-from ashhoist.upstreams import Balancer, Directory, Health, Rests, Upstream
+from ashhoist.upstreams import (
+    Balancer,
+    Directory,
+    Health,
+    Rests,
+    Upstream,
+    UpstreamLeaves,
+)
 
 from .platform_stand_ins.server import Call
-from .request_harness import DIALECT
+from .request_harness import DIALECT, sealed
 from .test_lookups import ChooserTestCase
 from .test_requests import RequestTestCase, good
 
@@ -119,6 +126,30 @@
         self.assertEqual(len(harness.calls(1)), MANY)
         self.assertEqual(harness.chooser.ended_count, 2 * MANY)
 
+    def test_a_place_at_an_upstream_that_leaves_or_has_gone_is_given_back(self) -> None:
+        for gone in (False, True):
+            with self.subTest(gone=gone):
+                harness = self.start(good, good)
+                if gone:
+                    harness.directory.end("upstream-0", 7, SECOND)
+                else:
+                    life = harness.directory.life_of("upstream-0")
+                    harness.directory.leaves(UpstreamLeaves("upstream-0", life))
+                self.assertEqual(harness.ask("/unsafe/").status, 200)
+                self.assertEqual(len(harness.calls(0)), 0)
+
+    def test_the_rest_is_not_asked_of_the_caller(self) -> None:
+        # Its next try reaches another instance, of which nobody asked for rest.
+        def rest_unmarked(call: Call) -> None:
+            call.respond(503, b"", sealed(call, **{DIALECT.retry_after: "60"}))
+
+        harness = self.start(rest_unmarked, attempts=1)
+        answer = harness.ask("/safe/")
+        self.assertEqual((answer.status, answer.headers["seal"]), (503, "seal"))
+        self.assertEqual(answer.headers[DIALECT.retry_after.lower()], "0.250")
+        self.assertEqual(harness.ask("/safe/").status, 503)
+        self.assertEqual(len(harness.calls(0)), 1)
+
     def test_where_all_want_rest_the_promise_that_it_has_not_run_is_kept(self) -> None:
         harness = self.start(rest, rest)
         answers = [harness.ask("/unsafe/", id=f"id-{n}") for n in range(3)]
