--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -23,7 +23,7 @@
 from .platform_stand_ins.fleet import CrashingFleet
 from .platform_stand_ins.server import Call, Handler
 from .request_harness import Harness, event, sealed
-from .test_requests import good, refuse, reset
+from .request_scripts import good, refuse, reset
 
 CRASHES = 3
 """So many upstreams may end under a request before it counts as one that crashes."""
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -11,7 +11,7 @@
 from ashhoist.upstreams import Directory, Upstream, UpstreamLeaves, UpstreamState
 
 from .control_world import World
-from .test_leases import want
+from .world_requests import want
 
 DIALECT = Dialect()
 SOON = 1.5
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -7,7 +7,7 @@
 from ashhoist.placement.asks import Target
 
 from .control_world import World
-from .test_leases import want
+from .world_requests import want
 
 ZONES = 3
 MOST_LINKS_OF_OTHERS = 8
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -22,7 +22,7 @@
 
 from .platform_stand_ins.server import Call
 from .request_harness import DIALECT, HOST, ID, Harness
-from .test_requests import RequestTestCase, good, refuse, reset, silent
+from .request_scripts import RequestTestCase, good, refuse, reset, silent
 
 KEY, NAME = DIALECT.key, DIALECT.customer
 ALICE = Customer("alice", frozenset({digest("alice-key")}), quota=Quota(10, 10))
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -9,7 +9,7 @@
 from ashhoist.upstreams import UpstreamState
 
 from .control_world import World
-from .test_leases import started, want
+from .world_requests import started, want
 
 
 def versions(world: World) -> set[int]:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,59 +1,21 @@
 """The lease on orders, where engines check no fences."""
 
-import itertools
 import random
 import unittest
-from concurrent.futures import Future
 from dataclasses import replace
 from datetime import timedelta
-from typing import Any
 
 from hypothesis import given, settings, strategies as st
 
 from ashhoist.adapter import Adapter
 from ashhoist.clock import ManualClock
 from ashhoist.orders import AppendClaim, Claim, Lease, LeaseTiming, ReadClaims
-from ashhoist.placement.asks import Target, Wanted
+from ashhoist.placement.asks import Target
 from ashhoist.store import Appended, ConditionFailed, Newest, Record, Unknown
 
-from .control_world import MODEL, SERVICE, TIMING, Machine, World
-
-NUMBERS = iter(range(1_000_000))
-
-
-def want(world: World, machine: str, adapter: str, seconds: float = 5.0) -> Any:
-    """Let a request at a machine want an adapter; return its future."""
-    answer: Future[Any] = Future()
-    now = world.clock.monotonic()
-    world.ask(
-        machine,
-        Wanted(
-            f"request-{next(NUMBERS)}",
-            SERVICE,
-            Adapter(MODEL, adapter),
-            0,
-            1000,
-            1.0,
-            0.3,
-            now + timedelta(seconds=1),
-            now + timedelta(seconds=seconds),
-            now + timedelta(seconds=seconds * 0.42),
-            True,
-            (),
-            answer,
-        ),
-    )
-    return answer
-
-
-def started(machines: int = 3, engines: int = 2) -> World:
-    """Return a world in which somebody holds the lease."""
-    world = World(machines, engines)
-    world.start()
-    world.run(3.0, lambda: len(world.holders()) == 1)
-    world.run(3.0, lambda: len(world.leaders()) == 1)
-    world.run(0.6)
-    return world
+from .control_world import MODEL, TIMING, World
+from .world_faults import FAULTS
+from .world_requests import started, want
 
 
 class TakeoverTests(unittest.TestCase):
@@ -329,117 +291,6 @@
         self.assertIsInstance(answer.result(0), Target)
 
 
-class RandomDay:
-    """A world under faults drawn from a seed; each fault heals by itself."""
-
-    STEPS = 80
-
-    def __init__(self, seed: int, timing: LeaseTiming | None = None) -> None:
-        self._source = random.Random(seed)
-        self.world = World(3, 2, timing or TIMING)
-        self.most_holders = 0
-        self.world.start()
-
-    def play(self) -> "RandomDay":
-        """Play to the end."""
-        for _ in range(self.STEPS):
-            if self._source.random() < 0.35:
-                self._disturb()
-            for name, machine in self.world.machines.items():
-                if machine.core is not None and self._source.random() < 0.8:
-                    want(self.world, name, f"a{self._source.randrange(25)}")
-            self.world.run(self._source.uniform(0.05, 0.5))
-            holders = len(self.world.holders())
-            self.most_holders = max(self.most_holders, holders)
-        return self
-
-    @property
-    def takeovers(self) -> int:
-        """Return how often the machine that orders has changed."""
-        machines = [order.machine for order in self.world.seen]
-        return sum(one != other for one, other in itertools.pairwise(machines))
-
-    def _disturb(self) -> None:
-        world, source = self.world, self._source
-        holders = world.holders() or list(world.machines)
-        name = source.choice(holders if source.random() < 0.7 else list(world.machines))
-        machine = world.machines[name]
-        healed_after = source.uniform(0.2, 7.0)
-        fault = source.choice(sorted(FAULTS))
-        if machine.core is not None:
-            FAULTS[fault](world, machine, healed_after)
-
-
-def _kill(world: World, machine: Machine, healed_after: float) -> None:
-    world.kill(machine.name)
-    world.after(healed_after, lambda: world.start(machine.name))
-
-
-def _freeze(world: World, machine: Machine, healed_after: float) -> None:
-    if not machine.frozen:
-        world.freeze(machine.name, healed_after)
-
-
-def _cut_store(world: World, machine: Machine, healed_after: float) -> None:
-    machine.store_cut = True
-    world.after(healed_after, lambda: setattr(machine, "store_cut", False))
-
-
-def _cut_links(world: World, machine: Machine, healed_after: float) -> None:
-    machine.links_cut = True
-    world.after(healed_after, lambda: setattr(machine, "links_cut", False))
-
-
-def _store_down(world: World, machine: Machine, healed_after: float) -> None:
-    world.store.is_down = True
-    world.after(healed_after, lambda: setattr(world.store, "is_down", False))
-
-
-def _lose_append(world: World, machine: Machine, healed_after: float) -> None:
-    world.store.lose_appends += 1
-
-
-def _late_append(world: World, machine: Machine, healed_after: float) -> None:
-    world.store.late_appends += 1
-
-
-def _lose_orders(world: World, machine: Machine, healed_after: float) -> None:
-    world.lose_orders += 2
-
-
-FAULTS = {
-    "kill": _kill,
-    "freeze": _freeze,
-    "cut store": _cut_store,
-    "cut links": _cut_links,
-    "store down": _store_down,
-    "lose append": _lose_append,
-    "late append": _late_append,
-    "lose orders": _lose_orders,
-}
-
-
-class RandomFaultTests(unittest.TestCase):
-    """Any mix of faults: never two holders in turn, never an engine overfull."""
-
-    @settings(max_examples=60, deadline=None, derandomize=True)
-    @given(st.integers(0, 2**32))
-    def test_no_two_holders_order_in_turn(self, seed: int) -> None:
-        day = RandomDay(seed).play()
-        self.assertLessEqual(day.most_holders, 1)
-        self.assertEqual(day.world.broken_turns(), [])
-        self.assertEqual(day.world.fallen(), [])
-
-    def test_the_days_have_takeovers(self) -> None:
-        takeovers = [RandomDay(seed).play().takeovers for seed in range(20)]
-        self.assertGreater(sum(takeovers), 10)
-
-    def test_a_successor_that_does_not_wait_is_caught(self) -> None:
-        hasty = replace(TIMING, clock_margin=timedelta(seconds=-2.4))
-        days = [RandomDay(seed, hasty).play() for seed in range(12)]
-        self.assertTrue(any(day.world.broken_turns() for day in days))
-
-
 class RefusedTokenTests(unittest.TestCase):
     """An engine that checks tokens has seen a higher one than the holder's."""
 
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Any
 
 from ashhoist.adapter import Adapter
@@ -18,8 +19,9 @@
 from ashhoist.upstreams import Balancer, Directory, Health, Rests, Upstream
 
 from .loops import finish
-from .test_patience import SECOND, _Caller
+from .request_scripts import StayingCaller
 
+SECOND = timedelta(seconds=1)
 SERVICE = "engines"
 ADAPTER = Adapter("base", "a1")
 Answer = Callable[[Any], None]
@@ -58,7 +60,7 @@
         request = Request("POST", "/", [], b"", now)
         call = Call("id", request, route, SERVICE, now + 5 * SECOND, ADAPTER)
         call.tried.update(tried)
-        return finish(chooser.choose(call, _Caller()))
+        return finish(chooser.choose(call, StayingCaller()))
 
     def _take(self, message: Any) -> None:
         self.sent.append(message)
--- a/tests/test_many_faults.py
+++ b/tests/test_many_faults.py
@@ -8,7 +8,7 @@
 from ashhoist.orders import LeaseTiming
 
 from .control_world import World
-from .test_leases import want
+from .world_requests import want
 
 INSTANCES = 24
 ZONES = 3
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -17,19 +17,11 @@
 from ashhoist.upstreams import Balancer, Directory, Health, Rests
 
 from .loops import finish
+from .request_scripts import StayingCaller
 
 SECOND = timedelta(seconds=1)
 
 
-class _Caller:
-    """A caller that stays."""
-
-    watched = None
-
-    def left(self) -> bool:
-        return False
-
-
 class WaitingTests(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
@@ -70,7 +62,7 @@
         request = Request("POST", "/", [], b"", now)
         adapter = Adapter("base", "a1")
         call = Call("one", request, route, "engines", now + seconds * SECOND, adapter)
-        finish(self.chooser.choose(call, _Caller()))
+        finish(self.chooser.choose(call, StayingCaller()))
         return call
 
     def waits(self) -> tuple[float, float]:
@@ -97,7 +89,7 @@
         self.clock.advance(6 * SECOND)
         call.last_event_at = self.clock.monotonic()
         self.wanted.clear()
-        finish(self.chooser.choose(call, _Caller()))
+        finish(self.chooser.choose(call, StayingCaller()))
         self.assertEqual(self.waits(), (3.2, 4.0))
 
 
--- a/tests/test_residency_feed.py
+++ b/tests/test_residency_feed.py
@@ -14,8 +14,8 @@
 
 from .control_world import MODEL, World
 from .scheduler_world import SchedulerWorld, adapter
-from .test_leases import want
 from .test_log_returns import readers
+from .world_requests import want
 
 ZONES = 3
 HUBS = 2 * ZONES
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -22,7 +22,7 @@
 
 from .control_world import MODEL, World
 from .scheduler_world import SERVICE, SchedulerWorld, adapter
-from .test_leases import want
+from .world_requests import want
 
 ENTRY: dict[str, Any] = {
     "service": "engines",
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -19,8 +19,8 @@
 
 from .platform_stand_ins.server import Call
 from .request_harness import DIALECT, sealed
+from .request_scripts import RequestTestCase, good
 from .test_lookups import ChooserTestCase
-from .test_requests import RequestTestCase, good
 
 SECOND = timedelta(seconds=1)
 REST = 3 * SECOND
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -17,7 +17,7 @@
 from ashhoist.store import Record, Topic
 
 from .control_world import MODEL, World
-from .test_leases import want
+from .world_requests import want
 
 ZONES = 3
 HUBS = 2 * ZONES
