--- a/scripts/idle_instances.py
+++ b/scripts/idle_instances.py
@@ -18,9 +18,10 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+from tests.platform_process import PlatformProcess  # noqa: E402
 from tests.platform_stand_ins.store import StoreServer  # noqa: E402
 from tests.platform_stand_ins.worker import ModelWorker, PlainWorker  # noqa: E402
-from tests.test_platform import CONFIGURATION, MODEL, PlatformProcess  # noqa: E402
+from tests.test_platform import CONFIGURATION, MODEL  # noqa: E402
 
 SETTLE_SECONDS = 12.0
 MEASURED_SECONDS = 15.0
--- a/scripts/request_cost.py
+++ b/scripts/request_cost.py
@@ -17,9 +17,10 @@
 sys.path.insert(0, str(ROOT))
 
 from scripts.idle_instances import sample  # noqa: E402
+from tests.platform_process import PlatformProcess  # noqa: E402
 from tests.platform_stand_ins.store import StoreServer  # noqa: E402
 from tests.platform_stand_ins.worker import ModelWorker, PlainWorker  # noqa: E402
-from tests.test_platform import CONFIGURATION, MODEL, PlatformProcess  # noqa: E402
+from tests.test_platform import CONFIGURATION, MODEL  # noqa: E402
 
 READY_SECONDS = 15.0
 MILLISECONDS = 1000.0
