--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -24,6 +24,7 @@
     "refusals": ("Requests refused before they ran", ("reason",)),
     "failures": ("Requests that may have run and have no whole answer", ("reason",)),
     "retries": ("Requests tried again", ("reason",)),
+    "log_calls": ("Calls to the log that ended", ("topic", "call", "result")),
     "notices": ("Answers that say something of their upstream", ("what",)),
     "answers": ("Whole answers", ("upstream",)),
     "routes": ("Choices of an upstream", ("reason",)),
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -36,7 +36,7 @@
 from .requests.suspicion import Suspicion
 from .routing.in_force import InForce
 from .signals import SettingsWatcher, Signals
-from .store import Follower, SharedLog, Topic
+from .store import CallCounts, CountedLog, Follower, SharedLog, Topic
 from .types import Endpoint
 from .upstreams import Balancer, Directory, Health, Rests
 
@@ -80,6 +80,7 @@
         self.loop = loop
         self.clock = loop.clock
         self.metrics = Metrics()
+        self.log_calls = CallCounts(self.metrics, self.clock, logs.get("store"))
         self.life = uuid4().hex[:12]
         self._paces = paces(settings.store, settings.bounds)
         self._source = random.Random(self.life)
@@ -197,7 +198,8 @@
         return self.links
 
     def _open_log(self) -> SharedLog:
-        return self._platform.open_log(self.settings.store.address, self.loop)
+        log = self._platform.open_log(self.settings.store.address, self.loop)
+        return CountedLog(log, self.log_calls)
 
     def _make_handler(self) -> Handler:
         dialect, clock = self._platform.dialect, self.clock
@@ -324,6 +326,7 @@
         """Serve until a signal asks to stop; return whether the stop was clean."""
         while not signals.stop_asked:
             yield from signals.wait(LOOK_AT_SETTINGS)
+            self.log_calls.tell_if_due()
             changed = watcher.look(signals.take_reload())
             if changed is not None:
                 self.apply(changed)
--- a/packages/ashhoist/src/ashhoist/store/__init__.py
+++ b/packages/ashhoist/src/ashhoist/store/__init__.py
@@ -4,6 +4,7 @@
 each key for good.
 """
 
+from .counted import CallCounts, CountedLog
 from .follower import Follower, Pace
 from .port import (
     PATIENCE,
@@ -24,7 +25,9 @@
     "PATIENCE",
     "AppendResult",
     "Appended",
+    "CallCounts",
     "ConditionFailed",
+    "CountedLog",
     "Follower",
     "Gone",
     "Newest",
