Reads of what others have seen crash gather their news

Change: three reads in a second and a half may bring news of that topic, then more gathers; who has rested is answered as soon as who has not, so that it does not pass for one that the log leaves without an answer.

--- a/packages/ashhoist/src/ashhoist/process_settings.py
+++ b/packages/ashhoist/src/ashhoist/process_settings.py
@@ -36,6 +36,10 @@
 configuration of 330 kB over a link of 10 Mbit/s, and two hops between instances."""
 SHORTEST_WAIT = timedelta(milliseconds=200)
 """How long the log may hold a read at least: five calls a second and reader."""
+CRASHES_GATHER_WITHIN = timedelta(milliseconds=1500)
+"""Three reads of what others have seen crash in so long a time: half of the seconds in
+which it has to be known. Without such a limit 3,530 of 5,768 calls to the log that 83
+instances told of on a day of high load were these reads."""
 PROOF_EVERY = timedelta(milliseconds=500)
 """How often a reader proves that it knows the newest configuration, where keys depend
 on that: two calls a second and reader, and proof is half a second old at most."""
@@ -96,7 +100,9 @@
     return {
         Topic.CONFIGURATION: pace,
         Topic.UPSTREAMS: Pace(timedelta(), store.upstreams_pause),
-        Topic.CRASHES: Pace(_longest_wait(bounds.contact), timedelta()),
+        Topic.CRASHES: Pace(
+            _longest_wait(bounds.contact), timedelta(), CRASHES_GATHER_WITHIN
+        ),
     }
 
 
--- a/packages/ashhoist/src/ashhoist/store/follower.py
+++ b/packages/ashhoist/src/ashhoist/store/follower.py
@@ -1,17 +1,20 @@
 """Reads one topic from its newest records on, at its own pace."""
 
+from collections import deque
 from collections.abc import Callable
 from concurrent.futures import Future
 from dataclasses import dataclass
 from datetime import timedelta
 
-from ..clock import Clock
+from ..clock import ZERO, Clock
 from ..logs import Logger
 from ..loop import Steps, Wait
 from .port import Gone, Newest, Record, Records, SharedLog, Topic, Unavailable
 
 FIRST_PAUSE = timedelta(milliseconds=250)
 LONGEST_PAUSE = timedelta(seconds=1)
+NEWS_AT_ONCE = 3
+"""Reads that may bring news one right after the other."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,10 +27,14 @@
         How long the log may hold a read that finds nothing.
     pause : timedelta
         Between two reads.
+    news_within : timedelta
+        In so long a time only `NEWS_AT_ONCE` reads bring news; then more gathers first.
+        Else each append of anybody ends a read of every reader, which reads again.
     """
 
     wait: timedelta
     pause: timedelta
+    news_within: timedelta = ZERO
 
     @property
     def round(self) -> timedelta:
@@ -105,6 +112,8 @@
         self._clock = clock
         self._log = log
         self._next: int | None = None
+        self._news_at: deque[timedelta] = deque(maxlen=NEWS_AT_ONCE)
+        self._rested = ZERO
         self._available: bool | None = None
         self._failures = 0
         self._wanted = wanted
@@ -133,7 +142,10 @@
         if self._next is None:
             return (yield from self._start())
         began = self._clock.monotonic()
-        result = yield from self._records.read(self._topic, self._next, self._pace.wait)
+        # Who has rested is answered as soon as who has not: others count on that.
+        wait = max(self._pace.wait - self._rested, ZERO)
+        self._rested = ZERO
+        result = yield from self._records.read(self._topic, self._next, wait)
         if isinstance(result, Unavailable):
             return self._failed(result, began)
         self._answered()
@@ -142,7 +154,17 @@
             self._next = None
             return timedelta()
         self._take(result, began)
-        return self._pace.pause
+        if result.records:
+            self._rested = self._rest_after_news()
+        return self._pace.pause + self._rested
+
+    def _rest_after_news(self) -> timedelta:
+        """Return how long to let news gather; nothing while there is little."""
+        now = self._clock.monotonic()
+        self._news_at.append(now)
+        if len(self._news_at) < NEWS_AT_ONCE:
+            return ZERO
+        return max(self._news_at[0] + self._pace.news_within - now, ZERO)
 
     def _start(self) -> Steps[timedelta]:
         began = self._clock.monotonic()
