--- a/tests/platform_stand_ins/worker.py
+++ b/tests/platform_stand_ins/worker.py
@@ -15,12 +15,14 @@
 
 
 class Notices:
-    """What a worker says of itself in its answers to requests.
+    """What a worker says of itself in its answers.
 
     Attributes
     ----------
     leaves : bool
         Every answer says that it leaves.
+    state : str
+        What reports say of it; empty where they do not.
     rest : str
         Requests are turned away, and told to come back after so many seconds.
     arrived : int
@@ -29,6 +31,7 @@
 
     def __init__(self) -> None:
         self.leaves = False
+        self.state = ""
         self.rest = ""
         self.arrived = 0
 
@@ -116,7 +119,7 @@
                 body.get("expected"),
                 body.get("version"),
             )
-        call.respond(status)
+        call.respond(status, b"", self.says.headers())
 
     def _report(self, call: Call) -> None:
         with self._lock:
@@ -141,7 +144,9 @@
                 "coming": coming,
                 "at-hand": {"in-memory": [], "on-disk": sorted(self.state.models)},
             }
-        call.respond(200, json.dumps(report).encode())
+        if self.says.state:
+            report["state"] = self.says.state
+        call.respond(200, json.dumps(report).encode(), self.says.headers())
 
     def _run(self, call: Call) -> None:
         if self.says.turns_away(call):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -170,6 +170,10 @@
         steps = self.protocol.order(self.client, order, timedelta(seconds=2))
         return run(self.loop, steps).answer
 
+    def report(self) -> Any:
+        steps = self.protocol.report(self.client, "i-1", timedelta(seconds=2))
+        return run(self.loop, steps)
+
     def test_orders_are_answered(self) -> None:
         self.assertEqual(self.order(OrderKind.LOAD, 0), OrderAnswer.ACCEPTED)
         self.assertEqual(self.order(OrderKind.LOAD, 0), OrderAnswer.CONFLICT)
@@ -177,10 +181,24 @@
         [first, *_] = self.worker.orders
         self.assertEqual((first["holder"], first["fence"]), ("holder", 5))
 
+    def test_answers_to_orders_and_reports_say_that_the_engine_leaves(self) -> None:
+        order = Order(
+            "i-1", "", OrderKind.LOAD, Adapter(MODEL, "a1"), 0, holder="h", fence=1
+        )
+        for leaves in (False, True):
+            self.worker.says.leaves = leaves
+            steps = self.protocol.order(self.client, order, timedelta(seconds=2))
+            self.assertEqual(run(self.loop, steps).leaves, leaves)
+            self.assertEqual(self.report().leaves, leaves)
+
+    def test_the_state_in_a_report_says_it_too(self) -> None:
+        for state, leaves in (("ready", False), ("draining", True)):
+            self.worker.says.state = state
+            self.assertEqual(self.report().leaves, leaves)
+
     def test_a_report_is_read(self) -> None:
         self.order(OrderKind.LOAD, 0)
-        steps = self.protocol.report(self.client, "i-1", timedelta(seconds=2))
-        report = run(self.loop, steps)
+        report = self.report()
         assert report is not None
         self.assertEqual(report.order_count, 1)
         self.assertEqual(report.coming, {Adapter(MODEL, "a1"): 1})
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -74,6 +74,29 @@
         self.assertEqual(answers, [200] * MORE)
         self.assertEqual(leaving.says.arrived, arrived)
 
+    def test_an_engine_that_says_so_to_the_leader_gets_no_request_at_all(self) -> None:
+        leaving, other = self.engines
+        leaving.says.leaves = True
+        process = self.start()
+        answers = [self.ask_engine(process, f"one-{n}") for n in range(MORE)]
+        self.assertEqual(answers, [200] * MORE)
+        self.assertEqual(leaving.says.arrived, 0)
+        self.assertEqual(len(other.ran), MORE)
+
+    def test_another_instance_is_told(self) -> None:
+        one, other = self.start("node-1"), self.start("node-2")
+        leaving = self.plain[0]
+        leaving.says.leaves = True
+        self.wait(lambda: self.ask_plain(one, "one") == 200 and leaving.ran)
+        self.wait(lambda: self.sent_by(other, leaving) == 0)
+
+    def sent_by(self, process: PlatformProcess, worker: PlainWorker) -> int:
+        """Return how many of a few requests at an instance reach a worker."""
+        arrived = worker.says.arrived
+        for number in range(MORE):
+            self.assertEqual(self.ask_plain(process, f"more-{number}"), 200)
+        return worker.says.arrived - arrived
+
 
 class RestTests(NoticeTestCase):
     def test_upstreams_that_ask_for_rest_are_left_alone(self) -> None:
