The test of being told lets only one instance hear it

Cause: the other instance heard it by its own answers, so the test passed with telling taken out. Change: the upstream says it until one instance has heard it.

--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -88,6 +88,8 @@
         leaving = self.plain[0]
         leaving.says.leaves = True
         self.wait(lambda: self.ask_plain(one, "one") == 200 and leaving.ran)
+        # From here on only who has been told can know.
+        leaving.says.leaves = False
         self.wait(lambda: self.sent_by(other, leaving) == 0)
 
     def sent_by(self, process: PlatformProcess, worker: PlainWorker) -> int:
