--- a/scripts/compare_days.py
+++ b/scripts/compare_days.py
@@ -2,10 +2,9 @@
 
     python scripts/compare_days.py --before journal/A.json --after journal/B.json C.json
 
-Compares days of the same site and name; where a set has several of one, their mean.
-A price that rose, or worth that fell, by more than `--most` is printed; the exit code
-is 1 then. Hunted days have drawn names, so they meet only where both sets hunted the
-same standard day.
+Compares days of the same site and name, whatever their seeds; where a set has several
+of one, their mean. A price that rose, or worth that fell, by more than `--most` is
+printed; the exit code is 1 then. Days that a hunt has drawn meet none of another.
 """
 
 import argparse
@@ -55,7 +54,7 @@
             if day.get("G") is None:
                 # Given up or failed: it has no figures.
                 continue
-            found = plays[entry["site"], day["name"]]
+            found = plays[entry["site"], _without_options(day["name"])]
             found[WORTH].append(1.0 - day["G"])
             for name, _count, price in day.get("prices") or ():
                 found[name].append(price)
@@ -65,6 +64,11 @@
     }
 
 
+def _without_options(name: str) -> str:
+    """Return a day's name without how it was varied: ``scale-1 --seed 7``."""
+    return name.partition(" --")[0]
+
+
 def rises(before: Iterable[dict], after: Iterable[dict], most: float) -> list[Change]:
     """Return what rose by more than `most`, the largest first."""
     old, new = figures_by_day(before), figures_by_day(after)
--- a/tests/test_scripts.py
+++ b/tests/test_scripts.py
@@ -58,6 +58,17 @@
         after = [entry("scale-1", worth) for worth in (0.58, 0.61)]
         self.assertEqual(self.found(before, after), [])
 
+    def test_a_day_is_the_same_one_with_another_seed(self) -> None:
+        before = [
+            entry("scale-1", 0.6),
+            entry("days/returns.toml --vary --seed 1", 0.7),
+        ]
+        after = [
+            entry("scale-1 --seed 7", 0.5),
+            entry("days/returns.toml --vary --seed 2", 0.7),
+        ]
+        self.assertEqual(self.found(before, after), [(WORTH, 0.1)])
+
     def test_other_days_and_days_without_figures_are_left_out(self) -> None:
         before = [entry("scale-1", 0.6), entry("scale-2", None)]
         after = [entry("trouble-1", 0.1), entry("scale-2", 0.1)]
