The list of known failures names a command and what was seen

Cause: an entry had a test, its cause and its issue; who mends it needs the command with its seed, and what was seen, as a cause that is only suspected is no cause. Change: four parts an entry, printed by the run; an entry that lacks one is refused, as before. Three entries at most, as before. Measured: tests.test_known_red, 5 pass.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -23,7 +23,8 @@
     failures = [test.id() for test, _ in [*result.failures, *result.errors]]
     passed_over = sorted(set(failures) & set(known))
     for name in passed_over:
-        print(f"known red: {name}: {known[name].cause} (issue {known[name].issue})")
+        red = known[name]
+        print(f"known red: {name}: {red.seen} (issue {red.issue}): {red.command}")
     for name in sorted(set(known) - set(failures)):
         print(f"listed as red, but did not fail: {name}")
     failed = len([name for name in failures if name not in known])
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,9 +1,10 @@
 """Tests that fail for a known fault, as `KNOWN-RED.txt` at the root lists them.
 
-One line each: the test's id, its cause, its issue, with bars between.
+One line each, with bars between: the test's id, the command (with its seed, where it
+has one), what was seen, and the open issue.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 
 LIST = Path(__file__).parent.parent / "KNOWN-RED.txt"
@@ -19,7 +20,8 @@
     """One test that is known to fail."""
 
     test: str
-    cause: str
+    command: str
+    seen: str
     issue: str
 
 
@@ -38,8 +40,8 @@
         if not line.strip():
             continue
         parts = [part.strip() for part in line.split("|")]
-        if len(parts) != 3 or not all(parts):
-            raise KnownRedError(f"not a test, its cause and its issue: {line!r}")
+        if len(parts) != len(fields(KnownRed)) or not all(parts):
+            raise KnownRedError(f"not a test, command, sight and issue: {line!r}")
         found[parts[0]] = KnownRed(*parts)
     if len(found) > MOST:
         raise KnownRedError(f"{len(found)} tests are listed; {MOST} at most")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,4 @@
-"""The list of tests that are known to fail: short, and each with cause and issue."""
+"""The list of tests that are known to fail: short, and each can be run."""
 
 import tempfile
 import unittest
@@ -17,19 +17,21 @@
     def test_no_list_is_an_empty_one(self) -> None:
         self.assertEqual(read(Path("no") / "such" / "list"), {})
 
-    def test_a_line_names_test_cause_and_issue(self) -> None:
-        found = self.read("tests.test_x.T.test_y | a lease lapses early | 23\n\n")
+    def test_a_line_names_test_command_sight_and_issue(self) -> None:
         name = "tests.test_x.T.test_y"
-        self.assertEqual(found, {name: KnownRed(name, "a lease lapses early", "23")})
+        command = f"python -m unittest {name}"
+        found = self.read(f"{name} | {command} | a lease lapses early | 23\n\n")
+        red = KnownRed(name, command, "a lease lapses early", "23")
+        self.assertEqual(found, {name: red})
 
-    def test_a_line_without_a_cause_is_refused(self) -> None:
-        for text in ("tests.a", "tests.a | cause", "tests.a | | 23"):
+    def test_a_line_that_lacks_a_part_is_refused(self) -> None:
+        for text in ("tests.a", "tests.a | run | seen", "tests.a | | seen | 23"):
             with self.subTest(text), self.assertRaises(KnownRedError):
                 self.read(text)
 
     def test_more_than_three_are_refused(self) -> None:
         with self.assertRaises(KnownRedError):
-            self.read("\n".join(f"tests.{n} | cause | 1" for n in range(4)))
+            self.read("\n".join(f"tests.{n} | run | seen | 1" for n in range(4)))
 
     def test_the_list_at_the_root_is_well_formed(self) -> None:
         self.assertLessEqual(len(read()), 3)
