Lines for orders without answer, with their token and the one that holds now

Cause: logs could not tell whether an order that came late had been given up, withheld or sent by another process: no line said under which token one left, nor which claim a lease is held by. Change: a line for each order that was given up or not sent, with its token and the present one; the line of a lease that is held names the offset of its claim and who held it before.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -401,6 +401,17 @@
     def order_answered(self, order: Order, answer: OrderAnswer) -> None:
         """Take in how an order ended."""
         self.desk.ended()
+        if answer in (OrderAnswer.UNKNOWN, OrderAnswer.NOT_SENT):
+            self._log.warning(
+                "order without answer",
+                upstream=order.upstream,
+                zone=order.zone,
+                number=order.number,
+                origin=order.origin,
+                token=order.fence,
+                token_now=self.leases.fence(order.zone),
+                answer=answer,
+            )
         if answer is OrderAnswer.FENCED:
             self.leases.order_fenced(order.zone, order.fence)
         if order.origin == self._settings.name:
--- a/packages/ashhoist/src/ashhoist/control/order_leases.py
+++ b/packages/ashhoist/src/ashhoist/control/order_leases.py
@@ -196,8 +196,14 @@
         held = set(self.held)
         for zone in sorted(held - self._held):
             claim = self._leases[zone].claim
-            token = claim.token if claim is not None else -1
-            self._log.info("lease held", zone=zone, token=token)
+            assert claim is not None
+            self._log.info(
+                "lease held",
+                zone=zone,
+                token=claim.token,
+                offset=claim.offset,
+                before=claim.before,
+            )
         for zone in sorted(self._held - held):
             self._log.info("lease no longer held", zone=zone)
         self._held = held
