Failing tests of orders that arrive late, under a token that is lower than a newer one's

Cause: suspected, a token claimed anew while an order under the old one is still on its way. Test: in virtual time the store is away until the lease has lapsed, or the holder's process starts again, and one order is held up on its way.

--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -4,6 +4,7 @@
 switches; the checks read what engines have seen.
 """
 
+from collections import deque
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Any
@@ -55,6 +56,8 @@
 TICK = 0.05
 REPORT_LAG_S = 0.2
 RUN_S = 0.2
+GIVEN_UP_S = 0.25
+"""After so long without an answer the sender of an order gives it up."""
 ANSWERS = {
     200: OrderAnswer.HOLDS,
     202: OrderAnswer.ACCEPTED,
@@ -147,6 +150,8 @@
         self.timing = timing
         self.timing_by_machine: dict[str, LeaseTiming] = {}
         self.lose_orders = 0
+        self.hold_orders_up = deque[float]()
+        """Seconds for which the next orders are held up on their way."""
         self.engine_zones: dict[str, str] = {}
         self.born_by_engine: dict[str, int] = {}
         self.engines: dict[str, EngineState] = {}
@@ -346,13 +351,27 @@
         if not core.desk.may_send(order):
             self._answer_order(machine, core, order, OrderAnswer.NOT_SENT, 0)
             return
-        self.after(LINK_S, lambda: self._arrive(machine, core, order))
+        if not self.hold_orders_up:
+            self.after(LINK_S, lambda: self._arrive(machine, core, order))
+            return
+        # Its sender gives it up; what a connection holds arrives all the same.
+        held_up = self.hold_orders_up.popleft()
+        self._answer_order(machine, core, order, OrderAnswer.UNKNOWN, GIVEN_UP_S)
+        self.after(held_up, lambda: self._arrive_late(machine, order))
+
+    def _arrive_late(self, machine: Machine, order: Order) -> None:
+        """Let an engine take an order that its sender has given up."""
+        engine = self.engines.get(order.upstream)
+        if engine is None:
+            return
+        self.seen.append(OrderSeen(self.now, order.upstream, machine.name, order.fence))
+        self._carry_out(engine, order)
 
     def _arrive(self, machine: Machine, core: Core, order: Order) -> None:
         engine = self.engines.get(order.upstream)
         zone = self.engine_zones.get(order.upstream, "")
         if not self.links.connected(machine.zone, zone):
-            self._answer_order(machine, core, order, OrderAnswer.UNKNOWN, 0.25)
+            self._answer_order(machine, core, order, OrderAnswer.UNKNOWN, GIVEN_UP_S)
             return
         if engine is None:
             self._answer_order(machine, core, order, OrderAnswer.NOT_SENT, LINK_S)
@@ -361,7 +380,7 @@
         if self.lose_orders:
             self.lose_orders -= 1
             self.after(3.0, lambda: self._carry_out(engine, order))
-            self._answer_order(machine, core, order, OrderAnswer.UNKNOWN, 0.25)
+            self._answer_order(machine, core, order, OrderAnswer.UNKNOWN, GIVEN_UP_S)
             return
         answer = OrderAnswer.FENCED
         if order.fence >= self.refuse_below:
--- /dev/null
+++ b/tests/test_late_orders.py
@@ -0,0 +1,64 @@
+"""An order that arrives late has no lower token than one that came before it.
+
+An engine got an order with token 16 from an instance 139 ms after one with token 18
+from the same instance. Its lease had lapsed and was claimed anew by the same process,
+with nobody in between, under a new token: ``lease no longer held`` at 33.589 s and
+``lease held token=12`` at 34.604 s, both on one instance, where the token had been 0.
+Nothing tied the first order under the new token to the end of what had been sent under
+the old one: an order that is held up on its way is given up by its sender, and arrives
+when the next one has overtaken it on another connection.
+"""
+
+import unittest
+
+from .control_world import TICK, TIMING, World
+from .world_requests import started, want
+
+SEND_MARGIN_S = TIMING.send_margin.total_seconds() + TICK
+
+
+class LateOrderTests(unittest.TestCase):
+    """The store is away until the lease has lapsed; orders are held up meanwhile."""
+
+    def lapse(self, world: World, held_up_s: float) -> None:
+        """Let the lease of the only holder lapse with an order on its way."""
+        [holder] = world.holders()
+        world.store.is_down = True
+        world.run(1.5)
+        world.hold_orders_up.append(held_up_s)
+        want(world, holder, "late")
+        self.assertTrue(world.run(4.0, lambda: not world.holders()))
+        world.run(SEND_MARGIN_S)
+        self.assertFalse(world.hold_orders_up)
+
+    def test_a_lease_that_lapsed_goes_on_under_its_token(self) -> None:
+        for held_up_s in (1.5, 2.0, 3.0, 4.0):
+            with self.subTest(held_up_s=held_up_s):
+                world = started(3, 1)
+                self.lapse(world, held_up_s)
+                world.store.is_down = False
+                for number in range(20):
+                    want(world, "instance-0", f"a{number}")
+                    world.run(0.25)
+                self.assertEqual(world.broken_turns(), [])
+
+    def test_so_does_one_whose_process_has_started_again(self) -> None:
+        for held_up_s in (0.6, 1.0, 2.0):
+            with self.subTest(held_up_s=held_up_s):
+                world = started(3, 1)
+                [holder] = world.holders()
+                world.hold_orders_up.append(held_up_s)
+                want(world, holder, "late")
+                self.assertTrue(
+                    world.run(1.0, lambda world=world: not world.hold_orders_up)
+                )
+                world.kill(holder)
+                world.start(holder)
+                for number in range(20):
+                    want(world, holder, f"a{number}")
+                    world.run(0.25)
+                self.assertEqual(world.broken_turns(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
