A machine whose own claim is the newest goes on under its token

Cause: a lease that had lapsed, and one of a process that had started again, was claimed under a new token though nobody had held it in between; what had been sent under the old one was still on its way, held up, and its sender had given it up. Ruled out: a token that goes down in one process (its belief only rises, and each order's token is checked before it leaves). Weighed: a wait before the first order under a new token, which costs loads for as long as anything may be held up, and has no bound that we know; one partition for all zones' tokens, which does not touch it. Why it holds: the claim is appended only where the topic has not grown, so nobody has had a token since; late orders are refused by the engine's order count, as before. An engine that refuses the token still makes the machine claim a new one.

--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -248,7 +248,7 @@
             return None
         if now < self._claimable_from():
             return None
-        return self._append(self._first_claim(), now)
+        return self._append(self._next_claim(), now)
 
     def _due_as_holder(self, now: timedelta) -> AppendClaim | None:
         assert self._claim is not None and self._renewed_at is not None
@@ -269,6 +269,19 @@
         wait = self._timing.term + self._timing.clock_margin
         return self._known_since + wait + RANK_PAUSE * self._rank
 
+    def _next_claim(self) -> Claim:
+        """Return the claim of one that does not hold the lease now.
+
+        What this machine has sent under its last token may still be on its way: under
+        a new one its own orders would overtake each other.
+        """
+        claim = self._claim
+        if claim is None or claim.holder != self._own:
+            return self._first_claim()
+        if claim.token == self._refused_token:
+            return self._first_claim()
+        return replace(self._renewal(), life=self._life)
+
     def _first_claim(self) -> Claim:
         claim = self._claim
         before = ""
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -6,7 +6,10 @@
 ``lease held token=12`` at 34.604 s, both on one instance, where the token had been 0.
 Nothing tied the first order under the new token to the end of what had been sent under
 the old one: an order that is held up on its way is given up by its sender, and arrives
-when the next one has overtaken it on another connection.
+when the next one has overtaken it on another connection. The same happens to what a
+process sent before it was killed and started again. Now a machine that finds its own
+claim the newest goes on under its token: its orders may overtake each other, and are
+told apart by the engine's order count.
 """
 
 import unittest
