Failing test: the connection of a call that was given up is closed as one that rests

Cause: what the system still holds of an order that was given up is sent on after its connection was closed, and may arrive behind the orders of a successor, whose token is higher.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -13,8 +13,15 @@
 """
 
 import unittest
+from datetime import timedelta
+from queue import Queue
+
+from ashhoist.http.client import Client, Reply
+from ashhoist.http.upstream import Broken, Why
 
 from .control_world import TICK, TIMING, World
+from .loops import LONGEST, new_loop, run
+from .platform_stand_ins.server import Call, Handler, Server
 from .world_requests import started, want
 
 SEND_MARGIN_S = TIMING.send_margin.total_seconds() + TICK
@@ -63,5 +70,47 @@
                 self.assertEqual(world.broken_turns(), [])
 
 
+class GivenUpCallTests(unittest.TestCase):
+    """A call that was given up must not arrive any more.
+
+    Its connection was closed as one that rests: the system went on sending what was
+    held up, behind a cut or a loss, while the next order went on another connection.
+    """
+
+    def setUp(self) -> None:
+        self.loop = new_loop()
+        self.addCleanup(self.loop.close)
+        self.ends = Queue[str]()
+
+    def call(self, handler: Handler, patience: timedelta) -> object:
+        """Make a call as an order is sent, and close its connection."""
+        server = Server(handler)
+        self.addCleanup(server.close)
+        client = Client(server.address, self.loop)
+        result = run(self.loop, client.call("POST", "/order", [], b"{}", patience))
+        client.close()
+        return result
+
+    def note_end(self, call: Call) -> None:
+        """Note how the connection of a call ends, as the engine sees it."""
+        try:
+            self.ends.put("more" if call.peer.recv(1) else "closed")
+        except ConnectionResetError:
+            self.ends.put("reset")
+
+    def test_its_connection_is_reset(self) -> None:
+        result = self.call(self.note_end, timedelta(milliseconds=50))
+        self.assertEqual(result, Broken(Why.TIMEOUT))
+        self.assertEqual(self.ends.get(timeout=LONGEST), "reset")
+
+    def test_the_connection_of_one_that_was_answered_ends_in_order(self) -> None:
+        def answer(call: Call) -> None:
+            call.respond(200, b"", {})
+            self.note_end(call)
+
+        self.assertIsInstance(self.call(answer, timedelta(seconds=LONGEST)), Reply)
+        self.assertEqual(self.ends.get(timeout=LONGEST), "closed")
+
+
 if __name__ == "__main__":
     unittest.main()
