A call that is given up is reset, so that what is held up of it never arrives

Seen: orders that had been given up reached engines after newer ones. Cause: their connection was closed as one that rests, and the system sends what it holds for as long as it can, behind a cut or a loss, while the next order goes on another connection, of this holder or of its successor. Change: a connection that is closed in the middle of an exchange is reset, for orders, requests and calls to the log alike; one whose answer was whole is closed as before. What is on the wire, or waits unread at the engine, may still come: the order count refuses it there.

--- a/packages/ashhoist/src/ashhoist/http/sockets.py
+++ b/packages/ashhoist/src/ashhoist/http/sockets.py
@@ -1,6 +1,7 @@
 """Sockets as the loop uses them: never blocking, silence of the other side noticed."""
 
 import socket
+import struct
 from datetime import timedelta
 
 from ..loop import Loop, Steps, Wait
@@ -8,6 +9,9 @@
 USER_TIMEOUT_MS = 3000
 """After so long without a sign of the other side a connection counts as broken."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""For `SO_LINGER`: what has not been sent is dropped, and the other side is told."""
+
 
 def send_all(
     loop: Loop,
@@ -123,6 +127,13 @@
     peer.close()
 
 
+def reset(loop: Loop, peer: socket.socket) -> None:
+    """Break a connection; what the operating system has not sent yet never arrives."""
+    if peer.fileno() >= 0:
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    close(loop, peer)
+
+
 def has_bytes(peer: socket.socket) -> bool:
     """Return whether something has come or the other side is gone; reads nothing."""
     try:
--- a/packages/ashhoist/src/ashhoist/http/upstream.py
+++ b/packages/ashhoist/src/ashhoist/http/upstream.py
@@ -13,12 +13,14 @@
 import h11
 
 from ..loop import Loop, Steps, Wait
-from .sockets import close, connect, has_bytes, send_all
+from .sockets import close, connect, has_bytes, reset, send_all
 
 READ_SIZE = 65536
 HEAD_ROOM = 65536
 LONG_REQUEST = 32_768
 FIRST_FAILURE = 400
+ENDED = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
+"""States of an upstream whose answer is whole."""
 NO_EXPIRY = timedelta(days=1)
 EXPIRY_MARGIN = timedelta(milliseconds=700)
 """A kept connection is not used in the last part of the time the peer states."""
@@ -265,7 +267,20 @@
         return self.reusable()
 
     def close(self) -> None:
-        """Close; an upstream that still works on a request drops it."""
-        if self._peer is not None:
-            close(self._loop, self._peer)
-            self._peer = None
+        """Close; an upstream that still works on a request drops it.
+
+        What was given up is reset: held up on its way it would arrive late, behind what
+        was sent after it.
+        """
+        if self._peer is None:
+            return
+        end = close if self._rests else reset
+        end(self._loop, self._peer)
+        self._peer = None
+
+    @property
+    def _rests(self) -> bool:
+        """Return whether no exchange is under way."""
+        if self._http.our_state is h11.IDLE:
+            return True
+        return self._http.their_state in ENDED
