--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -12,12 +12,19 @@
 told apart by the engine's order count.
 """
 
+import socket
 import unittest
 from datetime import timedelta
 from queue import Queue
+from typing import Any
 
+from ashhoist_platform.engines import WorkerProtocol
+
+from ashhoist.adapter import Adapter
+from ashhoist.control.engines import EngineControl
 from ashhoist.http.client import Client, Reply
 from ashhoist.http.upstream import Broken, Why
+from ashhoist.orders import Order, OrderAnswer, OrderKind
 
 from .control_world import TICK, TIMING, World
 from .loops import LONGEST, new_loop, run
@@ -112,5 +119,38 @@
         self.assertEqual(self.ends.get(timeout=LONGEST), "closed")
 
 
+class OrderCheckTests(unittest.TestCase):
+    """Whether an order may leave is asked when it leaves.
+
+    It was asked before a connection was opened: an instance that stood still meanwhile
+    sent an order under a token that had lapsed, once it went on.
+    """
+
+    def test_a_token_that_lapses_while_connecting_sends_no_order(self) -> None:
+        loop = new_loop()
+        self.addCleanup(loop.close)
+        engine = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(engine.close)
+        engine.setblocking(False)
+
+        def may_order(order: Order) -> bool:
+            """Return whether the engine has no connection yet."""
+            try:
+                peer, _ = engine.accept()
+            except BlockingIOError:
+                return True
+            self.addCleanup(peer.close)
+            return False
+
+        done: list[Any] = []
+        control = EngineControl(WorkerProtocol(), may_order, done.append, loop)
+        self.addCleanup(control.forget, "e")
+        address = f"127.0.0.1:{engine.getsockname()[1]}"
+        control.order(Order("e", address, OrderKind.LOAD, Adapter("base", "a1"), 0))
+        while not done:
+            loop.run_turn()
+        self.assertEqual(done[0].reply.answer, OrderAnswer.NOT_SENT)
+
+
 if __name__ == "__main__":
     unittest.main()
