An order's token is looked at once more when its connection stands

Seen: in a test, an order left under a token that had lapsed while its connection was opened; an instance that stands still there sends it when it goes on, whoever holds the lease by then. Change: a call may name what is asked once there is a connection.

--- a/packages/ashhoist/src/ashhoist/control/engines.py
+++ b/packages/ashhoist/src/ashhoist/control/engines.py
@@ -82,9 +82,13 @@
     """How orders and reports are spoken; a platform gives it."""
 
     def order(
-        self, client: Client, order: Order, patience: timedelta
+        self,
+        client: Client,
+        order: Order,
+        patience: timedelta,
+        may_send: Callable[[], bool],
     ) -> Steps[OrderReply]:
-        """Send an order and return what is known of it."""
+        """Send an order, if it still may leave; return what is known of it."""
 
     def report(
         self, client: Client, upstream: str, patience: timedelta
@@ -98,8 +102,8 @@
     Parameters
     ----------
     may_order : callable
-        Returns whether the order's fence still holds; asked right before an
-        order leaves.
+        Returns whether the order's fence still holds; asked before a connection is
+        opened, and again right before the order leaves.
     send : callable
         Takes the results to the control task.
     """
@@ -149,7 +153,10 @@
         reply = OrderReply(OrderAnswer.NOT_SENT)
         if self._may_order(order):
             sent_at = self._loop.clock.monotonic()
-            reply = yield from self._protocol.order(line.client, order, line.patience)
+            # While it connects, this instance may stand still and its lease lapse.
+            reply = yield from self._protocol.order(
+                line.client, order, line.patience, lambda: self._may_order(order)
+            )
             line.learn(reply.answer, self._loop.clock.monotonic() - sent_at)
         self._send(OrderDone(order, reply))
 
--- a/packages/ashhoist/src/ashhoist/http/client.py
+++ b/packages/ashhoist/src/ashhoist/http/client.py
@@ -1,5 +1,6 @@
 """Calls with a whole answer, for control traffic: one connection, one at a time."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -12,11 +13,16 @@
     Piece,
     UpstreamConnection,
     Waiting,
+    Why,
 )
 
 CONNECT_TIME = timedelta(seconds=1)
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """A whole answer."""
@@ -52,12 +58,21 @@
         headers: list[tuple[str, str]],
         body: bytes,
         patience: timedelta,
+        may_send: Callable[[], bool] = _always,
     ) -> Steps[Reply | NotSent | Broken]:
-        """Make a call; a connection that fails is not used again."""
+        """Make a call; a connection that fails is not used again.
+
+        Parameters
+        ----------
+        may_send : callable
+            Returns whether the call may leave; asked once there is a connection.
+        """
         until = self._clock.monotonic() + patience
         connection = yield from self._open(until)
         if isinstance(connection, NotSent):
             return connection
+        if not may_send():
+            return NotSent(Why.WITHDRAWN)
         full = [("Host", self.address), *headers, ("Content-Length", str(len(body)))]
         result: Reply | NotSent | Broken | None
         result = yield from connection.send(method, target, full, body, until)
--- a/packages/ashhoist/src/ashhoist/http/upstream.py
+++ b/packages/ashhoist/src/ashhoist/http/upstream.py
@@ -35,6 +35,7 @@
     MALFORMED = "malformed"
     TIMEOUT = "timeout"
     CUT = "cut"
+    WITHDRAWN = "withdrawn"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_order_patience.py
+++ b/tests/test_order_patience.py
@@ -1,6 +1,7 @@
 """How long an engine's answer to an order is waited for."""
 
 import unittest
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -25,7 +26,11 @@
         self.waited: list[timedelta] = []
 
     def order(
-        self, client: Client, order: Order, patience: timedelta
+        self,
+        client: Client,
+        order: Order,
+        patience: timedelta,
+        may_send: Callable[[], bool],
     ) -> Steps[OrderReply]:
         yield from ()
         lost = self.silent or self.takes > patience
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -167,7 +167,9 @@
             holder="holder",
             fence=5,
         )
-        steps = self.protocol.order(self.client, order, timedelta(seconds=2))
+        steps = self.protocol.order(
+            self.client, order, timedelta(seconds=2), lambda: True
+        )
         return run(self.loop, steps).answer
 
     def report(self) -> Any:
@@ -187,7 +189,9 @@
         )
         for leaves in (False, True):
             self.worker.says.leaves = leaves
-            steps = self.protocol.order(self.client, order, timedelta(seconds=2))
+            steps = self.protocol.order(
+                self.client, order, timedelta(seconds=2), lambda: True
+            )
             self.assertEqual(run(self.loop, steps).leaves, leaves)
             self.assertEqual(self.report().leaves, leaves)
 
