Whoever held the lease within a turn is named in the claim, and waits, also in a new process

Seen: in virtual time, instances of one zone that stop one after the other order within 1.45 s of their own last order, with two others between; 3 s are due. Cause: a claim named one machine before it, so a chain of three hid the first; and a process that started again in the middle of its wait ordered at once. Change: a claim names all machines that held the lease within a turn; renewals drop them once the turn is over. A machine that finds itself among them waits from its own last order on (a new process: from its start), and for as long as an order may be under way. One that last ordered long ago no longer waits 3 s for nothing. Records of the version before, which name one machine, are understood.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -338,7 +338,7 @@
         led_before = self.peers.leads(peer)
         told_news = self.peers.beat(peer, beat, now)
         for row in beat.claims:
-            self.leases.heard(Claim(*row))
+            self.leases.heard(Claim.from_row(row))
         self.scheduling.heard(beat.epoch)
         self.membership.compare(peer, beat.instances)
         self.quotas.beaten(peer, beat)
--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -11,8 +11,10 @@
 successor: no order leaves with that token any more, and the holder claims anew.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from typing import Any
 
 import cbor2
 
@@ -73,8 +75,8 @@
         The offset of the holder's first claim in a row; -1 in that record.
     offset : int
         Where the record itself stands.
-    before : str
-        The machine that held the lease before this one.
+    before : tuple of str
+        The machines that held the lease before this one; none once a turn has passed.
     """
 
     key: str
@@ -83,7 +85,7 @@
     fence: int = -1
     offset: int = -1
     released: bool = False
-    before: str = ""
+    before: tuple[str, ...] = ()
 
     @property
     def token(self) -> int:
@@ -113,9 +115,22 @@
         """Return the claim in a record, or None if it is none."""
         try:
             holder, life, fence, released, before = cbor2.loads(record.value or b"")
+            row = (record.key, holder, life, fence, record.offset, released, before)
+            return cls.from_row(row)
         except (ValueError, TypeError, cbor2.CBORDecodeError):
             return None
-        return cls(record.key, holder, life, fence, record.offset, released, before)
+
+    @classmethod
+    def from_row(cls, row: Sequence[Any]) -> "Claim":
+        """Return the claim that a message has told; see `to_row`.
+
+        Instances of the version before this one name one machine, or none by an empty
+        text, that held the lease before.
+        """
+        key, holder, life, fence, offset, released, before = row
+        names = [before] if isinstance(before, str) else before
+        told = tuple(name for name in names if name)
+        return cls(key, holder, life, fence, offset, released, told)
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +180,9 @@
         self._next_try = ZERO
         self._renewed_at: timedelta | None = None
         self._orders_from = ZERO
+        self._turn_over_at: timedelta | None = None
+        # Until now an earlier process of this machine may have ordered.
+        self._last_ordered = clock.monotonic()
         self._unsure: AppendClaim | None = None
         self._resting = False
         self._stopping = False
@@ -179,7 +197,10 @@
         return self._claim
 
     def fence(self) -> int | None:
-        """Return the fencing token if an order may be sent now, else None."""
+        """Return the fencing token if an order may be sent now, else None.
+
+        It counts as sent: who asks may send one.
+        """
         claim = self._claim
         now = self._clock.monotonic()
         if claim is None or self._renewed_at is None or not self._mine(claim):
@@ -188,8 +209,10 @@
             return None
         if claim.token == self._refused_token:
             return None
-        until = self._renewed_at + self._timing.term - self._timing.send_margin
-        return claim.token if now < until else None
+        if now >= self._renewed_at + self._timing.term - self._timing.send_margin:
+            return None
+        self._last_ordered = now
+        return claim.token
 
     @property
     def held(self) -> bool:
@@ -284,14 +307,24 @@
 
     def _first_claim(self) -> Claim:
         claim = self._claim
-        before = ""
-        if claim is not None:
-            before = claim.before if claim.holder == self._own else claim.holder
-        return Claim(self.key, self._own, self._life, before=before)
+        if claim is None:
+            return Claim(self.key, self._own, self._life)
+        names = dict.fromkeys((claim.holder, *claim.before))
+        names.pop(self._own, None)
+        return Claim(self.key, self._own, self._life, before=tuple(names))
 
     def _renewal(self, released: bool = False) -> Claim:
-        assert self._claim is not None
-        return replace(self._claim, fence=self._claim.token, released=released)
+        claim = self._claim
+        assert claim is not None
+        before = () if self._turn_is_over else claim.before
+        return replace(claim, fence=claim.token, released=released, before=before)
+
+    @property
+    def _turn_is_over(self) -> bool:
+        """Return whether it is so long ago that somebody else held the lease."""
+        if self._turn_over_at is None:
+            return False
+        return self._clock.monotonic() >= self._turn_over_at
 
     def _append(self, claim: Claim, now: timedelta) -> AppendClaim:
         assert self._end is not None
@@ -315,8 +348,7 @@
         self._take(found, now)
         if unsure is None or found.offset != unsure.at or not self._mine(found):
             return
-        if unsure.claim.fence < 0:
-            self._begin(before, now)
+        self._begin(unsure.claim, before, now)
         self._renewed_at = unsure.sent_at
 
     def _newest(self, result: Newest) -> Claim | None:
@@ -353,8 +385,7 @@
             self._claim = replace(action.claim, offset=result.offset)
             self._end = result.offset + 1
             self._known_since = now
-            if action.claim.fence < 0:
-                self._begin(before, now)
+            self._begin(action.claim, before, now)
             self._renewed_at = action.sent_at
             return
         self._next_try = now + RETRY_PAUSE
@@ -365,17 +396,28 @@
             return
         self._unsure = action
 
-    def _begin(self, before: Claim | None, now: timedelta) -> None:
-        """Set when the first order may be sent, behind the claim `before`.
+    def _begin(self, claim: Claim, before: Claim | None, now: timedelta) -> None:
+        """Set when the first order under a new claim may be sent.
 
-        If this machine held the lease right before the last holder, its own
-        last order may be a moment ago; so may it if an engine has refused its token.
+        Parameters
+        ----------
+        before : Claim or None
+            The newest claim that was known when it was made.
         """
-        returns = (
-            before is not None
-            and before.holder != self._own
-            and before.before == self._own
-        )
-        was_refused = before is not None and before.token == self._refused_token
-        waits = returns or was_refused
-        self._orders_from = now + self._timing.turn if waits else now
+        renews = before is not None and self._mine(before)
+        if renews and claim.fence >= 0:
+            return
+        self._orders_from = now
+        self._turn_over_at = now + self._timing.turn
+        if before is None:
+            return
+        if before.token == self._refused_token:
+            self._orders_from = now + self._timing.turn
+            return
+        machines = {before.holder, *before.before}
+        if self._own not in machines or machines == {self._own}:
+            return
+        # Others have ordered behind this machine's own last order, which may be on its
+        # way for as long as one is waited for.
+        last = self._last_ordered + self._timing.send_margin
+        self._orders_from = max(now, last + self._timing.turn)
