Failing tests: what a killed or halted instance has not sent of an order is sent on

Cause: the system sends what it holds for 3 s, also behind the end of a process or while it stands still; a successor orders 0.5 s after the last moment in which the holder may.

--- a/packages/ashhoist/src/ashhoist/control/engines.py
+++ b/packages/ashhoist/src/ashhoist/control/engines.py
@@ -96,6 +96,11 @@
         """Ask an engine what it holds."""
 
 
+def order_client(address: str, loop: Loop) -> Client:
+    """Return a client for orders to one engine."""
+    return Client(address, loop)
+
+
 class EngineControl:
     """Talks to engines, one exchange at a time with each.
 
@@ -169,7 +174,7 @@
     def _line(self, upstream: str, address: str) -> "_Line":
         line = self._lines.get(upstream)
         if line is None:
-            line = self._lines[upstream] = _Line(Client(address, self._loop))
+            line = self._lines[upstream] = _Line(order_client(address, self._loop))
         return line
 
     def forget(self, upstream: str) -> None:
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -12,25 +12,38 @@
 told apart by the engine's order count.
 """
 
+import os
 import socket
+import subprocess
+import sys
 import unittest
 from datetime import timedelta
+from pathlib import Path
 from queue import Queue
 from typing import Any
 
 from ashhoist_platform.engines import WorkerProtocol
 
 from ashhoist.adapter import Adapter
-from ashhoist.control.engines import EngineControl
+from ashhoist.control.engines import EngineControl, order_client
 from ashhoist.http.client import Client, Reply
 from ashhoist.http.upstream import Broken, Why
-from ashhoist.orders import Order, OrderAnswer, OrderKind
+from ashhoist.orders import LeaseTiming, Order, OrderAnswer, OrderKind
 
 from .control_world import TICK, TIMING, World
 from .loops import LONGEST, new_loop, run
 from .platform_stand_ins.server import Call, Handler, Server
 from .world_requests import started, want
 
+ORDERING_PROCESS = """
+from datetime import timedelta
+from ashhoist.control.engines import order_client
+from tests.loops import new_loop, run
+loop = new_loop()
+client = order_client("{address}", loop)
+run(loop, client.call("POST", "/order", [], b"", timedelta(seconds={seconds})))
+"""
+ROOT = Path(__file__).parent.parent
 SEND_MARGIN_S = TIMING.send_margin.total_seconds() + TICK
 
 
@@ -119,6 +132,48 @@
         self.assertEqual(self.ends.get(timeout=LONGEST), "closed")
 
 
+class UnsentOrderTests(unittest.TestCase):
+    """An order must not arrive when its successor may already order.
+
+    An instance was killed with an order on its way. The system went on sending it for
+    three seconds; its zone had another holder by then, whose token was higher.
+    """
+
+    def test_what_a_killed_instance_has_not_sent_is_dropped(self) -> None:
+        ends = Queue[str]()
+        killed: list[subprocess.Popen[bytes]] = []
+
+        def kill(call: Call) -> None:
+            killed[0].kill()
+            try:
+                ends.put("more" if call.peer.recv(1) else "closed")
+            except ConnectionResetError:
+                ends.put("reset")
+
+        engine = Server(kill)
+        self.addCleanup(engine.close)
+        code = ORDERING_PROCESS.format(address=engine.address, seconds=LONGEST)
+        killed.append(subprocess.Popen([sys.executable, "-c", code], cwd=ROOT))
+        self.assertEqual(ends.get(timeout=LONGEST), "reset")
+        killed[0].wait()
+
+    def test_the_system_keeps_it_no_longer_than_a_successor_waits(self) -> None:
+        loop = new_loop()
+        self.addCleanup(loop.close)
+        engine = Server(lambda call: call.respond(200))
+        self.addCleanup(engine.close)
+        client = order_client(engine.address, loop)
+        self.addCleanup(client.close)
+        run(loop, client.call("GET", "/report", [], b"", timedelta(seconds=LONGEST)))
+        assert client._connection is not None
+        with socket.socket(fileno=os.dup(client._connection.fileno())) as peer:
+            kept_ms = peer.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        timing = LeaseTiming()
+        self.assertLessEqual(
+            timedelta(milliseconds=kept_ms), timing.send_margin + timing.clock_margin
+        )
+
+
 class OrderCheckTests(unittest.TestCase):
     """Whether an order may leave is asked when it leaves.
 
