What an instance has not sent of an order is dropped when it ends, and after half a second

Cause: the system keeps what it could not send for 3 s, also for a process that has ended or stands still, while a successor may order 0.5 s after the last moment in which the holder may. Change: connections for orders are reset when they end, however they end, and give up what is not taken within 0.5 s, the margins of a lease.

--- a/packages/ashhoist/src/ashhoist/control/engines.py
+++ b/packages/ashhoist/src/ashhoist/control/engines.py
@@ -19,6 +19,9 @@
 USUAL_AT_FIRST = timedelta(milliseconds=20)
 SMOOTHING = 0.2
 REPORT_PATIENCE = timedelta(milliseconds=700)
+UNSENT_KEPT = timedelta(milliseconds=500)
+"""How long an order may be on its way: a successor waits so long from the last moment
+in which this instance may order."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,8 +100,12 @@
 
 
 def order_client(address: str, loop: Loop) -> Client:
-    """Return a client for orders to one engine."""
-    return Client(address, loop)
+    """Return a client for orders to one engine.
+
+    What the system still holds of an order when this process ends, or stands still,
+    must not arrive behind the first orders of a successor.
+    """
+    return Client(address, loop, UNSENT_KEPT)
 
 
 class EngineControl:
--- a/packages/ashhoist/src/ashhoist/http/client.py
+++ b/packages/ashhoist/src/ashhoist/http/client.py
@@ -43,10 +43,15 @@
     ----------
     address : str
         ``IP:PORT``.
+    unsent_kept : timedelta or None
+        See `UpstreamConnection`.
     """
 
-    def __init__(self, address: str, loop: Loop) -> None:
+    def __init__(
+        self, address: str, loop: Loop, unsent_kept: timedelta | None = None
+    ) -> None:
         self.address = address
+        self._unsent_kept = unsent_kept
         self._loop = loop
         self._clock = loop.clock
         self._connection: UpstreamConnection | None = None
@@ -86,7 +91,7 @@
         if self._connection is not None and self._connection.reusable():
             return self._connection
         self.close()
-        connection = UpstreamConnection(self.address, self._loop)
+        connection = UpstreamConnection(self.address, self._loop, self._unsent_kept)
         limit = min(until, self._clock.monotonic() + CONNECT_TIME)
         failed = yield from connection.connect(limit)
         if failed is not None:
--- a/packages/ashhoist/src/ashhoist/http/sockets.py
+++ b/packages/ashhoist/src/ashhoist/http/sockets.py
@@ -64,6 +64,19 @@
     peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def limit_unsent(peer: socket.socket, kept: timedelta) -> None:
+    """Have the system drop what it has not sent when the connection or process ends.
+
+    Parameters
+    ----------
+    kept : timedelta
+        So long it tries to send on what the other side does not take.
+    """
+    kept_ms = int(kept / timedelta(milliseconds=1))
+    peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, kept_ms)
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def listening_socket(address: str, backlog: int) -> socket.socket:
     """Return a socket that listens on ``IP:PORT``.
 
--- a/packages/ashhoist/src/ashhoist/http/upstream.py
+++ b/packages/ashhoist/src/ashhoist/http/upstream.py
@@ -13,7 +13,7 @@
 import h11
 
 from ..loop import Loop, Steps, Wait
-from .sockets import close, connect, has_bytes, reset, send_all
+from .sockets import close, connect, has_bytes, limit_unsent, reset, send_all
 
 READ_SIZE = 65536
 HEAD_ROOM = 65536
@@ -92,10 +92,16 @@
     ----------
     address : str
         ``IP:PORT``.
+    unsent_kept : timedelta or None
+        How long the system may go on sending what the upstream does not take, if this
+        process runs; None leaves it at what all connections have.
     """
 
-    def __init__(self, address: str, loop: Loop) -> None:
+    def __init__(
+        self, address: str, loop: Loop, unsent_kept: timedelta | None = None
+    ) -> None:
         self.address = address
+        self._unsent_kept = unsent_kept
         self._loop = loop
         self._clock = loop.clock
         self._peer: socket.socket | None = None
@@ -121,7 +127,11 @@
             On the monotonic clock.
         """
         self._peer = yield from connect(self._loop, self.address, until)
-        return None if self._peer is not None else NotSent(Why.CONNECT)
+        if self._peer is None:
+            return NotSent(Why.CONNECT)
+        if self._unsent_kept is not None:
+            limit_unsent(self._peer, self._unsent_kept)
+        return None
 
     # Sending
 
--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -414,10 +414,14 @@
         if before.token == self._refused_token:
             self._orders_from = now + self._timing.turn
             return
+        self._orders_from = max(now, self._turn_left_from(before))
+
+    def _turn_left_from(self, before: Claim) -> timedelta:
+        """Return until when this machine waits if others have ordered behind it.
+
+        Its own last order may be under way for as long as one is waited for.
+        """
         machines = {before.holder, *before.before}
         if self._own not in machines or machines == {self._own}:
-            return
-        # Others have ordered behind this machine's own last order, which may be on its
-        # way for as long as one is waited for.
-        last = self._last_ordered + self._timing.send_margin
-        self._orders_from = max(now, last + self._timing.turn)
+            return ZERO
+        return self._last_ordered + self._timing.send_margin + self._timing.turn
