Order lines belong to the desk, held-up orders to a part of their own

Change: the line of an order without answer moves to OrderDesk, what is held up and dropped to HeldUp; no behaviour changes.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -137,7 +137,7 @@
             log,
         )
         self.desk = OrderDesk(
-            settings.name, holder, self.leases, self.peers, outside, clock
+            settings.name, holder, self.leases, self.peers, outside, clock, log
         )
         self.scheduling = Scheduling(
             self.desk.reaches,
@@ -400,18 +400,7 @@
 
     def order_answered(self, order: Order, answer: OrderAnswer) -> None:
         """Take in how an order ended."""
-        self.desk.ended()
-        if answer in (OrderAnswer.UNKNOWN, OrderAnswer.NOT_SENT):
-            self._log.warning(
-                "order without answer",
-                upstream=order.upstream,
-                zone=order.zone,
-                number=order.number,
-                origin=order.origin,
-                token=order.fence,
-                token_now=self.leases.fence(order.zone),
-                answer=answer,
-            )
+        self.desk.ended(order, answer)
         if answer is OrderAnswer.FENCED:
             self.leases.order_fenced(order.zone, order.fence)
         if order.origin == self._settings.name:
--- a/packages/ashhoist/src/ashhoist/control/order_desk.py
+++ b/packages/ashhoist/src/ashhoist/control/order_desk.py
@@ -6,6 +6,7 @@
 
 from ..adapter import Adapter
 from ..clock import Clock
+from ..logs import Logger
 from ..orders import Order, OrderAnswer, OrderKind
 from . import messages
 from .order_leases import OrderLeases
@@ -30,6 +31,7 @@
         peers: Peers,
         outside: Outside,
         clock: Clock,
+        log: Logger,
     ) -> None:
         self._own = own
         self._holder = holder
@@ -37,6 +39,7 @@
         self._peers = peers
         self._outside = outside
         self._clock = clock
+        self._log = log
         self._under_way = 0
 
     def reaches(self, zone: str) -> bool:
@@ -93,9 +96,21 @@
         """Return whether no order of this machine is under way."""
         return not self._under_way
 
-    def ended(self) -> None:
+    def ended(self, order: Order, answer: OrderAnswer) -> None:
         """Note that an order of this machine has been answered, or is lost."""
         self._under_way -= 1
+        if answer not in (OrderAnswer.UNKNOWN, OrderAnswer.NOT_SENT):
+            return
+        self._log.warning(
+            "order without answer",
+            upstream=order.upstream,
+            zone=order.zone,
+            number=order.number,
+            origin=order.origin,
+            token=order.fence,
+            token_now=self._leases.fence(order.zone),
+            answer=answer,
+        )
 
     def carry(self, peer: str, message: messages.Carry) -> None:
         """Carry an order that another instance has decided on."""
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -4,7 +4,6 @@
 switches; the checks read what engines have seen.
 """
 
-from collections import deque
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Any
@@ -19,7 +18,6 @@
     VersionNamed,
 )
 from ashhoist.control.core import Core, CoreSettings
-from ashhoist.control.engines import UNSENT_KEPT
 from ashhoist.control.knowledge import SHARED_TOPICS
 from ashhoist.customers import Customer, Proof
 from ashhoist.metrics import Metrics
@@ -48,7 +46,7 @@
 from .world_links import LINK_S, WorldLinks
 from .world_log import WorldFollower
 from .world_machine import Machine
-from .world_orders import OrderSeen, broken_turns
+from .world_orders import GIVEN_UP_S, HeldUp, OrderSeen, broken_turns
 from .world_store import WorldStore
 from .world_time import Timeline
 
@@ -57,9 +55,6 @@
 TICK = 0.05
 REPORT_LAG_S = 0.2
 RUN_S = 0.2
-GIVEN_UP_S = 0.25
-"""After so long without an answer the sender of an order gives it up."""
-UNSENT_KEPT_S = UNSENT_KEPT.total_seconds()
 ANSWERS = {
     200: OrderAnswer.HOLDS,
     202: OrderAnswer.ACCEPTED,
@@ -152,10 +147,7 @@
         self.timing = timing
         self.timing_by_machine: dict[str, LeaseTiming] = {}
         self.lose_orders = 0
-        self.hold_orders_up = deque[float]()
-        """Seconds for which the next orders are held up on their way."""
-        self.drops_unsent = True
-        """Whether what is held up is dropped as its sender gives it up, or ends."""
+        self.held_up = HeldUp()
         self.engine_zones: dict[str, str] = {}
         self.born_by_engine: dict[str, int] = {}
         self.engines: dict[str, EngineState] = {}
@@ -355,23 +347,21 @@
         if not core.desk.may_send(order):
             self._answer_order(machine, core, order, OrderAnswer.NOT_SENT, 0)
             return
-        if not self.hold_orders_up:
+        if not self.held_up.seconds:
             self.after(LINK_S, lambda: self._arrive(machine, core, order))
             return
         self._answer_order(machine, core, order, OrderAnswer.UNKNOWN, GIVEN_UP_S)
-        held_up = self.hold_orders_up.popleft()
-        arrive = lambda: self._arrive_late(machine, core, order, held_up)  # noqa: E731
-        self.after(held_up, arrive)
+        seconds = self.held_up.seconds.popleft()
+        arrive = lambda: self._arrive_late(machine, core, order, seconds)  # noqa: E731
+        self.after(seconds, arrive)
 
     def _arrive_late(
-        self, machine: Machine, core: Core, order: Order, held_up: float
+        self, machine: Machine, core: Core, order: Order, seconds: float
     ) -> None:
         """Let an engine take an order that was held up, if it was not dropped."""
         engine = self.engines.get(order.upstream)
-        given_up = held_up > (UNSENT_KEPT_S if machine.frozen else GIVEN_UP_S)
-        if self.drops_unsent and (given_up or machine.core is not core):
-            return
-        if engine is None:
+        has_ended = machine.core is not core
+        if engine is None or self.held_up.drops(seconds, has_ended, machine.frozen):
             return
         self.seen.append(OrderSeen(self.now, order.upstream, machine.name, order.fence))
         self._carry_out(engine, order)
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -55,7 +55,7 @@
 
     def start(self) -> World:
         world = started(3, 1)
-        world.drops_unsent = False
+        world.held_up.drops_unsent = False
         return world
 
     def lapse(self, world: World, held_up_s: float) -> None:
@@ -63,11 +63,11 @@
         [holder] = world.holders()
         world.store.is_down = True
         world.run(1.5)
-        world.hold_orders_up.append(held_up_s)
+        world.held_up.seconds.append(held_up_s)
         want(world, holder, "late")
         self.assertTrue(world.run(4.0, lambda: not world.holders()))
         world.run(SEND_MARGIN_S)
-        self.assertFalse(world.hold_orders_up)
+        self.assertFalse(world.held_up.seconds)
 
     def test_a_lease_that_lapsed_goes_on_under_its_token(self) -> None:
         for held_up_s in (1.5, 2.0, 3.0, 4.0):
@@ -85,10 +85,10 @@
             with self.subTest(held_up_s=held_up_s):
                 world = self.start()
                 [holder] = world.holders()
-                world.hold_orders_up.append(held_up_s)
+                world.held_up.seconds.append(held_up_s)
                 want(world, holder, "late")
                 self.assertTrue(
-                    world.run(1.0, lambda world=world: not world.hold_orders_up)
+                    world.run(1.0, lambda world=world: not world.held_up.seconds)
                 )
                 world.kill(holder)
                 world.start(holder)
--- a/tests/world_faults.py
+++ b/tests/world_faults.py
@@ -1,6 +1,7 @@
 """Faults of a test world by name; each strikes one machine, or the store, and heals."""
 
-from .control_world import GIVEN_UP_S, Machine, World
+from .control_world import Machine, World
+from .world_orders import GIVEN_UP_S
 
 STOPPED_S = 0.7
 """So long a planned stop takes."""
@@ -47,12 +48,12 @@
 
 
 def _hold_orders_up(world: World, machine: Machine, healed_after: float) -> None:
-    world.hold_orders_up.extend(min(healed_after, most) for most in HELD_UP_S)
+    world.held_up.seconds.extend(min(healed_after, most) for most in HELD_UP_S)
 
 
 def _kill_midway(world: World, machine: Machine, healed_after: float) -> None:
     """Kill a process while orders are on their way; it starts again at once."""
-    world.hold_orders_up.extend([min(healed_after, HELD_UP_S[-1])] * 2)
+    world.held_up.seconds.extend([min(healed_after, HELD_UP_S[-1])] * 2)
     core = machine.core
 
     def kill() -> None:
--- a/tests/world_orders.py
+++ b/tests/world_orders.py
@@ -1,6 +1,13 @@
 """Orders as engines have seen them arrive, and the rules that they may break."""
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
+
+from ashhoist.control.engines import UNSENT_KEPT
+
+GIVEN_UP_S = 0.25
+"""After so long without an answer the sender of an order gives it up."""
+UNSENT_KEPT_S = UNSENT_KEPT.total_seconds()
 
 
 @dataclass
@@ -13,6 +20,28 @@
     fence: int
 
 
+@dataclass
+class HeldUp:
+    """Orders that are held up on their way.
+
+    Parameters
+    ----------
+    seconds : deque of float
+        For how long the next orders are.
+    drops_unsent : bool
+        Whether what is held up is dropped as its sender gives it up, or ends; what has
+        left already is dropped by nobody.
+    """
+
+    seconds: deque[float] = field(default_factory=deque)
+    drops_unsent: bool = True
+
+    def drops(self, seconds: float, has_ended: bool, is_frozen: bool) -> bool:
+        """Return whether an order was dropped before it could arrive."""
+        given_up = seconds > (UNSENT_KEPT_S if is_frozen else GIVEN_UP_S)
+        return self.drops_unsent and (given_up or has_ended)
+
+
 def broken_turns(seen: list[OrderSeen], lease_s: float) -> list[str]:
     """Return how orders break the rule of one holder at a time."""
     broken = []
