Failing test: the term of a claim that is found counts from a later try's sending

Cause: two tries at the same offset get no answer; what Lease.read finds there may be the first, done right behind a read and learnt by others before the second was sent, but the term counts from when the second was sent.

--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -5,6 +5,11 @@
 then fails. The instance finds its claim at last and renews it, and takes that for a
 renewal of a lease it had held all the time: it waits for no turn, and orders 0.81 s
 after its own last order, though another machine may have ordered in between.
+
+A renewal is done late in the same way, and the second try gets no answer either. What
+is found then was sent with the first, and may have been read since; the term counts
+from the second. Where the process stood still for 2 s in between, it may order until
+1.5 s after a successor may.
 """
 
 import unittest
@@ -30,6 +35,7 @@
 KEY = "orders"
 TIMING = LeaseTiming()
 RETRIED = timedelta(milliseconds=150)
+STOOD_STILL = timedelta(seconds=2)
 NOTICED = timedelta(milliseconds=10)
 
 
@@ -91,6 +97,21 @@
             self.clock.advance(NOTICED)
         self.assertGreaterEqual(self.clock.monotonic() - last, TIMING.turn)
 
+    def test_its_term_counts_from_before_it_could_be_read(self) -> None:
+        self.clock.advance(TIMING.renew_every)
+        first = self.due()
+        self.answer(first, Unknown())
+        # Done right behind the read; others learn of it. This process stands still.
+        self.read(STOOD_STILL)
+        learnt = self.clock.monotonic() - STOOD_STILL + NOTICED
+        second = self.due()
+        self.log(first.claim, first.at)
+        self.answer(second, Unknown())
+        self.read()
+        successor_orders = learnt + TIMING.term + TIMING.clock_margin
+        self.clock.advance(successor_orders - self.clock.monotonic())
+        self.assertIsNone(self.lease.fence())
+
 
 if __name__ == "__main__":
     unittest.main()
