Whether a token is new is told by the token, not by the kind of record that was found

Seen: in a test of one lease, an instance ordered 0.81 s after its own last order though another had held the lease in between. Cause: its claim was done late and found by a later read; the renewal behind it was taken for one of a lease that it had held all the time, and set no wait. Change: the wait is set the first time a token counts, by what its claim says of the machines before it, this one included. Found by a review.

--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -180,9 +180,10 @@
         self._next_try = ZERO
         self._renewed_at: timedelta | None = None
         self._orders_from = ZERO
-        self._turn_over_at: timedelta | None = None
+        self._turn_over_at = ZERO
         # Until now an earlier process of this machine may have ordered.
         self._last_ordered = clock.monotonic()
+        self._begun_token: int | None = None
         self._unsure: AppendClaim | None = None
         self._resting = False
         self._stopping = False
@@ -310,19 +311,17 @@
         if claim is None:
             return Claim(self.key, self._own, self._life)
         names = dict.fromkeys((claim.holder, *claim.before))
-        names.pop(self._own, None)
         return Claim(self.key, self._own, self._life, before=tuple(names))
 
     def _renewal(self, released: bool = False) -> Claim:
         claim = self._claim
         assert claim is not None
-        before = () if self._turn_is_over else claim.before
+        before = () if self._turn_is_over(claim) else claim.before
         return replace(claim, fence=claim.token, released=released, before=before)
 
-    @property
-    def _turn_is_over(self) -> bool:
-        """Return whether it is so long ago that somebody else held the lease."""
-        if self._turn_over_at is None:
+    def _turn_is_over(self, claim: Claim) -> bool:
+        """Return whether it is a turn ago that this token began to count."""
+        if claim.token != self._begun_token:
             return False
         return self._clock.monotonic() >= self._turn_over_at
 
@@ -344,11 +343,10 @@
         found = self._newest(result)
         if found is None:
             return
-        before = self._claim
         self._take(found, now)
         if unsure is None or found.offset != unsure.at or not self._mine(found):
             return
-        self._begin(unsure.claim, before, now)
+        self._begin(found, now)
         self._renewed_at = unsure.sent_at
 
     def _newest(self, result: Newest) -> Claim | None:
@@ -381,11 +379,10 @@
         self._pending = False
         now = self._clock.monotonic()
         if isinstance(result, Appended):
-            before = self._claim
             self._claim = replace(action.claim, offset=result.offset)
             self._end = result.offset + 1
             self._known_since = now
-            self._begin(action.claim, before, now)
+            self._begin(self._claim, now)
             self._renewed_at = action.sent_at
             return
         self._next_try = now + RETRY_PAUSE
@@ -396,32 +393,24 @@
             return
         self._unsure = action
 
-    def _begin(self, claim: Claim, before: Claim | None, now: timedelta) -> None:
-        """Set when the first order under a new claim may be sent.
-
-        Parameters
-        ----------
-        before : Claim or None
-            The newest claim that was known when it was made.
-        """
-        renews = before is not None and self._mine(before)
-        if renews and claim.fence >= 0:
+    def _begin(self, claim: Claim, now: timedelta) -> None:
+        """Set when the first order may be sent, the first time a token counts."""
+        if claim.token == self._begun_token:
             return
-        self._orders_from = now
+        was_refused = self._begun_token == self._refused_token
+        self._begun_token = claim.token
         self._turn_over_at = now + self._timing.turn
-        if before is None:
-            return
-        if before.token == self._refused_token:
-            self._orders_from = now + self._timing.turn
+        if was_refused and self._refused_token is not None:
+            # Whoever has ordered meanwhile may have done so a moment ago.
+            self._orders_from = self._turn_over_at
             return
-        self._orders_from = max(now, self._turn_left_from(before))
+        self._orders_from = max(now, self._turn_left_from(claim))
 
-    def _turn_left_from(self, before: Claim) -> timedelta:
+    def _turn_left_from(self, claim: Claim) -> timedelta:
         """Return until when this machine waits if others have ordered behind it.
 
         Its own last order may be under way for as long as one is waited for.
         """
-        machines = {before.holder, *before.before}
-        if self._own not in machines or machines == {self._own}:
+        if self._own not in claim.before:
             return ZERO
         return self._last_ordered + self._timing.send_margin + self._timing.turn
