The term of a claim that is found counts from the first try at its offset

Seen: in a test of one lease, an instance might order for 1.5 s beside its successor. Cause: two tries at one offset got no answer; what is found there may be the first, done and learnt of by others before the second was sent, but the term was counted from the second. Change: it counts from the first try there.

--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -185,6 +185,8 @@
         self._last_ordered = clock.monotonic()
         self._begun_token: int | None = None
         self._unsure: AppendClaim | None = None
+        self._tried_at_offset: int | None = None
+        self._first_tried_at = ZERO
         self._resting = False
         self._stopping = False
         self._rank = 0
@@ -347,7 +349,8 @@
         if unsure is None or found.offset != unsure.at or not self._mine(found):
             return
         self._begin(found, now)
-        self._renewed_at = unsure.sent_at
+        # Any of the tries there may have been done, and learnt of, since its sending.
+        self._renewed_at = self._first_tried_at
 
     def _newest(self, result: Newest) -> Claim | None:
         for record in result.records:
@@ -392,6 +395,9 @@
         if isinstance(result, Unavailable):
             return
         self._unsure = action
+        if self._tried_at_offset != action.at:
+            self._tried_at_offset = action.at
+            self._first_tried_at = action.sent_at
 
     def _begin(self, claim: Claim, now: timedelta) -> None:
         """Set when the first order may be sent, the first time a token counts."""
