--- a/packages/ashhoist/src/ashhoist/control/engines.py
+++ b/packages/ashhoist/src/ashhoist/control/engines.py
@@ -19,6 +19,9 @@
 USUAL_AT_FIRST = timedelta(milliseconds=20)
 SMOOTHING = 0.2
 REPORT_PATIENCE = timedelta(milliseconds=700)
+UNSENT_KEPT = timedelta(milliseconds=500)
+"""How long an order may be on its way: a successor waits so long from the last moment
+in which this instance may order."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +99,15 @@
         """Ask an engine what it holds."""
 
 
+def order_client(address: str, loop: Loop) -> Client:
+    """Return a client for orders to one engine.
+
+    What the system still holds of an order when this process ends, or stands still,
+    must not arrive behind the first orders of a successor.
+    """
+    return Client(address, loop, UNSENT_KEPT)
+
+
 class EngineControl:
     """Talks to engines, one exchange at a time with each.
 
@@ -169,7 +181,7 @@
     def _line(self, upstream: str, address: str) -> "_Line":
         line = self._lines.get(upstream)
         if line is None:
-            line = self._lines[upstream] = _Line(Client(address, self._loop))
+            line = self._lines[upstream] = _Line(order_client(address, self._loop))
         return line
 
     def forget(self, upstream: str) -> None:
