--- a/tests/world_log.py
+++ b/tests/world_log.py
@@ -40,6 +40,7 @@
     deaf: bool
     reads: int
     reads_by_topic: Counter[Topic]
+    bytes_per_s: float
 
     def after(self, seconds: float, step: Callable[[], None]) -> None:
         """Do a step later."""
@@ -76,7 +77,9 @@
             if found or now - began >= wait:
                 break
             yield Wait(min(now + LOOKS_EVERY, began + wait))
-        yield Wait(self._world.clock.monotonic() + ANSWERED_IN)
+        size = sum(len(value or b"") for _, value in found)
+        carried_in = timedelta(seconds=size / self._world.bytes_per_s)
+        yield Wait(self._world.clock.monotonic() + ANSWERED_IN + carried_in)
         end = self._world.log.topics[topic].end
         if self._world.deaf:
             return Records((), end)
--- a/tests/world_store.py
+++ b/tests/world_store.py
@@ -1,5 +1,6 @@
 """The store of a test world: leases, the register, and how it fails."""
 
+import math
 from collections import Counter
 from collections.abc import Mapping
 from typing import Any
@@ -40,6 +41,8 @@
         So many claims are appended without an answer, or two seconds late.
     deaf : bool
         Reads show nothing new, but say that the log has grown.
+    bytes_per_s : float
+        How fast what a read has found comes to its reader.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self.deaf = False
         self.reads = 0
         self.reads_by_topic: Counter[Topic] = Counter()
+        self.bytes_per_s = math.inf
         self.lease_calls = 0
         self.crash_writes = 0
         self.registered: set[str] = set(machines)
