Failing test: a new token behind a refused one counts before its wait is set

Cause: a claim that is done late is found by a read without a try that waits for it; Lease._take keeps the term of the token before, so that fence() gives the new token, up to 2.5 s before the renewal that sets its wait. Listed as known.

--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -10,6 +10,9 @@
 is found then was sent with the first, and may have been read since; the term counts
 from the second. Where the process stood still for 2 s in between, it may order until
 1.5 s after a successor may.
+
+A claim behind a refused token is done late too. The instance still counts on the term
+of the refused one, and orders under the new token at once, before its wait is set.
 """
 
 import unittest
@@ -112,6 +115,19 @@
         self.clock.advance(successor_orders - self.clock.monotonic())
         self.assertIsNone(self.lease.fence())
 
+    def test_a_new_token_behind_a_refused_one_waits_as_well(self) -> None:
+        # Whoever an engine has obeyed meanwhile may have ordered a moment ago.
+        self.assertEqual(self.lease.fence(), 0)
+        self.lease.refused(0)
+        first = self.due()
+        self.answer(first, Unknown())
+        self.read()
+        second = self.due()
+        self.log(first.claim, first.at)
+        self.answer(second, ConditionFailed(self.end))
+        self.read()
+        self.assertIsNone(self.lease.fence())
+
 
 if __name__ == "__main__":
     unittest.main()
