A token that has not begun to count has no term

Seen: in a test of one lease, an instance whose token an engine had refused ordered under its next one at once, where 3 s are due. Cause: the claim behind the refused token was done late and found by a read, which kept the term of the old token; the wait was set only by the renewal behind it. Change: what is found under a token that does not count yet has no term.

--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -361,7 +361,8 @@
     def _take(self, claim: Claim, now: timedelta) -> None:
         if self._claim is not None and claim.offset <= self._claim.offset:
             return
-        if self._claim is None or not self._mine(claim):
+        if not self._mine(claim) or claim.token != self._begun_token:
+            # A token that does not count yet has no term, and may have to wait.
             self._renewed_at = None
         self._claim = claim
         self._known_since = now
