--- a/packages/ashhoist/src/ashhoist/control/engines.py
+++ b/packages/ashhoist/src/ashhoist/control/engines.py
@@ -19,9 +19,9 @@
 USUAL_AT_FIRST = timedelta(milliseconds=20)
 SMOOTHING = 0.2
 REPORT_PATIENCE = timedelta(milliseconds=700)
-UNSENT_KEPT = timedelta(milliseconds=500)
-"""How long an order may be on its way: a successor waits so long from the last moment
-in which this instance may order."""
+UNSENT_KEPT = timedelta(milliseconds=300)
+"""How long the system may try to send an order: a successor orders half a second behind
+the last moment in which this instance may, and the system ends such a try late."""
 
 
 @dataclass(frozen=True, slots=True)
