Failing tests: what was seen of an upstream's end is lost when an older record is read back

Callers of a request that crashes upstreams: after its third one had ended, the instance that saw it sent the request on once more.

Cause, by the first test: an instance writes one record an upstream, and goes on adding to what it knows of it; when the record of the first write is read back it takes the place of all of that. The second test is the same mix-up read off the code, not seen in a run.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -76,6 +76,35 @@
         self.log.write(self.quarantine.to_write(seen))
         self.assertTrue(self.quarantine.holds("bad"))
 
+    def test_a_record_read_back_leaves_what_was_seen_since(self) -> None:
+        # An upstream broke off under several requests, and the first of them was
+        # written while the others were still noticed. The record, read back, replaced
+        # all that the instance knew of this upstream. So a request that had just ended
+        # its third upstream was let go and sent once more, and a fourth one ended:
+        #   11.928 "request quarantined"
+        #   11.956 "request released"
+        #   13.693 "attempt ended", send 4, "answer_cut"
+        for life in ("a", "b"):
+            self.log.write(crash(life, "bad", instance="two"))
+        first = crash("c", "good")
+        self.quarantine.seen(first)
+        written = self.quarantine.to_write(first)
+        self.quarantine.seen(crash("c", "bad"))
+        self.assertTrue(self.quarantine.holds("bad"))
+        self.log.write(written)
+        self.assertTrue(self.quarantine.holds("bad"))
+
+    def test_a_whole_answer_leaves_what_was_seen_since(self) -> None:
+        # The same mix-up the other way round: what was seen of an upstream took the
+        # place on the log of an older record of that upstream, so that a whole answer
+        # in between seemed to clear it.
+        self.log.write(crash("c", "good"))
+        self.log.write(Whole("bad"))
+        for life in ("a", "b"):
+            self.log.write(crash(life, "bad", instance="two"))
+        self.quarantine.seen(crash("c", "bad"))
+        self.assertTrue(self.quarantine.holds("bad"))
+
     def test_requests_cut_by_the_same_life_are_told_together(self) -> None:
         for request in ("one", "two"):
             seen = crash("a", request)
