What was seen of an upstream's end outlives older records of it

Callers of a request that crashes upstreams saw it sent on once more, and a fourth upstream end, by the very instance that had just held the request back for its third (it logs 'request quarantined' and 28 to 105 ms later 'request released').

Cause: the quarantine kept one entry for each upstream and instance, for what stands on the log and what was seen since alike. The record of the first write, read back, took the place of both; a whole answer and a whole list of the log cleared both. Now an entry names the requests that its record lacks; only a record that holds them, or the end of the time for which a crash counts, ends that. What is written and when is unchanged.

Ruled out: a whole answer (none was written) and the time for which a crash counts (10 min).

--- a/packages/ashhoist/src/ashhoist/quarantine/crashes.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/crashes.py
@@ -38,6 +38,10 @@
         """Return its key on the log; what an instance sees later replaces it."""
         return _key("crash", self.life, self.instance)
 
+    def adding(self, requests: frozenset[str]) -> "Crash":
+        """Return it with further requests."""
+        return Crash(self.life, self.instance, self.requests | requests)
+
     def encode(self) -> bytes:
         """Return the record's value."""
         requests = sorted(self.requests)[:MOST_REQUESTS]
--- a/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
@@ -19,21 +19,33 @@
 WINDOW = timedelta(minutes=10)
 """How long a crash counts. When the oldest is forgotten, the request may run once more;
 if that upstream ends too, the request is held back again at once."""
+NONE: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
 class _Entry:
-    """One record, or what this instance has seen and not written yet.
+    """One record, and what this instance has seen since it was written.
 
     Parameters
     ----------
+    crash : Crash
+        Both together.
     offset : int or None
         None while it does not stand on the log.
+    unwritten : frozenset of str
+        The requests that the record at `offset` lacks.
     """
 
     crash: Crash
     offset: int | None
     since: timedelta
+    unwritten: frozenset[str] = NONE
+
+    def counts(self, request: str, cleared: int) -> bool:
+        """Return whether it counts against a request that was cleared at an offset."""
+        if self.offset is None or request in self.unwritten:
+            return True
+        return self.offset > cleared
 
 
 class Quarantine:
@@ -83,11 +95,11 @@
         """
         known = self._by_key.get(crash.key)
         if known is None:
-            self._put(crash, None)
+            self._put(crash, None, crash.requests)
             return
         fresh = crash.requests - known.crash.requests
-        requests = known.crash.requests | fresh
-        known.crash = Crash(crash.life, crash.instance, requests)
+        known.crash = known.crash.adding(fresh)
+        known.unwritten |= fresh
         self._link(crash.key, fresh)
 
     def to_write(self, crash: Crash) -> Crash:
@@ -116,7 +128,9 @@
         known = self._by_key.get(key)
         if known is not None and known.offset is not None and known.offset >= offset:
             return False
-        self._put(said, offset)
+        # Else a request that was just seen to crash its third upstream is let go again.
+        unwritten = NONE if known is None else known.unwritten - said.requests
+        self._put(said.adding(unwritten), offset, unwritten)
         return True
 
     def keep_only(self, listed: set[str], end: int) -> None:
@@ -125,6 +139,9 @@
             if key in listed or entry.offset is None or entry.offset >= end:
                 continue
             self._drop(key)
+            if entry.unwritten:
+                crash = Crash(entry.crash.life, entry.crash.instance, entry.unwritten)
+                self._put(crash, None, entry.unwritten)
 
     def expired(self) -> list[str]:
         """Return the keys that no longer count, crashes before whole answers.
@@ -136,12 +153,12 @@
         found += [key for key, (_, at) in self._whole_by_key.items() if at <= oldest]
         return found
 
-    def _put(self, crash: Crash, offset: int | None) -> None:
+    def _put(self, crash: Crash, offset: int | None, unwritten: frozenset[str]) -> None:
         known = self._by_key.get(crash.key)
         since = self._clock.monotonic() if known is None else known.since
         if known is not None:
             self._forget(crash.key, known)
-        self._by_key[crash.key] = _Entry(crash, offset, since)
+        self._by_key[crash.key] = _Entry(crash, offset, since, unwritten)
         self._link(crash.key, crash.requests)
 
     def _link(self, key: str, requests: frozenset[str]) -> None:
@@ -187,7 +204,7 @@
         found: dict[str, timedelta] = {}
         for key in self._keys_by_request.get(request, ()):
             entry = self._by_key[key]
-            if entry.offset is not None and entry.offset <= cleared:
+            if not entry.counts(request, cleared):
                 continue
             life = entry.crash.life
             found[life] = min(found.get(life, entry.since), entry.since)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -105,6 +105,18 @@
         self.quarantine.seen(crash("c", "bad"))
         self.assertTrue(self.quarantine.holds("bad"))
 
+    def test_a_whole_list_leaves_what_was_seen_since(self) -> None:
+        # A list of the log that lacks an older record of an upstream says nothing of
+        # what was seen of that upstream later.
+        self.log.write(crash("c", "good"))
+        for life in ("a", "b"):
+            self.log.write(crash(life, "bad", instance="two"))
+        self.quarantine.seen(crash("c", "bad"))
+        listed = {crash(life, "bad", instance="two").key for life in ("a", "b")}
+        self.quarantine.keep_only(listed, self.log.end)
+        self.assertTrue(self.quarantine.holds("bad"))
+        self.assertFalse(self.quarantine.is_suspect("good"))
+
     def test_requests_cut_by_the_same_life_are_told_together(self) -> None:
         for request in ("one", "two"):
             seen = crash("a", request)
