Crashes that hold a request back are written at once, beside the two calls a second

Seen: an instance that started within half a second of the third crash read two of them, was ready, and sent the request on. Cause: the third waited for the next batch. Change: where what an instance has not written makes a request held back, its call does not wait for the batch's turn; two further calls a second at most.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -438,8 +438,8 @@
             self.agent.tell_uses()
         if self.quotas.take_news():
             self._beats.send_all(self.leader)
-        self.crashes.step()
         self.crashes.note_held()
+        self.crashes.step()
         self.scheduling.plan(by_time=False)
 
     def tick(self) -> None:
--- a/packages/ashhoist/src/ashhoist/control/crash_reports.py
+++ b/packages/ashhoist/src/ashhoist/control/crash_reports.py
@@ -28,6 +28,10 @@
 which a request has to be held back."""
 CALLS_AT_ONCE = 2.0
 """What is seen while the first call is under way goes with a second one."""
+HELD_CALLS_A_SECOND = 2.0
+"""Further calls, for crashes that hold a request back: whoever starts reads the log
+at once, and would send the request on if they waited behind others."""
+HELD_CALLS_AT_ONCE = 2.0
 MOST_BYTES = 1_000_000
 """In one call: half of what the log takes."""
 MOST_UNWRITTEN = 1024
@@ -73,6 +77,13 @@
         self._calls = Bucket(
             CALLS_A_SECOND, CALLS_AT_ONCE, CALLS_AT_ONCE, clock.monotonic()
         )
+        self._held_calls = Bucket(
+            HELD_CALLS_A_SECOND,
+            HELD_CALLS_AT_ONCE,
+            HELD_CALLS_AT_ONCE,
+            clock.monotonic(),
+        )
+        self._is_urgent = False
         self._retry_at = ZERO
         self._pause = FIRST_PAUSE
         self._prune_at = ZERO
@@ -118,11 +129,18 @@
         now = self._clock.monotonic()
         if self._writing is not None or now < self._retry_at:
             return
-        if not self._unwritten or not self._calls.take(1, now):
+        if not self._unwritten or not self._may_call(now):
             return
         self._writing = self._take()
+        self._is_urgent = self._is_urgent and bool(self._unwritten)
         self._outside.append_crashes(self._writing)
 
+    def _may_call(self, now: timedelta) -> bool:
+        """Return whether a call may be made now; it counts as made."""
+        if self._calls.take(1, now):
+            return True
+        return self._is_urgent and self._held_calls.take(1, now)
+
     def _take(self) -> dict[str, bytes]:
         """Take the oldest records that fit into one call."""
         taken: dict[str, bytes] = {}
@@ -196,12 +214,17 @@
         self.step()
 
     def note_held(self) -> None:
-        """Tell the operators which requests are held back, and which no longer."""
+        """Tell the operators which requests are held back, and which no longer.
+
+        What holds one back and is not written yet is written at once.
+        """
         held = self._quarantine.held
         if held == self._held:
             return
         for request in sorted(held - self._held):
             self._log.warning("request quarantined", fingerprint=request)
+            if self._quarantine.has_unwritten(request, self._own):
+                self._is_urgent = True
         for request in sorted(self._held - held):
             self._log.info("request released", fingerprint=request)
         self._metrics.gauge("quarantined_requests", len(held))
--- a/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
@@ -136,6 +136,14 @@
         found += [key for key, (_, at) in self._whole_by_key.items() if at <= oldest]
         return found
 
+    def has_unwritten(self, request: str, instance: str) -> bool:
+        """Return whether an instance saw a request cut, and has not written that."""
+        for key in self._keys_by_request.get(request, ()):
+            entry = self._by_key[key]
+            if entry.crash.instance == instance and entry.offset is None:
+                return True
+        return False
+
     def _put(self, crash: Crash, offset: int | None) -> None:
         known = self._by_key.get(crash.key)
         since = self._clock.monotonic() if known is None else known.since
