Failing test: a record that comes back from the log lets go a request that was held back

Cause, read off the code: a record replaces all that was known of its life at that instance, also what was seen since and waits to be written.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -97,6 +97,19 @@
         assert isinstance(said, Crash)
         self.assertEqual(said.requests, {"first", "second", "third"})
 
+    def test_an_older_record_of_its_own_does_not_let_a_request_go(self) -> None:
+        # Three upstreams had ended under the request; then the record of what was cut
+        # first at one of them came back from the log, and the request was free again
+        # until the next was written.
+        for life in ("a", "b"):
+            self.log.write(crash(life, "bad", instance="two"))
+        first = crash("c", "first")
+        self.quarantine.seen(first)
+        self.quarantine.seen(crash("c", "bad"))
+        self.assertTrue(self.quarantine.holds("bad"))
+        self.log.write(first)
+        self.assertTrue(self.quarantine.holds("bad"))
+
     def reports(self) -> tuple[CrashReports, list[tuple[str, bytes]]]:
         """Return what reports crashes of one instance, and what it writes."""
         written: list[tuple[str, bytes]] = []
