A record that comes back from the log keeps what was seen since and is not written yet

Seen: a request that three upstreams had ended under was free again for as long as its third crash waited to be written, once an older record of that life came back. Cause: a record replaced all that was known of a life at an instance. Change: what is not written yet is kept apart, and laid over the record. Ruled out: a newer record that brings back what was cleared; it is compared as before, and only what no record names is kept.

--- a/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
@@ -6,6 +6,7 @@
 have broken off under it; a whole answer clears it of all that came before.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -27,13 +28,18 @@
 
     Parameters
     ----------
+    crash : Crash
+        With all requests, written or not.
     offset : int or None
         None while it does not stand on the log.
+    unwritten : frozenset of str
+        Requests that were seen, and do not stand on the log yet.
     """
 
     crash: Crash
     offset: int | None
     since: timedelta
+    unwritten: frozenset[str]
 
 
 class Quarantine:
@@ -83,11 +89,12 @@
         """
         known = self._by_key.get(crash.key)
         if known is None:
-            self._put(crash, None)
+            self._put(crash, None, crash.requests)
             return
         fresh = crash.requests - known.crash.requests
         requests = known.crash.requests | fresh
         known.crash = Crash(crash.life, crash.instance, requests)
+        known.unwritten |= fresh
         self._link(crash.key, fresh)
 
     def to_write(self, crash: Crash) -> Crash:
@@ -116,7 +123,9 @@
         known = self._by_key.get(key)
         if known is not None and known.offset is not None and known.offset >= offset:
             return False
-        self._put(said, offset)
+        unwritten = frozenset() if known is None else known.unwritten - said.requests
+        crash = Crash(said.life, said.instance, said.requests | unwritten)
+        self._put(crash, offset, unwritten)
         return True
 
     def keep_only(self, listed: set[str], end: int) -> None:
@@ -140,16 +149,16 @@
         """Return whether an instance saw a request cut, and has not written that."""
         for key in self._keys_by_request.get(request, ()):
             entry = self._by_key[key]
-            if entry.crash.instance == instance and entry.offset is None:
+            if entry.crash.instance == instance and request in entry.unwritten:
                 return True
         return False
 
-    def _put(self, crash: Crash, offset: int | None) -> None:
+    def _put(self, crash: Crash, offset: int | None, unwritten: frozenset[str]) -> None:
         known = self._by_key.get(crash.key)
         since = self._clock.monotonic() if known is None else known.since
         if known is not None:
             self._forget(crash.key, known)
-        self._by_key[crash.key] = _Entry(crash, offset, since)
+        self._by_key[crash.key] = _Entry(crash, offset, since, unwritten)
         self._link(crash.key, crash.requests)
 
     def _link(self, key: str, requests: frozenset[str]) -> None:
@@ -191,16 +200,23 @@
 
         Each with the moment at which that was learnt.
         """
-        cleared, _ = self._whole_by_key.get(Whole(request).key, (-1, ZERO))
         found: dict[str, timedelta] = {}
-        for key in self._keys_by_request.get(request, ()):
-            entry = self._by_key[key]
-            if entry.offset is not None and entry.offset <= cleared:
-                continue
+        for entry in self._counting(request):
             life = entry.crash.life
             found[life] = min(found.get(life, entry.since), entry.since)
         return found
 
+    def _counting(self, request: str) -> Iterator[_Entry]:
+        """Iterate over the crashes of a request that no whole answer has cleared."""
+        cleared, _ = self._whole_by_key.get(Whole(request).key, (-1, ZERO))
+        for key in self._keys_by_request.get(request, ()):
+            entry = self._by_key[key]
+            if entry.offset is None or request in entry.unwritten:
+                yield entry
+                continue
+            if entry.offset > cleared:
+                yield entry
+
     def _judge(self, request: str) -> None:
         """Hold a request back, or let it go."""
         lives = self._lives(request)
