Failing tests: links tell a newcomer nothing of crashes that are not written

Cause, read off the code: crashes reach others by the log alone; a greeting tells leaving upstreams and offsets, and no crash. Listed as known.

--- a/tests/test_crashes_told.py
+++ b/tests/test_crashes_told.py
@@ -7,6 +7,8 @@
 
     node-1  503 crashes_upstreams
     node-2  502 answer_cut
+
+Where the log was away it went on so until the log returned: links told nothing of it.
 """
 
 import unittest
@@ -14,11 +16,17 @@
 from ashhoist.quarantine import CRASHES
 
 from .control_world import World
-from .test_many_crashes import cut, holding
+from .test_many_crashes import cut, everybody, holding
 
 UP_S = 6.0
 BETWEEN_TRIES_S = 0.03
 READY_S = 1.5
+TOLD_S = 0.1
+"""A moment: links take a millisecond or two, and hubs pass on at once."""
+MANY = 24
+"""Instances: more than link to each other, so that hubs pass on what they hear."""
+LONG_CUT_S = 8.0
+"""So long that the others have given its links up."""
 
 
 def running(instances: int, zones: int = 1) -> World:
@@ -50,6 +58,35 @@
 
 
 class StartsTests(unittest.TestCase):
+    def start_beside(self, instances: int, zones: int = 1, away: bool = False) -> bool:
+        """Start the last instance right after the first has seen three crashes.
+
+        Parameters
+        ----------
+        away : bool
+            Whether the log is.
+        """
+        world = running(instances, zones)
+        late = f"instance-{instances - 1}"
+        world.kill(late)
+        world.run(1.0)
+        world.store.is_down = away
+        cut_often(world, f"instance-{instances - 2}")
+        return holds_when_ready(world, late)
+
+    def test_one_of_two_knows_what_the_other_has_just_seen(self) -> None:
+        self.assertTrue(self.start_beside(2))
+
+    def test_one_of_a_mesh_and_of_many_know_it(self) -> None:
+        for instances, zones in ((7, 1), (MANY, 3)):
+            with self.subTest(instances):
+                self.assertTrue(self.start_beside(instances, zones))
+
+    def test_they_know_it_while_the_log_is_away(self) -> None:
+        for instances, zones in ((2, 1), (7, 1), (MANY, 3)):
+            with self.subTest(instances):
+                self.assertTrue(self.start_beside(instances, zones, away=True))
+
     def test_it_is_on_the_log_at_once_for_one_that_has_no_links(self) -> None:
         world = running(2)
         world.kill("instance-1")
@@ -58,6 +95,26 @@
         world.machines["instance-1"].links_cut = True
         self.assertTrue(holds_when_ready(world, "instance-1"))
 
+    def test_one_that_nobody_greets_is_ready_all_the_same(self) -> None:
+        world = running(7)
+        for name in everybody(world):
+            world.kill(name)
+        world.start("instance-0")
+        self.assertTrue(world.run(READY_S, lambda: is_ready(world, "instance-0")))
+
+
+class LinkedTests(unittest.TestCase):
+    def test_what_two_have_seen_counts_together_once_they_are_linked(self) -> None:
+        world = running(3)
+        world.store.is_down = True
+        world.machines["instance-2"].links_cut = True
+        world.run(LONG_CUT_S)
+        cut_often(world, "instance-0", 2)
+        cut_often(world, "instance-2", 1)
+        self.assertEqual(holding(world), [])
+        world.machines["instance-2"].links_cut = False
+        self.assertTrue(world.run(5.0, lambda: "instance-2" in holding(world)))
+
 
 if __name__ == "__main__":
     unittest.main()
