--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -174,6 +174,24 @@
         cut_off.links_cut = False
         self.assertTrue(world.run(10.0, lambda: not self.still_sending(world)))
 
+    def test_one_that_starts_is_told_before_it_is_ready(self) -> None:
+        # It read the log, which said nothing of it, and was ready before it had a link.
+        for machines, zones in ((3, 1), (MANY, 3)):
+            with self.subTest(machines):
+                world = self.start(machines, zones)
+                late = f"instance-{machines - 1}"
+                world.kill(late)
+                self.notice(world, "instance-0")
+                world.run(SOON)
+                world.start(late)
+                machine = world.machines[late]
+                self.assertTrue(
+                    world.run(
+                        SOON, lambda m=machine: m.core is not None and m.core.ready
+                    )
+                )
+                self.assertEqual(self.still_sending(world), [])
+
     def test_an_engine_that_says_so_in_a_report_leaves_too(self) -> None:
         world = self.start(3)
         [leader] = world.leaders()
