--- a/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
@@ -6,6 +6,7 @@
 have broken off under it; a whole answer clears it of all that came before.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -19,21 +20,33 @@
 WINDOW = timedelta(minutes=10)
 """How long a crash counts. When the oldest is forgotten, the request may run once more;
 if that upstream ends too, the request is held back again at once."""
+NONE: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
 class _Entry:
-    """One record, or what this instance has seen and not written yet.
+    """One record, and what this instance has seen since it was written.
 
     Parameters
     ----------
+    crash : Crash
+        With all requests, written or not.
     offset : int or None
         None while it does not stand on the log.
+    unwritten : frozenset of str
+        Requests that were seen, or told, and do not stand on the log yet.
     """
 
     crash: Crash
     offset: int | None
     since: timedelta
+    unwritten: frozenset[str] = NONE
+
+    def counts(self, request: str, cleared: int) -> bool:
+        """Return whether it counts against a request that was cleared at an offset."""
+        if self.offset is None or request in self.unwritten:
+            return True
+        return self.offset > cleared
 
 
 class Quarantine:
@@ -77,17 +90,17 @@
     # What happened
 
     def seen(self, crash: Crash) -> None:
-        """Take in what this instance has seen, and not written yet.
+        """Take in what this instance has seen, or was told, that is not written yet.
 
         Only what is new is looked at: an upstream breaks off a whole batch at once.
         """
         known = self._by_key.get(crash.key)
         if known is None:
-            self._put(crash, None)
+            self._put(crash, None, crash.requests)
             return
         fresh = crash.requests - known.crash.requests
-        requests = known.crash.requests | fresh
-        known.crash = Crash(crash.life, crash.instance, requests)
+        known.crash = known.crash.adding(fresh)
+        known.unwritten |= fresh
         self._link(crash.key, fresh)
 
     def to_write(self, crash: Crash) -> Crash:
@@ -116,7 +129,9 @@
         known = self._by_key.get(key)
         if known is not None and known.offset is not None and known.offset >= offset:
             return False
-        self._put(said, offset)
+        # Else a request that was just seen to crash its third upstream is let go again.
+        unwritten = NONE if known is None else known.unwritten - said.requests
+        self._put(said.adding(unwritten), offset, unwritten)
         return True
 
     def keep_only(self, listed: set[str], end: int) -> None:
@@ -125,6 +140,9 @@
             if key in listed or entry.offset is None or entry.offset >= end:
                 continue
             self._drop(key)
+            if entry.unwritten:
+                crash = Crash(entry.crash.life, entry.crash.instance, entry.unwritten)
+                self._put(crash, None, entry.unwritten)
 
     def expired(self) -> list[str]:
         """Return the keys that no longer count, crashes before whole answers.
@@ -136,12 +154,59 @@
         found += [key for key, (_, at) in self._whole_by_key.items() if at <= oldest]
         return found
 
-    def _put(self, crash: Crash, offset: int | None) -> None:
+    def forget_unwritten(self) -> None:
+        """Forget what is too old to count and never came to stand on the log.
+
+        Nobody drops it there, so a request would be held back for ever.
+        """
+        oldest = self._clock.monotonic() - WINDOW
+        for key, entry in list(self._by_key.items()):
+            if entry.offset is None and entry.since <= oldest:
+                self._forget(key, entry)
+
+    # What other instances are told
+
+    def unwritten(self, instance: str) -> list[Crash]:
+        """Return what an instance has seen and not written, the newest first."""
+        return [
+            Crash(entry.crash.life, instance, entry.unwritten)
+            for entry in reversed(self._by_key.values())
+            if entry.unwritten and entry.crash.instance == instance
+        ]
+
+    def has_unwritten(self, request: str, instance: str) -> bool:
+        """Return whether an instance saw a request cut, and has not written that."""
+        for key in self._keys_by_request.get(request, ()):
+            entry = self._by_key[key]
+            if entry.crash.instance == instance and request in entry.unwritten:
+                return True
+        return False
+
+    def held_unwritten(self) -> list[str]:
+        """Return the requests held back for something that is not written."""
+        unwritten: set[str] = set()
+        for entry in self._by_key.values():
+            unwritten |= entry.unwritten
+        return sorted(unwritten & self._held.keys())
+
+    def behind(self, requests: list[str]) -> list[Crash]:
+        """Return the crashes that count against requests, written or not."""
+        found: dict[tuple[str, str], set[str]] = {}
+        for request in requests:
+            for entry in self._counting(request):
+                key = (entry.crash.life, entry.crash.instance)
+                found.setdefault(key, set()).add(request)
+        return [
+            Crash(life, instance, frozenset(cut))
+            for (life, instance), cut in found.items()
+        ]
+
+    def _put(self, crash: Crash, offset: int | None, unwritten: frozenset[str]) -> None:
         known = self._by_key.get(crash.key)
         since = self._clock.monotonic() if known is None else known.since
         if known is not None:
             self._forget(crash.key, known)
-        self._by_key[crash.key] = _Entry(crash, offset, since)
+        self._by_key[crash.key] = _Entry(crash, offset, since, unwritten)
         self._link(crash.key, crash.requests)
 
     def _link(self, key: str, requests: frozenset[str]) -> None:
@@ -183,16 +248,20 @@
 
         Each with the moment at which that was learnt.
         """
-        cleared, _ = self._whole_by_key.get(Whole(request).key, (-1, ZERO))
         found: dict[str, timedelta] = {}
-        for key in self._keys_by_request.get(request, ()):
-            entry = self._by_key[key]
-            if entry.offset is not None and entry.offset <= cleared:
-                continue
+        for entry in self._counting(request):
             life = entry.crash.life
             found[life] = min(found.get(life, entry.since), entry.since)
         return found
 
+    def _counting(self, request: str) -> Iterator[_Entry]:
+        """Iterate over the crashes of a request that no whole answer has cleared."""
+        cleared, _ = self._whole_by_key.get(Whole(request).key, (-1, ZERO))
+        for key in self._keys_by_request.get(request, ()):
+            entry = self._by_key[key]
+            if entry.counts(request, cleared):
+                yield entry
+
     def _judge(self, request: str) -> None:
         """Hold a request back, or let it go."""
         lives = self._lives(request)
