--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -48,12 +48,11 @@
 from .quotas import Quotas
 from .readers import MILLISECOND, FirstRead, Readers
 from .records import Decode, SharedRecords
+from .release import Release
 from .scheduling import Scheduling
 
 LOOK_AFTER_PEERS_EVERY = timedelta(milliseconds=500)
 """How often links that are silent, or not needed, are looked for."""
-LAST_ORDERS = timedelta(milliseconds=600)
-"""How long a planned stop waits for answers to its last orders."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,7 +198,7 @@
         self._election = Election(settings.name, self.peers, self._hubs, clock)
         self.leader: str | None = None
         self.stopping = False
-        self._release_at: timedelta | None = None
+        self._release = Release(self.desk, self.leases, clock)
         self._first_read = FirstRead(self._hubs, clock)
         self._readers = Readers(settings.name, self.peers, self._hubs, clock)
         self.reads_itself = False
@@ -224,7 +223,7 @@
     @property
     def settled(self) -> bool:
         """Return whether a planned stop has handed everything over."""
-        return self.stopping and self._release_at is None and not self.leases.held
+        return self.stopping and not self._release.pending and not self.leases.held
 
     # Start and stop
 
@@ -235,10 +234,8 @@
 
     def stop(self) -> None:
         """Begin a planned stop."""
-        now = self._clock.monotonic()
         self.stopping = True
-        self.leases.rest()
-        self._release_at = now + LAST_ORDERS
+        self._release.begin()
         self.outside.unregister()
         self._beats.send_all(self.leader)
 
@@ -451,7 +448,7 @@
             self.membership.register_if_due()
         self._read_first()
         self.records.tick()
-        self._release_when_quiet(now)
+        self._release.step()
         self._elect()
         self._choose_to_read()
         self.proofs.keep(self.leader)
@@ -475,15 +472,6 @@
         event = "reads the log" if reads else "leaves the log to others"
         self._log.info(event, leader=self.leader)
 
-    def _release_when_quiet(self, now: timedelta) -> None:
-        """Hand the lease over once no order of this instance is under way."""
-        if self._release_at is None:
-            return
-        if not self.desk.quiet and now < self._release_at:
-            return
-        self._release_at = None
-        self.leases.stop()
-
     def _look_after_peers(self, now: timedelta) -> None:
         for peer in self.peers.silent(now):
             self._log.info("instance silent", peer=peer)
