--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -31,6 +31,7 @@
 from . import inbox, messages
 from .agent import Agent
 from .beats import Beats
+from .crash_notices import CrashNotices
 from .crash_reports import CrashReports
 from .departures import Departures
 from .election import Election
@@ -45,14 +46,13 @@
 from .peers import InstanceRecord, Peers
 from .proofs import MICROSECOND, Proofs
 from .quotas import Quotas
-from .readers import FirstRead, Readers
+from .readers import MILLISECOND, FirstRead, Readers
 from .records import Decode, SharedRecords
+from .release import Release
 from .scheduling import Scheduling
 
 LOOK_AFTER_PEERS_EVERY = timedelta(milliseconds=500)
 """How often links that are silent, or not needed, are looked for."""
-LAST_ORDERS = timedelta(milliseconds=600)
-"""How long a planned stop waits for answers to its last orders."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +137,7 @@
             log,
         )
         self.desk = OrderDesk(
-            settings.name, holder, self.leases, self.peers, outside, clock
+            settings.name, holder, self.leases, self.peers, outside, clock, log
         )
         self.scheduling = Scheduling(
             self.desk.reaches,
@@ -175,6 +175,9 @@
             clock,
             log,
         )
+        self.crash_notices = CrashNotices(
+            settings.name, quarantine, self.peers, self._hubs, self._tell
+        )
         self.crashes = CrashReports(
             settings.name,
             quarantine,
@@ -195,7 +198,7 @@
         self._election = Election(settings.name, self.peers, self._hubs, clock)
         self.leader: str | None = None
         self.stopping = False
-        self._release_at: timedelta | None = None
+        self._release = Release(self.desk, self.leases, clock)
         self._first_read = FirstRead(self._hubs, clock)
         self._readers = Readers(settings.name, self.peers, self._hubs, clock)
         self.reads_itself = False
@@ -220,7 +223,7 @@
     @property
     def settled(self) -> bool:
         """Return whether a planned stop has handed everything over."""
-        return self.stopping and self._release_at is None and not self.leases.held
+        return self.stopping and not self._release.pending and not self.leases.held
 
     # Start and stop
 
@@ -231,10 +234,8 @@
 
     def stop(self) -> None:
         """Begin a planned stop."""
-        now = self._clock.monotonic()
         self.stopping = True
-        self.leases.rest()
-        self._release_at = now + LAST_ORDERS
+        self._release.begin()
         self.outside.unregister()
         self._beats.send_all(self.leader)
 
@@ -253,9 +254,16 @@
     def _informed(self) -> bool:
         """Return whether this instance knows enough to serve."""
         needed = self._in_force.table is not None and self.records.knows_all
-        crashes = self.records.knowledge.is_whole(Topic.CRASHES)
+        crashes = self.records.knows_latest(Topic.CRASHES) and self._was_greeted
         return self._first_read.suffices(needed, crashes)
 
+    @property
+    def _was_greeted(self) -> bool:
+        """Return whether another instance has told what the log may not say yet."""
+        if self.membership.knows_others and not self.peers.by_name:
+            return True
+        return any(peer.beat is not None for peer in self.peers.by_name.values())
+
     # What the log says
 
     def followed(self, followed: Followed) -> None:
@@ -313,8 +321,10 @@
         self.peers.up(peer, now)
         self._log.info("instance linked", peer=peer)
         self.membership.introduce(peer)
-        self._beats.greet(peer, self.leader)
         self.departures.greet(peer)
+        self.crash_notices.greet(peer)
+        # Its first beat tells that all the rest was told before.
+        self._beats.greet(peer, self.leader)
         self.membership.relink()
 
     def peer_down(self, peer: str) -> None:
@@ -400,18 +410,7 @@
 
     def order_answered(self, order: Order, answer: OrderAnswer) -> None:
         """Take in how an order ended."""
-        self.desk.ended()
-        if answer in (OrderAnswer.UNKNOWN, OrderAnswer.NOT_SENT):
-            self._log.warning(
-                "order without answer",
-                upstream=order.upstream,
-                zone=order.zone,
-                number=order.number,
-                origin=order.origin,
-                token=order.fence,
-                token_now=self.leases.fence(order.zone),
-                answer=answer,
-            )
+        self.desk.ended(order, answer)
         if answer is OrderAnswer.FENCED:
             self.leases.order_fenced(order.zone, order.fence)
         if order.origin == self._settings.name:
@@ -438,8 +437,8 @@
             self.agent.tell_uses()
         if self.quotas.take_news():
             self._beats.send_all(self.leader)
+        self.crash_notices.tell_held(self.crashes.note_held())
         self.crashes.step()
-        self.crashes.note_held()
         self.scheduling.plan(by_time=False)
 
     def tick(self) -> None:
@@ -449,7 +448,7 @@
             self.membership.register_if_due()
         self._read_first()
         self.records.tick()
-        self._release_when_quiet(now)
+        self._release.step()
         self._elect()
         self._choose_to_read()
         self.proofs.keep(self.leader)
@@ -473,15 +472,6 @@
         event = "reads the log" if reads else "leaves the log to others"
         self._log.info(event, leader=self.leader)
 
-    def _release_when_quiet(self, now: timedelta) -> None:
-        """Hand the lease over once no order of this instance is under way."""
-        if self._release_at is None:
-            return
-        if not self.desk.quiet and now < self._release_at:
-            return
-        self._release_at = None
-        self.leases.stop()
-
     def _look_after_peers(self, now: timedelta) -> None:
         for peer in self.peers.silent(now):
             self._log.info("instance silent", peer=peer)
@@ -494,7 +484,7 @@
     def _make_beat(self, every: timedelta, claims: list[Claim]) -> messages.Beat:
         return messages.Beat(
             self.stopping,
-            self.records.reads_log,
+            self.records.reads_for // MILLISECOND,
             self.scheduling.leads,
             self.scheduling.epoch,
             self._in_force.version,
--- a/packages/ashhoist/src/ashhoist/control/engines.py
+++ b/packages/ashhoist/src/ashhoist/control/engines.py
@@ -19,6 +19,9 @@
 USUAL_AT_FIRST = timedelta(milliseconds=20)
 SMOOTHING = 0.2
 REPORT_PATIENCE = timedelta(milliseconds=700)
+UNSENT_KEPT = timedelta(milliseconds=300)
+"""How long the system may try to send an order: a successor orders half a second behind
+the last moment in which this instance may, and the system ends such a try late."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,8 +100,12 @@
 
 
 def order_client(address: str, loop: Loop) -> Client:
-    """Return a client for orders to one engine."""
-    return Client(address, loop)
+    """Return a client for orders to one engine.
+
+    What the system still holds of an order when this process ends, or stands still,
+    must not arrive behind the first orders of a successor.
+    """
+    return Client(address, loop, UNSENT_KEPT)
 
 
 class EngineControl:
--- a/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
@@ -6,6 +6,7 @@
 have broken off under it; a whole answer clears it of all that came before.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -29,11 +30,11 @@
     Parameters
     ----------
     crash : Crash
-        Both together.
+        With all requests, written or not.
     offset : int or None
         None while it does not stand on the log.
     unwritten : frozenset of str
-        The requests that the record at `offset` lacks.
+        Requests that were seen, or told, and do not stand on the log yet.
     """
 
     crash: Crash
@@ -89,7 +90,7 @@
     # What happened
 
     def seen(self, crash: Crash) -> None:
-        """Take in what this instance has seen, and not written yet.
+        """Take in what this instance has seen, or was told, that is not written yet.
 
         Only what is new is looked at: an upstream breaks off a whole batch at once.
         """
@@ -153,6 +154,53 @@
         found += [key for key, (_, at) in self._whole_by_key.items() if at <= oldest]
         return found
 
+    def forget_unwritten(self) -> None:
+        """Forget what is too old to count and never came to stand on the log.
+
+        Nobody drops it there, so a request would be held back for ever.
+        """
+        oldest = self._clock.monotonic() - WINDOW
+        for key, entry in list(self._by_key.items()):
+            if entry.offset is None and entry.since <= oldest:
+                self._forget(key, entry)
+
+    # What other instances are told
+
+    def unwritten(self, instance: str) -> list[Crash]:
+        """Return what an instance has seen and not written, the newest first."""
+        return [
+            Crash(entry.crash.life, instance, entry.unwritten)
+            for entry in reversed(self._by_key.values())
+            if entry.unwritten and entry.crash.instance == instance
+        ]
+
+    def has_unwritten(self, request: str, instance: str) -> bool:
+        """Return whether an instance saw a request cut, and has not written that."""
+        for key in self._keys_by_request.get(request, ()):
+            entry = self._by_key[key]
+            if entry.crash.instance == instance and request in entry.unwritten:
+                return True
+        return False
+
+    def held_unwritten(self) -> list[str]:
+        """Return the requests held back for something that is not written."""
+        unwritten: set[str] = set()
+        for entry in self._by_key.values():
+            unwritten |= entry.unwritten
+        return sorted(unwritten & self._held.keys())
+
+    def behind(self, requests: list[str]) -> list[Crash]:
+        """Return the crashes that count against requests, written or not."""
+        found: dict[tuple[str, str], set[str]] = {}
+        for request in requests:
+            for entry in self._counting(request):
+                key = (entry.crash.life, entry.crash.instance)
+                found.setdefault(key, set()).add(request)
+        return [
+            Crash(life, instance, frozenset(cut))
+            for (life, instance), cut in found.items()
+        ]
+
     def _put(self, crash: Crash, offset: int | None, unwritten: frozenset[str]) -> None:
         known = self._by_key.get(crash.key)
         since = self._clock.monotonic() if known is None else known.since
@@ -200,16 +248,20 @@
 
         Each with the moment at which that was learnt.
         """
-        cleared, _ = self._whole_by_key.get(Whole(request).key, (-1, ZERO))
         found: dict[str, timedelta] = {}
-        for key in self._keys_by_request.get(request, ()):
-            entry = self._by_key[key]
-            if not entry.counts(request, cleared):
-                continue
+        for entry in self._counting(request):
             life = entry.crash.life
             found[life] = min(found.get(life, entry.since), entry.since)
         return found
 
+    def _counting(self, request: str) -> Iterator[_Entry]:
+        """Iterate over the crashes of a request that no whole answer has cleared."""
+        cleared, _ = self._whole_by_key.get(Whole(request).key, (-1, ZERO))
+        for key in self._keys_by_request.get(request, ()):
+            entry = self._by_key[key]
+            if entry.counts(request, cleared):
+                yield entry
+
     def _judge(self, request: str) -> None:
         """Hold a request back, or let it go."""
         lives = self._lives(request)
