Tests that start processes keep their ports, and tell what a process wrote that is not ready

Seen: three times in some 300 runs of tests with real processes, with up to four suites on one machine, a process was not ready within 15 s (an instance that starts later 1 of 50; upstream notices 1 of a full run, 1 of 12 beside three copies). Suspected, not shown: ports were looked up and let go before the process had bound them, so another test could be given one; a process whose port is taken ends at once (a trial shows the same symptom). Change: a socket that does not listen holds each port for as long as the test runs; a process that is not ready fails the test with its output. Conclusion: kept; if it comes again, its output says why.

--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -23,9 +23,9 @@
     """One instance as the platform starts it."""
 
     def __init__(self, folder: Path, store: str, name: str) -> None:
-        ports = free_ports(4)
+        self._reserved = [reserve_port() for _ in range(4)]
         self.callers, self.readiness, self.instances, self.metrics = [
-            f"127.0.0.1:{port}" for port in ports
+            f"127.0.0.1:{held.getsockname()[1]}" for held in self._reserved
         ]
         self.settings = folder / f"{name}.ini"
         self.settings.write_text(self._text(name, store))
@@ -89,6 +89,8 @@
         if self.process.poll() is None:
             self.process.kill()
         out, _ = self.process.communicate(timeout=SOON)
+        for held in self._reserved:
+            held.close()
         return out.decode()
 
 
@@ -97,12 +99,17 @@
     return host, int(port)
 
 
-def free_ports(count: int) -> list[int]:
-    servers = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [server.getsockname()[1] for server in servers]
-    for server in servers:
-        server.close()
-    return ports
+def reserve_port() -> socket.socket:
+    """Return a socket that keeps a port for a process which this test starts.
+
+    A port that is only looked up is free until the process has started: another test
+    at the same time may be given it. This socket does not listen, so a process that
+    reuses addresses may.
+    """
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind(("127.0.0.1", 0))
+    return held
 
 
 class ProcessTestCase(unittest.TestCase):
@@ -119,7 +126,10 @@
     def start(self, name: str = "node-1") -> PlatformProcess:
         process = PlatformProcess(self.folder, self.store.address, name)
         self.addCleanup(process.end)
-        self.wait(lambda: process.get(process.readiness, "/api/ready")[0] == 200)
+        try:
+            self.wait(lambda: process.get(process.readiness, "/api/ready")[0] == 200)
+        except AssertionError as error:
+            raise AssertionError(f"{name} is not ready: {process.end()}") from error
         return process
 
     def wait(self, true: Callable[[], bool], seconds: float = SOON) -> None:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -3,6 +3,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -20,7 +21,11 @@
 
 from . import ROOT
 from .loops import new_loop
-from .platform_process import PlatformProcess, ProcessTestCase, free_ports
+from .platform_process import (
+    PlatformProcess,
+    ProcessTestCase,
+    reserve_port,
+)
 from .platform_stand_ins.worker import ModelWorker, PlainWorker
 from .test_platform import CONFIGURATION, MODEL, SOON
 
@@ -126,7 +131,10 @@
 
     def test_a_control_task_that_does_not_answer_is_not_settled(self) -> None:
         # It raised here before, and the process then hung past its limit.
-        addresses = [f"127.0.0.1:{port}" for port in free_ports(4)]
+        reserved = [reserve_port() for _ in range(4)]
+        for held in reserved:
+            self.addCleanup(held.close)
+        addresses = [f"127.0.0.1:{held.getsockname()[1]}" for held in reserved]
         fields = ("callers", "readiness", "instances", "metrics")
         text = "\n".join(
             [
@@ -230,5 +238,27 @@
 }
 
 
+class ReservedPortTests(unittest.TestCase):
+    """Ports of processes that tests start.
+
+    Of fifty runs beside others one failed, as its process was not ready in 15 s. Ports
+    were looked up and let go before; one that is taken ends a process at once. That it
+    was this is not shown: what the process wrote was not kept, as it is now.
+    """
+
+    def setUp(self) -> None:
+        self.held = reserve_port()
+        self.addCleanup(self.held.close)
+        self.address = self.held.getsockname()
+
+    def test_nobody_else_is_given_it(self) -> None:
+        with socket.socket() as other, self.assertRaises(OSError):
+            other.bind(self.address)
+
+    def test_a_process_that_reuses_addresses_listens_there(self) -> None:
+        with socket.create_server(self.address) as listening:
+            self.assertEqual(listening.getsockname(), self.address)
+
+
 if __name__ == "__main__":
     unittest.main()
