--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -117,6 +117,19 @@
         self.assertTrue(self.quarantine.holds("bad"))
         self.assertFalse(self.quarantine.is_suspect("good"))
 
+    def test_what_never_came_to_stand_on_the_log_is_forgotten(self) -> None:
+        # Nobody drops it from the log: whoever has seen it may have ended.
+        self.log.write(crash("a", "good"))
+        for life in ("a", "b", "c"):
+            self.quarantine.seen(crash(life, "bad", instance="two"))
+        self.clock.advance(WINDOW - STEP)
+        self.quarantine.forget_unwritten()
+        self.assertTrue(self.quarantine.holds("bad"))
+        self.clock.advance(STEP)
+        self.quarantine.forget_unwritten()
+        self.assertFalse(self.quarantine.holds("bad"))
+        self.assertTrue(self.quarantine.is_suspect("good"))
+
     def test_requests_cut_by_the_same_life_are_told_together(self) -> None:
         for request in ("one", "two"):
             seen = crash("a", request)
