Logs: which upstream a request went to last, and when an upstream names another limit

The log could not tell which of three causes lets requests past a named limit: no line said that an answer named one, nor which upstream a request went to that was served well.

--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -39,6 +39,8 @@
         The same for all tries, at whichever instance.
     upstream_life : str
         Names the life of the upstream that the present attempt goes to.
+    sent_to : str
+        The id of the upstream that the last attempt was sent to.
     use_id : str
         Names the present attempt to the holder of the lease.
     patience : timedelta or None
@@ -68,6 +70,7 @@
     first_try: bool = True
     fingerprint: str = ""
     upstream_life: str = ""
+    sent_to: str = ""
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
--- a/packages/ashhoist/src/ashhoist/requests/dialect.py
+++ b/packages/ashhoist/src/ashhoist/requests/dialect.py
@@ -44,6 +44,9 @@
         Tells upstreams the customer's name; only the system sets it.
     leaving, leaving_value : str
         Stand in the answers of an upstream that is going to end.
+    limit : str
+        In answers: the requests a second that the upstream takes from all instances
+        together.
     foreign : frozenset of str
         In lower case: further headers that a caller must not set.
     """
@@ -60,6 +63,7 @@
     retry_after: str = "Retry-After"
     leaving: str = "Ashhoist-Leaving"
     leaving_value: str = "1"
+    limit: str = "Ashhoist-Limit"
     expect_instance: str = "Ashhoist-Expect-Incarnation"
     expect_version: str = "Ashhoist-Expect-Version"
     urgency: str = "Ashhoist-Urgency"
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -232,6 +232,7 @@
             route=call.route.name,
             customer=call.customer_name,
             adapter=str(call.adapter or ""),
+            upstream=call.sent_to,
             status=ending.status,
             reason=ending.reason,
             sends=call.sends,
--- a/packages/ashhoist/src/ashhoist/requests/notices.py
+++ b/packages/ashhoist/src/ashhoist/requests/notices.py
@@ -1,7 +1,9 @@
 """What answers say of their upstreams, beside the requests that they answer."""
 
 import math
-from collections.abc import Callable
+import re
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
@@ -19,6 +21,19 @@
 """An answer of whoever has the address now, which need not be the upstream meant."""
 LONGEST_REST = timedelta(hours=1)
 """More than this is cut to it: a slip must not leave an upstream out for a day."""
+HIGHEST_LIMIT = 1e6
+"""Requests a second; whoever names more is not limited by it."""
+MOST_TOLD = 1024
+"""Upstreams whose limits are remembered for the log."""
+
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]+)?")
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableLimit:
+    """A limit that is no decimal number; it says nothing."""
+
+    text: str
 
 
 def says_it_leaves(dialect: Dialect, head: Head) -> bool:
@@ -41,6 +56,28 @@
     return timedelta(seconds=min(seconds, LONGEST_REST.total_seconds()))
 
 
+def limit_named(dialect: Dialect, head: Head) -> float | UnreadableLimit | None:
+    """Return the requests a second that an upstream takes; None if it names none.
+
+    Of several the smallest counts.
+    """
+    if head.status == MISDIRECTED:
+        return None
+    texts = list(_texts(head, dialect.limit.lower()))
+    if not texts:
+        return None
+    if not all(_DECIMAL.fullmatch(text) for text in texts):
+        return UnreadableLimit(", ".join(texts))
+    return min(HIGHEST_LIMIT, *map(float, texts))
+
+
+def _texts(head: Head, name: str) -> Iterator[str]:
+    """Yield the values of a header that may stand several times in a head."""
+    for header, value in head.headers:
+        if header.lower() == name:
+            yield from (part.strip() for part in value.split(","))
+
+
 class Notices:
     """Takes in what answers say of their upstreams.
 
@@ -63,12 +100,14 @@
         self._send = send
         self._metrics = metrics
         self._log = log
+        self._told: dict[str, float | UnreadableLimit | None] = {}
 
     def heard(self, call: Call, target: Target, head: Head) -> None:
         """Take in the head of an answer to `call`."""
         if says_it_leaves(self._dialect, head):
             self._metrics.count("notices", "leaves")
             self._send(UpstreamLeaves(target.upstream, call.upstream_life))
+        self._heard_limit(call, target, limit_named(self._dialect, head))
         rest = rest_wanted(self._dialect, head)
         if rest is None:
             return
@@ -81,3 +120,24 @@
             life=call.upstream_life,
             rest_ms=round(rest / timedelta(milliseconds=1)),
         )
+
+    def _heard_limit(
+        self, call: Call, target: Target, limit: float | UnreadableLimit | None
+    ) -> None:
+        """Log a limit that is another one than the last, or none any more."""
+        life = call.upstream_life
+        if self._told.get(life) == limit:
+            return
+        if len(self._told) >= MOST_TOLD:
+            del self._told[next(iter(self._told))]
+        self._told[life] = limit
+        unreadable = isinstance(limit, UnreadableLimit)
+        self._metrics.count("notices", "unreadable_limit" if unreadable else "limit")
+        self._log.info(
+            "upstream names another limit",
+            request=call.id,
+            upstream=target.upstream,
+            life=life,
+            per_second=limit.text if isinstance(limit, UnreadableLimit) else limit,
+            readable=not unreadable,
+        )
--- a/packages/ashhoist/src/ashhoist/requests/serving.py
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -187,6 +187,7 @@
     ) -> Steps[Result | WholeStream]:
         call.patience = self._patience(call, target)
         call.sends += 1
+        call.sent_to = target.upstream
         call.sent_at = self._clock.monotonic()
         call.tried.add(target.upstream)
         call.unrefused = True
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -24,7 +24,14 @@
 PLACE = re.compile(r"`([a-z_/]+\.py)` \(`(\w+)`\)")
 ROW = re.compile(r"^\| (.+?) \| (.+?) \| (.+) \|$")
 FOLDER = ROOT / "platform" / "ashhoist_platform"
-FROM_UPSTREAMS = ("request_id", "seal", "not_run", "retry_after", "leaving")
+FROM_UPSTREAMS = (
+    "request_id",
+    "seal",
+    "not_run",
+    "retry_after",
+    "leaving",
+    "limit",
+)
 """The fields of the dialect that stand in answers."""
 STORE_FIELDS = re.compile(r'(?:answer|item|loads\(reply\.body\))(?:\.get\(|\[)"(\w+)"')
 
