Logs: a header of answers that nothing reads is told of once

The second incident of one class: upstreams say something of themselves in a header, and nothing reads it. The test holds the known names against docs/peers.md, both ways.

--- a/packages/ashhoist/src/ashhoist/requests/dialect.py
+++ b/packages/ashhoist/src/ashhoist/requests/dialect.py
@@ -49,6 +49,8 @@
         together.
     foreign : frozenset of str
         In lower case: further headers that a caller must not set.
+    passed_on : frozenset of str
+        Headers of answers that are the caller's alone.
     """
 
     request_id: str = "Ashhoist-Request-Id"
@@ -70,6 +72,19 @@
     key: str = "Ashhoist-Key"
     customer: str = "Ashhoist-Customer"
     foreign: frozenset[str] = frozenset()
+    passed_on: frozenset[str] = frozenset()
+
+    def answer_headers(self) -> frozenset[str]:
+        """Return, in lower case, the headers of answers that are known of."""
+        read = {
+            self.request_id.lower(),
+            self.seal.lower(),
+            self.not_run.lower(),
+            self.retry_after.lower(),
+            self.leaving.lower(),
+            self.limit.lower(),
+        }
+        return frozenset(read | {name.lower() for name in self.passed_on})
 
     def own_headers(self) -> frozenset[str]:
         """Return, in lower case, the headers that only the system sets."""
--- a/packages/ashhoist/src/ashhoist/requests/notices.py
+++ b/packages/ashhoist/src/ashhoist/requests/notices.py
@@ -14,6 +14,7 @@
 from ..upstreams import Rests, UpstreamLeaves
 from .call import Call
 from .dialect import Dialect
+from .unread_headers import UnreadHeaders
 
 RESTING = 503
 """Elsewhere the header speaks of the request, not of the instance that sent it."""
@@ -100,10 +101,12 @@
         self._send = send
         self._metrics = metrics
         self._log = log
+        self._unread = UnreadHeaders(dialect, metrics, log)
         self._told: dict[str, float | UnreadableLimit | None] = {}
 
     def heard(self, call: Call, target: Target, head: Head) -> None:
         """Take in the head of an answer to `call`."""
+        self._unread.look_at(target.upstream, head)
         if says_it_leaves(self._dialect, head):
             self._metrics.count("notices", "leaves")
             self._send(UpstreamLeaves(target.upstream, call.upstream_life))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,12 +9,17 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
+from unittest import mock
 
 from ashhoist_platform import engines, records
 from ashhoist_platform.dialect import DIALECT
 from pydantic import BaseModel
 
+from ashhoist.http import Head
+from ashhoist.metrics import Metrics
 from ashhoist.requests import Dialect
+from ashhoist.requests.dialect import SINGLE_CONNECTION as CONNECTION
+from ashhoist.requests.unread_headers import COMMON, UnreadHeaders
 
 from .test_docs import DOCS, PRODUCT, ROOT
 
@@ -151,10 +156,24 @@
             "key",
             "customer",
             "foreign",
+            "passed_on",
         }
         fields = set(Dialect.__dataclass_fields__)
         self.assertEqual(fields - of_requests, set(FROM_UPSTREAMS))
 
+    def test_a_header_of_answers_without_a_row_is_told_of_in_the_log(self) -> None:
+        # A limit that upstreams named stood in no row, and nobody missed it.
+        told = {word.lower() for word in self.words("Upstreams: headers")}
+        self.assertLessEqual(DIALECT.answer_headers(), told)
+        common = {name.lower() for name in COMMON}
+        self.assertLessEqual(told, DIALECT.answer_headers() | common | CONNECTION)
+        log = mock.Mock()
+        unread = UnreadHeaders(DIALECT, Metrics(), log)
+        for name in (*told, "x-new", "x-new"):
+            unread.look_at("one", Head(200, [(name, "1")], {name: "1"}))
+        [line] = log.info.call_args_list
+        self.assertEqual(line.kwargs["name"], "x-new")
+
     def test_every_status_that_is_told_apart_has_its_row(self) -> None:
         told = self.words("Upstreams: statuses")
         self.assertLessEqual({str(status) for status in engines.ANSWERS}, told)
