Test: upstreams that name a limit get every request all the same; known to fail

Two processes of the product and four upstreams on loopback, on the code as it is: a plain upstream that named 1.2 requests a second got 20 in 34 ms (5 allowed), an engine 40 in 0.9 s (6 allowed).

--- a/tests/platform_stand_ins/worker.py
+++ b/tests/platform_stand_ins/worker.py
@@ -25,6 +25,8 @@
         What reports say of it; empty where they do not.
     rest : str
         Requests are turned away, and told to come back after so many seconds.
+    limit : str
+        What every answer names as its limit; empty where none does.
     arrived : int
         How many requests there were, those that were turned away included.
     """
@@ -33,11 +35,13 @@
         self.leaves = False
         self.state = ""
         self.rest = ""
+        self.limit = ""
         self.arrived = 0
 
     def headers(self) -> dict[str, str]:
         """Return what stands in every answer."""
-        return {"Server-Leaving": "1"} if self.leaves else {}
+        leaving = {"Server-Leaving": "1"} if self.leaves else {}
+        return leaving | ({"Server-Limit": self.limit} if self.limit else {})
 
     def turns_away(self, call: Call) -> bool:
         """Count a request; return whether it was turned away."""
