Rates: token buckets and the shares that are left to the leader are a package of their own

Customers' quotas are not the only rate that all instances keep together. Moved without a change of behaviour; quotas' tests pass, the broken variant of the share's time patches the constant where it stands now.

--- a/packages/ashhoist-bench/src/ashhoist_bench/quota_ways.py
+++ b/packages/ashhoist-bench/src/ashhoist_bench/quota_ways.py
@@ -17,8 +17,8 @@
 from datetime import timedelta
 from typing import Protocol
 
-from ashhoist.customers import Allowances, Bucket, Granter, Quota, QuotaBounds, Standing
-from ashhoist.customers.granter import LEFT_FOR
+from ashhoist.customers import Allowances, Granter, Quota, QuotaBounds, Standing
+from ashhoist.rates import LEFT_FOR, Bucket
 
 ZONES = 3
 LASTS_S = 40.0
--- a/packages/ashhoist/src/ashhoist/control/crash_reports.py
+++ b/packages/ashhoist/src/ashhoist/control/crash_reports.py
@@ -8,10 +8,10 @@
 from datetime import timedelta
 
 from ..clock import ZERO, Clock
-from ..customers.bucket import Bucket
 from ..logs import Logger
 from ..metrics import Metrics
 from ..quarantine import Crash, Quarantine, RequestCut, RequestWhole, Whole
+from ..rates import Bucket
 from ..store import Appended, AppendResult
 from . import messages
 from .outside import Outside
--- a/packages/ashhoist/src/ashhoist/control/quotas.py
+++ b/packages/ashhoist/src/ashhoist/control/quotas.py
@@ -1,6 +1,6 @@
 """Tokens for customers' requests: what this instance spends, and grants as the leader.
 
-See `customers.granter` for why what is granted never adds up to more than the whole.
+See `rates.shares` for why what is granted never adds up to more than the whole.
 """
 
 from collections.abc import Callable
@@ -11,9 +11,10 @@
 from ..clock import ZERO, Clock
 from ..customers import Allowances, Customer, Granter, QuotaBounds, Standing
 from ..customers.charges import Charge, Charged, ChargeUnanswered, TokensUnused
-from ..customers.granter import LEFT_FOR, Use
+from ..customers.granter import Use
 from ..logs import Logger
 from ..metrics import Metrics
+from ..rates import LEFT_FOR
 from ..routing.in_force import InForce
 from .messages import Beat, DrawTokens, ReturnTokens, TokensDrawn
 from .peers import Peers
--- a/packages/ashhoist/src/ashhoist/customers/__init__.py
+++ b/packages/ashhoist/src/ashhoist/customers/__init__.py
@@ -1,14 +1,12 @@
 """Customers: their keys, how long these may be trusted, and their quotas."""
 
 from .allowance import Allowances, Standing
-from .bucket import Bucket
 from .customer import Customer, CustomerTable, Quota, QuotaUnit, digest, shown
 from .granter import Grant, Granter, QuotaBounds
 from .proof import Proof
 
 __all__ = [
     "Allowances",
-    "Bucket",
     "Customer",
     "CustomerTable",
     "Grant",
--- a/packages/ashhoist/src/ashhoist/customers/allowance.py
+++ b/packages/ashhoist/src/ashhoist/customers/allowance.py
@@ -13,9 +13,9 @@
 from datetime import timedelta
 from enum import Enum, auto
 
-from .bucket import Bucket, Pace
+from ..rates import LEFT_FOR, Bucket, Pace
 from .customer import Quota
-from .granter import LEFT_FOR, Use
+from .granter import Use
 
 KEPT_FOR = timedelta(seconds=1)
 """Tokens that were not spent by then go back to whoever granted them."""
--- a/packages/ashhoist/src/ashhoist/customers/granter.py
+++ b/packages/ashhoist/src/ashhoist/customers/granter.py
@@ -1,27 +1,16 @@
 """Grants customers' tokens, for all instances that leave their share to it.
 
-Every instance owns an equal share of each quota. It leaves that to the instance that
-leads, for a while, and anew before that ends; the leader grants from all shares that it
-has been left, to whoever needs tokens. So whatever is cut off, frozen or restarted, and
-however many lead at once, what is granted never adds up to more than the whole: a share
-is granted from by one instance only.
-
-For how long a share is left counts on the leader's clock, from a moment that the leader
-itself has told (`Beat.sent_at`). The instance that leaves it counts from when it heard
-of that moment, so it takes its share back later than the leader lets go.
+The leader grants from the shares that were left to it, to whoever needs tokens; see
+`rates.shares` for why that never adds up to more than the whole.
 """
 
 import math
 from dataclasses import dataclass
 from datetime import timedelta
 
-from .bucket import Bucket, Pace
+from ..rates import Bucket, Pace, Shares
 from .customer import Quota
 
-LEFT_FOR = timedelta(milliseconds=1200)
-"""For how long a share is left to the leader: it is left anew at each of the leader's
-beats, which come each 0.5 s, and after this time without one another leader is chosen.
-So whoever follows finds all shares free."""
 TIGHT_BELOW = 0.25
 """Of its burst: a customer that has less left is told to all as close to its limit."""
 EXTRA_PART = 0.5
@@ -107,39 +96,20 @@
     def __init__(self, own: str, bounds: QuotaBounds) -> None:
         self._own = own
         self._bounds = bounds
-        self._left_until: dict[str, timedelta] = {}
+        self._shares = Shares()
         self._accounts: dict[str, _Account] = {}
 
     def left(self, instance: str, told_at: timedelta) -> None:
-        """Take in that an instance leaves its share here.
-
-        Parameters
-        ----------
-        told_at : timedelta
-            The newest moment of this instance that it has heard of.
-        """
-        until = told_at + LEFT_FOR
-        self._left_until[instance] = max(until, self._left_until.get(instance, until))
+        """Take in that an instance leaves its share here; see `Shares.left`."""
+        self._shares.left(instance, told_at)
 
     def share(self, instances: int, now: timedelta) -> float:
-        """Return which share of every quota is granted from here.
-
-        Parameters
-        ----------
-        instances : int
-            How many instances there are, this one included.
-        """
-        for instance, until in list(self._left_until.items()):
-            if until <= now:
-                del self._left_until[instance]
-        return min((len(self._left_until) + 1) / max(instances, 1), 1.0)
+        """Return which share of every quota is granted from here."""
+        return self._shares.share(instances, now)
 
     def is_alone(self, instances: int, now: timedelta) -> bool:
-        """Return whether no other instance leaves its share here, though there are any.
-
-        What it would grant is its own share, which an instance spends without granting.
-        """
-        return self.share(instances, now) * instances <= 1.0 < instances
+        """Return whether no other instance leaves its share here."""
+        return self._shares.is_alone(instances, now)
 
     def grant(
         self,
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -7,7 +7,6 @@
 
 from ashhoist.customers import (
     Allowances,
-    Bucket,
     Customer,
     CustomerTable,
     Granter,
@@ -19,8 +18,9 @@
     digest,
     shown,
 )
-from ashhoist.customers.granter import LEFT_FOR, Use
+from ashhoist.customers.granter import Use
 from ashhoist.customers.proof import SEND_MARGIN
+from ashhoist.rates import LEFT_FOR, Bucket
 
 SECOND = timedelta(seconds=1)
 ZERO = timedelta()
--- a/tests/test_many_customers.py
+++ b/tests/test_many_customers.py
@@ -25,10 +25,10 @@
     Quota,
     QuotaUnit,
     digest,
-    granter,
 )
 from ashhoist.customers.charges import Charge, ChargeUnanswered
 from ashhoist.process_settings import BoundsSection
+from ashhoist.rates import shares
 from ashhoist.requests.charging import PATIENCE
 from ashhoist.store import Topic
 
@@ -251,7 +251,7 @@
             self.assertIn("accepted", self.finds())
 
     def test_shares_that_are_never_taken_back(self) -> None:
-        with mock.patch.object(granter, "LEFT_FOR", timedelta(hours=1)):
+        with mock.patch.object(shares, "LEFT_FOR", timedelta(hours=1)):
             self.assertIn("over quota", self.finds())
 
     def test_a_granter_that_grants_all_whoever_has_left_it_a_share(self) -> None:
