An upstream's named limit holds for all instances together

What callers saw: upstreams in need, which name in their answers how many requests a second they take, went on getting as many as they were due by their load (13 in 4 s where 1 a second was named).

Now an instance that hears a limit tells all, as for leaving. One place spends it: the leader, with a bucket for each limited life of an upstream, from the shares that instances leave to it (as for quotas), so that two that lead at once grant no more than the whole. Requests that the leader places take a permit there; requests that choose here ask it for one; what was placed before the limit was heard is given back right before the send; without a leader nothing goes there. Waiting and loading count the wait for a permit, so that adapters go to engines that take what comes; what waits for a permit goes by worth; where all are limited and the wait is too long it is refused at once with the time to come back.

--- a/packages/ashhoist-bench/src/ashhoist_bench/rounds.py
+++ b/packages/ashhoist-bench/src/ashhoist_bench/rounds.py
@@ -17,6 +17,7 @@
 from ashhoist.metrics import Metrics
 from ashhoist.orders import EngineReport
 from ashhoist.placement import Residency, Want
+from ashhoist.placement.permits import NoLimits
 from ashhoist.placement.scheduler import Scheduler
 from ashhoist.routing import EngineModel, EngineSettings
 from ashhoist.upstreams import Upstream
@@ -36,6 +37,7 @@
     scheduler = Scheduler(
         lambda zone: True,
         lambda action: None,
+        NoLimits(),
         residency,
         clock,
         Metrics(),
--- a/packages/ashhoist/src/ashhoist/control/agent.py
+++ b/packages/ashhoist/src/ashhoist/control/agent.py
@@ -111,7 +111,9 @@
         self._under_way[use.id] = use
         version = granted.version or None
         expected = granted.expected_ms * MILLISECOND
-        target = Target(upstream.id, upstream.address, version, expected)
+        target = Target(
+            upstream.id, upstream.address, version, expected, granted.permitted
+        )
         wanted.answer.set_result(target)
 
     def waits(self, message: Waits) -> None:
--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -27,7 +27,7 @@
 from ..routing.in_force import InForce
 from ..store import AppendResult, Newest, Pace, Topic, Unavailable
 from ..store.follower import Followed
-from ..upstreams import Directory, Health, UpstreamLeaves
+from ..upstreams import Directory, Health, RateLimits, UpstreamLeaves
 from . import inbox, messages
 from .agent import Agent
 from .beats import Beats
@@ -38,12 +38,14 @@
 from .gauges import Gauges
 from .hubs import Hubs, Identity
 from .knowledge import NOT_WHOLE, SHARED_TOPICS
+from .limit_notices import LimitNotices
 from .lookups import Lookups
 from .membership import Membership
 from .order_desk import OrderDesk
 from .order_leases import OrderLeases
 from .outside import Outside
 from .peers import InstanceRecord, Peers
+from .permits import Permits
 from .proofs import MICROSECOND, Proofs
 from .quotas import Quotas
 from .readers import MILLISECOND, FirstRead, Readers
@@ -86,6 +88,7 @@
         directory: Directory,
         residency: Residency,
         health: Health,
+        limits: RateLimits,
         proof: Proof,
         quarantine: Quarantine,
         outside: Outside,
@@ -139,10 +142,33 @@
         self.desk = OrderDesk(
             settings.name, holder, self.leases, self.peers, outside, clock, log
         )
+        self.quotas = Quotas(
+            settings.name,
+            settings.quotas,
+            in_force,
+            self.peers,
+            lambda: self.membership.knows_others,
+            self._tell,
+            clock,
+            metrics,
+            log,
+        )
+        self.permits = Permits(
+            settings.name,
+            limits,
+            directory.life_of,
+            lambda: self.quotas.instances,
+            self.quotas.leaves_since,
+            self._tell,
+            clock,
+            metrics,
+            log,
+        )
         self.scheduling = Scheduling(
             self.desk.reaches,
             self._order,
             directory,
+            self.permits,
             residency,
             outside,
             self._tell,
@@ -151,17 +177,6 @@
             metrics,
             log,
         )
-        self.quotas = Quotas(
-            settings.name,
-            settings.quotas,
-            in_force,
-            self.peers,
-            lambda: self.membership.knows_others,
-            self._tell,
-            clock,
-            metrics,
-            log,
-        )
         self.proofs = Proofs(
             proof,
             self.records.knowledge,
@@ -191,6 +206,15 @@
         self.departures = Departures(
             directory, self.peers, self._hubs, self._apply_upstreams, self._tell, log
         )
+        self.limit_notices = LimitNotices(
+            limits,
+            self.peers,
+            self._hubs,
+            self.permits.limits_changed,
+            self._tell,
+            clock,
+            log,
+        )
         self.lookups = Lookups(settings.name, residency, self._hubs, self._tell)
         self._gauges = Gauges(
             directory, self.peers, self.records, self.scheduling, metrics, clock
@@ -322,6 +346,7 @@
         self._log.info("instance linked", peer=peer)
         self.membership.introduce(peer)
         self.departures.greet(peer)
+        self.limit_notices.greet(peer)
         self.crash_notices.greet(peer)
         # Its first beat tells that all the rest was told before.
         self._beats.greet(peer, self.leader)
@@ -356,12 +381,18 @@
             self._elect()
         if beat.leads and peer == self.leader:
             self.proofs.heard(peer)
+            self.permits.heard(peer)
         if beat.leads and not led_before and peer == self.leader:
             # What it was told before it began to lead, it has passed over.
             self.agent.greet_leader()
         for topic in SHARED_TOPICS:
             self.records.catch_up(peer, topic, beat.offsets.get(str(topic), NOT_WHOLE))
 
+    def share_left(self, peer: str, since: int) -> None:
+        """Take in that an instance leaves its share of all rates here."""
+        self.quotas.left(peer, since)
+        self.permits.left(peer, since)
+
     def asked(self, peer: str, ask: messages.Ask) -> None:
         """Take in a request of another instance that waits for its adapter."""
         if not self.scheduling.leads:
@@ -395,6 +426,7 @@
             return
         self.leader = leader
         self.quotas.follow(leader)
+        self.permits.follow(leader)
         self._log.info("leader changed", leader=leader)
         self.membership.relink()
         if leader is None:
--- a/packages/ashhoist/src/ashhoist/control/inbox.py
+++ b/packages/ashhoist/src/ashhoist/control/inbox.py
@@ -80,7 +80,7 @@
 
 @_handles(messages.AskProof)
 def _asked_for_proof(core: "Core", peer: str, message: messages.AskProof) -> None:
-    core.quotas.left(peer, message.leaves_since)
+    core.share_left(peer, message.leaves_since)
     core.proofs.asked(peer, message)
 
 
@@ -189,6 +189,29 @@
     core.departures.told(peer, message)
 
 
+# Upstreams that have named a limit
+
+
+@_handles(messages.LimitsNamed)
+def _limits_named(core: "Core", peer: str, message: messages.LimitsNamed) -> None:
+    core.limit_notices.told(peer, message)
+
+
+@_handles(messages.LeaveShare)
+def _share_left(core: "Core", peer: str, message: messages.LeaveShare) -> None:
+    core.share_left(peer, message.since)
+
+
+@_handles(messages.AskPermit)
+def _asked_for_permit(core: "Core", peer: str, message: messages.AskPermit) -> None:
+    core.permits.asked(peer, message)
+
+
+@_handles(messages.PermitAnswered)
+def _permit_answered(core: "Core", peer: str, message: messages.PermitAnswered) -> None:
+    core.permits.answered(message)
+
+
 # Requests that crash upstreams
 
 
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -241,12 +241,15 @@
     ----------
     expected_ms : int
         When its first event should come.
+    permitted : bool
+        Whether that engine has named a limit, and this send is within it.
     """
 
     id: str
     upstream: str
     version: int
     expected_ms: int
+    permitted: bool
 
 
 @message(49)
@@ -500,3 +503,64 @@
     """
 
     rows: list
+
+
+@message(73)
+@dataclass(frozen=True, slots=True)
+class LimitsNamed:
+    """What answers of upstreams have said of their limits.
+
+    Parameters
+    ----------
+    rows : list
+        Lists of an upstream's life, the requests a second that it takes (-1 if the
+        answer named no limit), and how many microseconds ago the request was sent and
+        its answer came.
+    """
+
+    rows: list
+
+
+@message(74)
+@dataclass(frozen=True, slots=True)
+class LeaveShare:
+    """The sender leaves its share of all limits to the receiver, which leads.
+
+    Parameters
+    ----------
+    since : int
+        As `AskProof.leaves_since`.
+    """
+
+    since: int
+
+
+@message(75)
+@dataclass(frozen=True, slots=True)
+class AskPermit:
+    """Ask for one send to an upstream that has named a limit.
+
+    Parameters
+    ----------
+    number : int
+        Chosen by the asker; it stands in the answer.
+    """
+
+    number: int
+    upstream: str
+
+
+@message(76)
+@dataclass(frozen=True, slots=True)
+class PermitAnswered:
+    """Whether the receiver may send.
+
+    Parameters
+    ----------
+    wait_ms : int
+        When to ask again; 0 if it may.
+    """
+
+    number: int
+    granted: bool
+    wait_ms: int
--- a/packages/ashhoist/src/ashhoist/control/quotas.py
+++ b/packages/ashhoist/src/ashhoist/control/quotas.py
@@ -107,7 +107,7 @@
             self._granting_since = self._clock.monotonic()
 
     @property
-    def _instances(self) -> int:
+    def instances(self) -> int:
         """Return how many instances there are; 0 while that is not known.
 
         One that has just started, and has neither read the register nor met another,
@@ -184,9 +184,7 @@
 
     def _is_alone(self, now: timedelta) -> bool:
         """Return whether this instance leads, but nobody else follows it."""
-        return self._granter is not None and self._granter.is_alone(
-            self._instances, now
-        )
+        return self._granter is not None and self._granter.is_alone(self.instances, now)
 
     def _is_silent(self, now: timedelta) -> bool:
         oldest = next(iter(self._open.values()), None)
@@ -248,14 +246,14 @@
         if customer is None or customer.quota is None:
             charge.settle(Charged(customer is not None))
             return
-        if not self._instances:
+        if not self.instances:
             charge.settle(Charged(False))
             return
         wait = self._allowances.spend_alone(
             charge.customer,
             customer.quota,
             charge.tokens,
-            self._instances,
+            self.instances,
             self._standing(charge.customer),
             now,
         )
@@ -289,7 +287,7 @@
         customer = self._customer(draw.customer)
         now = self._clock.monotonic()
         grants = self._granter is not None and not self._is_alone(now)
-        if not grants or customer is None or not self._instances:
+        if not grants or customer is None or not self.instances:
             return TokensDrawn(draw.number, 0.0, NOT_KNOWN, 0.0, 0.0)
         if customer.quota is None:
             return TokensDrawn(draw.number, draw.needed, 0, 0.0, 0.0)
@@ -299,7 +297,7 @@
             customer.quota,
             draw.needed,
             draw.extra,
-            self._instances,
+            self.instances,
             now,
         )
         if grant.tokens:
@@ -318,7 +316,7 @@
             return
         self._logged_at[customer] = now
         assert self._granter is not None
-        share = round(self._granter.share(self._instances, now), 3)
+        share = round(self._granter.share(self.instances, now), 3)
         self._log.info(
             "quota used up",
             customer=customer,
--- a/packages/ashhoist/src/ashhoist/control/scheduling.py
+++ b/packages/ashhoist/src/ashhoist/control/scheduling.py
@@ -20,6 +20,7 @@
     Serving,
 )
 from ..placement.asks import UseEnd
+from ..placement.permits import EnginePermits
 from ..placement.scheduler import Scheduler
 from ..placement.wants import Want
 from ..routing import ServingConfiguration
@@ -54,6 +55,7 @@
         may_order: Callable[[str], bool],
         order: Callable[[Order], None],
         directory: Directory,
+        permits: EnginePermits,
         residency: Residency,
         outside: Outside,
         tell: Callable[[str, Any], None],
@@ -65,6 +67,7 @@
         self._may_order = may_order
         self._order = order
         self._directory = directory
+        self._permits = permits
         self._residency = residency
         self._outside = outside
         self._tell = tell
@@ -99,6 +102,7 @@
         self.scheduler = Scheduler(
             self._may_order,
             self._act,
+            self._permits,
             self._residency,
             self._clock,
             self._metrics,
@@ -234,7 +238,9 @@
     def _placed(self, action: Placed) -> None:
         want = action.want
         expected = int(action.expected / MILLISECOND)
-        granted = Granted(want.id, action.upstream, action.version, expected)
+        granted = Granted(
+            want.id, action.upstream, action.version, expected, action.permitted
+        )
         self._tell(want.instance, granted)
 
     def _refused(self, action: Refused) -> None:
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -23,7 +23,7 @@
 from ..store import Topic
 from ..store.follower import Followed, FollowerState
 from ..types import Endpoint
-from ..upstreams import UpstreamLeaves
+from ..upstreams import NamedLimit, PermitWanted, UpstreamLeaves
 from .core import Core
 from .engines import EngineControl, OrderDone, ReportDone
 from .knowledge import SHARED_TOPICS
@@ -275,6 +275,14 @@
     def _upstream_leaves(self, message: UpstreamLeaves) -> None:
         self.core.departures.noticed(message)
 
+    @_handles(NamedLimit)
+    def _limit_named(self, message: NamedLimit) -> None:
+        self.core.limit_notices.noticed(message)
+
+    @_handles(PermitWanted)
+    def _permit_wanted(self, message: PermitWanted) -> None:
+        self.core.permits.ask(message)
+
     @_handles(OrderDone)
     def _order_done(self, message: OrderDone) -> None:
         self.core.order_answered(message.order, message.reply.answer)
--- a/packages/ashhoist/src/ashhoist/failures.py
+++ b/packages/ashhoist/src/ashhoist/failures.py
@@ -61,6 +61,7 @@
     STOPPING = "stopping"
     UPSTREAM_LEAVING = "upstream_leaving"
     UPSTREAMS_REST = "upstreams_rest"
+    UPSTREAMS_LIMITED = "upstreams_limited"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_ERROR = "upstream_error"
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -36,6 +36,7 @@
     "appends": ("Appends to the log", ("stream", "result")),
     "customer_requests": ("Requests of a customer that ended", ("customer", "end")),
     "customer_tokens": ("Charged to a customer's quota", ("customer", "end")),
+    "permits": ("Sends to limited upstreams that were asked for", ("result",)),
     "charged_alone": ("Charges without an answer of the leader", ("result",)),
     "refused_records": ("Records of the log that are not acceptable", ("key",)),
     "http_requests": ("HTTP requests of callers and operators", ("status",)),
--- a/packages/ashhoist/src/ashhoist/placement/actions.py
+++ b/packages/ashhoist/src/ashhoist/placement/actions.py
@@ -19,12 +19,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """A request may be sent; its first token should come after `expected`."""
+    """A request may be sent; its first token should come after `expected`.
+
+    Parameters
+    ----------
+    permitted : bool
+        Whether the engine has named a limit, and this send is within it.
+    """
 
     want: Want
     upstream: str
     version: int
     expected: timedelta
+    permitted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ashhoist/src/ashhoist/placement/asks.py
+++ b/packages/ashhoist/src/ashhoist/placement/asks.py
@@ -22,12 +22,15 @@
         The adapter version that it must have.
     expected : timedelta or None
         How long the first event should take.
+    permitted : bool
+        Whether the upstream has named a limit, and this send is within it.
     """
 
     upstream: str
     address: str
     version: int | None = None
     expected: timedelta | None = None
+    permitted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -85,8 +85,9 @@
 
     Attributes
     ----------
-    promised : int
-        Tokens of the prompts that wait for adapters on their way to it.
+    promised, promised_requests : int
+        Tokens of the prompts that wait for adapters on their way to it, and how many
+        requests these are.
     """
 
     def __init__(
@@ -110,6 +111,7 @@
         self.paused_until = timedelta()
         self.work = Work()
         self.promised = 0
+        self.promised_requests = 0
         self.models: set[str] = set(upstream.models)
         self.model_copies: set[str] = set()
         self.model_coming: EnginePlace | None = None
@@ -221,6 +223,16 @@
                 place.used_at = now
                 self._put(place)
 
+    def promise(self, tokens: int, requests: int) -> None:
+        """Note that requests wait for an adapter on its way here."""
+        self.promised += tokens
+        self.promised_requests += requests
+
+    def forget_promises(self) -> None:
+        """Count anew what waits for adapters on their way here."""
+        self.promised = 0
+        self.promised_requests = 0
+
     # Orders
 
     def begin(self, order: Order, now: timedelta) -> None:
--- a/packages/ashhoist/src/ashhoist/placement/rounds.py
+++ b/packages/ashhoist/src/ashhoist/placement/rounds.py
@@ -114,7 +114,7 @@
         """
         for wanted in waiting:
             for engine in self._bringing(wanted):
-                engine.promised += wanted.all_tokens
+                engine.promise(wanted.all_tokens, len(wanted.by_id))
                 self._on_its_way[id(wanted)] = wanted
 
     def on_its_way(self, wanted: WantedAdapter) -> bool:
@@ -194,7 +194,7 @@
 
     def ordered(self, engine: Engine, wanted: WantedAdapter) -> None:
         """Note that an engine was sent an order: its room is another one now."""
-        engine.promised += wanted.all_tokens
+        engine.promise(wanted.all_tokens, len(wanted.by_id))
         self._spare.pop(engine.id, None)
         able = self._is_able(engine)
         if not able:
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -28,6 +28,7 @@
 from .engine_orders import EngineOrders
 from .holders import Holders
 from .models import ModelLoads
+from .permits import EnginePermits
 from .popularity import Popularity
 from .residency import Residency
 from .rounds import Round, room_for
@@ -59,6 +60,8 @@
         Takes a zone; returns whether orders reach its engines now.
     act : callable
         Carries out an action.
+    permits : EnginePermits
+        How many more requests engines take that have named a limit.
     residency : Residency
         What the last leader has told of places and copies.
     """
@@ -67,6 +70,7 @@
         self,
         may_order: Callable[[str], bool],
         act: Callable[[SchedulerAction], None],
+        permits: EnginePermits,
         residency: Residency,
         clock: Clock,
         metrics: Metrics,
@@ -74,6 +78,7 @@
     ) -> None:
         self._may_order = may_order
         self._act = act
+        self._permits = permits
         self._residency = residency
         self._clock = clock
         self._metrics = metrics
@@ -233,7 +238,7 @@
             self._act(Serving(engine.id, engine.serving()))
         if news.loaded is not None:
             # What waits for it begins now; the next round counts the rest anew.
-            engine.promised = 0
+            engine.forget_promises()
             self._metrics.count("loads", "cold" if news.cold else "warm")
         self._serve_waiting(engine, news)
 
@@ -257,13 +262,14 @@
 
     def _send_there(self, engine: Engine, want: Want) -> None:
         now = self._clock.monotonic()
+        permitted = self._permits.limited(engine.id) and self._permits.take(engine.id)
         version = engine.serving()[want.adapter]
         expected = engine.work.first_after(want.tokens, now)
         engine.work.begin(want.id, want.instance, want.adapter, want.tokens, now)
         engine.touch(want.adapter, now)
         batch = self._settings[engine.upstream.service].batch
         self._metrics.observe("batch_fill", len(engine.work) / max(batch, 1))
-        self._act(Placed(want, engine.id, version, expected))
+        self._act(Placed(want, engine.id, version, expected, permitted))
 
     def _soonest(self, want: Want) -> Engine | None:
         """Return the engine to send a request to now; None if it should wait.
@@ -283,25 +289,37 @@
         return best
 
     def _best_serving(self, want: Want) -> Engine | None:
-        """Return the engine that serves a request's adapter and begins soonest."""
+        """Return the engine that serves a request's adapter and begins soonest.
+
+        One that must not be sent anything just now does not count.
+        """
+        permitted = [
+            engine
+            for engine in self._serving(want)
+            if not self._permits.wait(engine.id)
+        ]
+        return min(
+            permitted,
+            key=lambda engine: self._wait_at(engine, want.tokens),
+            default=None,
+        )
+
+    def _serving(self, want: Want) -> list[Engine]:
+        """Return the engines that serve a request's adapter."""
         holding = self._holders.of(want.adapter) if want.adapter.name else self.engines
-        serving = [
+        return [
             engine
             for engine in holding.values()
             if engine.upstream.service == want.service
             and engine.id not in want.tried
             and engine.serves(want.adapter, want.oldest_version)
         ]
-        return min(
-            serving,
-            key=lambda engine: self._wait_at(engine, want.tokens),
-            default=None,
-        )
 
     def _wait_at(self, engine: Engine, tokens: int) -> timedelta:
         """Return the wait for a first token, with what a failing engine costs."""
         now = self._clock.monotonic()
         wait = engine.work.first_after(tokens + engine.promised, now)
+        wait += self._permits.wait(engine.id, engine.promised_requests)
         wait += FAILURE_COST * self._health.share_failing(engine.id)
         if not self._health.usable(engine.id):
             wait += UNREACHABLE_COST
@@ -378,7 +396,7 @@
     def _plan_round(self, now: timedelta) -> None:
         open_zones = self._find_open_zones()
         for engine in self.engines.values():
-            engine.promised = 0
+            engine.forget_promises()
             self._give_up_order(engine, now)
             self._orders.look_after(engine, open_zones, now)
         self._bring_models(open_zones)
@@ -394,6 +412,7 @@
             now,
         )
         self._give_up(round_, now)
+        self._serve_permitted()
         waiting = [wanted for wanted in self.wants.adapters() if wanted.adapter.name]
         for wanted in sorted(waiting, key=round_.gain, reverse=True):
             self._bring(round_, wanted, now)
@@ -436,8 +455,8 @@
         if round_.on_its_way(wanted):
             return
         engine = round_.best_engine(wanted)
-        if engine is None:
-            self._settle_for_what_serves(wanted)
+        if engine is None or self._permitted_sooner(engine, wanted):
+            self._settle_for_what_serves(wanted, now)
             return
         if not engine.can_order(now):
             return
@@ -454,11 +473,71 @@
             return False
         return room_for(engine, adapter, self.popularity, now) is not None
 
-    def _settle_for_what_serves(self, wanted: WantedAdapter) -> None:
+    def _settle_for_what_serves(self, wanted: WantedAdapter, now: timedelta) -> None:
         """Send what waits for one more engine to those that serve already."""
-        for want in list(wanted.by_id.values()):
+        for ahead, want in enumerate(list(wanted.by_id.values())):
             best = self._best_serving(want)
-            if best is None:
+            if best is not None:
+                self.wants.remove(want.id)
+                self._send_there(best, want)
+                continue
+            wait = self._wait_for_permit(want, ahead)
+            if self._all_limited(want) and now + wait > want.give_up_at:
+                self.wants.remove(want.id)
+                self._act(Refused(want, Reason.UPSTREAMS_LIMITED, wait))
+
+    # Engines that have named a limit
+
+    def _serve_permitted(self) -> None:
+        """Send what waits for engines that may be sent something now, most worth first.
+
+        What is less urgent gives way.
+        """
+        for engine in self.engines.values():
+            if not self._permits.limited(engine.id):
                 continue
-            self.wants.remove(want.id)
-            self._send_there(best, want)
+            for want in self._waiting_at(engine):
+                if self._permits.wait(engine.id):
+                    break
+                self.wants.remove(want.id)
+                self._send_there(engine, want)
+
+    def _waiting_at(self, engine: Engine) -> list[Want]:
+        """Return the requests that wait for what an engine serves, most worth first."""
+        found: list[Want] = []
+        for adapter in engine.serving():
+            wanted = self.wants.of(engine.upstream.service, adapter)
+            if wanted is None:
+                continue
+            for want in wanted.by_id.values():
+                fits = engine.serves(adapter, want.oldest_version)
+                if fits and engine.id not in want.tried:
+                    found.append(want)
+        return sorted(found, key=lambda want: want.worth, reverse=True)
+
+    def _permitted_sooner(self, engine: Engine, wanted: WantedAdapter) -> bool:
+        """Return whether a load would end later than all can be sent that wait.
+
+        They wait for a permit at an engine that serves their adapter.
+        """
+        first = next(iter(wanted.by_id.values()))
+        serving = self._serving(first)
+        if not serving or any(not self._permits.wait(one.id) for one in serving):
+            return False
+        ahead = len(wanted.by_id) - 1
+        wait = min(self._permits.wait(one.id, ahead) for one in serving)
+        load = engine.load_time(wanted.adapter, wanted.oldest_version)
+        return wait <= load + self._permits.wait(engine.id, engine.promised_requests)
+
+    def _wait_for_permit(self, want: Want, ahead: int) -> timedelta:
+        """Return when an engine that serves a request's adapter can be sent it."""
+        serving = self._serving(want) or self._engines_for(want)
+        waits = (self._permits.wait(engine.id, ahead) for engine in serving)
+        return min(waits, default=COME_BACK)
+
+    def _all_limited(self, want: Want) -> bool:
+        """Return whether no engine is left that takes whatever comes."""
+        engines = self._engines_for(want)
+        return bool(engines) and all(
+            self._permits.limited(engine.id) for engine in engines
+        )
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -32,6 +32,7 @@
 from .requests.choosers import Chooser, PlainChooser
 from .requests.engine_chooser import EngineChooser
 from .requests.keys import Keys
+from .requests.limited_sends import LimitedSends
 from .requests.notices import Notices
 from .requests.serving import Serving
 from .requests.suspicion import Suspicion
@@ -39,7 +40,7 @@
 from .signals import SettingsWatcher, Signals
 from .store import CallCounts, CountedLog, Follower, SharedLog, Topic
 from .types import Endpoint
-from .upstreams import Balancer, Directory, Health, Rests
+from .upstreams import Balancer, Directory, Health, RateLimits, Rests
 
 LINK_TOKENS = frozenset({"instances"})
 NOTICE = timedelta(milliseconds=2600)
@@ -92,6 +93,7 @@
         self.residency = Residency()
         self.health = Health(self.clock)
         self.rests = Rests(self.directory.life_of, self.clock)
+        self.limits = RateLimits(self.directory.life_of)
         self.proof = Proof(settings.bounds.revocation)
         self.quarantine = Quarantine(self.clock)
         self.pool = Pool(loop)
@@ -149,6 +151,7 @@
             self.directory,
             self.residency,
             self.health,
+            self.limits,
             self.proof,
             self.quarantine,
             control,
@@ -218,8 +221,15 @@
             clock,
         )
         notices = Notices(
-            dialect, self.rests, self.control.send, self.metrics, logs.get("requests")
+            dialect,
+            self.rests,
+            self.limits,
+            self.control.send,
+            clock,
+            self.metrics,
+            logs.get("requests"),
         )
+        sends = LimitedSends(self.limits, self.control.send, clock)
         serving = Serving(
             dialect,
             Attempts(dialect, self.pool, notices, clock),
@@ -230,18 +240,20 @@
             Suspicion(self.quarantine, self.directory.life_of, self.control.send),
             self.directory,
             self.rests,
+            sends,
             clock,
             self.metrics,
             logs.get("requests"),
         )
         choosers: dict[str, Chooser] = {
-            "plain": PlainChooser(self.directory, balancer),
+            "plain": PlainChooser(self.directory, balancer, sends),
             "engine": EngineChooser(
                 self.directory,
                 self.in_force,
                 balancer,
                 self.health,
                 self.rests,
+                sends,
                 self.control.send,
                 lambda: self.control.core.leader is not None,
                 clock,
--- a/packages/ashhoist/src/ashhoist/rates/shares.py
+++ b/packages/ashhoist/src/ashhoist/rates/shares.py
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self._left_until: dict[str, timedelta] = {}
+        self._look_at = timedelta.max
 
     def left(self, instance: str, told_at: timedelta) -> None:
         """Take in that an instance leaves its share here.
@@ -35,6 +36,7 @@
         """
         until = told_at + LEFT_FOR
         self._left_until[instance] = max(until, self._left_until.get(instance, until))
+        self._look_at = min(self._look_at, until)
 
     def share(self, instances: int, now: timedelta) -> float:
         """Return which share of every rate is granted from here.
@@ -44,11 +46,18 @@
         instances : int
             How many instances there are, this one included.
         """
-        for instance, until in list(self._left_until.items()):
-            if until <= now:
-                del self._left_until[instance]
+        if now >= self._look_at:
+            self._forget_ended(now)
         return min((len(self._left_until) + 1) / max(instances, 1), 1.0)
 
+    def _forget_ended(self, now: timedelta) -> None:
+        self._left_until = {
+            instance: until
+            for instance, until in self._left_until.items()
+            if until > now
+        }
+        self._look_at = min(self._left_until.values(), default=timedelta.max)
+
     def is_alone(self, instances: int, now: timedelta) -> bool:
         """Return whether no other instance leaves its share here, though there are any.
 
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -31,6 +31,7 @@
 from .attempt import CallerLeft
 from .call import Call
 from .choosers import Choice, PlainChooser
+from .limited_sends import LimitedSends
 from .worth import LATE_SHARE, Worth
 
 HELD_SHARE = 0.42
@@ -65,6 +66,7 @@
         balancer: Balancer,
         health: Health,
         rests: Rests,
+        sends: LimitedSends,
         send: Callable[[Any], None],
         holder_known: Callable[[], bool],
         clock: Clock,
@@ -74,16 +76,17 @@
         self._balancer = balancer
         self._health = health
         self._rests = rests
+        self._sends = sends
         self._send = send
         self._holder_known = holder_known
         self._clock = clock
         self._worth = Worth()
-        self._any_engine = PlainChooser(directory, balancer)
+        self._any_engine = PlainChooser(directory, balancer, sends)
 
     def choose(self, call: Call, caller: CallerConnection) -> Steps[Choice]:
         """Return where `call` goes; waits for its adapter."""
         if call.adapter is None:
-            return self._any_engine.least_work(call)
+            return (yield from self._any_engine.choose(call, caller))
         if self._all_rest(call.service):
             return Refusal(Reason.UPSTREAMS_REST)
         call.use_id = f"{call.id}/{len(call.tried)}"
@@ -142,7 +145,7 @@
                 continue
             if place.version < oldest or upstream.id in call.tried:
                 continue
-            if self._rests.rests(upstream.id):
+            if self._rests.rests(upstream.id) or self._sends.limited(upstream.id):
                 continue
             if upstream.service != call.service or not self._health.usable(upstream.id):
                 continue
--- a/packages/ashhoist/src/ashhoist/requests/notices.py
+++ b/packages/ashhoist/src/ashhoist/requests/notices.py
@@ -7,11 +7,12 @@
 from datetime import timedelta
 from typing import Any
 
+from ..clock import Clock
 from ..http import Head
 from ..logs import Logger
 from ..metrics import Metrics
 from ..placement.asks import Target
-from ..upstreams import Rests, UpstreamLeaves
+from ..upstreams import NamedLimit, RateLimits, Rests, UpstreamLeaves
 from .call import Call
 from .dialect import Dialect
 from .unread_headers import UnreadHeaders
@@ -24,8 +25,8 @@
 """More than this is cut to it: a slip must not leave an upstream out for a day."""
 HIGHEST_LIMIT = 1e6
 """Requests a second; whoever names more is not limited by it."""
-MOST_TOLD = 1024
-"""Upstreams whose limits are remembered for the log."""
+FIRST_UNSUCCESSFUL = 300
+"""Below are answers that say by naming no limit that there is none."""
 
 _DECIMAL = re.compile(r"[0-9]+(\.[0-9]+)?")
 
@@ -92,17 +93,20 @@
         self,
         dialect: Dialect,
         rests: Rests,
+        limits: RateLimits,
         send: Callable[[Any], None],
+        clock: Clock,
         metrics: Metrics,
         log: Logger,
     ) -> None:
         self._dialect = dialect
         self._rests = rests
+        self._limits = limits
         self._send = send
+        self._clock = clock
         self._metrics = metrics
         self._log = log
         self._unread = UnreadHeaders(dialect, metrics, log)
-        self._told: dict[str, float | UnreadableLimit | None] = {}
 
     def heard(self, call: Call, target: Target, head: Head) -> None:
         """Take in the head of an answer to `call`."""
@@ -110,7 +114,7 @@
         if says_it_leaves(self._dialect, head):
             self._metrics.count("notices", "leaves")
             self._send(UpstreamLeaves(target.upstream, call.upstream_life))
-        self._heard_limit(call, target, limit_named(self._dialect, head))
+        self._heard_limit(call, target, head)
         rest = rest_wanted(self._dialect, head)
         if rest is None:
             return
@@ -124,23 +128,26 @@
             rest_ms=round(rest / timedelta(milliseconds=1)),
         )
 
-    def _heard_limit(
-        self, call: Call, target: Target, limit: float | UnreadableLimit | None
-    ) -> None:
-        """Log a limit that is another one than the last, or none any more."""
+    def _heard_limit(self, call: Call, target: Target, head: Head) -> None:
+        limit = limit_named(self._dialect, head)
         life = call.upstream_life
-        if self._told.get(life) == limit:
+        if isinstance(limit, UnreadableLimit):
+            self._metrics.count("notices", "unreadable_limit")
+            self._log.info(
+                "limit not readable",
+                request=call.id,
+                upstream=target.upstream,
+                limit=limit.text,
+            )
             return
-        if len(self._told) >= MOST_TOLD:
-            del self._told[next(iter(self._told))]
-        self._told[life] = limit
-        unreadable = isinstance(limit, UnreadableLimit)
-        self._metrics.count("notices", "unreadable_limit" if unreadable else "limit")
-        self._log.info(
-            "upstream names another limit",
-            request=call.id,
-            upstream=target.upstream,
-            life=life,
-            per_second=limit.text if isinstance(limit, UnreadableLimit) else limit,
-            readable=not unreadable,
-        )
+        if limit is None and not self._says_no_limit(life, head):
+            return
+        assert call.sent_at is not None
+        if limit is not None:
+            self._metrics.count("notices", "limit")
+        now = self._clock.monotonic()
+        self._send(NamedLimit(life, limit, call.sent_at, now))
+
+    def _says_no_limit(self, life: str, head: Head) -> bool:
+        """Return whether an answer that names no limit is worth noting."""
+        return head.status < FIRST_UNSUCCESSFUL and self._limits.knows(life)
--- a/packages/ashhoist/src/ashhoist/requests/serving.py
+++ b/packages/ashhoist/src/ashhoist/requests/serving.py
@@ -27,6 +27,7 @@
 from .choosers import Chooser
 from .dialect import SINGLE_CONNECTION, Dialect
 from .keys import Keys
+from .limited_sends import LimitedSends
 from .relay import Leg, Relay, WholeStream
 from .suspicion import Suspicion
 
@@ -73,6 +74,7 @@
         suspicion: Suspicion,
         directory: Directory,
         rests: Rests,
+        sends: LimitedSends,
         clock: Clock,
         metrics: Metrics,
         log: Logger,
@@ -82,6 +84,7 @@
         self._suspicion = suspicion
         self._directory = directory
         self._rests = rests
+        self._sends = sends
         self._dialect = dialect
         self._attempts = attempts
         self._budget = budget
@@ -154,7 +157,7 @@
 
         The leader chose the place, or this call has waited since.
         """
-        reason = self._unfit(target.upstream)
+        reason = self._unfit(target)
         if reason is None:
             return False
         self._metrics.count("retries", reason)
@@ -166,14 +169,18 @@
         )
         return True
 
-    def _unfit(self, upstream: str) -> Reason | None:
-        """Return why an upstream must be sent nothing now; None if it may be."""
-        known = self._directory.view.by_id.get(upstream)
+    def _unfit(self, target: Target) -> Reason | None:
+        """Return why an upstream must not be sent this; None if it may be."""
+        known = self._directory.view.by_id.get(target.upstream)
         if known is None:
             return Reason.NO_UPSTREAM
         if not known.takes_work:
             return Reason.UPSTREAM_LEAVING
-        return Reason.UPSTREAMS_REST if self._rests.rests(upstream) else None
+        if self._rests.rests(target.upstream):
+            return Reason.UPSTREAMS_REST
+        if self._sends.limited(target.upstream) and not target.permitted:
+            return Reason.UPSTREAMS_LIMITED
+        return None
 
     # One attempt
 
--- a/packages/ashhoist/src/ashhoist/upstreams/__init__.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/__init__.py
@@ -4,13 +4,19 @@
 from .directory import Directory, Upstream, UpstreamLeaves, UpstreamState
 from .health import Health
 from .lapses import Lapses
+from .limits import NamedLimit, RateLimits
 from .rests import Rests
+from .sends import Permit, PermitWanted
 
 __all__ = [
     "Balancer",
     "Directory",
     "Health",
     "Lapses",
+    "RateLimits",
+    "NamedLimit",
+    "Permit",
+    "PermitWanted",
     "Rests",
     "Upstream",
     "UpstreamLeaves",
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -40,7 +40,7 @@
     Topic,
 )
 from ashhoist.types import Endpoint
-from ashhoist.upstreams import Directory, Health, Upstream, UpstreamState
+from ashhoist.upstreams import Directory, Health, RateLimits, Upstream, UpstreamState
 
 from .platform_stand_ins.engine_state import EngineState
 from .world_links import LINK_S, WorldLinks
@@ -257,6 +257,8 @@
         machine.in_force = InForce()
         machine.proof = Proof(self.bounds.revocation)
         machine.quarantine = Quarantine(self.clock)
+        directory = Directory()
+        machine.limits = RateLimits(directory.life_of)
         outside = _Outside(self, machine)
         core = Core(
             CoreSettings(
@@ -271,9 +273,10 @@
             ),
             self._decode,
             machine.in_force,
-            Directory(),
+            directory,
             Residency(),
             Health(self.clock),
+            machine.limits,
             machine.proof,
             machine.quarantine,
             outside,
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -24,6 +24,7 @@
 from ashhoist.requests.charging import Charging
 from ashhoist.requests.choosers import Choice
 from ashhoist.requests.keys import Keys
+from ashhoist.requests.limited_sends import LimitedSends
 from ashhoist.requests.notices import Notices
 from ashhoist.requests.serving import Serving
 from ashhoist.requests.suspicion import Suspicion
@@ -36,7 +37,7 @@
     ServingConfiguration,
     WeightedService,
 )
-from ashhoist.upstreams import Directory, Health, Rests, Upstream
+from ashhoist.upstreams import Directory, Health, RateLimits, Rests, Upstream
 
 from .loops import ThreadLoop
 from .platform_stand_ins.server import Call as UpstreamCall, Handler as Script, Server
@@ -161,6 +162,7 @@
         self._pool = Pool(self.loop)
         self.directory = Directory()
         self.rests = Rests(self.directory.life_of, clock)
+        self.limits = RateLimits(self.directory.life_of)
         self.list_upstreams()
         keys = Keys(
             DIALECT.key.lower(),
@@ -186,6 +188,7 @@
             Suspicion(self.quarantine, lambda upstream: upstream, self._control),
             self.directory,
             self.rests,
+            LimitedSends(self.limits, self._control, clock),
             clock,
             self.metrics,
             logs.get("requests"),
@@ -210,7 +213,15 @@
 
     def _notices(self) -> Notices:
         log = logs.get("requests")
-        return Notices(DIALECT, self.rests, self._control, self.metrics, log)
+        return Notices(
+            DIALECT,
+            self.rests,
+            self.limits,
+            self._control,
+            self.loop.clock,
+            self.metrics,
+            log,
+        )
 
     def _control(self, message: Any) -> None:
         """Take in what the entry tells the control task; charge as the test says."""
--- a/tests/scheduler_world.py
+++ b/tests/scheduler_world.py
@@ -9,6 +9,7 @@
 from ashhoist.orders import EngineReport, Order, OrderAnswer
 from ashhoist.placement import Residency, Want
 from ashhoist.placement.actions import Placed, Refused, SchedulerAction
+from ashhoist.placement.permits import EnginePermits, NoLimits
 from ashhoist.placement.scheduler import Scheduler
 from ashhoist.routing import EngineModel, EngineSettings
 from ashhoist.upstreams import Upstream
@@ -30,9 +31,16 @@
         Numbers of the adapters that each engine serves at first.
     places : int
         Of each engine.
+    permits : EnginePermits or None
+        How many more requests engines take; None if none has named a limit.
     """
 
-    def __init__(self, held: dict[str, list[int]], places: int = 6) -> None:
+    def __init__(
+        self,
+        held: dict[str, list[int]],
+        places: int = 6,
+        permits: EnginePermits | None = None,
+    ) -> None:
         self.clock = ManualClock()
         self.clock.advance(10 * SECOND)
         self.actions: list[SchedulerAction] = []
@@ -40,6 +48,7 @@
         self.scheduler = Scheduler(
             lambda zone: True,
             self.actions.append,
+            permits or NoLimits(),
             self.residency,
             self.clock,
             Metrics(),
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -41,6 +41,7 @@
     "web",
 }
 DECISION_ROOMS = (
+    "rates",
     "customers",
     "quarantine",
     "routing",
@@ -54,7 +55,8 @@
 ROOMS_BELOW = {
     "http": set(),
     "store": set(),
-    "customers": set(),
+    "rates": set(),
+    "customers": {"rates"},
     "quarantine": set(),
     "routing": {"customers"},
     "upstreams": set(),
@@ -67,6 +69,7 @@
         "orders",
         "placement",
         "quarantine",
+        "rates",
         "routing",
         "store",
     }
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -14,9 +14,10 @@
 from ashhoist.placement.residency import Place
 from ashhoist.requests.call import Call
 from ashhoist.requests.engine_chooser import EngineChooser
+from ashhoist.requests.limited_sends import LimitedSends
 from ashhoist.routing import Route, RouteKind
 from ashhoist.routing.in_force import InForce
-from ashhoist.upstreams import Balancer, Directory, Health, Rests, Upstream
+from ashhoist.upstreams import Balancer, Directory, Health, RateLimits, Rests, Upstream
 
 from .loops import finish
 from .request_scripts import StayingCaller
@@ -39,6 +40,7 @@
         self.in_force = InForce()
         self.health = Health(self.clock)
         self.rests = Rests(self.directory.life_of, self.clock)
+        self.limits = RateLimits(self.directory.life_of)
         self.sent: list[Any] = []
         self.leader_known = False
         self.places: tuple[Place, ...] = ()
@@ -51,6 +53,7 @@
             Balancer("zone", self.health, self.rests, random.Random(1)),
             self.health,
             self.rests,
+            LimitedSends(self.limits, self._take, self.clock),
             self._take,
             lambda: self.leader_known,
             self.clock,
--- /dev/null
+++ b/tests/test_many_limits.py
@@ -0,0 +1,238 @@
+"""Upstreams that name limits, amid troubles of log, links, processes and the leader.
+
+Whatever is cut off, killed, frozen or leads twice: the instances that know of a limit
+send no more than it allows, all together, and those in contact know of it.
+"""
+
+import unittest
+from collections.abc import Callable
+from concurrent.futures import Future
+from dataclasses import dataclass, field
+from typing import Any
+
+from hypothesis import given, settings, strategies as st
+
+from ashhoist.control.core import Core
+from ashhoist.placement.asks import Target
+from ashhoist.upstreams import NamedLimit, Permit, PermitWanted, UpstreamState
+
+from .control_world import Machine
+from .test_many_changes import ENGINES, ChangesDay
+from .world_requests import want
+
+LIMITED = 2
+"""Engines that name limits on a day; the first ones."""
+ADAPTERS = 8
+LIMITS = (0.0, 0.5, 1.0, 1.2, 3.0, 6.0)
+FIRST_NAMED_S = 2.0
+CHANGES_EVERY_S = 14.0
+REQUESTS_PER_STEP = 5
+WINDOW_S = 4.0
+KNOWN_FOR_S = 0.5
+"""So long an instance knows of a limit before its sends count."""
+OVER_RATE = 1.5
+OVER = 5
+ANSWERED_AFTER_S = 0.06
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that has reached a limited engine.
+
+    Parameters
+    ----------
+    counts : bool
+        Whether whoever sent it must keep to the limit.
+    """
+
+    at: float
+    engine: str
+    counts: bool
+
+
+@dataclass
+class LimitsDay(ChangesDay):
+    """A day on which two engines name limits, which change and end."""
+
+    limit_by_engine: dict[str, float] = field(default_factory=dict)
+    named_at: dict[str, float] = field(default_factory=dict)
+    """Since when an engine has named its present limit."""
+    knows_since: dict[tuple[str, int, str], float] = field(default_factory=dict)
+    """Instance, its process, and the engine whose limit it knows."""
+    arrivals: list[Arrival] = field(default_factory=list)
+    passed: list[str] = field(default_factory=list)
+    """Windows in which more has arrived than a limit allows."""
+    windows: int = 0
+    asked: int = 0
+    began: float = 0.0
+    next_change: float = 0.0
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.world.links.holds_up = True
+        self.began = self.world.now
+        self.next_change = self.began + FIRST_NAMED_S
+
+    def change(self) -> None:
+        """Write a change; engines that are limited stay."""
+        super().change()
+        name = f"engine-{self.source.randrange(LIMITED)}"
+        if not self.world.store.is_down:
+            self.world.write_engine(name, UpstreamState.READY)
+
+    def _look(self) -> None:
+        super()._look()
+        self._change_limits()
+        self._note_who_knows()
+        for _ in range(REQUESTS_PER_STEP):
+            self._send()
+
+    def _change_limits(self) -> None:
+        """Let the engines name other limits, or none, now and then."""
+        if self.world.now < self.next_change:
+            return
+        self.next_change = self.world.now + CHANGES_EVERY_S
+        for number in range(LIMITED):
+            engine = f"engine-{number}"
+            if engine in self.limit_by_engine and self.source.random() < 0.2:
+                del self.limit_by_engine[engine]
+                self.named_at.pop(engine, None)
+                continue
+            limit = self.source.choice(LIMITS)
+            self.limit_by_engine[engine] = limit
+            # A lower one binds once all have had the time to hear of it.
+            self.named_at[engine] = self.world.now
+
+    def _note_who_knows(self) -> None:
+        for name, machine in self.world.machines.items():
+            for number in range(LIMITED):
+                engine = f"engine-{number}"
+                key = (name, machine.lives, engine)
+                if machine.core is None or machine.limits.of(engine) is None:
+                    self.knows_since.pop(key, None)
+                    continue
+                self.knows_since.setdefault(key, self.world.now)
+
+    # Requests
+
+    def _send(self) -> None:
+        name = self.source.choice(list(self.world.machines))
+        machine = self.world.machines[name]
+        if machine.core is None or machine.frozen:
+            return
+        self.asked += 1
+        if self.source.random() < 0.3:
+            self._send_plain(machine, machine.core)
+            return
+        answer = want(self.world, name, f"a{self.source.randrange(ADAPTERS)}")
+        answer.add_done_callback(self._placed(machine, machine.core))
+
+    def _placed(self, machine: Machine, core: Core) -> Callable[[Future[Any]], None]:
+        """Return what is done once a request was given a place, or refused."""
+
+        def arrive(answer: Future[Any]) -> None:
+            target = answer.result()
+            if not isinstance(target, Target):
+                return
+            if machine.limits.of(target.upstream) is not None and not target.permitted:
+                # It is given back right before it would be sent.
+                return
+            self._arrive(machine, core, target.upstream)
+
+        return arrive
+
+    def _send_plain(self, machine: Machine, core: Core) -> None:
+        """Send a request that the leader does not place."""
+        engine = f"engine-{self.source.randrange(LIMITED)}"
+        if machine.limits.of(engine) is None:
+            self._arrive(machine, core, engine)
+            return
+        wanted = PermitWanted(engine)
+
+        def permitted(answer: Future[Permit]) -> None:
+            if answer.result().granted and machine.core is core:
+                self._arrive(machine, core, engine)
+
+        wanted.answer.add_done_callback(permitted)
+        machine.do(core, lambda: core.permits.ask(wanted))
+
+    def _arrive(self, machine: Machine, core: Core, engine: str) -> None:
+        if engine not in {f"engine-{number}" for number in range(LIMITED)}:
+            return
+        if engine not in self.world.engines:
+            return
+        now = self.world.now
+        self.arrivals.append(Arrival(now, engine, self._counts(machine, engine)))
+        limit = self.limit_by_engine.get(engine)
+        asked_at = self.world.clock.monotonic()
+
+        def answer() -> None:
+            life = core._directory.life_of(engine)
+            if limit is None and not machine.limits.knows(life):
+                return
+            heard_at = self.world.clock.monotonic()
+            core.limit_notices.noticed(NamedLimit(life, limit, asked_at, heard_at))
+            core.settle()
+
+        self.world.after(ANSWERED_AFTER_S, lambda: machine.do(core, answer))
+
+    def _counts(self, machine: Machine, engine: str) -> bool:
+        since = self.knows_since.get((machine.name, machine.lives, engine))
+        if since is not None and self.world.now >= since + KNOWN_FOR_S:
+            return True
+        return self._in_contact(machine.name)
+
+    def _in_contact(self, name: str) -> bool:
+        contact = self.bounds.contact.total_seconds()
+        return self.world.now > self.touched[name] + contact
+
+    # What is checked
+
+    def play(self) -> "LimitsDay":
+        """Play the day; see `passed`."""
+        super().play()
+        return self
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass, and hold what has arrived against the limits."""
+        until = self.world.now + seconds
+        while self.world.now < until:
+            super().pass_time(0.1)
+            self._check()
+
+    def _check(self) -> None:
+        contact = self.bounds.contact.total_seconds()
+        self.arrivals = [a for a in self.arrivals if a.at > self.world.now - WINDOW_S]
+        for engine, named_at in self.named_at.items():
+            if self.world.now - WINDOW_S < named_at + contact:
+                continue
+            found = sum(a.engine == engine and a.counts for a in self.arrivals)
+            most = OVER_RATE * self.limit_by_engine[engine] * WINDOW_S + OVER
+            self.windows += 1
+            if found > most:
+                said = f"{engine} at {self.world.now:.2f}: {found} of {most}"
+                self.passed.append(said)
+
+
+class ManyLimitsTests(unittest.TestCase):
+    def check(self, day: LimitsDay) -> None:
+        day.play()
+        self.assertGreater(day.windows, 0)
+        self.assertEqual(day.passed[:3], [])
+
+    @settings(max_examples=12, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32))
+    def test_a_mesh_of_few_instances(self, seed: int) -> None:
+        self.check(LimitsDay(7, seed))
+
+    @settings(max_examples=4, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32))
+    def test_many_instances_with_hubs(self, seed: int) -> None:
+        self.check(LimitsDay(24, seed, 3))
+
+
+assert LIMITED < ENGINES
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -12,9 +12,10 @@
 from ashhoist.placement.asks import Refusal, Wanted
 from ashhoist.requests.call import Call
 from ashhoist.requests.engine_chooser import EngineChooser
+from ashhoist.requests.limited_sends import LimitedSends
 from ashhoist.routing import Route, RouteKind
 from ashhoist.routing.in_force import InForce
-from ashhoist.upstreams import Balancer, Directory, Health, Rests
+from ashhoist.upstreams import Balancer, Directory, Health, RateLimits, Rests
 
 from .loops import finish
 from .request_scripts import StayingCaller
@@ -36,6 +37,7 @@
             Balancer("zone-0", health, rests, random.Random(1)),
             health,
             rests,
+            LimitedSends(RateLimits(directory.life_of), self._answer, self.clock),
             self._answer,
             lambda: True,
             self.clock,
--- a/tests/world_machine.py
+++ b/tests/world_machine.py
@@ -10,6 +10,7 @@
 from ashhoist.routing.in_force import InForce
 from ashhoist.store import Topic
 from ashhoist.types import Endpoint
+from ashhoist.upstreams import RateLimits
 
 from .world_log import WorldFollower
 from .world_time import Step
@@ -25,6 +26,7 @@
     in_force: InForce = field(default_factory=InForce)
     proof: Proof = field(default_factory=Proof)
     quarantine: Quarantine = field(default_factory=lambda: Quarantine(ManualClock()))
+    limits: RateLimits = field(default_factory=lambda: RateLimits(str))
     endpoints: list[Endpoint] = field(default_factory=list)
     """To which its process wants links."""
     frozen: bool = False
