Limits: named in answers to orders and reports they count too; tests of their form, of which counts, of who grants

The leader orders engines that few requests reach, and may hear of a limit there first. Without one these answers say nothing: only answers to requests end a limit.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -27,7 +27,7 @@
 from ..routing.in_force import InForce
 from ..store import AppendResult, Newest, Pace, Topic, Unavailable
 from ..store.follower import Followed
-from ..upstreams import Directory, Health, RateLimits, UpstreamLeaves
+from ..upstreams import Directory, Health, NamedLimit, RateLimits, UpstreamLeaves
 from . import inbox, messages
 from .agent import Agent
 from .beats import Beats
@@ -461,6 +461,19 @@
         notice = UpstreamLeaves(upstream, self._directory.life_of(upstream))
         self.departures.noticed(notice)
 
+    def engine_limited(
+        self, upstream: str, per_second: float | None, asked_at: timedelta
+    ) -> None:
+        """Take in the limit that an engine's answer to an order or question named.
+
+        None says nothing: only answers to requests end a limit.
+        """
+        if per_second is None:
+            return
+        life = self._directory.life_of(upstream)
+        now = self._clock.monotonic()
+        self.limit_notices.noticed(NamedLimit(life, per_second, asked_at, now))
+
     # Time
 
     def settle(self) -> None:
--- a/packages/ashhoist/src/ashhoist/control/engines.py
+++ b/packages/ashhoist/src/ashhoist/control/engines.py
@@ -26,18 +26,20 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderDone:
-    """An order's exchange has ended."""
+    """An order's exchange has ended, which began at `sent_at`."""
 
     order: Order
     reply: OrderReply
+    sent_at: timedelta
 
 
 @dataclass(frozen=True, slots=True)
 class ReportDone:
-    """An engine was asked what it holds; None if it did not answer."""
+    """An engine was asked what it holds, at `sent_at`; None if it did not answer."""
 
     upstream: str
     report: EngineReport | None
+    sent_at: timedelta
 
 
 @dataclass(slots=True)
@@ -163,20 +165,21 @@
 
     def _order(self, line: "_Line", order: Order) -> Steps[None]:
         reply = OrderReply(OrderAnswer.NOT_SENT)
+        sent_at = self._loop.clock.monotonic()
         if self._may_order(order):
-            sent_at = self._loop.clock.monotonic()
             # While it connects, this instance may stand still and its lease lapse.
             reply = yield from self._protocol.order(
                 line.client, order, line.patience, lambda: self._may_order(order)
             )
             line.learn(reply.answer, self._loop.clock.monotonic() - sent_at)
-        self._send(OrderDone(order, reply))
+        self._send(OrderDone(order, reply, sent_at))
 
     def _report(self, line: "_Line", request: AskReport) -> Steps[None]:
+        sent_at = self._loop.clock.monotonic()
         report = yield from self._protocol.report(
             line.client, request.upstream, REPORT_PATIENCE
         )
-        self._send(ReportDone(request.upstream, report))
+        self._send(ReportDone(request.upstream, report, sent_at))
 
     def _line(self, upstream: str, address: str) -> "_Line":
         line = self._lines.get(upstream)
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -285,13 +285,18 @@
 
     @_handles(OrderDone)
     def _order_done(self, message: OrderDone) -> None:
-        self.core.order_answered(message.order, message.reply.answer)
-        if message.reply.leaves:
-            self.core.engine_leaves(message.order.upstream)
+        upstream, reply = message.order.upstream, message.reply
+        self.core.order_answered(message.order, reply.answer)
+        if reply.leaves:
+            self.core.engine_leaves(upstream)
+        self.core.engine_limited(upstream, reply.limit, message.sent_at)
 
     @_handles(ReportDone)
     def _report_done(self, message: ReportDone) -> None:
-        self.core.reported(message.upstream, message.report)
+        upstream, report = message.upstream, message.report
+        self.core.reported(upstream, report)
+        if report is not None:
+            self.core.engine_limited(upstream, report.limit, message.sent_at)
 
 
 __all__ = ["ControlTask"]
--- a/packages/ashhoist/src/ashhoist/orders/order.py
+++ b/packages/ashhoist/src/ashhoist/orders/order.py
@@ -76,10 +76,13 @@
     ----------
     leaves : bool
         The engine has said that it is going to end.
+    limit : float or None
+        The requests a second that it takes; None if it named no limit.
     """
 
     answer: OrderAnswer
     leaves: bool = False
+    limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +101,8 @@
         When it started, in Unix milliseconds; 0 if it does not say.
     leaves : bool
         It is going to end and takes no new work.
+    limit : float or None
+        The requests a second that it takes; None if it named no limit.
     """
 
     order_count: int
@@ -110,3 +115,4 @@
     waiting: int = 0
     born: int = 0
     leaves: bool = False
+    limit: float | None = None
--- a/tests/test_many_limits.py
+++ b/tests/test_many_limits.py
@@ -9,11 +9,15 @@
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 from typing import Any
+from unittest import mock
 
 from hypothesis import given, settings, strategies as st
 
 from ashhoist.control.core import Core
+from ashhoist.control.limit_notices import LimitNotices
+from ashhoist.control.permits import Permits
 from ashhoist.placement.asks import Target
+from ashhoist.rates import Shares
 from ashhoist.upstreams import NamedLimit, Permit, PermitWanted, UpstreamState
 
 from .control_world import Machine
@@ -33,6 +37,7 @@
 OVER_RATE = 1.5
 OVER = 5
 ANSWERED_AFTER_S = 0.06
+SEEDS_OF_VARIANTS = (1, 5)
 
 
 @dataclass(frozen=True)
@@ -231,6 +236,33 @@
         self.check(LimitsDay(24, seed, 3))
 
 
+class BrokenVariantTests(unittest.TestCase):
+    """Each mechanism, broken on purpose: some of a few days must show it."""
+
+    def is_caught(self) -> bool:
+        for seed in SEEDS_OF_VARIANTS:
+            day = LimitsDay(24, seed, 3)
+            day.play()
+            if day.passed:
+                return True
+        return False
+
+    def test_the_days_find_nothing_in_what_is_whole(self) -> None:
+        self.assertFalse(self.is_caught())
+
+    def test_a_leader_that_grants_whatever_is_asked(self) -> None:
+        with mock.patch.object(Permits, "take", return_value=True):
+            self.assertTrue(self.is_caught())
+
+    def test_an_instance_that_tells_nobody(self) -> None:
+        with mock.patch.object(LimitNotices, "_tell_all"):
+            self.assertTrue(self.is_caught())
+
+    def test_leaders_that_each_grant_the_whole(self) -> None:
+        with mock.patch.object(Shares, "share", return_value=1.0):
+            self.assertTrue(self.is_caught())
+
+
 assert LIMITED < ENGINES
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -195,6 +195,18 @@
             self.assertEqual(run(self.loop, steps).leaves, leaves)
             self.assertEqual(self.report().leaves, leaves)
 
+    def test_answers_to_orders_and_reports_name_the_limit_for_requests(self) -> None:
+        order = Order(
+            "i-1", "", OrderKind.LOAD, Adapter(MODEL, "a1"), 0, holder="h", fence=1
+        )
+        for text, limit in (("", None), ("1.2", 1.2), ("few", None)):
+            self.worker.says.limit = text
+            steps = self.protocol.order(
+                self.client, order, timedelta(seconds=2), lambda: True
+            )
+            self.assertEqual(run(self.loop, steps).limit, limit)
+            self.assertEqual(self.report().limit, limit)
+
     def test_the_state_in_a_report_says_it_too(self) -> None:
         for state, leaves in (("ready", False), ("draining", True)):
             self.worker.says.state = state
