--- a/tests/test_scripts.py
+++ b/tests/test_scripts.py
@@ -2,10 +2,12 @@
 
 import subprocess
 import sys
+import tempfile
 import unittest
 from pathlib import Path
 from typing import Any
 
+from scripts.check_pages import unknown
 from scripts.compare_days import WORTH, rises
 
 from . import ROOT
@@ -32,6 +34,19 @@
         self.assertEqual(done.returncode, 0, done.stderr)
 
 
+class PagesTests(unittest.TestCase):
+    def test_a_header_that_only_the_pages_have_is_listed_where_it_stands(self) -> None:
+        # A limit that the pages told of was missed, as nothing held them against us.
+        with tempfile.TemporaryDirectory() as folder:
+            page = Path(folder) / "page.md"
+            page.write_text(
+                "With `X-Model` and\n`Server-New`, `servers/ID`, `at-hand`."
+            )
+            [(name, place)] = unknown([page])
+        self.assertEqual(name, "Server-New")
+        self.assertTrue(place.startswith("page.md:2: "))
+
+
 class CompareTests(unittest.TestCase):
     def found(self, before: list[dict], after: list[dict]) -> list[tuple[str, float]]:
         return [
