--- a/packages/ashhoist/src/ashhoist/control/limit_notices.py
+++ b/packages/ashhoist/src/ashhoist/control/limit_notices.py
@@ -1,4 +1,4 @@
-"""RateLimits that upstreams name in their answers: known here, told to all.
+"""Limits that upstreams name in their answers: known here, told to all.
 
 A limit holds for all instances together, also for those that get no answer.
 """
--- a/packages/ashhoist/src/ashhoist/control/permits.py
+++ b/packages/ashhoist/src/ashhoist/control/permits.py
@@ -14,19 +14,17 @@
 from ..logs import Logger
 from ..metrics import Metrics
 from ..rates import Bucket, Shares
-from ..upstreams import Permit, PermitWanted, RateLimits
+from ..upstreams import NOT_GRANTED, Permit, PermitWanted, RateLimits
 from .messages import AskPermit, LeaveShare, PermitAnswered
+from .quotas import NOT_KNOWN
 
 MICROSECOND = timedelta(microseconds=1)
 MILLISECOND = timedelta(milliseconds=1)
-NOT_KNOWN = -1
 LEAST_RATE = 0.1
 """Requests a second that go to an upstream whatever it names: only their answers tell
 that its limit has risen, or is gone."""
 BURST_TIME = timedelta(milliseconds=500)
 """What a limit allows within so long may go at once."""
-COME_BACK = timedelta(milliseconds=300)
-"""While nobody grants permits: about the time until somebody does again."""
 MOST_OPEN = 1024
 """Questions that are remembered; the oldest is forgotten first."""
 
@@ -81,7 +79,7 @@
         self._shares = Shares()
         self._bucket_by_life = {}
         for wanted in self._open.values():
-            _settle(wanted, Permit(False, COME_BACK))
+            _settle(wanted, NOT_GRANTED)
         self._open.clear()
         self.limits_changed()
 
@@ -145,7 +143,7 @@
         if bucket is None:
             return timedelta()
         if not bucket.rate:
-            return COME_BACK
+            return NOT_GRANTED.wait
         own = bucket.wait(1.0, self._clock.monotonic()) or timedelta()
         return own + timedelta(seconds=ahead / bucket.rate)
 
@@ -166,7 +164,7 @@
 
     def _wait_ms(self, upstream_id: str) -> int:
         """Return when to ask again; at least a millisecond from now."""
-        wait = self.wait(upstream_id) if self._grants else COME_BACK
+        wait = self.wait(upstream_id) if self._grants else NOT_GRANTED.wait
         return max(math.ceil(wait / MILLISECOND), 1)
 
     # Asking
@@ -174,7 +172,7 @@
     def ask(self, wanted: PermitWanted) -> None:
         """Ask the leader for one send."""
         if self._leader is None:
-            _settle(wanted, Permit(False, COME_BACK))
+            _settle(wanted, NOT_GRANTED)
             return
         self._numbers += 1
         self._open[self._numbers] = wanted
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -27,6 +27,7 @@
 from .engine import Engine, EngineNews, PlaceState
 from .engine_orders import EngineOrders
 from .holders import Holders
+from .limited_engines import LimitedEngines
 from .models import ModelLoads
 from .permits import EnginePermits
 from .popularity import Popularity
@@ -34,6 +35,7 @@
 from .rounds import Round, room_for
 from .wants import Want, WantedAdapter, Wants
 
+MILLISECOND = timedelta(milliseconds=1)
 ORDER_LOST_AFTER = timedelta(seconds=1)
 SOON_ENOUGH = timedelta(milliseconds=550)
 WORTH_A_LOAD = timedelta(milliseconds=250)
@@ -92,6 +94,9 @@
         self._holders = Holders()
         self.engines: dict[str, Engine] = {}
         self.wants = Wants()
+        self._limited = LimitedEngines(
+            permits, self.wants, self._serving, self._wait_at, self._send_there
+        )
         self.popularity = Popularity(clock)
 
     @property
@@ -319,7 +324,7 @@
         """Return the wait for a first token, with what a failing engine costs."""
         now = self._clock.monotonic()
         wait = engine.work.first_after(tokens + engine.promised, now)
-        wait += self._wait_for_permits(engine)
+        wait += self._limited.wait(engine)
         wait += FAILURE_COST * self._health.share_failing(engine.id)
         if not self._health.usable(engine.id):
             wait += UNREACHABLE_COST
@@ -365,6 +370,7 @@
                 going=sum(place.state is PlaceState.GOING for place in places),
                 used=sum(engine.work.uses(place.adapter) > 0 for place in places),
                 running=len(engine.work),
+                permit_ms=round(self._permits.wait(engine.id) / MILLISECOND),
                 pace=round(engine.work.pace, 2),
                 copies=len(engine.copies),
             )
@@ -402,8 +408,7 @@
         self._bring_models(open_zones)
         if not len(self.wants):
             return
-        self._serve_permitted()
-        self._queue_for_permits()
+        self._limited.begin_round(self.engines.values())
         round_ = Round(
             self.engines.values(),
             self._holders,
@@ -411,7 +416,7 @@
             self.popularity,
             self.wants.adapters(),
             self._wait_at,
-            self._wait_for_permits,
+            self._limited.wait,
             now,
         )
         self._give_up(round_, now)
@@ -457,7 +462,7 @@
         if round_.on_its_way(wanted):
             return
         engine = round_.best_engine(wanted)
-        if engine is None or self._permitted_sooner(engine, wanted):
+        if engine is None or self._limited.serve_sooner(wanted, engine):
             self._settle_for_what_serves(wanted, now)
             return
         if not engine.can_order(now):
@@ -483,85 +488,8 @@
                 self.wants.remove(want.id)
                 self._send_there(best, want)
                 continue
-            wait = self._wait_for_permit(want, ahead)
-            if self._all_limited(want) and now + wait > want.give_up_at:
+            engines = self._engines_for(want)
+            wait = self._limited.wait_if_all(want, ahead, engines)
+            if wait is not None and now + wait > want.give_up_at:
                 self.wants.remove(want.id)
                 self._act(Refused(want, Reason.UPSTREAMS_LIMITED, wait))
-
-    # Engines that have named a limit
-
-    def _serve_permitted(self) -> None:
-        """Send what waits for engines that may be sent something now, most worth first.
-
-        What is less urgent gives way.
-        """
-        for engine in self.engines.values():
-            if not self._permits.limited(engine.id):
-                continue
-            for want in self._waiting_at(engine):
-                if self._permits.wait(engine.id):
-                    break
-                self.wants.remove(want.id)
-                self._send_there(engine, want)
-
-    def _waiting_at(self, engine: Engine) -> list[Want]:
-        """Return the requests that wait for what an engine serves, most worth first."""
-        found: list[Want] = []
-        for adapter in engine.serving():
-            wanted = self.wants.of(engine.upstream.service, adapter)
-            if wanted is None:
-                continue
-            for want in wanted.by_id.values():
-                fits = engine.serves(adapter, want.oldest_version)
-                if fits and engine.id not in want.tried:
-                    found.append(want)
-        return sorted(found, key=lambda want: want.worth, reverse=True)
-
-    def _permitted_sooner(self, engine: Engine, wanted: WantedAdapter) -> bool:
-        """Return whether a load would end later than all can be sent that wait.
-
-        They wait for a permit at an engine that serves their adapter.
-        """
-        serving = self._limited_serving(wanted)
-        if not serving:
-            return False
-        tokens = wanted.most_tokens
-        wait = min(self._wait_at(one, tokens) for one in serving)
-        load = engine.load_time(wanted.adapter, wanted.oldest_version)
-        return wait <= load + self._wait_at(engine, tokens)
-
-    def _queue_for_permits(self) -> None:
-        """Count what waits for permits at the engines that serve its adapter.
-
-        Else each of them would look as if its next permit were for one more.
-        """
-        for wanted in self.wants.adapters():
-            serving = self._limited_serving(wanted)
-            if not serving:
-                continue
-            soonest = min(serving, key=lambda one: self._wait_at(one, 0))
-            soonest.await_permits(wanted.adapter, len(wanted.by_id))
-
-    def _limited_serving(self, wanted: WantedAdapter) -> list[Engine]:
-        """Return the engines that serve an adapter; none if one is not limited."""
-        serving = self._serving(next(iter(wanted.by_id.values())))
-        if not all(self._permits.limited(engine.id) for engine in serving):
-            return []
-        return serving
-
-    def _wait_for_permits(self, engine: Engine) -> timedelta:
-        """Return when an engine can be sent one more, behind all that wait for it."""
-        return self._permits.wait(engine.id, engine.promised_requests)
-
-    def _wait_for_permit(self, want: Want, ahead: int) -> timedelta:
-        """Return when an engine that serves a request's adapter can be sent it."""
-        serving = self._serving(want) or self._engines_for(want)
-        waits = (self._permits.wait(engine.id, ahead) for engine in serving)
-        return min(waits, default=COME_BACK)
-
-    def _all_limited(self, want: Want) -> bool:
-        """Return whether no engine is left that takes whatever comes."""
-        engines = self._engines_for(want)
-        return bool(engines) and all(
-            self._permits.limited(engine.id) for engine in engines
-        )
--- a/packages/ashhoist/src/ashhoist/requests/limited_sends.py
+++ b/packages/ashhoist/src/ashhoist/requests/limited_sends.py
@@ -7,14 +7,12 @@
 from ..clock import ZERO, Clock
 from ..http import CallerConnection
 from ..loop import Steps, Wait
-from ..upstreams import Permit, PermitWanted, RateLimits, Upstream
+from ..upstreams import NOT_GRANTED, Permit, PermitWanted, RateLimits, Upstream
 from .attempt import CallerLeft
 
 PATIENCE = timedelta(milliseconds=60)
 """How long a request waits for a permit: many round trips between zones, and little
 beside the aim of a request."""
-COME_BACK = timedelta(milliseconds=300)
-"""Where no answer has come: about the time until another instance leads."""
 
 
 class LimitedSends:
@@ -62,7 +60,7 @@
             if ready is not None and caller.left():
                 wanted.answer.cancel()
                 return CallerLeft()
-        permit = Permit(False, COME_BACK)
+        permit = NOT_GRANTED
         if not wanted.answer.cancel():
             permit = wanted.answer.result()
         if not permit.granted:
--- a/packages/ashhoist/src/ashhoist/upstreams/__init__.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/__init__.py
@@ -6,9 +6,10 @@
 from .lapses import Lapses
 from .limits import NamedLimit, RateLimits
 from .rests import Rests
-from .sends import Permit, PermitWanted
+from .sends import NOT_GRANTED, Permit, PermitWanted
 
 __all__ = [
+    "NOT_GRANTED",
     "Balancer",
     "Directory",
     "Health",
--- a/packages/ashhoist/src/ashhoist/upstreams/sends.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/sends.py
@@ -21,6 +21,10 @@
     wait: timedelta = timedelta()
 
 
+NOT_GRANTED = Permit(False, timedelta(milliseconds=300))
+"""Where nobody grants: it is about as long until somebody does again."""
+
+
 @dataclass(frozen=True, slots=True)
 class PermitWanted:
     """Ask whoever leads for one send to a limited upstream."""
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -104,7 +104,7 @@
             scheduler.popularity,
             scheduler.wants.adapters(),
             scheduler._wait_at,
-            scheduler._wait_for_permits,
+            scheduler._limited.wait,
             world.clock.monotonic(),
         )
         for wanted in scheduler.wants.adapters():
