--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/python -m ashhoist_bench.demo --serve
 
 test: venv lint
-	$(BIN)/python -m tests
+	$(BIN)/python -m tests $(if $(PROCESSES),--processes $(PROCESSES)) $(TESTS)
 
 lint: venv
 	$(BIN)/ruff format --check --quiet packages platform tests examples scripts
--- a/tests/workers.py
+++ b/tests/workers.py
@@ -82,8 +82,8 @@
 
 def _work(pipe: Connection, all_units: list[Unit]) -> None:
     """Run the units that are asked for until the pipe is closed."""
+    # Ctrl-c reaches the parent alone, which then ends this group.
     os.setpgid(0, 0)
-    signal.signal(signal.SIGINT, signal.SIG_IGN)
     with contextlib.suppress(EOFError):
         while True:
             pipe.send(_run(all_units[pipe.recv()]))
