--- a/tests/workers.py
+++ b/tests/workers.py
@@ -20,12 +20,17 @@
 Unit = list[unittest.TestCase]
 """Tests that one process runs one after the other."""
 STDOUT, STDERR = 1, 2
+RANDOM_DAYS = "test_many_"
+"""How modules begin whose tests take longest."""
 
 _context = multiprocessing.get_context("fork")
 
 
 def units(suite: unittest.TestSuite) -> list[Unit]:
-    """Return the tests of a suite, those of a class together if it has fixtures."""
+    """Return the tests of a suite, those of a class together if it has fixtures.
+
+    The longest come first: one that began last would keep one core busy alone.
+    """
     found: list[Unit] = []
     by_class: dict[type, Unit] = {}
     for test in _tests(suite):
@@ -36,7 +41,11 @@
         if kind not in by_class:
             found.append(by_class.setdefault(kind, []))
         by_class[kind].append(test)
-    return found
+    return sorted(found, key=_is_short)
+
+
+def _is_short(unit: Unit) -> bool:
+    return f".{RANDOM_DAYS}" not in type(unit[0]).__module__
 
 
 def _tests(suite: Iterable[unittest.TestCase]) -> Iterator[unittest.TestCase]:
