Requests: one wait for an answer of the control task; hubs say whom to tell on; no word on the wire for no limit

Cause, from reading the change once more: the wait that ends when the caller leaves stood three times (charging, the engines' chooser, limited sends, the last written again by this change), the members that a hub tells on stood three times (departures, crashes, limits), a limit that is none travelled as -1 though the encoding has none, and the permits took a log that they never wrote to. One function, one method, none. Behaviour is as before but for that field between instances of this unreleased message.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -162,7 +162,6 @@
             self._tell,
             clock,
             metrics,
-            log,
         )
         self.scheduling = Scheduling(
             self.desk.reaches,
--- a/packages/ashhoist/src/ashhoist/control/crash_notices.py
+++ b/packages/ashhoist/src/ashhoist/control/crash_notices.py
@@ -78,8 +78,8 @@
         for crash in crashes:
             self._quarantine.seen(crash)
         newly_held = self._quarantine.held - held_before
-        receivers = [name for name in self._hubs.members() if name != peer]
-        self._tell_all(receivers, self._quarantine.behind(sorted(newly_held)))
+        told_on = self._quarantine.behind(sorted(newly_held))
+        self._tell_all(self._hubs.others_to_tell(peer), told_on)
 
     def _tell_all(self, receivers: list[str], crashes: list[Crash]) -> None:
         if not crashes:
--- a/packages/ashhoist/src/ashhoist/control/departures.py
+++ b/packages/ashhoist/src/ashhoist/control/departures.py
@@ -51,8 +51,7 @@
         """Take in what another instance knows; a hub tells its members."""
         notices = [UpstreamLeaves(*row) for row in message.rows]
         news = self._take(notices, peer)
-        receivers = [name for name in self._hubs.members() if name != peer]
-        self._tell_all(receivers, news)
+        self._tell_all(self._hubs.others_to_tell(peer), news)
 
     def greet(self, peer: str) -> None:
         """Tell a newly linked instance what the log does not say."""
--- a/packages/ashhoist/src/ashhoist/control/hubs.py
+++ b/packages/ashhoist/src/ashhoist/control/hubs.py
@@ -169,6 +169,10 @@
             if peer.linked and peer.zone == self._own.zone
         ]
 
+    def others_to_tell(self, teller: str) -> list[str]:
+        """Return the members to which this hub passes on what an instance has told."""
+        return [name for name in self.members() if name != teller]
+
     def _to_link_of(self, zone: str) -> list[Peer]:
         """Return the best of a zone, and the next while these can't be reached."""
         now = self._clock.monotonic()
--- a/packages/ashhoist/src/ashhoist/control/limit_notices.py
+++ b/packages/ashhoist/src/ashhoist/control/limit_notices.py
@@ -15,8 +15,6 @@
 from .peers import Peers
 
 MICROSECOND = timedelta(microseconds=1)
-NO_LIMIT = -1.0
-"""On the wire: the answer named no limit."""
 
 
 class LimitNotices:
@@ -56,8 +54,7 @@
         """Take in what another instance knows; a hub tells its members."""
         now = self._clock.monotonic()
         news = self._take([_decode(row, now) for row in message.rows], peer)
-        receivers = [name for name in self._hubs.members() if name != peer]
-        self._tell_all(receivers, news)
+        self._tell_all(self._hubs.others_to_tell(peer), news)
 
     def greet(self, peer: str) -> None:
         """Tell a newly linked instance all that is known."""
@@ -87,16 +84,11 @@
 
 
 def _encode(named: NamedLimit, now: timedelta) -> list[object]:
-    rate = NO_LIMIT if named.per_second is None else named.per_second
     asked, heard = now - named.asked_at, now - named.heard_at
-    return [named.life, rate, asked // MICROSECOND, heard // MICROSECOND]
+    return [named.life, named.per_second, asked // MICROSECOND, heard // MICROSECOND]
 
 
 def _decode(row: list[Any], now: timedelta) -> NamedLimit:
-    life, rate, asked_us, heard_us = row
-    return NamedLimit(
-        life,
-        None if rate == NO_LIMIT else float(rate),
-        now - asked_us * MICROSECOND,
-        now - heard_us * MICROSECOND,
-    )
+    life, per_second, asked_us, heard_us = row
+    asked_at, heard_at = now - asked_us * MICROSECOND, now - heard_us * MICROSECOND
+    return NamedLimit(life, per_second, asked_at, heard_at)
--- a/packages/ashhoist/src/ashhoist/control/messages.py
+++ b/packages/ashhoist/src/ashhoist/control/messages.py
@@ -513,7 +513,7 @@
     Parameters
     ----------
     rows : list
-        Lists of an upstream's life, the requests a second that it takes (-1 if the
+        Lists of an upstream's life, the requests a second that it takes (none if the
         answer named no limit), and how many microseconds ago the request was sent and
         its answer came.
     """
--- a/packages/ashhoist/src/ashhoist/control/permits.py
+++ b/packages/ashhoist/src/ashhoist/control/permits.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 from ..clock import Clock
-from ..logs import Logger
 from ..metrics import Metrics
 from ..rates import Bucket, Shares
 from ..upstreams import NOT_GRANTED, Permit, PermitWanted, RateLimits
@@ -55,7 +54,6 @@
         tell: Callable[[str, Any], None],
         clock: Clock,
         metrics: Metrics,
-        log: Logger,
     ) -> None:
         self._own = own
         self._limits = limits
@@ -65,7 +63,6 @@
         self._tell = tell
         self._clock = clock
         self._metrics = metrics
-        self._log = log
         self._leader: str | None = None
         self._shares = Shares()
         self._bucket_by_life: dict[str, Bucket] = {}
--- a/packages/ashhoist/src/ashhoist/requests/charging.py
+++ b/packages/ashhoist/src/ashhoist/requests/charging.py
@@ -10,11 +10,12 @@
 from ..customers.charges import Charge, Charged, ChargeUnanswered, TokensUnused
 from ..failures import Reason
 from ..http import CallerConnection
-from ..loop import Steps, Wait
+from ..loop import Steps
 from ..metrics import Metrics
 from ..placement.asks import Refusal
 from .attempt import CallerLeft
 from .call import Call
+from .waiting import wait_for
 
 PATIENCE = timedelta(milliseconds=60)
 """How long a request waits for its tokens: many round trips between zones, and little
@@ -57,14 +58,12 @@
         charge = Charge(customer.name, call.charged)
         self._send(charge)
         until = self._clock.monotonic() + PATIENCE
-        while not charge.settled and self._clock.monotonic() < until:
-            watched = () if caller.watched is None else (caller.watched,)
-            ready = yield Wait(until, watched, future=charge.answer)
-            if ready is not None and caller.left():
-                # What is granted for it yet is spent by the next, or goes back.
-                charge.settle(Charged(False))
-                call.charged = 0.0
-                return CallerLeft()
+        left = yield from wait_for(charge.answer, until, caller, self._clock)
+        if left is not None:
+            # What is granted for it yet is spent by the next, or goes back.
+            charge.settle(Charged(False))
+            call.charged = 0.0
+            return left
         if not charge.settled:
             self._send(ChargeUnanswered(charge))
         return self._judge(call, customer, charge.answer.result())
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -28,10 +28,10 @@
 from ..placement.residency import Place
 from ..routing.in_force import InForce
 from ..upstreams import Balancer, Directory, Health, Rests
-from .attempt import CallerLeft
 from .call import Call
 from .choosers import Choice, PlainChooser
 from .limited_sends import LimitedSends
+from .waiting import wait_for
 from .worth import LATE_SHARE, Worth
 
 HELD_SHARE = 0.42
@@ -176,14 +176,16 @@
         wanted = self._wanted(call)
         self._send(wanted)
         last = min(wanted.give_up_at + HOLDER_LATE, wanted.limit)
-        left = yield from self._wait(wanted, min(began + HOLDER_SILENT, last), caller)
+        left = yield from wait_for(
+            wanted.answer, min(began + HOLDER_SILENT, last), caller, self._clock
+        )
         if left is None and not wanted.answer.done() and not wanted.taken_in.done():
             found = yield from self._known_to_serve(call)
             if found is not None and wanted.answer.cancel():
                 self._send(NoLongerWanted(wanted.id))
                 return self._go_alone(call, found)
         if left is None:
-            left = yield from self._wait(wanted, last, caller)
+            left = yield from wait_for(wanted.answer, last, caller, self._clock)
         if wanted.answer.cancel():
             self._send(NoLongerWanted(wanted.id))
             return left or Refusal(Reason.NO_PLACE, COME_BACK)
@@ -192,17 +194,6 @@
             self._balancer.begin(result.upstream)
         return result
 
-    def _wait(
-        self, wanted: Wanted, until: timedelta, caller: CallerConnection
-    ) -> Steps[CallerLeft | None]:
-        """Wait for an answer, or until time is up or the caller has left."""
-        while not wanted.answer.done() and self._clock.monotonic() < until:
-            watched = () if caller.watched is None else (caller.watched,)
-            ready = yield Wait(until, watched, future=wanted.answer)
-            if ready is not None and caller.left():
-                return CallerLeft()
-        return None
-
     def _wanted(self, call: Call) -> Wanted:
         assert call.adapter is not None
         answer: Future[Target | Refusal] = Future()
--- a/packages/ashhoist/src/ashhoist/requests/limited_sends.py
+++ b/packages/ashhoist/src/ashhoist/requests/limited_sends.py
@@ -6,9 +6,10 @@
 
 from ..clock import ZERO, Clock
 from ..http import CallerConnection
-from ..loop import Steps, Wait
+from ..loop import Steps
 from ..upstreams import NOT_GRANTED, Permit, PermitWanted, RateLimits, Upstream
 from .attempt import CallerLeft
+from .waiting import wait_for
 
 PATIENCE = timedelta(milliseconds=60)
 """How long a request waits for a permit: many round trips between zones, and little
@@ -54,12 +55,10 @@
         wanted = PermitWanted(upstream_id)
         self._send(wanted)
         until = self._clock.monotonic() + PATIENCE
-        while not wanted.answer.done() and self._clock.monotonic() < until:
-            watched = () if caller.watched is None else (caller.watched,)
-            ready = yield Wait(until, watched, future=wanted.answer)
-            if ready is not None and caller.left():
-                wanted.answer.cancel()
-                return CallerLeft()
+        left = yield from wait_for(wanted.answer, until, caller, self._clock)
+        if left is not None:
+            wanted.answer.cancel()
+            return left
         permit = NOT_GRANTED
         if not wanted.answer.cancel():
             permit = wanted.answer.result()
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/requests/waiting.py
@@ -0,0 +1,28 @@
+"""Waits on a request's way, which end when its caller leaves."""
+
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import Any
+
+from ..clock import Clock
+from ..http import CallerConnection
+from ..loop import Steps, Wait
+from .attempt import CallerLeft
+
+
+def wait_for(
+    answer: "Future[Any]", until: timedelta, caller: CallerConnection, clock: Clock
+) -> Steps[CallerLeft | None]:
+    """Wait for an answer of the control task, or until time is up.
+
+    Returns
+    -------
+    CallerLeft or None
+        None where the caller stays, whether there is an answer or not.
+    """
+    while not answer.done() and clock.monotonic() < until:
+        watched = () if caller.watched is None else (caller.watched,)
+        ready = yield Wait(until, watched, future=answer)
+        if ready is not None and caller.left():
+            return CallerLeft()
+    return None
