Demo: a change that the log has no room for is made again when told; a failed demo ends

Cause: six instances may send 30 appends at once where the stand-in of the log takes 25, so a moment's delay has one refused; the refusal is truthful, but the demo did not come back as an operator does, and its threads kept the process alive.

Reproduced with a log of 30 appends a second and 120 adapters: RuntimeError 503 before, declared now.

--- a/packages/ashhoist-bench/src/ashhoist_bench/demo.py
+++ b/packages/ashhoist-bench/src/ashhoist_bench/demo.py
@@ -240,16 +240,17 @@
     logs.configure(level="warning")
     deployment = Deployment(Shape(), SERVE_PORT if options.serve else 0)
     say("starting 3 zones, 6 instances, 5 engines, 3 services, all on loopback")
-    deployment.start()
-    deployment.declare()
-    say("300 adapters are declared and in force")
-    if options.serve:
-        serve(deployment)
+    try:
+        deployment.start()
+        deployment.declare()
+        say("300 adapters are declared and in force")
+        if options.serve:
+            serve(deployment)
+            return 0
+        return 1 if Demo(deployment).run().failed else 0
+    finally:
+        # Its threads would keep a failed demo from ending.
         deployment.close()
-        return 0
-    checks = Demo(deployment).run()
-    deployment.close()
-    return 1 if checks.failed else 0
 
 
 if __name__ == "__main__":
--- a/packages/ashhoist-bench/src/ashhoist_bench/deployment.py
+++ b/packages/ashhoist-bench/src/ashhoist_bench/deployment.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from ashhoist.daemon import Daemon
+from ashhoist.failures import Outcome
 from ashhoist.settings import Settings, parse
 from ashhoist.types import Endpoint
 from ashhoist_cli import Client
@@ -28,6 +29,10 @@
 REGION = "region-1"
 READY_LIMIT = timedelta(seconds=120)
 LOOK_EVERY_SECONDS = 0.05
+OK = 200
+TRIES = 20
+"""Of one change: the log takes so many a second from all instances together, and one
+that is turned away says when to come back."""
 
 SETTINGS = """
 [instance]
@@ -178,7 +183,7 @@
     def declare(self) -> None:
         """Declare base model, upstreams, policy and adapters as an operator."""
         client = self.operator()
-        _must(client.request("PUT", "/apis/v1/base-models/base", {"spec": {}}))
+        declare(client, "/apis/v1/base-models/base", {})
         for index, engine in enumerate(self.engines):
             spec: dict[str, Any] = {
                 "type": "engine",
@@ -191,7 +196,7 @@
                 "checks_fence": engine.model.checks_fence,
             }
             path = f"/apis/v1/upstreams/{engine.model.name}"
-            _must(client.request("PUT", path, {"spec": spec}))
+            declare(client, path, spec)
         for index, service in enumerate(self.services):
             spec = {
                 "type": "service",
@@ -200,11 +205,7 @@
                 "region": REGION,
                 "service": "lobby",
             }
-            _must(
-                client.request(
-                    "PUT", f"/apis/v1/upstreams/service-{index}", {"spec": spec}
-                )
-            )
+            declare(client, f"/apis/v1/upstreams/service-{index}", spec)
         with ThreadPoolExecutor(len(self.daemons)) as pool:
             list(pool.map(self._declare_adapter, range(self.shape.adapters)))
         self.wait_in_force()
@@ -219,7 +220,7 @@
             "default_version": "v1",
         }
         path = f"/apis/v1/adapters/adapter-{index}"
-        _must(Client(url, OPERATOR_TOKEN).request("PUT", path, {"spec": spec}))
+        declare(Client(url, OPERATOR_TOKEN), path, spec)
 
     def wait_in_force(self) -> None:
         """Wait until all instances have the newest configuration."""
@@ -260,6 +261,30 @@
     }
 
 
-def _must(answer: Any) -> None:
-    if answer.status != 200:
-        raise RuntimeError(f"{answer.status}: {answer.body.decode()}")
+def declare(
+    client: Client,
+    path: str,
+    spec: dict[str, Any],
+    pause: Callable[[float], None] = time.sleep,
+) -> None:
+    """Put a resource as an operator does, again where the instance says so.
+
+    Parameters
+    ----------
+    pause : callable
+        Takes the seconds to wait.
+
+    Raises
+    ------
+    RuntimeError
+        If it is refused for good, or for too long.
+    """
+    for _ in range(TRIES):
+        answer = client.request("PUT", path, {"spec": spec})
+        if answer.status == OK:
+            return
+        told = answer.json()
+        if told.get("outcome") != Outcome.NOT_RUN or "retry_after_ms" not in told:
+            break
+        pause(told["retry_after_ms"] / 1000)
+    raise RuntimeError(f"{path}: {answer.status}: {answer.body.decode()}")
