--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -122,6 +122,14 @@
         now = self._clock.monotonic()
         topic = followed.topic
         before = self.knowledge.offset(topic)
+        if followed.whole and followed.end <= before:
+            self._log.warning(
+                "log ends before newest known record",
+                topic=topic,
+                end=followed.end,
+                known_offset=before,
+                records=len(followed.records),
+            )
         fresh = [
             record for record in followed.records if self._take_record(topic, record)
         ]
