--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -158,7 +159,10 @@
         self.bounds = bounds or BoundsSection()
         self.customers: tuple[Customer, ...] = ()
         self.paces = paces(StoreSection(address="127.0.0.1:1"), self.bounds)
-        self._decoded: dict[tuple[Topic, int], Change] = {}
+        self._changes_by_value: dict[bytes, Change] = {}
+        self.written: dict[Topic, dict[str, bytes | None]] = {
+            topic: {} for topic in SHARED_TOPICS
+        }
         self._put_configuration()
         for index in range(engines):
             self.add_engine(f"engine-{index}", zone=f"zone-{index % zones}")
@@ -203,7 +207,6 @@
         self, name: str, state: UpstreamState = UpstreamState.READY
     ) -> None:
         """Write an engine's record."""
-        offset = self.log.topics[Topic.UPSTREAMS].end
         upstream = Upstream(
             name,
             SERVICE,
@@ -212,8 +215,7 @@
             state,
             96,
             (MODEL,),
-            offset,
-            self.born_by_engine.get(name, 0),
+            born=self.born_by_engine.get(name, 0),
         )
         change = UpstreamPut(upstream)
         self.write(Topic.UPSTREAMS, name, change)
@@ -231,18 +233,34 @@
 
     def lapse_engine(self, name: str) -> None:
         """Remove an engine's record; the engine goes on."""
-        offset = self.log.append(Topic.UPSTREAMS, name, None)
-        assert offset is not None
-        self._decoded[Topic.UPSTREAMS, offset] = UpstreamEnded(name, offset)
+        self._append(Topic.UPSTREAMS, name, None)
 
     def write(self, topic: Topic, key: str, change: Change, size: int = 1) -> None:
         """Write a record that says so, as long as wanted."""
-        offset = self.log.append(topic, key, b"x" * size)
-        assert offset is not None
-        self._decoded[topic, offset] = change
+        value = b"%d" % len(self._changes_by_value)
+        value = value.ljust(size, b"x")
+        self._changes_by_value[value] = change
+        self._append(topic, key, value)
+
+    def _append(self, topic: Topic, key: str, value: bytes | None) -> None:
+        self.written[topic][key] = value
+        self.log.append(topic, key, value)
+
+    def write_again(self, topic: Topic, key: str) -> None:
+        """Write what operators or engines last wrote, unless it stands there."""
+        value = self.written[topic][key]
+        _, found = self.log.topics[topic].newest.get(key, (-1, None))
+        if found != value:
+            self.log.append(topic, key, value)
 
     def _decode(self, topic: Topic, record: Record) -> Change | None:
-        return self._decoded.get((topic, record.offset))
+        if record.value is None:
+            is_upstream = topic is Topic.UPSTREAMS
+            return UpstreamEnded(record.key, record.offset) if is_upstream else None
+        change = self._changes_by_value.get(record.value)
+        if isinstance(change, UpstreamPut):
+            return UpstreamPut(replace(change.upstream, offset=record.offset))
+        return change
 
     # Machines
 
--- a/tests/platform_stand_ins/log_state.py
+++ b/tests/platform_stand_ins/log_state.py
@@ -1,5 +1,6 @@
 """The state of the platform's store: topics with keyed records, no sockets."""
 
+import copy
 from collections import defaultdict
 from dataclasses import dataclass, field
 
@@ -18,10 +19,26 @@
 
 
 class LogState:
-    """All topics. Every call is one step; nothing acknowledged is lost."""
+    """All topics. Every call is one step; only `restore` loses what was acknowledged.
+
+    Attributes
+    ----------
+    era : int
+        How often it was restored.
+    """
 
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = defaultdict(Topic)
+        self.era = 0
+
+    def copy(self) -> dict[str, Topic]:
+        """Return a copy of all topics, for `restore`."""
+        return copy.deepcopy(self.topics)
+
+    def restore(self, copied: dict[str, Topic]) -> None:
+        """Go back to a copy; offsets behind its ends are given out again."""
+        self.topics = copy.deepcopy(copied)
+        self.era += 1
 
     def append(
         self, topic: str, key: str, value: bytes | None, at: int | None = None
@@ -39,9 +56,9 @@
         return offset
 
     def read(self, topic: str, start: int) -> list[tuple[str, bytes | None]] | None:
-        """Return records from `start` on, or None if they are gone."""
+        """Return records from `start` on, or None if there is no such offset."""
         found = self.topics[topic]
-        if start < found.first:
+        if not found.first <= start <= found.end:
             return None
         return found.records[start - found.first :]
 
