Order records by log era and offset

Symptom: for seconds after the store had been restored from an older copy, requests were handled with a configuration older than one confirmed 2 s before, and reached an upstream 2.2 to 2.5 s after it had announced that it was leaving. Cause: offsets order records only until the log is restored. A restore moves offsets back and reuses them, so later records counted as old: at the reader, at the instances that it informed, and for leases. A reader that read from its last known offset got 410, read the newest records, and then read from the known offset again, 60 times a second, because what peers had told it took precedence over what it had just read. Change: a position combines the era named in responses (Store-Era; era 0 if absent) with the offset. Comparisons of records, beats, pulls, leases and proofs use positions. A read that finds a later era restarts from the newest records. A record that is unchanged in a later era is still relayed, so that all instances learn how far that era is known. Upstreams and known records of an earlier era that a later era's list lacks are not ended. A read that fails each time is made at most four times a second. Responses from an earlier era, or with a malformed one, are rejected. Alternatives considered: a restore counter kept beside each offset and compared by each reader; and discarding all offsets at a restore, which loses what only some instances had read.

--- a/packages/ashhoist/src/ashhoist/control/changes.py
+++ b/packages/ashhoist/src/ashhoist/control/changes.py
@@ -4,6 +4,7 @@
 
 from ..adapter import Adapter
 from ..routing import ServingConfiguration
+from ..store import Position
 from ..upstreams import Upstream
 
 
@@ -54,7 +55,7 @@
     """
 
     upstream_id: str
-    offset: int
+    offset: Position
     why: str
 
 
@@ -63,7 +64,7 @@
     """An upstream has gone."""
 
     upstream_id: str
-    offset: int
+    offset: Position
 
 
 Change = (
--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -25,7 +25,7 @@
 from ..quarantine import Quarantine
 from ..routing import ServingConfiguration
 from ..routing.in_force import InForce
-from ..store import AppendResult, Newest, Pace, Topic, Unavailable
+from ..store import AppendResult, Newest, Pace, Position, Topic, Unavailable
 from ..store.follower import Followed
 from ..upstreams import Directory, Health, NamedLimit, RateLimits, UpstreamLeaves
 from . import inbox, messages
@@ -296,7 +296,7 @@
         if followed.topic is Topic.CONFIGURATION and followed.complete:
             self.proofs.read(followed.asked_at)
 
-    def _catch_up_configuration(self, peer: str, offset: int) -> None:
+    def _catch_up_configuration(self, peer: str, offset: Position) -> None:
         self.records.catch_up(peer, Topic.CONFIGURATION, offset)
 
     @property
@@ -385,7 +385,8 @@
             # What it was told before it began to lead, it has passed over.
             self.agent.greet_leader()
         for topic in SHARED_TOPICS:
-            self.records.catch_up(peer, topic, beat.offsets.get(str(topic), NOT_WHOLE))
+            peer_offset = Position(beat.offsets.get(str(topic), NOT_WHOLE))
+            self.records.catch_up(peer, topic, peer_offset)
 
     def share_left(self, peer: str, since: int) -> None:
         """Take in that an instance leaves its share of all rates here."""
--- a/packages/ashhoist/src/ashhoist/control/knowledge.py
+++ b/packages/ashhoist/src/ashhoist/control/knowledge.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 
 from ..clock import ZERO
-from ..store import Record, Topic
+from ..store import Position, Record, Topic, era_of, supersedes
 
 SHARED_TOPICS = (Topic.CONFIGURATION, Topic.UPSTREAMS, Topic.CRASHES)
 NEEDED_TOPICS = (Topic.CONFIGURATION, Topic.UPSTREAMS)
@@ -21,9 +21,9 @@
 PULL_PATIENCE = timedelta(milliseconds=600)
 """How long an instance may be behind its peers before it reads the log itself."""
 MOST_RELAYED = 2000
-NOT_WHOLE = -1
+NOT_WHOLE = Position(-1)
 """How far a topic is known of which only some keys are."""
-EMPTY = -2
+EMPTY = Position(-2)
 """How far a topic is known, whole, in which nothing was ever written."""
 
 
@@ -33,9 +33,10 @@
 
     Parameters
     ----------
-    offset : int
-        Of the newest record that has changed something.
-    seen : int
+    offset : Position
+        Position of the newest record that changed something, or that was the first of
+        its key in an era.
+    seen : Position
         How far the topic was read, or told, without a gap.
     whole : bool
         Whether all keys were read, or told, once. Who knows but some of them must
@@ -43,8 +44,8 @@
     """
 
     by_key: dict[str, Record] = field(default_factory=dict)
-    offset: int = -1
-    seen: int = -1
+    offset: Position = NOT_WHOLE
+    seen: Position = NOT_WHOLE
     whole: bool = False
     read_at: timedelta = ZERO
     behind_since: timedelta | None = None
@@ -58,25 +59,25 @@
     def __init__(self) -> None:
         self._topics = {topic: _TopicState() for topic in SHARED_TOPICS}
 
-    def offset(self, topic: Topic) -> int:
-        """Return the offset of the newest record that has changed something."""
+    def offset(self, topic: Topic) -> Position:
+        """Return the position of the newest record that was kept."""
         return self._topics[topic].offset
 
-    def seen(self, topic: Topic) -> int:
+    def seen(self, topic: Topic) -> Position:
         """Return how far a topic was read, or told."""
         return self._topics[topic].seen
 
-    def see(self, topic: Topic, offset: int) -> None:
+    def see(self, topic: Topic, offset: Position) -> None:
         """Note that a topic was read, or told, up to an offset."""
         state = self._topics[topic]
         state.seen = max(state.seen, offset)
 
-    def told_to(self, topic: Topic) -> int:
+    def told_to(self, topic: Topic) -> Position:
         """Return up to which offset nothing need be read; -1 if all must be."""
         state = self._topics[topic]
-        return state.seen if state.whole else -1
+        return state.seen if state.whole else NOT_WHOLE
 
-    def known_to(self, topic: Topic) -> int:
+    def known_to(self, topic: Topic) -> Position:
         """Return up to which offset all changes are known here.
 
         `NOT_WHOLE` if not all are, `EMPTY` if there are none.
@@ -105,9 +106,17 @@
         return {str(topic): self.known_to(topic) for topic in self._topics}
 
     def is_news(self, topic: Topic, record: Record) -> bool:
-        """Return whether a record is newer than what is known of its key."""
+        """Return whether a record may be newer than what is known of its key.
+
+        A record of an earlier era may be newer than a known one of a later era, unless
+        the known one has the higher offset: the known one may be a copy.
+        """
         known = self._topics[topic].by_key.get(record.key)
-        return known is None or known.offset < record.offset
+        if known is None or known.offset < record.offset:
+            return True
+        if known.offset == record.offset:
+            return known.value != record.value
+        return not supersedes(known.offset, record.offset)
 
     def keep(self, topic: Topic, record: Record) -> None:
         """Keep a record that has changed something, for those that lack it."""
@@ -115,7 +124,21 @@
         state.by_key[record.key] = record
         state.offset = max(state.offset, record.offset)
 
-    def reached(self, topic: Topic, offset: int, now: timedelta) -> None:
+    def update_position(self, topic: Topic, record: Record) -> bool:
+        """Keep the known value of a key at the position of its record in a later era.
+
+        Returns
+        -------
+        bool
+            False if the key is unknown, or known in that era or a later one.
+        """
+        known = self._topics[topic].by_key.get(record.key)
+        if known is None or era_of(record.offset) <= era_of(known.offset):
+            return False
+        self.keep(topic, Record(record.offset, record.key, known.value))
+        return True
+
+    def reached(self, topic: Topic, offset: Position, now: timedelta) -> None:
         """Note that the log was read up to an offset."""
         self.see(topic, offset)
         state = self._topics[topic]
@@ -126,7 +149,7 @@
         """Return when the log itself was last read."""
         return self._topics[topic].read_at
 
-    def after(self, topic: Topic, offset: int) -> list[Record]:
+    def after(self, topic: Topic, offset: Position) -> list[Record]:
         """Return the newest records of all keys behind an offset, in order."""
         found = [
             record
@@ -136,7 +159,7 @@
         found.sort(key=lambda record: record.offset)
         return found[:MOST_RELAYED]
 
-    def note_peer(self, topic: Topic, peer_offset: int, now: timedelta) -> bool:
+    def note_peer(self, topic: Topic, peer_offset: Position, now: timedelta) -> bool:
         """Take in how far a peer is; return whether this instance is behind it."""
         state = self._topics[topic]
         if peer_offset <= state.seen:
@@ -174,10 +197,15 @@
         state.looked_at = now
         return True
 
-    def drop_ended(self, topic: Topic, now_listed: set[str], end: int) -> None:
-        """Forget keys that a whole list, as of `end`, does not name."""
+    def drop_ended(self, topic: Topic, now_listed: set[str], end: Position) -> None:
+        """Forget keys that a whole list, as of `end`, does not name.
+
+        Keys last recorded in an earlier era are kept, because the restore may have lost
+        their newer records.
+        """
         state = self._topics[topic]
         for key, record in list(state.by_key.items()):
             if key in now_listed or record.offset >= end or record.value is None:
                 continue
-            state.by_key[key] = Record(end - 1, key, None)
+            if era_of(record.offset) == era_of(end):
+                state.by_key[key] = Record(Position(end - 1), key, None)
--- a/packages/ashhoist/src/ashhoist/control/lease_calls.py
+++ b/packages/ashhoist/src/ashhoist/control/lease_calls.py
@@ -18,6 +18,7 @@
     AppendResult,
     ConditionFailed,
     Newest,
+    Position,
     Record,
     Unavailable,
     Unknown,
@@ -149,8 +150,10 @@
             self._failed_peers.add(peer)
             self._take_read(Unavailable("peer turned away"))
             return
-        records = tuple(Record(*row) for row in message.records)
-        self._take_read(Newest(records, message.end))
+        records = tuple(
+            Record(Position(at), key, value) for at, key, value in message.records
+        )
+        self._take_read(Newest(records, Position(message.end)))
 
     def claim_appended(self, peer: str, message: messages.ClaimAppended) -> None:
         """Take in how an append that an instance has made ended."""
@@ -202,9 +205,9 @@
 
 def _result(message: messages.ClaimAppended) -> AppendResult:
     if message.result == APPENDED:
-        return Appended(message.value)
+        return Appended(Position(message.value))
     if message.result == CONDITION:
-        return ConditionFailed(message.value)
+        return ConditionFailed(Position(message.value))
     return Unavailable("peer") if message.result == UNAVAILABLE else Unknown("peer")
 
 
--- a/packages/ashhoist/src/ashhoist/control/proofs.py
+++ b/packages/ashhoist/src/ashhoist/control/proofs.py
@@ -13,7 +13,7 @@
 from ..clock import ZERO, Clock
 from ..customers import Proof
 from ..logs import Logger
-from ..store import Topic
+from ..store import Position, Topic
 from .hubs import Hubs
 from .knowledge import Knowledge
 from .messages import AskProof, Proven
@@ -54,7 +54,7 @@
         outside: Outside,
         wanted: Callable[[], bool],
         leaves_since: Callable[[str], int],
-        catch_up: Callable[[str, int], None],
+        catch_up: Callable[[str, Position], None],
         tell: Callable[[str, Any], None],
         clock: Clock,
         log: Logger,
@@ -88,7 +88,7 @@
             self._prove(proven)
             return
         self._pending = proven
-        self._catch_up(peer, proven.offset)
+        self._catch_up(peer, Position(proven.offset))
 
     def _knows(self, proven: Proven) -> bool:
         return self._knowledge.known_to(Topic.CONFIGURATION) >= proven.offset
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -13,7 +13,7 @@
 from ..placement import Residency
 from ..quarantine import MalformedRecordError, Quarantine, decode_record
 from ..routing.in_force import InForce
-from ..store import Pace, Record, Topic
+from ..store import Pace, Position, Record, Topic
 from ..store.follower import Followed
 from ..upstreams import Directory, Health, Lapses
 from . import messages
@@ -27,7 +27,7 @@
     VersionNamed,
 )
 from .hubs import Hubs
-from .knowledge import EMPTY, MOST_RELAYED, NEEDED_TOPICS, Knowledge
+from .knowledge import EMPTY, MOST_RELAYED, NEEDED_TOPICS, NOT_WHOLE, Knowledge
 from .outside import Outside
 from .peers import Peers
 from .relays import pack, unpack
@@ -84,7 +84,7 @@
         self._log = log
         self.knowledge = Knowledge()
         self._lapses = Lapses(clock)
-        self._furthest: dict[Topic, tuple[str, int]] = {}
+        self._furthest: dict[Topic, tuple[str, Position]] = {}
 
     @property
     def reads_log(self) -> bool:
@@ -162,13 +162,16 @@
             self._upstreams_changed()
 
     def _take_record(self, topic: Topic, record: Record) -> bool:
-        """Take in a record; return whether it has changed something here."""
+        """Take in a record; return whether to relay it to peers.
+
+        True if it changed something, or moved its key to a position in a later era.
+        """
         if not self.knowledge.is_news(topic, record):
             return False
-        if not self._apply_record(topic, record):
-            return False
-        self.knowledge.keep(topic, record)
-        return True
+        if self._apply_record(topic, record):
+            self.knowledge.keep(topic, record)
+            return True
+        return self.knowledge.update_position(topic, record)
 
     def _apply_record(self, topic: Topic, record: Record) -> bool:
         if topic is Topic.CRASHES:
@@ -205,14 +208,14 @@
         for peer in peers:
             self._outside.send_to(peer, message)
 
-    def _drop_unlisted(self, topic: Topic, listed: set[str], end: int) -> None:
+    def _drop_unlisted(self, topic: Topic, listed: set[str], end: Position) -> None:
         self.knowledge.drop_ended(topic, listed, end)
         if topic is Topic.CRASHES:
             self._quarantine.keep_only(listed, end)
         if topic is not Topic.UPSTREAMS:
             return
         for upstream in self._directory.missing_from(listed, end):
-            self._apply(UpstreamEnded(upstream, end - 1))
+            self._apply(UpstreamEnded(upstream, Position(end - 1)))
 
     def _apply(self, change: Change) -> bool:
         """Take in a change; return whether it was one."""
@@ -284,7 +287,7 @@
         self._lapses.note(change.upstream_id, change.offset)
         return True
 
-    def _end_now(self, upstream: str, offset: int) -> bool:
+    def _end_now(self, upstream: str, offset: Position) -> bool:
         if not self._directory.end(upstream, offset, self._clock.monotonic()):
             return False
         self._log.info("upstream ended", upstream=upstream, offset=offset)
@@ -301,9 +304,9 @@
 
     def announced(self, peer: str, message: messages.Announce) -> None:
         """Take in that a peer has read a large record."""
-        self.catch_up(peer, Topic(message.topic), message.offset)
+        self.catch_up(peer, Topic(message.topic), Position(message.offset))
 
-    def catch_up(self, peer: str, topic: Topic, offset: int) -> None:
+    def catch_up(self, peer: str, topic: Topic, offset: Position) -> None:
         """Ask a peer for what it has read already; read that if asking is no help."""
         now = self._clock.monotonic()
         if offset == EMPTY:
@@ -324,7 +327,7 @@
     def pulled(self, peer: str, pull: messages.Pull) -> None:
         """Tell a peer what it lacks."""
         topic = Topic(pull.topic)
-        records = self.knowledge.after(topic, pull.after)
+        records = self.knowledge.after(topic, Position(pull.after))
         if not records or not self.knowledge.is_whole(topic):
             # One that knows but a part would pass it on as all there is.
             return
@@ -341,18 +344,18 @@
         fresh = [record for record in records if self._take_record(topic, record)]
         seen = self.knowledge.seen(topic)
         if relay.after <= seen:
-            self.knowledge.see(topic, relay.up_to)
+            self.knowledge.see(topic, Position(relay.up_to))
             self._go_on(peer, topic, seen)
         else:
-            self.catch_up(peer, topic, relay.up_to)
+            self.catch_up(peer, topic, Position(relay.up_to))
         self._batch_taken(topic)
         if sum(_size(record) for record in fresh) > MOST_PUSHED:
             self._announce(topic, self._hubs.members())
 
-    def _go_on(self, peer: str, topic: Topic, seen_before: int) -> None:
+    def _go_on(self, peer: str, topic: Topic, seen_before: Position) -> None:
         """Ask for the next part of what a peer knows, or note that it was the last."""
         seen = self.knowledge.seen(topic)
-        _, furthest = self._furthest.get(topic, (peer, -1))
+        _, furthest = self._furthest.get(topic, (peer, NOT_WHOLE))
         if furthest > seen:
             if seen > seen_before:
                 self._outside.send_to(peer, messages.Pull(str(topic), seen))
--- a/packages/ashhoist/src/ashhoist/control/relays.py
+++ b/packages/ashhoist/src/ashhoist/control/relays.py
@@ -11,7 +11,7 @@
 
 import cbor2
 
-from ..store import Record
+from ..store import Position, Record
 
 LONG = 1024
 """Bytes from which records are compressed."""
@@ -39,7 +39,7 @@
     """
     try:
         rows = cbor2.loads(_decompressed(data) if is_compressed else data)
-        return [Record(offset, key, value) for offset, key, value in rows]
+        return [Record(Position(offset), key, value) for offset, key, value in rows]
     except (cbor2.CBORDecodeError, TypeError) as error:
         raise ValueError(f"not records: {error}") from None
 
--- a/packages/ashhoist/src/ashhoist/control/store_calls.py
+++ b/packages/ashhoist/src/ashhoist/control/store_calls.py
@@ -17,6 +17,7 @@
     Appended,
     AppendResult,
     Newest,
+    Position,
     SharedLog,
     Topic,
     Unavailable,
@@ -155,14 +156,15 @@
             found = yield from self._read_claims(line, zone)
             tell(read_answer(message, found))
             return
-        result = yield from self._append_claim(line, zone, message.value, message.at)
+        at = Position(message.at)
+        result = yield from self._append_claim(line, zone, message.value, at)
         tell(append_answer(message, result))
 
     def _read_claims(self, line: _Line, zone: str) -> Steps[Newest | Unavailable]:
         return line.log.newest(Topic.LEASES, PATIENCE, partition_of(zone))
 
     def _append_claim(
-        self, line: _Line, zone: str, value: bytes, at: int
+        self, line: _Line, zone: str, value: bytes, at: Position
     ) -> Steps[AppendResult]:
         part = partition_of(zone)
         return line.log.append(Topic.LEASES, zone, value, at, PATIENCE, part)
--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -24,6 +24,7 @@
     AppendResult,
     ConditionFailed,
     Newest,
+    Position,
     Record,
     Unavailable,
 )
@@ -145,7 +146,7 @@
     """Append a claim, only where the topic ends at `at`."""
 
     claim: Claim
-    at: int
+    at: Position
     sent_at: timedelta
 
 
@@ -175,7 +176,7 @@
         self._clock = clock
         self._claim: Claim | None = None
         self._known_since = clock.monotonic()
-        self._end: int | None = None
+        self._end: Position | None = None
         self._pending = False
         self._next_try = ZERO
         self._renewed_at: timedelta | None = None
@@ -185,7 +186,7 @@
         self._last_ordered = clock.monotonic()
         self._begun_token: int | None = None
         self._unsure: AppendClaim | None = None
-        self._tried_at_offset: int | None = None
+        self._tried_at_offset: Position | None = None
         self._first_tried_at = ZERO
         self._resting = False
         self._stopping = False
@@ -376,7 +377,7 @@
             return
         self._take(claim, now)
         if self._end is not None:
-            self._end = max(self._end, claim.offset + 1)
+            self._end = max(self._end, Position(claim.offset + 1))
 
     def appended(self, action: AppendClaim, result: AppendResult) -> None:
         """Take in how an append ended."""
@@ -384,7 +385,7 @@
         now = self._clock.monotonic()
         if isinstance(result, Appended):
             self._claim = replace(action.claim, offset=result.offset)
-            self._end = result.offset + 1
+            self._end = Position(result.offset + 1)
             self._known_since = now
             self._begin(self._claim, now)
             self._renewed_at = action.sent_at
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -38,7 +38,7 @@
 from .requests.suspicion import Suspicion
 from .routing.in_force import InForce
 from .signals import SettingsWatcher, Signals
-from .store import CallCounts, CountedLog, Follower, SharedLog, Topic
+from .store import CallCounts, CountedLog, Follower, Position, SharedLog, Topic
 from .types import Endpoint
 from .upstreams import Balancer, Directory, Health, RateLimits, Rests
 
@@ -290,7 +290,7 @@
             for topic, pace in self._paces.items()
         }
 
-    def _told_to(self, topic: Topic) -> int:
+    def _told_to(self, topic: Topic) -> Position:
         return self.control.core.records.knowledge.told_to(topic)
 
     # Life
--- a/packages/ashhoist/src/ashhoist/store/__init__.py
+++ b/packages/ashhoist/src/ashhoist/store/__init__.py
@@ -4,6 +4,14 @@
 each key for good.
 """
 
+from ..position import (
+    MOST_ERAS,
+    Position,
+    era_of,
+    offset_of,
+    position,
+    supersedes,
+)
 from .counted import CallCounts, CountedLog
 from .follower import Follower, Pace
 from .port import (
@@ -22,6 +30,7 @@
 )
 
 __all__ = [
+    "MOST_ERAS",
     "PATIENCE",
     "AppendResult",
     "Appended",
@@ -32,10 +41,15 @@
     "Gone",
     "Newest",
     "Pace",
+    "Position",
     "Record",
     "Records",
     "SharedLog",
     "Topic",
     "Unavailable",
     "Unknown",
+    "era_of",
+    "offset_of",
+    "position",
+    "supersedes",
 ]
--- a/packages/ashhoist/src/ashhoist/store/counted.py
+++ b/packages/ashhoist/src/ashhoist/store/counted.py
@@ -8,6 +8,7 @@
 from ..logs import Logger
 from ..loop import Steps
 from ..metrics import Metrics
+from ..position import Position
 from .port import (
     PATIENCE,
     AppendResult,
@@ -57,7 +58,7 @@
         self._counts = counts
 
     def read(
-        self, topic: Topic, start: int, wait: timedelta
+        self, topic: Topic, start: Position, wait: timedelta
     ) -> Steps[Records | Gone | Unavailable]:
         """Return records from an offset on; wait so long for the first."""
         result = yield from self._log.read(topic, start, wait)
@@ -77,7 +78,7 @@
         topic: Topic,
         key: str,
         value: bytes,
-        at: int | None,
+        at: Position | None,
         patience: timedelta = PATIENCE,
         part: int = 0,
     ) -> Steps[AppendResult]:
--- a/packages/ashhoist/src/ashhoist/store/follower.py
+++ b/packages/ashhoist/src/ashhoist/store/follower.py
@@ -9,12 +9,14 @@
 from ..clock import ZERO, Clock
 from ..logs import Logger
 from ..loop import Steps, Wait
+from ..position import Position, era_of
 from .port import Gone, Newest, Record, Records, SharedLog, Topic, Unavailable
 
 FIRST_PAUSE = timedelta(milliseconds=250)
 LONGEST_PAUSE = timedelta(seconds=1)
 NEWS_AT_ONCE = 3
 """Reads that may bring news one right after the other."""
+NO_POSITION = Position(-1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,10 +50,10 @@
 
     Parameters
     ----------
-    end : int
+    end : Position
         Where the topic ended, as the log said.
-    read_to : int
-        The offset of the last record that was really there to read; the log may
+    read_to : Position
+        Position of the last record that was returned; the log may
         end behind it without having shown the rest.
     whole : bool
         True if these are the newest of all keys: what is not named has gone.
@@ -61,8 +63,8 @@
 
     topic: Topic
     records: tuple[Record, ...]
-    end: int
-    read_to: int
+    end: Position
+    read_to: Position
     whole: bool
     asked_at: timedelta
 
@@ -83,8 +85,8 @@
 Deliver = Callable[[Followed | FollowerState], None]
 
 
-def _told_nothing() -> int:
-    return -1
+def _told_nothing() -> Position:
+    return NO_POSITION
 
 
 class Follower:
@@ -98,7 +100,7 @@
         Returns whether to read now; what others have read may do. Whoever changes
         that pokes the follower.
     told_to : callable
-        Returns the offset up to which everything is known already, by whatever way.
+        Returns the position up to which all records are known, from any source.
     """
 
     def __init__(
@@ -110,7 +112,7 @@
         wanted: Callable[[], bool],
         clock: Clock,
         log: Logger,
-        told_to: Callable[[], int] = _told_nothing,
+        told_to: Callable[[], Position] = _told_nothing,
     ) -> None:
         self._topic = topic
         self._records = log_of_records
@@ -118,7 +120,8 @@
         self._deliver = deliver
         self._clock = clock
         self._log = log
-        self._next: int | None = None
+        self._next: Position | None = None
+        self._consecutive_restarts = 0
         self._news_at: deque[timedelta] = deque(maxlen=NEWS_AT_ONCE)
         self._rested = ZERO
         self._available: bool | None = None
@@ -151,18 +154,23 @@
             return (yield from self._start())
         began = self._clock.monotonic()
         # Else one that reads after a long time would get all of that time before news.
-        self._next = max(self._next, self._told_to() + 1)
+        self._next = max(self._next, Position(self._told_to() + 1))
         # Who has rested is answered as soon as who has not: others count on that.
         wait = max(self._pace.wait - self._rested, ZERO)
         self._rested = ZERO
         result = yield from self._records.read(self._topic, self._next, wait)
         if isinstance(result, Unavailable):
             return self._failed(result, began)
-        self._answered()
         if isinstance(result, Gone):
-            self._log.info("history gone", topic=self._topic, at=self._next)
-            self._next = None
-            return timedelta()
+            self._answered()
+            return self._restart("history gone", self._next)
+        if era_of(result.end) > era_of(self._next):
+            self._answered()
+            return self._restart("log restored", result.end)
+        if era_of(result.end) < era_of(self._next):
+            return self._failed(Unavailable("response from an earlier era"), began)
+        self._answered()
+        self._consecutive_restarts = 0
         self._take(result, began)
         if result.records:
             self._rested = self._rest_after_news()
@@ -176,15 +184,25 @@
             return ZERO
         return max(self._news_at[0] + self._pace.news_within - now, ZERO)
 
+    def _restart(self, event: str, at: Position) -> timedelta:
+        """Make the next call read the newest records; return the pause before it."""
+        self._log.info(event, topic=self._topic, at=at)
+        self._next = None
+        self._consecutive_restarts += 1
+        # Prevents a tight loop when each read after the newest records fails.
+        return FIRST_PAUSE if self._consecutive_restarts > 1 else ZERO
+
     def _start(self) -> Steps[timedelta]:
         began = self._clock.monotonic()
         result = yield from self._records.newest(self._topic)
         if isinstance(result, Unavailable):
             return self._failed(result, began)
-        self._answered()
         assert isinstance(result, Newest)
+        if era_of(result.end) < era_of(self._told_to()):
+            return self._failed(Unavailable("response from an earlier era"), began)
+        self._answered()
         self._next = result.end
-        read_to = max((record.offset for record in result.records), default=-1)
+        read_to = max((record.offset for record in result.records), default=NO_POSITION)
         self._deliver(
             Followed(self._topic, result.records, result.end, read_to, True, began)
         )
@@ -192,9 +210,9 @@
 
     def _take(self, result: Records, asked_at: timedelta) -> None:
         if result.records:
-            self._next = result.records[-1].offset + 1
+            self._next = Position(result.records[-1].offset + 1)
         assert self._next is not None
-        read_to = self._next - 1
+        read_to = Position(self._next - 1)
         self._deliver(
             Followed(self._topic, result.records, result.end, read_to, False, asked_at)
         )
--- a/packages/ashhoist/src/ashhoist/store/port.py
+++ b/packages/ashhoist/src/ashhoist/store/port.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from ..loop import Steps
+from ..position import Position
 
 PATIENCE = timedelta(milliseconds=1200)
 """How long a call may take, unless its caller says otherwise."""
@@ -26,7 +27,7 @@
 class Record:
     """One record; without a value it drops its key."""
 
-    offset: int
+    offset: Position
     key: str
     value: bytes | None
 
@@ -36,7 +37,7 @@
     """Records in order, and where the topic ends."""
 
     records: tuple[Record, ...]
-    end: int
+    end: Position
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,12 +45,12 @@
     """The newest record of each key. `end` is where the topic ended."""
 
     records: tuple[Record, ...]
-    end: int
+    end: Position
 
 
 @dataclass(frozen=True, slots=True)
 class Gone:
-    """The records asked for are no longer kept."""
+    """The requested records are no longer kept, or not written yet."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,16 +69,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Appended:
-    """An append was done at this offset."""
+    """An append was done at this position."""
 
-    offset: int
+    offset: Position
 
 
 @dataclass(frozen=True, slots=True)
 class ConditionFailed:
     """The topic did not end where the append wanted; nothing was done."""
 
-    end: int
+    end: Position
 
 
 AppendResult = Appended | ConditionFailed | Unavailable | Unknown
@@ -86,11 +87,13 @@
 class SharedLog(Protocol):
     """One connection to the log. Used by one task at a time.
 
-    A topic has partitions, each with offsets and an end of its own.
+    A topic has partitions, each with offsets and an end of its own. A call sends
+    only the offset of a position, so it may read from, or append to, another era than
+    that of the position; the positions in its result hold the actual era.
     """
 
     def read(
-        self, topic: Topic, start: int, wait: timedelta
+        self, topic: Topic, start: Position, wait: timedelta
     ) -> Steps[Records | Gone | Unavailable]:
         """Return records from an offset on; wait so long for the first."""
 
@@ -104,7 +107,7 @@
         topic: Topic,
         key: str,
         value: bytes,
-        at: int | None,
+        at: Position | None,
         patience: timedelta = PATIENCE,
         part: int = 0,
     ) -> Steps[AppendResult]:
--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -11,6 +11,9 @@
 from enum import StrEnum
 from types import MappingProxyType
 
+from ..position import Position, era_of
+
+NO_POSITION = Position(-1)
 REMEMBER_ENDED = timedelta(minutes=2)
 MOST_LEAVING = 4096
 """Lives that are remembered as leaving, beyond any that leave at once; the oldest is
@@ -34,7 +37,7 @@
         Often new with every start; an upstream may also start again under its id.
     address : str
         ``IP:PORT``; may belong to another upstream later.
-    offset : int
+    offset : Position
         Where its newest record stands on the log.
     born : int
         When it started, in Unix milliseconds by its own clock; 0 if it does not say.
@@ -47,7 +50,7 @@
     state: UpstreamState = UpstreamState.READY
     slots: int = 1
     models: tuple[str, ...] = ()
-    offset: int = -1
+    offset: Position = NO_POSITION
     born: int = 0
 
     @property
@@ -97,9 +100,9 @@
 
     def __init__(self) -> None:
         self._by_id: dict[str, Upstream] = {}
-        self._ended: dict[str, tuple[int, timedelta]] = {}
+        self._ended: dict[str, tuple[Position, timedelta]] = {}
         self._leaving_by_life: dict[str, UpstreamLeaves] = {}
-        self.offset = -1
+        self.offset = NO_POSITION
         self._view: DirectoryView | None = None
 
     @property
@@ -173,7 +176,7 @@
         self._view = None
         return True
 
-    def end(self, upstream_id: str, offset: int, now: timedelta) -> bool:
+    def end(self, upstream_id: str, offset: Position, now: timedelta) -> bool:
         """Take in that an upstream has gone; return whether it was known."""
         self.offset = max(self.offset, offset)
         known = self._by_id.get(upstream_id)
@@ -191,12 +194,18 @@
         self._view = None
         return True
 
-    def missing_from(self, listed: set[str], end: int) -> list[str]:
-        """Return the upstreams that a whole list, as of `end`, does not name."""
+    def missing_from(self, listed: set[str], end: Position) -> list[str]:
+        """Return the upstreams of the era of `end` that a whole list does not name.
+
+        Upstreams last recorded in an earlier era are left out: they may still be
+        running, as the restore may have lost their records.
+        """
         return [
             upstream.id
             for upstream in self._by_id.values()
-            if upstream.id not in listed and upstream.offset < end
+            if upstream.id not in listed
+            and upstream.offset < end
+            and era_of(upstream.offset) == era_of(end)
         ]
 
     def all(self) -> dict[str, Upstream]:
--- a/packages/ashhoist/src/ashhoist/upstreams/lapses.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/lapses.py
@@ -8,13 +8,14 @@
 from datetime import timedelta
 
 from ..clock import Clock
+from ..position import Position
 
 KEPT_FOR = timedelta(milliseconds=1600)
 FEWEST_TOGETHER = 3
 SHARE_TOGETHER = 0.5
 """Of all upstreams: if so many end at once, they have lapsed."""
 
-End = tuple[str, int]
+End = tuple[str, Position]
 """An upstream's id, and the offset of the record that ended it."""
 
 
@@ -23,10 +24,10 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._offset_by_id: dict[str, int] = {}
-        self._kept_by_id: dict[str, tuple[int, timedelta]] = {}
+        self._offset_by_id: dict[str, Position] = {}
+        self._kept_by_id: dict[str, tuple[Position, timedelta]] = {}
 
-    def note(self, upstream_id: str, offset: int) -> None:
+    def note(self, upstream_id: str, offset: Position) -> None:
         """Take in that an upstream's record has ended."""
         self._offset_by_id[upstream_id] = offset
 
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -160,7 +160,7 @@
         self.customers: tuple[Customer, ...] = ()
         self.paces = paces(StoreSection(address="127.0.0.1:1"), self.bounds)
         self._changes_by_value: dict[bytes, Change] = {}
-        self.written: dict[Topic, dict[str, bytes | None]] = {
+        self.last_written: dict[Topic, dict[str, bytes | None]] = {
             topic: {} for topic in SHARED_TOPICS
         }
         self._put_configuration()
@@ -243,12 +243,12 @@
         self._append(topic, key, value)
 
     def _append(self, topic: Topic, key: str, value: bytes | None) -> None:
-        self.written[topic][key] = value
+        self.last_written[topic][key] = value
         self.log.append(topic, key, value)
 
-    def write_again(self, topic: Topic, key: str) -> None:
-        """Write what operators or engines last wrote, unless it stands there."""
-        value = self.written[topic][key]
+    def rewrite(self, topic: Topic, key: str) -> None:
+        """Write the last value of a key again, unless the log holds it."""
+        value = self.last_written[topic][key]
         _, found = self.log.topics[topic].newest.get(key, (-1, None))
         if found != value:
             self.log.append(topic, key, value)
--- a/tests/platform_stand_ins/log_state.py
+++ b/tests/platform_stand_ins/log_state.py
@@ -19,25 +19,25 @@
 
 
 class LogState:
-    """All topics. Every call is one step; only `restore` loses what was acknowledged.
+    """All topics. Every call is one step; only `restore` loses acknowledged records.
 
     Attributes
     ----------
     era : int
-        How often it was restored.
+        Number of restores.
     """
 
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = defaultdict(Topic)
         self.era = 0
 
-    def copy(self) -> dict[str, Topic]:
-        """Return a copy of all topics, for `restore`."""
+    def snapshot(self) -> dict[str, Topic]:
+        """Return a copy of all topics for `restore`."""
         return copy.deepcopy(self.topics)
 
-    def restore(self, copied: dict[str, Topic]) -> None:
-        """Go back to a copy; offsets behind its ends are given out again."""
-        self.topics = copy.deepcopy(copied)
+    def restore(self, snapshot: dict[str, Topic]) -> None:
+        """Replace all topics with a snapshot; offsets past its ends are reused."""
+        self.topics = copy.deepcopy(snapshot)
         self.era += 1
 
     def append(
@@ -56,7 +56,7 @@
         return offset
 
     def read(self, topic: str, start: int) -> list[tuple[str, bytes | None]] | None:
-        """Return records from `start` on, or None if there is no such offset."""
+        """Return records from `start` on, or None if `start` is out of range."""
         found = self.topics[topic]
         if not found.first <= start <= found.end:
             return None
--- a/tests/platform_stand_ins/store.py
+++ b/tests/platform_stand_ins/store.py
@@ -4,9 +4,10 @@
 import json
 import struct
 import threading
+from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
-from .log_state import LogState
+from .log_state import LogState, Topic
 from .server import Call, Server
 
 MOST_ON_A_PAGE = 500
@@ -23,6 +24,11 @@
         Writes are done and not answered.
     unanswered_reads : int
         So many of the next reads get no answer, and their connections say no more.
+    era : str
+        Value of the `Store-Era` header of all responses; if empty, the header is
+        omitted.
+    after_next_page : callable or None
+        Called once, after the next page of the newest records is sent.
     calls : int
         How many there were.
     """
@@ -32,7 +38,9 @@
         self.status = 0
         self.lose_answers = False
         self.unanswered_reads = 0
+        self.era = ""
         self.calls = 0
+        self.after_next_page: Callable[[], None] | None = None
         self._changed = threading.Condition()
         self.server = Server(self._handle)
 
@@ -52,10 +60,21 @@
             self.state.forget_history(topic)
             self._changed.notify_all()
 
+    def restore(self, snapshot: dict[str, Topic]) -> None:
+        """Restore a snapshot of `state`; pending reads return the new era."""
+        with self._changed:
+            self.state.restore(snapshot)
+            self.era = str(self.state.era)
+            self._changed.notify_all()
+
+    def _respond(self, call: Call, status: int, body: bytes = b"") -> None:
+        headers = {"Store-Era": self.era} if self.era else {}
+        call.respond(status, body, headers)
+
     def _handle(self, call: Call) -> None:
         self.calls += 1
         if self.status:
-            call.respond(self.status)
+            self._respond(call, self.status)
             return
         parts = urlsplit(call.target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
@@ -66,7 +85,7 @@
         elif parts.path == "/api/log-newest":
             self._newest(call, query)
         else:
-            call.respond(404)
+            self._respond(call, 404)
 
     def _append(self, call: Call, query: dict[str, str]) -> None:
         at = int(query["at"]) if "at" in query else None
@@ -83,9 +102,9 @@
             call.wait_for_close()
             return
         if offset is None:
-            call.respond(412, json.dumps({"end": end}).encode())
+            self._respond(call, 412, json.dumps({"end": end}).encode())
             return
-        call.respond(200, json.dumps({"offset": offset, "end": end}).encode())
+        self._respond(call, 200, json.dumps({"offset": offset, "end": end}).encode())
 
     def _read(self, call: Call, query: dict[str, str]) -> None:
         if self.unanswered_reads:
@@ -98,17 +117,18 @@
         with self._changed:
             topic = self.state.topics[query["topic"]]
             self._changed.wait_for(lambda: topic.end > start, wait)
+            topic = self.state.topics[query["topic"]]
             records = self.state.read(query["topic"], start)
             first, end = topic.first, topic.end
         if records is None:
-            call.respond(410, json.dumps({"first": first}).encode())
+            self._respond(call, 410, json.dumps({"first": first}).encode())
             return
         body = struct.pack(">QQ", end, first)
         for key, value in records:
             name = key.encode()
             record = bytes([len(name)]) + name + (value or b"")
             body += struct.pack(">I", len(record)) + record
-        call.respond(200, body)
+        self._respond(call, 200, body)
 
     def _newest(self, call: Call, query: dict[str, str]) -> None:
         with self._changed:
@@ -123,7 +143,10 @@
             for key, (offset, value) in page
         ]
         answer = {"items": items, "more": len(rest) > len(page), "end": end}
-        call.respond(200, json.dumps(answer).encode())
+        self._respond(call, 200, json.dumps(answer).encode())
+        after_next_page, self.after_next_page = self.after_next_page, None
+        if after_next_page is not None:
+            after_next_page()
 
     def close(self) -> None:
         self.server.close()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -20,6 +20,7 @@
     Topic,
     Unavailable,
     Unknown,
+    position,
 )
 
 from .loops import new_loop, run
@@ -63,6 +64,50 @@
         self.assertEqual(found["b"], Record(1, "b", b"two"))
         self.assertNotIn("c", found)
 
+    def test_positions_in_an_answer_are_of_its_era(self) -> None:
+        self.server.put("keyed.ashhoist-leases", "a", "one")
+        self.server.era = "3"
+        record = Record(position(3, 0), "a", b'"one"')
+        end = position(3, 1)
+        self.assertEqual(self.read(Topic.LEASES), Records((record,), end))
+        self.assertEqual(self.newest(Topic.LEASES), Newest((record,), end))
+        failed = self.append(Topic.LEASES, "a", b"two", position(3, 0))
+        self.assertEqual(failed, ConditionFailed(end))
+        self.assertEqual(self.append(Topic.LEASES, "a", b"two", end), Appended(end))
+
+    def test_requests_send_the_offset_without_its_era(self) -> None:
+        self.server.put("keyed.ashhoist-leases", "a", "one")
+        self.server.era = "1"
+        read = self.store.read(Topic.LEASES, position(0, 1), timedelta())
+        self.assertEqual(run(self.loop, read), Records((), position(1, 1)))
+        appended = self.append(Topic.LEASES, "a", b"two", position(0, 1))
+        self.assertEqual(appended, Appended(position(1, 1)))
+
+    def test_an_answer_with_a_malformed_era_is_rejected(self) -> None:
+        self.server.put("keyed.ashhoist-leases", "a", "one")
+        for era in ("-1", "+1", "1.0", "one", "1, 2", "\u0661", "8388608", "99999999"):
+            with self.subTest(era=era):
+                self.server.era = era
+                self.assertIsInstance(self.read(Topic.LEASES), Unavailable)
+                self.assertIsInstance(self.newest(Topic.LEASES), Unavailable)
+                failed = self.append(Topic.LEASES, "a", b"two", 0)
+                self.assertIsInstance(failed, Unavailable)
+                done = self.append(Topic.LEASES, "a", b"two", None)
+                self.assertIsInstance(done, Unknown)
+
+    def test_offsets_past_the_end_are_gone(self) -> None:
+        self.server.put("keyed.servers", "i-1", {})
+        read = self.store.read(Topic.UPSTREAMS, 2, timedelta())
+        self.assertEqual(run(self.loop, read), Gone())
+
+    def test_newest_fails_if_the_era_changes_between_pages(self) -> None:
+        for number in range(600):
+            self.server.put("keyed.op", f"version/{number:05}", {"n": number})
+        snapshot = self.server.state.snapshot()
+        self.server.after_next_page = lambda: self.server.restore(snapshot)
+        self.assertIsInstance(self.newest(Topic.CONFIGURATION), Unavailable)
+        self.assertIsInstance(self.newest(Topic.CONFIGURATION), Newest)
+
     def test_an_append_whose_condition_fails_does_nothing(self) -> None:
         self.append(Topic.LEASES, "a", b"one", None)
         result = self.append(Topic.LEASES, "a", b"two", 0)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,4 +1,4 @@
-"""A store that comes back from a copy some seconds old: offsets are given out again."""
+"""The store is restored from a copy some seconds old, and reuses offsets."""
 
 import random
 import unittest
@@ -13,55 +13,53 @@
 from .world_restores import Restore
 
 WITHIN_S = (BoundsSection().configuration + RELAYED).total_seconds()
-LOOKS_EVERY_S = 0.05
-
-
+CHECK_INTERVAL_S = 0.05
 LOST_VERSIONS = 4
-"""Configurations that were confirmed and are lost; the newest is written again."""
+"""Confirmed configurations that the restore loses; the newest is written again."""
 
 
-def restored(world: World, lost_s: float = 2.0) -> None:
-    """Lose what was written for a while, until the newest of it is written again."""
-    copied = world.log.copy()
+def restore_store(world: World, lost_s: float = 2.0) -> None:
+    """Restore the store without its newest records; return after the rewrites."""
+    snapshot = world.log.snapshot()
     for version in range(2, 2 + LOST_VERSIONS):
         world.put_configuration(version)
         for engine in world.engines:
             world.write_engine(engine)
         world.run(lost_s / LOST_VERSIONS)
     restore = Restore()
-    restore.begin(world, copied, random.Random(1))
-    world.run(restore.away_s + restore.written_again_s)
+    restore.begin(world, snapshot, random.Random(1))
+    world.run(restore.outage_s + restore.rewrite_within_s)
 
 
 class RestoredStoreTests(unittest.TestCase):
     def test_a_change_confirmed_after_it_is_in_force_in_time(self) -> None:
         world = running()
-        restored(world)
+        restore_store(world)
         world.put_configuration(9)
         world.run(WITHIN_S)
         self.assertEqual(versions(world), {9})
 
     def test_an_upstream_that_leaves_after_it_is_known_in_time(self) -> None:
         world = running()
-        restored(world)
+        restore_store(world)
         world.write_engine("engine-0", UpstreamState.DRAINING)
         world.run(WITHIN_S)
         self.assertEqual(states(world, "engine-0"), {UpstreamState.DRAINING})
 
     def test_one_instance_at_a_time_holds_the_lease_behind_it(self) -> None:
-        # The holder renews its lease, and nobody is told of it but by the log.
+        # With its links cut, a holder announces renewals through the log only.
         world = running()
-        restored(world, 4.0)
+        restore_store(world, 4.0)
         for name in world.holders():
             world.machines[name].links_cut = True
-        held_twice = []
+        with_two_holders = []
         for step in range(400):
-            world.run(LOOKS_EVERY_S)
+            world.run(CHECK_INTERVAL_S)
             if step % 4 == 0:
                 want(world, f"instance-{step % 7}", f"a{step % 29}")
             if len(world.holders()) > 1:
-                held_twice.append(round(world.now, 2))
-        self.assertEqual(held_twice, [])
+                with_two_holders.append(round(world.now, 2))
+        self.assertEqual(with_two_holders, [])
         self.assertEqual(world.broken_turns(), [])
 
 
--- a/tests/world_log.py
+++ b/tests/world_log.py
@@ -22,6 +22,8 @@
     Records,
     Topic,
     Unavailable,
+    offset_of,
+    position,
 )
 from ashhoist.store.follower import Followed, FollowerState
 
@@ -70,7 +72,8 @@
             if not self._reaches():
                 yield Wait(began + wait + PATIENCE)
                 return Unavailable("timeout")
-            found = self._world.log.read(topic, start)
+            first = offset_of(start)
+            found = self._world.log.read(topic, first)
             if found is None:
                 return Gone()
             now = self._world.clock.monotonic()
@@ -80,10 +83,11 @@
         size = sum(len(value or b"") for _, value in found)
         carried_in = timedelta(seconds=size / self._world.bytes_per_s)
         yield Wait(self._world.clock.monotonic() + ANSWERED_IN + carried_in)
-        end = self._world.log.topics[topic].end
+        era = self._world.log.era
+        end = position(era, self._world.log.topics[topic].end)
         if self._world.deaf:
             return Records((), end)
-        numbered = enumerate(found, start)
+        numbered = enumerate(found, position(era, first))
         return Records(
             tuple(Record(at, key, value) for at, (key, value) in numbered), end
         )
@@ -98,10 +102,12 @@
             return Unavailable("timeout")
         yield Wait(self._world.clock.monotonic() + ANSWERED_IN)
         found = self._world.log.topics[topic]
+        era = self._world.log.era
         newest = tuple(
-            Record(offset, key, value) for key, (offset, value) in found.newest.items()
+            Record(position(era, offset), key, value)
+            for key, (offset, value) in found.newest.items()
         )
-        return Newest(newest, found.end)
+        return Newest(newest, position(era, found.end))
 
     def append(self, *_: Any, **__: Any) -> Any:
         raise NotImplementedError("followers only read")
--- a/tests/world_restores.py
+++ b/tests/world_restores.py
@@ -1,4 +1,4 @@
-"""A store of a test world that is away for a moment and comes back from a copy."""
+"""Restores the store of a test world from a snapshot, after an outage."""
 
 import random
 from dataclasses import dataclass
@@ -8,43 +8,45 @@
 from .control_world import World
 from .platform_stand_ins.log_state import Topic as TopicState
 
-WRITTEN_AGAIN_WITHIN_S = 1.0
+REWRITE_WITHIN_S = 1.0
 
 
 @dataclass(frozen=True)
 class Restore:
-    """How a store goes away and comes back.
+    """An outage of the store that ends with a restore.
 
     Parameters
     ----------
-    away_s : float
-        How long it answers nobody.
-    written_again_s : float
-        Within so long after its return all that operators and engines wrote stands
-        there again, in any order.
+    outage_s : float
+        Duration of the outage.
+    rewrite_within_s : float
+        Time after the restore within which the last written values are written again,
+        in random order.
     """
 
-    away_s: float = 0.8
-    written_again_s: float = WRITTEN_AGAIN_WITHIN_S
+    outage_s: float = 0.8
+    rewrite_within_s: float = REWRITE_WITHIN_S
 
     def begin(
-        self, world: World, copied: dict[str, TopicState], source: random.Random
+        self, world: World, snapshot: dict[str, TopicState], source: random.Random
     ) -> None:
-        """Take the store away now; it comes back by itself."""
+        """Start the outage, and schedule the restore at its end."""
         world.store.is_down = True
-        world.after(self.away_s, lambda: self._end(world, copied, source))
+        world.after(self.outage_s, lambda: self._end(world, snapshot, source))
 
     def _end(
-        self, world: World, copied: dict[str, TopicState], source: random.Random
+        self, world: World, snapshot: dict[str, TopicState], source: random.Random
     ) -> None:
-        world.log.restore(copied)
+        world.log.restore(snapshot)
         world.store.is_down = False
-        keys = [(topic, key) for topic, found in world.written.items() for key in found]
+        keys = [
+            (topic, key) for topic, found in world.last_written.items() for key in found
+        ]
         for topic, key in keys:
-            _write_again_later(
-                world, topic, key, source.uniform(0.0, self.written_again_s)
+            _schedule_rewrite(
+                world, topic, key, source.uniform(0.0, self.rewrite_within_s)
             )
 
 
-def _write_again_later(world: World, topic: Topic, key: str, seconds: float) -> None:
-    world.after(seconds, lambda: world.write_again(topic, key))
+def _schedule_rewrite(world: World, topic: Topic, key: str, seconds: float) -> None:
+    world.after(seconds, lambda: world.rewrite(topic, key))
--- a/tests/world_store.py
+++ b/tests/world_store.py
@@ -19,6 +19,8 @@
     Topic,
     Unavailable,
     Unknown,
+    offset_of,
+    position,
 )
 
 from .platform_stand_ins.log_state import LogState
@@ -117,7 +119,7 @@
         for key, value in records.items():
             offset = self.log.append(Topic.CRASHES, key, value or None)
             assert offset is not None
-        appended = Appended(offset)
+        appended = Appended(position(self.log.era, offset))
         self._timeline.after(
             STORE_S, lambda: machine.do(core, lambda: answer(appended))
         )
@@ -157,10 +159,12 @@
 
     def _newest_claims(self, zone: str) -> Newest:
         found = self.log.topics[_leases_of(zone)]
+        era = self.log.era
         records = tuple(
-            Record(offset, key, value) for key, (offset, value) in found.newest.items()
+            Record(position(era, offset), key, value)
+            for key, (offset, value) in found.newest.items()
         )
-        return Newest(records, found.end)
+        return Newest(records, position(era, found.end))
 
     def _append_claim(self, machine: Machine, core: Core, action: AppendClaim) -> None:
         if self.late_appends:
@@ -180,10 +184,11 @@
 
     def _append(self, key: str, value: bytes, at: int) -> Appended | ConditionFailed:
         topic = _leases_of(key)
-        offset = self.log.append(topic, key, value, at)
+        era = self.log.era
+        offset = self.log.append(topic, key, value, offset_of(at))
         if offset is None:
-            return ConditionFailed(self.log.topics[topic].end)
-        return Appended(offset)
+            return ConditionFailed(position(era, self.log.topics[topic].end))
+        return Appended(position(era, offset))
 
     def _answer_lease(
         self, machine: Machine, core: Core, action: LeaseAction, result: Any, s: float
