Handle upstreams and versions that a restored log lacks or lists again

Effects before this change: requests were sent to an upstream that had announced that it leaves, or whose record had ended, because the restored copy lists it as ready. Requests were refused because a live upstream had no record for a moment. An instance that starts could put an old configuration in force.

Cause, the same class of fault in each case: a record of a later era was treated as newer, though it may be a copy of a record older than the known one; and a list of a later era was treated as complete, though lost records are written again only within about two seconds.

Change: - Of two records of different eras, the one of the later era is certainly newer only if it has the higher offset. Ends of held back records are relayed to peers. - An upstream recorded only in earlier eras ends 3 s after the instance learns of the new era. - An instance whose peer has a newer configuration in force pulls it, even if it has read the log as far as the peer.

Known limits: an instance that starts within 4 s of a restore does not know of ends that the restore lost. Many upstreams that end at once are treated as lapsed, and a restored copy brings them back.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -387,6 +387,7 @@
         for topic in SHARED_TOPICS:
             peer_offset = Position(beat.offsets.get(str(topic), NOT_WHOLE))
             self.records.catch_up(peer, topic, peer_offset)
+        self.records.pull_newer_version(peer, beat.configuration)
 
     def share_left(self, peer: str, since: int) -> None:
         """Take in that an instance leaves its share of all rates here."""
--- a/packages/ashhoist/src/ashhoist/control/knowledge.py
+++ b/packages/ashhoist/src/ashhoist/control/knowledge.py
@@ -41,12 +41,18 @@
     whole : bool
         Whether all keys were read, or told, once. Who knows but some of them must
         not pass for one that knows all, here or to others.
+    era : int or None
+        The latest era that was read, or told; None before the first.
+    era_since : timedelta
+        When `era` was first known here.
     """
 
     by_key: dict[str, Record] = field(default_factory=dict)
     offset: Position = NOT_WHOLE
     seen: Position = NOT_WHOLE
     whole: bool = False
+    era: int | None = None
+    era_since: timedelta = ZERO
     read_at: timedelta = ZERO
     behind_since: timedelta | None = None
     pulled_at: timedelta | None = None
@@ -96,6 +102,24 @@
         """Note that all keys of a topic were read, or told."""
         self._topics[topic].whole = True
 
+    def note_era(self, topic: Topic, era: int, now: timedelta) -> bool:
+        """Note the era of a topic; return whether it is later than a known one."""
+        state = self._topics[topic]
+        before = state.era
+        if before is not None and era <= before:
+            return False
+        state.era = era
+        state.era_since = now
+        return before is not None
+
+    def era(self, topic: Topic) -> int:
+        """Return the latest known era of a topic, or 0 if none is known."""
+        return self._topics[topic].era or 0
+
+    def era_since(self, topic: Topic) -> timedelta:
+        """Return when the latest era of a topic was first known here."""
+        return self._topics[topic].era_since
+
     def note_empty(self, topic: Topic) -> None:
         """Note that a peer that knows a whole topic has found nothing in it."""
         if self._topics[topic].seen < 0:
--- a/packages/ashhoist/src/ashhoist/control/peers.py
+++ b/packages/ashhoist/src/ashhoist/control/peers.py
@@ -193,6 +193,15 @@
             and not peer.beat.stopping
         ]
 
+    def has_recent_reader(self, now: timedelta) -> bool:
+        """Return whether a linked instance still passes for a reader of the log."""
+        return any(
+            peer.linked
+            and peer.beat is not None
+            and now < peer.beat_at + timedelta(milliseconds=peer.beat.reads_for_ms)
+            for peer in self.by_name.values()
+        )
+
     def silent(self, now: timedelta) -> list[str]:
         """Return the linked instances that have not been heard for long."""
         return [peer.name for peer in self.by_name.values() if peer.is_silent(now)]
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -13,7 +13,7 @@
 from ..placement import Residency
 from ..quarantine import MalformedRecordError, Quarantine, decode_record
 from ..routing.in_force import InForce
-from ..store import Pace, Position, Record, Topic
+from ..store import Pace, Position, Record, Topic, era_of, position
 from ..store.follower import Followed
 from ..upstreams import Directory, Health, Lapses
 from . import messages
@@ -27,15 +27,26 @@
     VersionNamed,
 )
 from .hubs import Hubs
-from .knowledge import EMPTY, MOST_RELAYED, NEEDED_TOPICS, NOT_WHOLE, Knowledge
+from .knowledge import (
+    EMPTY,
+    MOST_RELAYED,
+    NEEDED_TOPICS,
+    NOT_WHOLE,
+    PULL_PAUSE,
+    Knowledge,
+)
 from .outside import Outside
 from .peers import Peers
 from .relays import pack, unpack
+from .returns import ReturnedUpstreams
 
 READ_OVERDUE_AFTER = timedelta(milliseconds=700)
 """Beyond a topic's round, its next answer is overdue: slow answers take so long."""
 MOST_PUSHED = 2048
 """Bytes of records that are told to others unasked."""
+REWRITE_WITHIN = timedelta(seconds=3)
+"""How long upstreams have to write records again that a restored log lacks; they take
+about two seconds."""
 
 Decode = Callable[[Topic, Record], Change | None]
 
@@ -84,6 +95,9 @@
         self._log = log
         self.knowledge = Knowledge()
         self._lapses = Lapses(clock)
+        self._returned = ReturnedUpstreams(clock)
+        self._log_may_lack_upstreams = False
+        self._version_pulled_at: timedelta | None = None
         self._furthest: dict[Topic, tuple[str, Position]] = {}
 
     @property
@@ -122,6 +136,7 @@
         now = self._clock.monotonic()
         topic = followed.topic
         before = self.knowledge.offset(topic)
+        self._note_era(topic, followed.end)
         if followed.whole and followed.end <= before:
             self._log.warning(
                 "log ends before newest known record",
@@ -142,13 +157,22 @@
         if fresh:
             self._pass_on(topic, before, fresh)
 
+    def _note_era(self, topic: Topic, at: Position) -> None:
+        """Take in the era of a position; a later era may lack known upstreams."""
+        now = self._clock.monotonic()
+        if not self.knowledge.note_era(topic, era_of(at), now):
+            return
+        self._log.info("log restored", topic=topic, era=era_of(at))
+        if topic is Topic.UPSTREAMS:
+            self._log_may_lack_upstreams = True
+
     def _batch_taken(self, topic: Topic) -> None:
         """Put in force what a batch of records says of upstreams together."""
         if topic is not Topic.UPSTREAMS:
             return
         known = len(self._directory.view.by_id)
         for upstream, offset in self._lapses.settle(known):
-            self._end_now(upstream, offset)
+            self._end_now(upstream, offset, individual=True)
         self._upstreams_changed()
 
     def tick(self) -> None:
@@ -158,9 +182,44 @@
         due = self._lapses.due()
         for upstream, offset in due:
             self._end_now(upstream, offset)
-        if due:
+        returned = self._take_held_back()
+        if self._end_lost_upstreams() or due or returned:
             self._upstreams_changed()
 
+    def _take_held_back(self) -> list[Record]:
+        """Take in the held back records that are due, and return them.
+
+        Returns none while neither this instance nor a linked one reads the log.
+        """
+        now = self._clock.monotonic()
+        if not self.reads_log and not self._peers.has_recent_reader(now):
+            return []
+        returned = self._returned.due()
+        for record in returned:
+            self._apply_record(Topic.UPSTREAMS, record)
+            self.knowledge.keep(Topic.UPSTREAMS, record)
+        return returned
+
+    def _end_lost_upstreams(self) -> bool:
+        """End upstreams that a restored log still lacks; return whether there were any.
+
+        Waits for `REWRITE_WITHIN` after the era was first known here.
+        """
+        topic = Topic.UPSTREAMS
+        if not self._log_may_lack_upstreams or not self.knows_latest(topic):
+            return False
+        era_known_for = self._clock.monotonic() - self.knowledge.era_since(topic)
+        if era_known_for < REWRITE_WITHIN:
+            return False
+        self._log_may_lack_upstreams = False
+        era = self.knowledge.era(topic)
+        ended_at = Position(position(era, 0) - 1)
+        lost = self._directory.recorded_before(era)
+        for upstream in lost:
+            self._end_now(upstream, ended_at)
+            self.knowledge.keep(topic, Record(ended_at, upstream, None))
+        return bool(lost)
+
     def _take_record(self, topic: Topic, record: Record) -> bool:
         """Take in a record; return whether to relay it to peers.
 
@@ -177,6 +236,9 @@
         if topic is Topic.CRASHES:
             return self._apply_crash(record)
         change = self._decode(topic, record)
+        if isinstance(change, UpstreamPut):
+            if self._returned.hold_back(change.upstream, record):
+                return False
         return change is not None and self._apply(change)
 
     def _apply_crash(self, record: Record) -> bool:
@@ -252,6 +314,8 @@
 
     def _put_upstream(self, change: UpstreamPut) -> bool:
         upstream = change.upstream
+        if era_of(upstream.offset) < self.knowledge.era(Topic.UPSTREAMS):
+            self._log_may_lack_upstreams = True
         back = self._lapses.back(upstream.id)
         before = self._directory.get(upstream.id)
         if not self._directory.put(upstream) and not back:
@@ -281,15 +345,30 @@
     def _end_upstream(self, change: UpstreamEnded) -> bool:
         known = self._directory.get(change.upstream_id)
         if known is None or not known.takes_work:
-            return self._end_now(change.upstream_id, change.offset)
+            return self._end_now(change.upstream_id, change.offset, individual=True)
         if known.offset >= change.offset:
             return False
         self._lapses.note(change.upstream_id, change.offset)
         return True
 
-    def _end_now(self, upstream: str, offset: Position) -> bool:
+    def _end_now(
+        self, upstream: str, offset: Position, individual: bool = False
+    ) -> bool:
+        """Take in an end; return whether that is news.
+
+        Parameters
+        ----------
+        individual : bool
+            Whether its record ended by itself. False if it lapsed with many others, or
+            was lost in a restore.
+        """
+        known = self._directory.get(upstream)
+        was_held_back = False
+        if individual:
+            born = None if known is None else known.born
+            was_held_back = self._returned.note_end(upstream, offset, born)
         if not self._directory.end(upstream, offset, self._clock.monotonic()):
-            return False
+            return was_held_back
         self._log.info("upstream ended", upstream=upstream, offset=offset)
         self._forget(upstream)
         return True
@@ -324,6 +403,23 @@
         if self.knowledge.read_due(topic, now):
             self._outside.read_now(topic)
 
+    def pull_newer_version(self, peer: str, version: int) -> None:
+        """Pull the configuration from a peer that has a newer version in force.
+
+        Offsets do not show this: a restored log may hold an older version than the
+        peer has, at the end that both have read.
+        """
+        topic = Topic.CONFIGURATION
+        if version <= self._in_force.version or topic in self._furthest:
+            return
+        now = self._clock.monotonic()
+        pulled_at = self._version_pulled_at
+        if pulled_at is not None and now - pulled_at < PULL_PAUSE:
+            return
+        self._version_pulled_at = now
+        self._log.info("newer configuration pulled", peer=peer, version=version)
+        self._outside.send_to(peer, messages.Pull(str(topic), NOT_WHOLE))
+
     def pulled(self, peer: str, pull: messages.Pull) -> None:
         """Tell a peer what it lacks."""
         topic = Topic(pull.topic)
@@ -340,6 +436,7 @@
     def relayed(self, peer: str, relay: messages.Relay) -> None:
         """Take in records that a peer has read."""
         topic = Topic(relay.topic)
+        self._note_era(topic, Position(relay.up_to))
         records = unpack(relay.records, relay.compressed)
         fresh = [record for record in records if self._take_record(topic, record)]
         seen = self.knowledge.seen(topic)
--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -1,8 +1,11 @@
 """The upstreams that exist, by the newest record of each.
 
 Records come from the platform and from other instances, in any order. Each
-carries the offset at which it was written, and a lower offset never replaces a
-higher one, nor does it bring back an upstream whose end was read.
+carries the position at which it was written, and a lower position never replaces a
+higher one, nor does it bring back an upstream whose end was read. Of two records of
+different eras, the one of the later era may be a copy of an older record. Unless its
+offset is higher, the two are merged: a life that leaves stays so, and a later life
+replaces an earlier one.
 """
 
 from collections.abc import Iterable
@@ -11,7 +14,7 @@
 from enum import StrEnum
 from types import MappingProxyType
 
-from ..position import Position, era_of
+from ..position import Position, era_of, supersedes
 
 NO_POSITION = Position(-1)
 REMEMBER_ENDED = timedelta(minutes=2)
@@ -141,9 +144,7 @@
         if notice.life in self._leaving_by_life:
             return False
         known = self._by_id.get(notice.upstream_id)
-        self._leaving_by_life[notice.life] = notice
-        if len(self._leaving_by_life) > MOST_LEAVING:
-            del self._leaving_by_life[next(iter(self._leaving_by_life))]
+        self._remember_leaving(notice)
         if known is None:
             return True
         if known.life != notice.life or not known.takes_work:
@@ -151,6 +152,11 @@
         self._view = None
         return True
 
+    def _remember_leaving(self, notice: UpstreamLeaves) -> None:
+        self._leaving_by_life[notice.life] = notice
+        if len(self._leaving_by_life) > MOST_LEAVING:
+            del self._leaving_by_life[next(iter(self._leaving_by_life))]
+
     def leaving_unwritten(self) -> list[UpstreamLeaves]:
         """Return the upstreams that leave, and are ready by their records."""
         return [
@@ -167,8 +173,8 @@
         if ended is not None and ended[0] >= upstream.offset:
             return False
         known = self._by_id.get(upstream.id)
-        if known is not None and known.offset >= upstream.offset:
-            return False
+        if known is not None and not supersedes(upstream.offset, known.offset):
+            return self._merge(known, upstream)
         self._by_id[upstream.id] = upstream
         self._ended.pop(upstream.id, None)
         if known is not None and _same(known, upstream):
@@ -176,6 +182,30 @@
         self._view = None
         return True
 
+    def _merge(self, known: Upstream, received: Upstream) -> bool:
+        """Merge a record of another era that is not certainly newer than the known one.
+
+        Returns
+        -------
+        bool
+            Whether something a request sees changed.
+        """
+        if era_of(received.offset) == era_of(known.offset):
+            return False
+        newest = max((known, received), key=lambda one: (one.born, one.offset))
+        merged = replace(newest, offset=max(known.offset, received.offset))
+        before = self._as_told(known)
+        is_leaving = any(
+            one.life == merged.life and not one.takes_work for one in (known, received)
+        )
+        if is_leaving:
+            self._remember_leaving(UpstreamLeaves(merged.id, merged.life))
+        self._by_id[merged.id] = merged
+        if _same(before, self._as_told(merged)):
+            return False
+        self._view = None
+        return True
+
     def end(self, upstream_id: str, offset: Position, now: timedelta) -> bool:
         """Take in that an upstream has gone; return whether it was known."""
         self.offset = max(self.offset, offset)
@@ -190,6 +220,9 @@
         self._forget_ended(now)
         if known is None:
             return False
+        if not known.takes_work:
+            # A restored log may list this life as ready.
+            self._remember_leaving(UpstreamLeaves(upstream_id, known.life))
         del self._by_id[upstream_id]
         self._view = None
         return True
@@ -208,6 +241,14 @@
             and era_of(upstream.offset) == era_of(end)
         ]
 
+    def recorded_before(self, era: int) -> list[str]:
+        """Return the upstreams whose newest known record is of an era before `era`."""
+        return [
+            upstream.id
+            for upstream in self._by_id.values()
+            if era_of(upstream.offset) < era
+        ]
+
     def all(self) -> dict[str, Upstream]:
         """Return all known upstreams by id."""
         return dict(self._by_id)
--- a/tests/test_many_changes.py
+++ b/tests/test_many_changes.py
@@ -93,12 +93,15 @@
         """Play troubles, overlapping, and look at every instance all the while."""
         for _ in range(TROUBLES):
             lasts = self.source.choice((0.3, 1.0, 2.0, 4.0, 6.5))
-            self.source.choice(TROUBLE_KINDS)(self, lasts)
+            self._begin_trouble(lasts)
             self._change_during_and_after(lasts)
             self.pass_time(self.source.choice((0.5, lasts + 0.2, lasts + 4.0)))
         self.pass_time(12.0)
         return self
 
+    def _begin_trouble(self, lasts: float) -> None:
+        self.source.choice(TROUBLE_KINDS)(self, lasts)
+
     def pass_time(self, seconds: float) -> None:
         until = self.world.now + seconds
         while self.world.now < until:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -4,6 +4,7 @@
 import unittest
 
 from ashhoist.process_settings import BoundsSection
+from ashhoist.store import Topic
 from ashhoist.upstreams import UpstreamState
 
 from .control_world import World
@@ -62,6 +63,45 @@
         self.assertEqual(with_two_holders, [])
         self.assertEqual(world.broken_turns(), [])
 
+    def test_starting_instance_gets_a_version_that_the_restore_lost(self) -> None:
+        world = running()
+        snapshot = world.log.snapshot()
+        world.put_configuration(7)
+        world.run(1.0)
+        world.kill("instance-3")
+        world.log.restore(snapshot)
+        world.start("instance-3")
+        world.run(WITHIN_S)
+        self.assertEqual(versions(world), {7})
+
+    def test_restored_record_does_not_make_a_leaving_upstream_ready(self) -> None:
+        world = running()
+        snapshot = world.log.snapshot()
+        world.write_engine("engine-0", UpstreamState.DRAINING)
+        world.run(1.0)
+        world.log.restore(snapshot)
+        for _ in range(40):
+            world.run(0.1)
+            self.assertEqual(states(world, "engine-0"), {UpstreamState.DRAINING})
+        world.kill("instance-3")
+        world.start("instance-3")
+        world.run(WITHIN_S)
+        self.assertEqual(states(world, "engine-0"), {UpstreamState.DRAINING})
+
+    def test_upstream_that_the_restore_lost_ends_until_rewritten(self) -> None:
+        world = running()
+        snapshot = world.log.snapshot()
+        world.add_engine("engine-9")
+        world.run(2.0)
+        world.log.restore(snapshot)
+        world.run(2.0)
+        self.assertEqual(states(world, "engine-9"), {UpstreamState.READY})
+        world.run(3.0)
+        self.assertEqual(states(world, "engine-9"), {None})
+        world.rewrite(Topic.UPSTREAMS, "engine-9")
+        world.run(2.0)
+        self.assertEqual(states(world, "engine-9"), {UpstreamState.READY})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/world_restores.py
+++ b/tests/world_restores.py
@@ -9,6 +9,8 @@
 from .platform_stand_ins.log_state import Topic as TopicState
 
 REWRITE_WITHIN_S = 1.0
+LAPSE_AFTER_S = 3.6
+"""Time after the restore at which a restored record without renewals lapses."""
 
 
 @dataclass(frozen=True)
@@ -43,9 +45,10 @@
             (topic, key) for topic, found in world.last_written.items() for key in found
         ]
         for topic, key in keys:
-            _schedule_rewrite(
-                world, topic, key, source.uniform(0.0, self.rewrite_within_s)
-            )
+            seconds = source.uniform(0.0, self.rewrite_within_s)
+            if world.last_written[topic][key] is None:
+                seconds = LAPSE_AFTER_S
+            _schedule_rewrite(world, topic, key, seconds)
 
 
 def _schedule_rewrite(world: World, topic: Topic, key: str, seconds: float) -> None:
