Keep a lease with its holder when its log is restored

Effects before this change: adapters were loaded and unloaded by two instances in turn, on engines that check no fencing tokens, and two holders could share a token.

A restore may lose a confirmed claim while its holder still relies on its term. An older claim that had been copied was treated as the newest one, so a successor, or a new process of the same machine, claimed at once. A claim whose append got no answer, or whose condition matched by coincidence, could be appended in a later era and count there, though nobody had read the claims before it.

Change: - Claims contain the era that their writer knew, in a sixth field that is present only where the store names eras. Without it the encoding is unchanged, because instances of the previous version read no other. - A claim counts as positioned in that era, so a copy never hides a newer claim. - An instance that finds the lease's newest claim in an earlier era waits for a whole term, counted from when it learned of the present era. - A holder keeps its token and renews in the present era. - A claim appended in an era other than the intended one does not count. - The next first token is a position of the present era, and therefore higher than all earlier tokens.

Alternative considered: a highest token passed between instances, which is lost when all of them restart.

Known limits: if the very first claim of a zone is lost, an instance that starts and is linked to no other claims at once. While instances of two versions run on a store that names eras, the older ones do not read claims of the newer.

--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -27,6 +27,9 @@
     Position,
     Record,
     Unavailable,
+    era_of,
+    offset_of,
+    position,
 )
 
 RETRY_PAUSE = timedelta(milliseconds=150)
@@ -74,10 +77,13 @@
         The holder's process; new with each start.
     fence : int
         The offset of the holder's first claim in a row; -1 in that record.
-    offset : int
-        Where the record itself stands.
+    offset : Position
+        The position of the record; its era is the one in which it was written.
     before : tuple of str
         The machines that held the lease before this one; none once a turn has passed.
+    era : int
+        The era of the log that the writer knew. A record found in a later era was
+        copied by a restore, or appended after a restore unknown to its writer.
     """
 
     key: str
@@ -87,6 +93,7 @@
     offset: int = -1
     released: bool = False
     before: tuple[str, ...] = ()
+    era: int = 0
 
     @property
     def token(self) -> int:
@@ -94,10 +101,12 @@
         return self.fence if self.fence >= 0 else self.offset
 
     def encode(self) -> bytes:
-        """Return the form on the log."""
-        return cbor2.dumps(
-            [self.holder, self.life, self.fence, self.released, self.before]
-        )
+        """Return the encoded record; era 0 is omitted.
+
+        Instances of the version before this one read only records without an era.
+        """
+        row = [self.holder, self.life, self.fence, self.released, self.before]
+        return cbor2.dumps([*row, self.era] if self.era else row)
 
     def to_row(self) -> list[object]:
         """Return the fields in their order, for a message."""
@@ -115,9 +124,13 @@
     def decode(cls, record: Record) -> "Claim | None":
         """Return the claim in a record, or None if it is none."""
         try:
-            holder, life, fence, released, before = cbor2.loads(record.value or b"")
-            row = (record.key, holder, life, fence, record.offset, released, before)
-            return cls.from_row(row)
+            fields = cbor2.loads(record.value or b"")
+            holder, life, fence, released, before, *rest = fields
+            era = min(rest[0] if rest else 0, era_of(record.offset))
+            offset = position(era, offset_of(record.offset))
+            return cls.from_row(
+                (record.key, holder, life, fence, offset, released, before)
+            )
         except (ValueError, TypeError, cbor2.CBORDecodeError):
             return None
 
@@ -177,6 +190,8 @@
         self._claim: Claim | None = None
         self._known_since = clock.monotonic()
         self._end: Position | None = None
+        self._era: int | None = None
+        self._era_since = ZERO
         self._pending = False
         self._next_try = ZERO
         self._renewed_at: timedelta | None = None
@@ -268,7 +283,8 @@
             return ReadClaims(self.key)
         if self._end is None:
             # Others tell what they have read: only who may claim has to read.
-            return ReadClaims(self.key) if now >= self._claimable_from() else None
+            must_read = self.held or now >= self._claimable_from()
+            return ReadClaims(self.key) if must_read else None
         if self.held:
             return self._due_as_holder(now)
         if self._stopping:
@@ -289,6 +305,10 @@
 
     def _claimable_from(self) -> timedelta:
         claim = self._claim
+        if claim is not None and self._is_from_earlier_era(claim):
+            # The restore may have lost a later claim whose term has not expired.
+            wait = self._timing.term + self._timing.clock_margin
+            return self._era_since + wait + RANK_PAUSE * self._rank
         if claim is None or claim.released:
             return self._known_since + RANK_PAUSE * self._rank
         if claim.holder == self._own:
@@ -296,6 +316,16 @@
         wait = self._timing.term + self._timing.clock_margin
         return self._known_since + wait + RANK_PAUSE * self._rank
 
+    def _is_from_earlier_era(self, claim: Claim) -> bool:
+        """Return whether a claim was written before the latest known restore."""
+        return self._era is not None and era_of(claim.offset) < self._era
+
+    def _note_era(self, era: int, now: timedelta) -> None:
+        """Record the era of the log, and when a new one was learned of."""
+        if self._era is None or era > self._era:
+            self._era = era
+            self._era_since = now
+
     def _next_claim(self) -> Claim:
         """Return the claim of one that does not hold the lease now.
 
@@ -305,7 +335,7 @@
         claim = self._claim
         if claim is None or claim.holder != self._own:
             return self._first_claim()
-        if claim.token == self._refused_token:
+        if claim.token == self._refused_token or self._is_from_earlier_era(claim):
             return self._first_claim()
         return replace(self._renewal(), life=self._life)
 
@@ -330,6 +360,7 @@
 
     def _append(self, claim: Claim, now: timedelta) -> AppendClaim:
         assert self._end is not None
+        claim = replace(claim, era=era_of(self._end))
         return AppendClaim(claim, self._end, now)
 
     # What comes back
@@ -338,9 +369,10 @@
         """Take in the answer to `ReadClaims`."""
         self._pending = False
         now = self._clock.monotonic()
-        if isinstance(result, Unavailable):
+        if isinstance(result, Unavailable) or self._is_stale_answer(result.end):
             self._next_try = now + RETRY_PAUSE
             return
+        self._note_era(era_of(result.end), now)
         self._end = result.end
         unsure, self._unsure = self._unsure, None
         found = self._newest(result)
@@ -349,10 +381,17 @@
         self._take(found, now)
         if unsure is None or found.offset != unsure.at or not self._mine(found):
             return
+        if era_of(result.end) != era_of(unsure.at):
+            # The restore may have lost later claims of other instances.
+            return
         self._begin(found, now)
         # Any of the tries there may have been done, and learnt of, since its sending.
         self._renewed_at = self._first_tried_at
 
+    def _is_stale_answer(self, end: Position) -> bool:
+        """Return whether an answer is from before the latest known restore."""
+        return self._era is not None and era_of(end) < self._era
+
     def _newest(self, result: Newest) -> Claim | None:
         for record in result.records:
             if record.key == self.key:
@@ -373,6 +412,7 @@
         now = self._clock.monotonic()
         if self._mine(claim):
             return
+        self._note_era(era_of(claim.offset), now)
         if self._claim is not None and claim.offset <= self._claim.offset:
             return
         self._take(claim, now)
@@ -383,6 +423,12 @@
         """Take in how an append ended."""
         self._pending = False
         now = self._clock.monotonic()
+        if isinstance(result, Appended | ConditionFailed):
+            self._note_era(era_of(_position_of(result)), now)
+        if isinstance(result, Appended) and era_of(result.offset) != era_of(action.at):
+            # The offset matched by coincidence; claims in the new era were not read.
+            self._end = None
+            return
         if isinstance(result, Appended):
             self._claim = replace(action.claim, offset=result.offset)
             self._end = Position(result.offset + 1)
@@ -422,3 +468,7 @@
         if self._own not in claim.before:
             return ZERO
         return self._last_ordered + self._timing.send_margin + self._timing.turn
+
+
+def _position_of(result: Appended | ConditionFailed) -> Position:
+    return result.offset if isinstance(result, Appended) else result.end
--- a/tests/test_lease_machine.py
+++ b/tests/test_lease_machine.py
@@ -27,9 +27,12 @@
     AppendResult,
     ConditionFailed,
     Newest,
+    Position,
     Record,
     Unavailable,
     Unknown,
+    offset_of,
+    position,
 )
 
 KEY = "orders"
@@ -45,17 +48,30 @@
     """One partition: records, appended only where it ends as wanted."""
 
     def __init__(self) -> None:
-        self.records: list[Record] = []
+        self.records: list[tuple[str, bytes]] = []
+        self.era = 0
+
+    @property
+    def end(self) -> Position:
+        return position(self.era, len(self.records))
 
     def do(self, action: LeaseAction) -> Newest | AppendResult:
         """Do a call and return its answer."""
         if isinstance(action, ReadClaims):
-            return Newest(tuple(self.records[-1:]), len(self.records))
-        if action.at != len(self.records):
-            return ConditionFailed(len(self.records))
-        record = Record(action.at, action.claim.key, action.claim.encode())
-        self.records.append(record)
-        return Appended(action.at)
+            newest = [
+                Record(Position(self.end - 1), key, value)
+                for key, value in self.records[-1:]
+            ]
+            return Newest(tuple(newest), self.end)
+        if offset_of(action.at) != len(self.records):
+            return ConditionFailed(self.end)
+        self.records.append((action.claim.key, action.claim.encode()))
+        return Appended(Position(self.end - 1))
+
+    def restore(self, lost: int) -> None:
+        """Start a new era without the last `lost` records; at least one is kept."""
+        self.era += 1
+        del self.records[max(1, len(self.records) - lost) :]
 
 
 @dataclass(slots=True)
@@ -302,6 +318,16 @@
             assert len(self.world.holders()) <= 1, self.world.holders()
 
 
+class RestoredLeaseMachine(LeaseMachine):
+    """As above, and the log may be restored at any time."""
+
+    @rule(lost=st.integers(0, 5), pause_ms=st.sampled_from((0, 500, 3000)))
+    def restore(self, lost: int, pause_ms: int) -> None:
+        """Restore the log from a copy, after a while in which it answered nobody."""
+        self.world.advance(timedelta(milliseconds=pause_ms))
+        self.world.log.restore(lost)
+
+
 LIMITS = settings(
     max_examples=60,
     stateful_step_count=MANY_STEPS,
@@ -324,14 +350,27 @@
     def test_no_rule_is_broken(self) -> None:
         run_state_machine_as_test(LeaseMachine, settings=LIMITS)
 
-    def assert_caught(self, attribute: str, broken: Callable[..., object]) -> None:
+    def test_nor_where_the_log_is_restored(self) -> None:
+        run_state_machine_as_test(RestoredLeaseMachine, settings=LIMITS)
+
+    def assert_caught(
+        self,
+        attribute: str,
+        broken: Callable[..., object],
+        machine: type[LeaseMachine] = LeaseMachine,
+    ) -> None:
         with mock.patch.object(Lease, attribute, broken):
             with self.assertRaises(AssertionError):
-                run_state_machine_as_test(LeaseMachine, settings=CAUGHT)
+                run_state_machine_as_test(machine, settings=CAUGHT)
 
     def test_a_successor_that_does_not_wait_is_caught(self) -> None:
         self.assert_caught("_claimable_from", _claims_at_once)
 
+    def test_a_successor_that_does_not_wait_after_a_restore_is_caught(self) -> None:
+        self.assert_caught(
+            "_is_from_earlier_era", lambda *_: False, RestoredLeaseMachine
+        )
+
     def test_a_holder_that_comes_back_without_waiting_is_caught(self) -> None:
         self.assert_caught("_turn_left_from", lambda *_: ZERO)
 
--- a/tests/test_many_leases.py
+++ b/tests/test_many_leases.py
@@ -13,7 +13,7 @@
 from ashhoist.orders import Lease, LeaseTiming
 
 from .control_world import TIMING, World
-from .world_faults import FAULTS
+from .world_faults import FAULTS, FAULTS_AND_RESTORES
 from .world_requests import want
 
 NO_WAIT = (17, 59)
@@ -24,6 +24,7 @@
     """A world under faults drawn from a seed; each fault heals by itself."""
 
     STEPS = 80
+    FAULTS = FAULTS
 
     def __init__(self, seed: int, timing: LeaseTiming | None = None) -> None:
         self._source = random.Random(seed)
@@ -56,9 +57,15 @@
         name = source.choice(holders if source.random() < 0.7 else list(world.machines))
         machine = world.machines[name]
         healed_after = source.uniform(0.2, 7.0)
-        fault = source.choice(sorted(FAULTS))
+        fault = source.choice(sorted(self.FAULTS))
         if machine.core is not None:
-            FAULTS[fault](world, machine, healed_after)
+            self.FAULTS[fault](world, machine, healed_after)
+
+
+class RestoresDay(RandomDay):
+    """A random day whose faults include restores of the store from a snapshot."""
+
+    FAULTS = FAULTS_AND_RESTORES
 
 
 class RandomFaultTests(unittest.TestCase):
@@ -76,6 +83,11 @@
     def test_no_two_holders_order_in_turn(self, seed: int) -> None:
         self.assert_sound(RandomDay(seed).play())
 
+    @settings(max_examples=30, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32))
+    def test_nor_where_the_store_is_restored(self, seed: int) -> None:
+        self.assert_sound(RestoresDay(seed).play())
+
     @settings(max_examples=20, deadline=None, derandomize=True)
     @given(st.integers(0, 2**32))
     @example(56)
--- a/tests/world_faults.py
+++ b/tests/world_faults.py
@@ -1,7 +1,10 @@
 """Faults of a test world by name; each strikes one machine, or the store, and heals."""
 
+import random
+
 from .control_world import Machine, World
 from .world_orders import GIVEN_UP_S
+from .world_restores import Restore
 
 STOPPED_S = 0.7
 """So long a planned stop takes."""
@@ -87,6 +90,17 @@
     world.after(STOPPED_S + healed_after, lambda: _start(world, machine))
 
 
+def _restore(world: World, machine: Machine, healed_after: float) -> None:
+    """Restore the store from a snapshot taken now, after a later outage."""
+    if world.store.is_down:
+        return
+    snapshot = world.log.snapshot()
+    outage_after_s = healed_after / 2
+    restore = Restore(min(healed_after, 2.0))
+    source = random.Random(healed_after)
+    world.after(outage_after_s, lambda: restore.begin(world, snapshot, source))
+
+
 def _start(world: World, machine: Machine) -> None:
     if machine.core is None:
         world.start(machine.name)
@@ -106,3 +120,4 @@
     "roll": _roll,
     "stop": _stop,
 }
+FAULTS_AND_RESTORES = {**FAULTS, "restore": _restore}
