Rewrite crash records and registrations that a restored log lacks

Effects before this change: a request that crashes upstreams was sent on once more, because the log had lost that it was held back. An instance that had just started was not found by others.

Cause: the same class of fault, in records that the system itself has written and that nobody else writes again. A list of a later era that lacked a crash ended that crash. A copied record with fewer requests replaced the newer one. A copied whole answer cleared crashes that came after it.

Change: - Crashes and whole answers of different eras are merged: requests that count continue to count, and requests that were cleared stay cleared. - Instances remember which records a restored log lacks. The leader rewrites them every 5 s until the log contains them, whole answers first. - An instance that registered less than 30 s before registers again. - An instance that begins to read starts with the newest records, even if peers have told it of a later era, because only the whole list shows which records are missing.

Alternative considered: each instance rewrites its own records. That takes one call from every instance at once, and leaves out records of instances that have gone.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -123,6 +123,7 @@
             outside,
             settings.paces,
             self._apply_upstreams,
+            self.membership.log_restored,
             clock,
             metrics,
             log,
--- a/packages/ashhoist/src/ashhoist/control/crash_reports.py
+++ b/packages/ashhoist/src/ashhoist/control/crash_reports.py
@@ -37,6 +37,8 @@
 MOST_UNWRITTEN = 1024
 """Records that wait for a log that is away; the oldest give way."""
 PRUNE_EVERY = timedelta(seconds=10)
+REWRITE_EVERY = timedelta(seconds=5)
+"""Interval at which the leader rewrites records that a restored log still lacks."""
 
 
 class CrashReports:
@@ -87,6 +89,7 @@
         self._retry_at = ZERO
         self._pause = FIRST_PAUSE
         self._prune_at = ZERO
+        self._rewrite_at = ZERO
         self._held: frozenset[str] = frozenset()
 
     def cut(self, message: RequestCut) -> None:
@@ -163,6 +166,7 @@
         if isinstance(result, Appended):
             for key in records:
                 self._forget(key)
+                self._quarantine.note_written(key, result.offset)
             self._pause = FIRST_PAUSE
             self.step()
             return
@@ -206,6 +210,7 @@
         if now < self._retry_at and self._unwritten:
             # The log may answer others again before it is tried from here.
             self._ask_for_help()
+        self._rewrite_lost_records(now)
         if now < self._prune_at:
             return
         self._prune_at = now + PRUNE_EVERY
@@ -216,6 +221,19 @@
             self._enqueue(key, b"")
         self.step()
 
+    def _rewrite_lost_records(self, now: timedelta) -> None:
+        """Rewrite records that a restored log lacks; only the leader does so."""
+        if now < self._rewrite_at or not self._leads():
+            return
+        lost = self._quarantine.lost_records()
+        if not lost:
+            return
+        self._rewrite_at = now + REWRITE_EVERY
+        self._log.info("crashes written again", records=len(lost))
+        for said in lost:
+            self._enqueue(said.key, said.encode())
+        self.step()
+
     def note_held(self) -> list[str]:
         """Note which requests are held back, and tell the operators.
 
--- a/packages/ashhoist/src/ashhoist/control/membership.py
+++ b/packages/ashhoist/src/ashhoist/control/membership.py
@@ -16,6 +16,9 @@
 REGISTER_AGAIN = timedelta(seconds=2)
 """After so long without an answer of the log an instance registers once more."""
 
+RECENT_REGISTRATION = timedelta(seconds=30)
+"""Registrations within this time before a restore may be missing from the copy."""
+
 
 class Membership:
     """The instances that this one knows of.
@@ -42,6 +45,7 @@
         self._outside = outside
         self._clock = clock
         self._register_at = ZERO
+        self._registered_at = ZERO
         self._links: tuple[tuple[str, ...], bool] = ((), False)
         self.knows_others = False
 
@@ -57,11 +61,20 @@
 
     def registered(self, records: list[InstanceRecord]) -> None:
         """Take in that this instance is registered, and which others are."""
+        if not self.knows_others:
+            self._registered_at = self._clock.monotonic()
         self.knows_others = True
         for record in records:
             self._peers.registered(record)
         self.relink()
 
+    def log_restored(self) -> None:
+        """Register again if the restored log may lack this instance's registration."""
+        if not self.knows_others:
+            return
+        if self._clock.monotonic() - self._registered_at < RECENT_REGISTRATION:
+            self._outside.register()
+
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take in which instances to ask while none is linked."""
         self._seeds = seeds
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -60,6 +60,8 @@
         How each topic is read, where this instance reads it.
     upstreams_changed : callable
         Called when which upstreams there are, or what is in force, has changed.
+    log_restored : callable
+        Called once for each new era of the log.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         outside: Outside,
         paces: Mapping[Topic, Pace],
         upstreams_changed: Callable[[], None],
+        log_restored: Callable[[], None],
         clock: Clock,
         metrics: Metrics,
         log: Logger,
@@ -90,6 +93,8 @@
         self._outside = outside
         self._paces = paces
         self._upstreams_changed = upstreams_changed
+        self._log_restored = log_restored
+        self._restored_era = 0
         self._clock = clock
         self._metrics = metrics
         self._log = log
@@ -165,6 +170,9 @@
         self._log.info("log restored", topic=topic, era=era_of(at))
         if topic is Topic.UPSTREAMS:
             self._log_may_lack_upstreams = True
+        if era_of(at) > self._restored_era:
+            self._restored_era = era_of(at)
+            self._log_restored()
 
     def _batch_taken(self, topic: Topic) -> None:
         """Put in force what a batch of records says of upstreams together."""
--- a/packages/ashhoist/src/ashhoist/position.py
+++ b/packages/ashhoist/src/ashhoist/position.py
@@ -10,6 +10,7 @@
 
 Position = NewType("Position", int)
 """An era and an offset in one integer; negative if there is no position."""
+NO_POSITION = Position(-1)
 OFFSET_BITS = 40
 """Enough for 50 years at 700 records a second.
 
--- a/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from ..clock import ZERO, Clock
+from ..position import NO_POSITION, Position, era_of, offset_of, supersedes
 from .crashes import Crash, Whole
 
 CRASHES = 3
@@ -31,18 +32,18 @@
     ----------
     crash : Crash
         With all requests, written or not.
-    offset : int or None
+    offset : Position or None
         None while it does not stand on the log.
     unwritten : frozenset of str
         Requests that were seen, or told, and do not stand on the log yet.
     """
 
     crash: Crash
-    offset: int | None
+    offset: Position | None
     since: timedelta
     unwritten: frozenset[str] = NONE
 
-    def counts(self, request: str, cleared: int) -> bool:
+    def counts(self, request: str, cleared: Position) -> bool:
         """Return whether it counts against a request that was cleared at an offset."""
         if self.offset is None or request in self.unwritten:
             return True
@@ -59,7 +60,9 @@
         self._clock = clock
         self._by_key: dict[str, _Entry] = {}
         self._keys_by_request: dict[str, set[str]] = {}
-        self._whole_by_key: dict[str, tuple[int, timedelta]] = {}
+        self._whole_by_key: dict[str, tuple[Position, timedelta]] = {}
+        self._request_by_whole_key: dict[str, str] = {}
+        self._lost_keys: set[str] = set()
         self._held: dict[str, timedelta] = {}
 
     # What requests and metrics ask
@@ -114,7 +117,7 @@
         kept = {name for name in before if crash.life in self._lives(name)}
         return Crash(crash.life, crash.instance, crash.requests | kept)
 
-    def put(self, key: str, said: Crash | Whole | None, offset: int) -> bool:
+    def put(self, key: str, said: Crash | Whole | None, offset: Position) -> bool:
         """Take in a record of the log; return whether it changed anything.
 
         Parameters
@@ -127,18 +130,92 @@
         if isinstance(said, Whole):
             return self._put_whole(said, offset)
         known = self._by_key.get(key)
-        if known is not None and known.offset is not None and known.offset >= offset:
-            return False
+        if known is not None and known.offset is not None:
+            if not supersedes(offset, known.offset):
+                return self._merge(known, said, offset)
         # Else a request that was just seen to crash its third upstream is let go again.
         unwritten = NONE if known is None else known.unwritten - said.requests
         self._put(said.adding(unwritten), offset, unwritten)
         return True
 
-    def keep_only(self, listed: set[str], end: int) -> None:
-        """Forget the crashes that a whole list of the log, as of `end`, lacks."""
+    def _merge(self, known: _Entry, said: Crash, offset: Position) -> bool:
+        """Merge a record that does not supersede the known one; see `put`."""
+        assert known.offset is not None
+        if era_of(offset) == era_of(known.offset):
+            return False
+        uncleared = self._uncleared_requests(known)
+        if era_of(offset) > era_of(known.offset):
+            if said.requests >= uncleared:
+                self._lost_keys.discard(said.key)
+            else:
+                self._lost_keys.add(said.key)
+        fresh = frozenset(
+            request
+            for request in said.requests - known.crash.requests
+            if supersedes(offset, self._cleared_at(request))
+        )
+        if not fresh:
+            return False
+        # At the later position, requests that were cleared would count again.
+        merged = Crash(said.life, said.instance, uncleared | fresh)
+        at = max(offset, known.offset)
+        self._put(merged, at, known.unwritten - said.requests)
+        return True
+
+    def _uncleared_requests(self, entry: _Entry) -> frozenset[str]:
+        """Return the requests of an entry that no whole answer has cleared."""
+        return frozenset(
+            request
+            for request in entry.crash.requests
+            if entry.counts(request, self._cleared_at(request))
+        )
+
+    def _cleared_at(self, request: str) -> Position:
+        cleared, _ = self._whole_by_key.get(Whole(request).key, (NO_POSITION, ZERO))
+        return cleared
+
+    def lost_records(self) -> list[Crash | Whole]:
+        """Return the records that a restored log lacks, in the order to write them.
+
+        Whole answers come first, because they clear crashes at lower positions. Cleared
+        requests are omitted from the crashes.
+        """
+        found: list[Crash | Whole] = [
+            Whole(self._request_by_whole_key[key])
+            for key in sorted(self._lost_keys)
+            if key in self._whole_by_key
+        ]
+        for key in sorted(self._lost_keys & self._by_key.keys()):
+            entry = self._by_key[key]
+            requests = self._uncleared_requests(entry)
+            if requests:
+                found.append(Crash(entry.crash.life, entry.crash.instance, requests))
+        return found
+
+    def note_written(self, key: str, at: Position) -> None:
+        """Take in that this instance has rewritten a lost whole answer."""
+        known = self._whole_by_key.get(key)
+        if known is None or key not in self._lost_keys:
+            return
+        self._lost_keys.discard(key)
+        self._whole_by_key[key] = (max(known[0], at), known[1])
+        self._judge(self._request_by_whole_key[key])
+
+    def keep_only(self, listed: set[str], end: Position) -> None:
+        """Forget the crashes that a whole list of the log, as of `end`, lacks.
+
+        Crashes recorded only in an earlier era are kept and marked as lost, because the
+        restore may have lost their records.
+        """
+        for key, (offset, _) in self._whole_by_key.items():
+            if key not in listed and era_of(offset) < era_of(end):
+                self._lost_keys.add(key)
         for key, entry in list(self._by_key.items()):
             if key in listed or entry.offset is None or entry.offset >= end:
                 continue
+            if era_of(entry.offset) < era_of(end):
+                self._lost_keys.add(key)
+                continue
             self._drop(key)
             if entry.unwritten:
                 crash = Crash(entry.crash.life, entry.crash.instance, entry.unwritten)
@@ -201,7 +278,9 @@
             for (life, instance), cut in found.items()
         ]
 
-    def _put(self, crash: Crash, offset: int | None, unwritten: frozenset[str]) -> None:
+    def _put(
+        self, crash: Crash, offset: Position | None, unwritten: frozenset[str]
+    ) -> None:
         known = self._by_key.get(crash.key)
         since = self._clock.monotonic() if known is None else known.since
         if known is not None:
@@ -215,15 +294,21 @@
             self._keys_by_request.setdefault(request, set()).add(key)
             self._judge(request)
 
-    def _put_whole(self, said: Whole, offset: int) -> bool:
-        known, _ = self._whole_by_key.get(said.key, (-1, ZERO))
-        if known >= offset:
+    def _put_whole(self, said: Whole, offset: Position) -> bool:
+        known = self._cleared_at(said.request)
+        if not supersedes(offset, known):
+            if era_of(offset) > era_of(known) and offset_of(offset) < offset_of(known):
+                self._lost_keys.add(said.key)
             return False
+        self._lost_keys.discard(said.key)
         self._whole_by_key[said.key] = (offset, self._clock.monotonic())
+        self._request_by_whole_key[said.key] = said.request
         self._judge(said.request)
         return True
 
     def _drop(self, key: str) -> bool:
+        self._lost_keys.discard(key)
+        self._request_by_whole_key.pop(key, None)
         if self._whole_by_key.pop(key, None) is not None:
             return True
         entry = self._by_key.get(key)
@@ -256,7 +341,7 @@
 
     def _counting(self, request: str) -> Iterator[_Entry]:
         """Iterate over the crashes of a request that no whole answer has cleared."""
-        cleared, _ = self._whole_by_key.get(Whole(request).key, (-1, ZERO))
+        cleared = self._cleared_at(request)
         for key in self._keys_by_request.get(request, ()):
             entry = self._by_key[key]
             if entry.counts(request, cleared):
--- a/packages/ashhoist/src/ashhoist/store/follower.py
+++ b/packages/ashhoist/src/ashhoist/store/follower.py
@@ -9,14 +9,13 @@
 from ..clock import ZERO, Clock
 from ..logs import Logger
 from ..loop import Steps, Wait
-from ..position import Position, era_of
+from ..position import NO_POSITION, Position, era_of
 from .port import Gone, Newest, Record, Records, SharedLog, Topic, Unavailable
 
 FIRST_PAUSE = timedelta(milliseconds=250)
 LONGEST_PAUSE = timedelta(seconds=1)
 NEWS_AT_ONCE = 3
 """Reads that may bring news one right after the other."""
-NO_POSITION = Position(-1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,11 +149,13 @@
 
     def step(self) -> Steps[timedelta]:
         """Make one call; return how long to pause before the next."""
-        if self._next is None:
+        told_to = self._told_to()
+        if self._next is None or era_of(self._next) < era_of(told_to):
+            # Only a whole list shows which records a restored log lacks.
             return (yield from self._start())
         began = self._clock.monotonic()
         # Else one that reads after a long time would get all of that time before news.
-        self._next = max(self._next, Position(self._told_to() + 1))
+        self._next = max(self._next, Position(told_to + 1))
         # Who has rested is answered as soon as who has not: others count on that.
         wait = max(self._pace.wait - self._rested, ZERO)
         self._rested = ZERO
--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -14,9 +14,8 @@
 from enum import StrEnum
 from types import MappingProxyType
 
-from ..position import Position, era_of, supersedes
+from ..position import NO_POSITION, Position, era_of, supersedes
 
-NO_POSITION = Position(-1)
 REMEMBER_ENDED = timedelta(minutes=2)
 MOST_LEAVING = 4096
 """Lives that are remembered as leaving, beyond any that leave at once; the oldest is
