Tests: move record writing to its own module; bound the store calls of a restore

No test bounded the calls to a store that has just been restored.

A new test checks, with 7 and 24 instances, that a restore adds fewer than 40 store calls in ten seconds to those of an outage without a restore.

--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -5,22 +5,14 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
 from ashhoist import logs
 from ashhoist.adapter import Adapter
-from ashhoist.control.changes import (
-    Change,
-    ConfigurationPut,
-    UpstreamEnded,
-    UpstreamPut,
-    VersionNamed,
-)
 from ashhoist.control.core import Core, CoreSettings
 from ashhoist.control.knowledge import SHARED_TOPICS
-from ashhoist.customers import Customer, Proof
+from ashhoist.customers import Proof
 from ashhoist.metrics import Metrics
 from ashhoist.orders import (
     EngineReport,
@@ -34,14 +26,12 @@
 from ashhoist.placement.asks import Target, UseEnd, UseEnded, Wanted
 from ashhoist.process_settings import BoundsSection, StoreSection, paces
 from ashhoist.quarantine import Quarantine
-from ashhoist.routing import EngineModel, EngineSettings, Service, ServingConfiguration
 from ashhoist.routing.in_force import InForce
 from ashhoist.store import (
-    Record,
     Topic,
 )
 from ashhoist.types import Endpoint
-from ashhoist.upstreams import Directory, Health, RateLimits, Upstream, UpstreamState
+from ashhoist.upstreams import Directory, Health, RateLimits
 
 from .platform_stand_ins.engine_state import EngineState
 from .world_links import LINK_S, WorldLinks
@@ -50,9 +40,8 @@
 from .world_orders import GIVEN_UP_S, HeldUp, OrderSeen, broken_turns
 from .world_store import WorldStore
 from .world_time import Timeline
+from .world_writes import MODEL, RecordWriter
 
-SERVICE = "engines"
-MODEL = "base"
 TICK = 0.05
 REPORT_LAG_S = 0.2
 RUN_S = 0.2
@@ -116,7 +105,7 @@
         pass
 
 
-class World:
+class World(RecordWriter):
     """Machines, a store, engines.
 
     Parameters
@@ -144,124 +133,21 @@
         }
         self.links = WorldLinks(self.machines, self.timeline)
         self.store = WorldStore(self.machines, self.links, self.timeline)
-        self.log = self.store.log
+        super().__init__(self.store.log)
         self.timing = timing
         self.timing_by_machine: dict[str, LeaseTiming] = {}
         self.lose_orders = 0
         self.held_up = HeldUp()
-        self.engine_zones: dict[str, str] = {}
-        self.born_by_engine: dict[str, int] = {}
-        self.engines: dict[str, EngineState] = {}
         self.seen: list[OrderSeen] = []
         self.refuse_below = -1
         self.seeds: tuple[str, ...] = ()
         self.logger: logs.Logger = logs.get("control")
         self.bounds = bounds or BoundsSection()
-        self.customers: tuple[Customer, ...] = ()
         self.paces = paces(StoreSection(address="127.0.0.1:1"), self.bounds)
-        self._changes_by_value: dict[bytes, Change] = {}
-        self.last_written: dict[Topic, dict[str, bytes | None]] = {
-            topic: {} for topic in SHARED_TOPICS
-        }
         self._put_configuration()
         for index in range(engines):
             self.add_engine(f"engine-{index}", zone=f"zone-{index % zones}")
 
-    # The log as operators and engines write it
-
-    def _put_configuration(self, version: int = 1, size: int = 1) -> None:
-        engine = EngineSettings(
-            {MODEL: EngineModel(MODEL, 16000, timedelta(seconds=0.6), 3000, 14)},
-            96,
-            16500,
-            6,
-            2.0,
-        )
-        configuration = ServingConfiguration(
-            version,
-            (),
-            {SERVICE: Service(SERVICE, engine=engine)},
-            customers=self.customers,
-        )
-        change = ConfigurationPut(configuration)
-        self.write(Topic.CONFIGURATION, "config", change, size)
-
-    def put_configuration(self, version: int, size: int = 1) -> None:
-        """Write a newer configuration, as large as wanted."""
-        self._put_configuration(version, size)
-
-    def name_version(self, adapter: str, version: int) -> None:
-        """Name a version of an adapter."""
-        named = VersionNamed(Adapter(MODEL, adapter), version)
-        self.write(Topic.CONFIGURATION, f"version/{adapter}", named)
-        for engine in self.engines.values():
-            engine.newest[adapter] = version
-
-    def add_engine(self, name: str, models: bool = True, zone: str = "zone-0") -> None:
-        """Start an engine."""
-        self.engine_zones[name] = zone
-        self.engines[name] = EngineState(name, {MODEL} if models else set())
-        self.write_engine(name)
-
-    def write_engine(
-        self, name: str, state: UpstreamState = UpstreamState.READY
-    ) -> None:
-        """Write an engine's record."""
-        upstream = Upstream(
-            name,
-            SERVICE,
-            f"{name}:1",
-            self.engine_zones[name],
-            state,
-            96,
-            (MODEL,),
-            born=self.born_by_engine.get(name, 0),
-        )
-        change = UpstreamPut(upstream)
-        self.write(Topic.UPSTREAMS, name, change)
-
-    def restart_engine(self, name: str) -> None:
-        """Let an engine start again under its id; it knows nothing of before."""
-        self.engines[name] = EngineState(name, {MODEL})
-        self.born_by_engine[name] = self.born_by_engine.get(name, 0) + 1
-        self.write_engine(name)
-
-    def end_engine(self, name: str) -> None:
-        """Remove an engine's record; the engine is gone."""
-        self.lapse_engine(name)
-        self.engines.pop(name, None)
-
-    def lapse_engine(self, name: str) -> None:
-        """Remove an engine's record; the engine goes on."""
-        self._append(Topic.UPSTREAMS, name, None)
-
-    def write(self, topic: Topic, key: str, change: Change, size: int = 1) -> None:
-        """Write a record that says so, as long as wanted."""
-        value = b"%d" % len(self._changes_by_value)
-        value = value.ljust(size, b"x")
-        self._changes_by_value[value] = change
-        self._append(topic, key, value)
-
-    def _append(self, topic: Topic, key: str, value: bytes | None) -> None:
-        self.last_written[topic][key] = value
-        self.log.append(topic, key, value)
-
-    def rewrite(self, topic: Topic, key: str) -> None:
-        """Write the last value of a key again, unless the log holds it."""
-        value = self.last_written[topic][key]
-        _, found = self.log.topics[topic].newest.get(key, (-1, None))
-        if found != value:
-            self.log.append(topic, key, value)
-
-    def _decode(self, topic: Topic, record: Record) -> Change | None:
-        if record.value is None:
-            is_upstream = topic is Topic.UPSTREAMS
-            return UpstreamEnded(record.key, record.offset) if is_upstream else None
-        change = self._changes_by_value.get(record.value)
-        if isinstance(change, UpstreamPut):
-            return UpstreamPut(replace(change.upstream, offset=record.offset))
-        return change
-
     # Machines
 
     def start(self, *names: str) -> None:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -13,9 +13,10 @@
 from ashhoist.placement.asks import Target
 from ashhoist.store import Appended, ConditionFailed, Newest, Record, Unknown
 
-from .control_world import MODEL, TIMING, World
+from .control_world import TIMING, World
 from .world_faults import FAULTS
 from .world_requests import started, want
+from .world_writes import MODEL
 
 
 class TakeoverTests(unittest.TestCase):
--- a/tests/test_residency_feed.py
+++ b/tests/test_residency_feed.py
@@ -12,10 +12,11 @@
 from ashhoist.placement.asks import Lookup
 from ashhoist.placement.residency import Place
 
-from .control_world import MODEL, World
+from .control_world import World
 from .scheduler_world import SchedulerWorld, adapter
 from .test_log_returns import readers
 from .world_requests import want
+from .world_writes import MODEL
 
 ZONES = 3
 HUBS = 2 * ZONES
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -20,9 +20,10 @@
 from ashhoist.store import Record, Topic
 from ashhoist.upstreams import Directory, Upstream
 
-from .control_world import MODEL, World
+from .control_world import World
 from .scheduler_world import SERVICE, SchedulerWorld, adapter
 from .world_requests import want
+from .world_writes import MODEL
 
 ENTRY: dict[str, Any] = {
     "service": "engines",
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -17,6 +17,25 @@
 CHECK_INTERVAL_S = 0.05
 LOST_VERSIONS = 4
 """Confirmed configurations that the restore loses; the newest is written again."""
+EXTRA_CALLS_LIMIT = 40
+"""Exclusive bound on the store calls that a restore adds to those of an outage."""
+
+
+def count_store_calls(is_restored: bool, instances: int) -> int:
+    """Count the calls to the store in the ten seconds from the start of an outage."""
+    world = running(instances)
+    snapshot = world.log.snapshot()
+    world.put_configuration(2)
+    world.run(1.0)
+    store = world.store
+    before = store.reads + store.lease_calls + store.crash_writes
+    store.is_down = True
+    if is_restored:
+        Restore().begin(world, snapshot, random.Random(1))
+    else:
+        world.after(Restore().outage_s, lambda: setattr(store, "is_down", False))
+    world.run(10.0)
+    return store.reads + store.lease_calls + store.crash_writes - before
 
 
 def restore_store(world: World, lost_s: float = 2.0) -> None:
@@ -40,6 +59,14 @@
         world.run(WITHIN_S)
         self.assertEqual(versions(world), {9})
 
+    def test_restore_adds_few_store_calls_to_those_of_an_outage(self) -> None:
+        # Guards against a burst of calls to a store that has just been restored.
+        for instances in (7, 24):
+            with self.subTest(instances=instances):
+                outage_calls = count_store_calls(False, instances)
+                restore_calls = count_store_calls(True, instances)
+                self.assertLess(restore_calls - outage_calls, EXTRA_CALLS_LIMIT)
+
     def test_an_upstream_that_leaves_after_it_is_known_in_time(self) -> None:
         world = running()
         restore_store(world)
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -16,8 +16,9 @@
 from ashhoist.placement.asks import Target
 from ashhoist.store import Record, Topic
 
-from .control_world import MODEL, World
+from .control_world import World
 from .world_requests import want
+from .world_writes import MODEL
 
 ZONES = 3
 HUBS = 2 * ZONES
--- a/tests/world_requests.py
+++ b/tests/world_requests.py
@@ -7,7 +7,8 @@
 from ashhoist.adapter import Adapter
 from ashhoist.placement.asks import Wanted
 
-from .control_world import MODEL, SERVICE, World
+from .control_world import World
+from .world_writes import MODEL, SERVICE
 
 NUMBERS = iter(range(1_000_000))
 
