Relay upstream ends inferred from a whole list to non-readers

Symptom: all instances except the two that read the log kept sending requests to an upstream that was gone.

Cause: when history has been dropped, a reader reads the newest records and ends the keys that are missing from them. It relayed only the records, and its beats did not show that it knew more than its peers. In addition, a whole list did not end an upstream whose record was held back after a restore.

Fix: keep the ends inferred from a whole list, and relay them as records at the end of the list. Also end held-back upstreams that are not listed.

The two new tests failed on that code.

--- a/packages/ashhoist/src/ashhoist/control/knowledge.py
+++ b/packages/ashhoist/src/ashhoist/control/knowledge.py
@@ -221,15 +221,24 @@
         state.looked_at = now
         return True
 
-    def drop_ended(self, topic: Topic, now_listed: set[str], end: Position) -> None:
-        """Forget keys that a whole list, as of `end`, does not name.
+    def drop_ended(
+        self, topic: Topic, now_listed: set[str], end: Position
+    ) -> list[Record]:
+        """Mark keys missing from a whole list as ended; return the end records.
 
-        Keys last recorded in an earlier era are kept, because the restore may have lost
+        The list is as of `end`, and the end records are at the offset before it. Keys
+        last recorded in an earlier era are kept, because the restore may have lost
         their newer records.
         """
-        state = self._topics[topic]
-        for key, record in list(state.by_key.items()):
+        last_offset = Position(end - 1)
+        ends = []
+        for key, record in self._topics[topic].by_key.items():
             if key in now_listed or record.offset >= end or record.value is None:
                 continue
             if era_of(record.offset) == era_of(end):
-                state.by_key[key] = Record(Position(end - 1), key, None)
+                ends.append(Record(last_offset, key, None))
+        for ended in ends:
+            self.keep(topic, ended)
+        if ends:
+            self.see(topic, last_offset)
+        return ends
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -156,7 +156,7 @@
         ]
         if followed.whole:
             listed = {record.key for record in followed.records}
-            self._drop_unlisted(topic, listed, followed.end)
+            fresh += self._drop_unlisted(topic, listed, followed.end)
             self.knowledge.note_whole(topic)
         self.knowledge.reached(topic, followed.read_to, now)
         self._batch_taken(topic)
@@ -293,14 +293,27 @@
         for peer in peers:
             self._outside.send_to(peer, message)
 
-    def _drop_unlisted(self, topic: Topic, listed: set[str], end: Position) -> None:
-        self.knowledge.drop_ended(topic, listed, end)
+    def _drop_unlisted(
+        self, topic: Topic, listed: set[str], end: Position
+    ) -> list[Record]:
+        """End keys missing from a whole list; return the end records to relay."""
+        ends = self.knowledge.drop_ended(topic, listed, end)
         if topic is Topic.CRASHES:
             self._quarantine.keep_only(listed, end)
         if topic is not Topic.UPSTREAMS:
-            return
+            return ends
+        last_offset = Position(end - 1)
         for upstream in self._directory.missing_from(listed, end):
-            self._apply(UpstreamEnded(upstream, Position(end - 1)))
+            self._apply(UpstreamEnded(upstream, last_offset))
+        for upstream in self._returned.held_back(end):
+            if upstream in listed:
+                continue
+            self._end_now(upstream, last_offset, individual=True)
+            end_record = Record(last_offset, upstream, None)
+            self.knowledge.keep(topic, end_record)
+            self.knowledge.see(topic, last_offset)
+            ends.append(end_record)
+        return ends
 
     def _apply(self, change: Change) -> bool:
         """Take in a change; return whether it was one."""
--- a/packages/ashhoist/src/ashhoist/control/returns.py
+++ b/packages/ashhoist/src/ashhoist/control/returns.py
@@ -96,6 +96,14 @@
             self._held_by_id[upstream.id] = (record, until)
         return True
 
+    def held_back(self, end: Position) -> list[str]:
+        """Return the IDs of upstreams with a held-back record before `end`."""
+        return [
+            upstream_id
+            for upstream_id, (record, _) in self._held_by_id.items()
+            if record.offset < end
+        ]
+
     def due(self) -> list[Record]:
         """Remove and return the records that were held back for `HOLD_BACK_FOR`.
 
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -48,6 +48,17 @@
         world.run(0.6)
         self.assertEqual(states(world, "engine-0"), {None})
 
+    def test_an_end_in_dropped_history_is_known_everywhere_soon(self) -> None:
+        # Guards against failing to relay an end that only the whole list shows.
+        for instances in (6, 24):
+            with self.subTest(instances=instances):
+                world = started(instances)
+                world.run(2.0)
+                world.end_engine("engine-0")
+                world.log.forget_history(Topic.UPSTREAMS)
+                world.run(1.9)
+                self.assertEqual(states(world, "engine-0"), {None})
+
     def test_two_instances_read_while_all_is_well(self) -> None:
         world = started(8)
         world.run(2.0)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -90,6 +90,20 @@
         self.assertEqual(with_two_holders, [])
         self.assertEqual(world.broken_turns(), [])
 
+    def test_a_held_back_record_ends_in_dropped_history(self) -> None:
+        # Guards against releasing a held-back record that a whole list lacks.
+        world = running()
+        snapshot = world.log.snapshot()
+        world.lapse_engine("engine-0")
+        world.run(1.0)
+        world.log.restore(snapshot)
+        world.run(1.0)
+        world.lapse_engine("engine-0")
+        world.log.forget_history(Topic.UPSTREAMS)
+        for _ in range(100):
+            world.run(0.1)
+            self.assertEqual(states(world, "engine-0"), {None})
+
     def test_starting_instance_gets_a_version_that_the_restore_lost(self) -> None:
         world = running()
         snapshot = world.log.snapshot()
