Split the responses to callers out of the call runner

Cause: `requests/call_runner.py` had 486 lines: the loop over attempts, what an attempt shows of its upstream, whether to try again, and each way in which a request ends.

Change: how a request ends is `requests/caller_responses.py` (`CallerResponses`), which knows neither retries nor upstreams. Behaviour is the same.

--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -1,11 +1,10 @@
 """Runs one call: chooses an upstream, sends, retries where allowed, and responds."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
 from ..clock import Clock
 from ..failures import Reason
-from ..http import CallerConnection, CallerGoneError, Head
+from ..http import CallerConnection
 from ..logs import Logger
 from ..loop import Steps
 from ..metrics import Metrics
@@ -24,29 +23,23 @@
 from .authentication import Authenticator
 from .budget import RetryBudget
 from .call import Call
+from .caller_responses import (
+    FIRST_SERVER_ERROR_STATUS,
+    CallerResponses,
+    Ending,
+    reason_of,
+)
 from .charging import Charging
 from .choosers import Chooser
-from .header_names import HOP_BY_HOP_HEADERS, HeaderNames
+from .header_names import HeaderNames
 from .quarantine_gate import QuarantineGate
 from .relay import CompletedStream, SegmentEnd, StreamRelay
 from .send_permits import SendPermits
 
-NOT_RUN_STATUS = 503
-UNAUTHORIZED_STATUS = 401
-STATUS_BY_REASON = {
-    Reason.OVER_QUOTA: 429,
-    Reason.UNAUTHORIZED: UNAUTHORIZED_STATUS,
-    Reason.KEY_REMOVED: UNAUTHORIZED_STATUS,
-}
-"""Statuses of requests that have not run; 503 for other reasons."""
-BAD_GATEWAY_STATUS = 502
-TIMEOUT_STATUS = 504
 MAX_REFUSED_SENDS = 3
 """Number of explicit refusals up to which a request is sent to another upstream. Sends
 that do not reach an upstream may exceed the route's attempts by the same number."""
-DEFAULT_RETRY_AFTER = timedelta(milliseconds=250)
 FIRST_REDIRECT_STATUS = 300
-FIRST_SERVER_ERROR_STATUS = 500
 EXPECTED_TIME_FACTOR = 2.0
 """An upstream may be silent for this multiple of the expected time to the first event,
 plus `MIN_SILENCE_TIMEOUT`."""
@@ -56,15 +49,6 @@
 MIN_SILENCE_TIMEOUT = timedelta(milliseconds=500)
 
 
-@dataclass(frozen=True, slots=True)
-class Ending:
-    """How a call ended, for the log line and the counters."""
-
-    status: int
-    reason: str
-    not_run: bool = False
-
-
 class CallRunner:
     """Runs the attempts of calls."""
 
@@ -90,7 +74,7 @@
         self._directory = directory
         self._backoffs = backoffs
         self._permits = permits
-        self._header_names = header_names
+        self._responses = CallerResponses(header_names, clock, metrics)
         self._attempts = attempts
         self._budget = budget
         self._health = health
@@ -114,24 +98,24 @@
         relay = StreamRelay(call, caller, self._attempts, self._clock)
         quarantined = self._quarantine_gate.refusal(call)
         if quarantined is not None:
-            return (yield from self._refuse(call, caller, relay, quarantined))
+            return (yield from self._responses.refuse(call, caller, relay, quarantined))
         charged = yield from self._charging.charge(call, caller)
         if isinstance(charged, CallerLeft):
-            return self._caller_left(caller)
+            return self._responses.caller_left(caller)
         if charged is not None:
-            return (yield from self._refuse(call, caller, relay, charged))
+            return (yield from self._responses.refuse(call, caller, relay, charged))
         while True:
             target = yield from chooser.choose(call, caller)
             if isinstance(target, CallerLeft):
-                return self._caller_left(caller)
+                return self._responses.caller_left(caller)
             if isinstance(target, OutOfTime):
-                return (yield from self._out_of_time(call, caller, relay))
+                return (yield from self._responses.out_of_time(call, caller, relay))
             if isinstance(target, Refusal):
-                return (yield from self._refuse(call, caller, relay, target))
+                return (yield from self._responses.refuse(call, caller, relay, target))
             refusal = self._send_refusal(call)
             if refusal is not None:
                 chooser.on_attempt_ended(call, target, RequestOutcome.UNKNOWN)
-                return (yield from self._refuse(call, caller, relay, refusal))
+                return (yield from self._responses.refuse(call, caller, relay, refusal))
             if self._rejects_placement(call, target):
                 chooser.on_attempt_ended(call, target, RequestOutcome.UNKNOWN)
                 call.tried.add(target.upstream)
@@ -148,7 +132,7 @@
             self._record_attempt(call, target, result)
             if self._should_retry(call, result, relay):
                 continue
-            return (yield from self._finish(call, caller, relay, result))
+            return (yield from self._responses.finish(call, caller, relay, result))
 
     def _send_refusal(self, call: Call) -> Refusal | None:
         """Return why a call that had to wait must not be sent any more, or None."""
@@ -213,7 +197,7 @@
         try:
             segment_end = yield from relay.run(
                 result,
-                self._caller_head(result.head),
+                self._responses.caller_head(result.head),
                 lambda: chooser.on_first_event(call, target),
             )
         finally:
@@ -262,7 +246,7 @@
             address=target.address,
             send=call.sends,
             result=type(result).__name__,
-            reason=_reason_of(result),
+            reason=reason_of(result),
             last_event=call.last_event_id,
         )
 
@@ -308,155 +292,9 @@
         return False
 
     def _count_retry(self, call: Call, result: Result) -> bool:
-        self._metrics.count("retries", _reason_of(result))
+        self._metrics.count("retries", reason_of(result))
         return True
 
-    # Ending a call
-
-    def _finish(
-        self, call: Call, caller: CallerConnection, relay: StreamRelay, result: Result
-    ) -> Steps[Ending]:
-        if isinstance(result, CallerLeft):
-            return self._caller_left(caller)
-        if isinstance(result, OutOfTime):
-            return (yield from self._out_of_time(call, caller, relay))
-        if isinstance(result, Answered):
-            return (yield from self._forward_answer(call, caller, relay, result))
-        if isinstance(result, NotRun):
-            refusal = Refusal(result.reason)
-            return (yield from self._refuse(call, caller, relay, refusal))
-        reason = _reason_of(result)
-        return (
-            yield from self._respond(call, caller, relay, BAD_GATEWAY_STATUS, reason)
-        )
-
-    def _forward_answer(
-        self, call: Call, caller: CallerConnection, relay: StreamRelay, result: Answered
-    ) -> Steps[Ending]:
-        if relay.started:
-            caller.abort()
-            return Ending(BAD_GATEWAY_STATUS, "cut")
-        status = result.head.status
-        if status in (408, 421, 429, 503) and not call.route.repeatable:
-            # The upstream did not state that the request has not run, so this status,
-            # which would promise that, must not be forwarded.
-            reason = Reason.UPSTREAM_ERROR
-            return (
-                yield from self._respond(
-                    call, caller, relay, BAD_GATEWAY_STATUS, reason
-                )
-            )
-        head = self._caller_head(result.head)
-        try:
-            yield from caller.respond(
-                status, head.headers, result.body, self._write_deadline(call)
-            )
-        except CallerGoneError:
-            return self._caller_left(caller)
-        return Ending(
-            status, "whole" if status < FIRST_SERVER_ERROR_STATUS else "upstream_error"
-        )
-
-    def _refuse(
-        self,
-        call: Call,
-        caller: CallerConnection,
-        relay: StreamRelay,
-        refusal: Refusal,
-    ) -> Steps[Ending]:
-        if call.may_have_run:
-            reason = refusal.reason
-            return (
-                yield from self._respond(
-                    call, caller, relay, BAD_GATEWAY_STATUS, reason
-                )
-            )
-        wait = refusal.retry_after
-        if wait is None:
-            wait = DEFAULT_RETRY_AFTER
-        headers = [self._retry_after(wait)]
-        status = STATUS_BY_REASON.get(refusal.reason, NOT_RUN_STATUS)
-        if status == UNAUTHORIZED_STATUS:
-            headers = []
-        return (
-            yield from self._respond(
-                call, caller, relay, status, refusal.reason, headers
-            )
-        )
-
-    def _out_of_time(
-        self, call: Call, caller: CallerConnection, relay: StreamRelay
-    ) -> Steps[Ending]:
-        reason = Reason.DEADLINE
-        if not call.sends:
-            return (yield from self._refuse(call, caller, relay, Refusal(reason)))
-        return (yield from self._respond(call, caller, relay, TIMEOUT_STATUS, reason))
-
-    def _respond(
-        self,
-        call: Call,
-        caller: CallerConnection,
-        relay: StreamRelay,
-        status: int,
-        reason: Reason,
-        headers: list[tuple[str, str]] | None = None,
-    ) -> Steps[Ending]:
-        not_run = status == NOT_RUN_STATUS or reason in STATUS_BY_REASON
-        self._metrics.count("refusals" if not_run else "failures", reason)
-        if relay.started:
-            caller.abort()
-            return Ending(status, reason, False)
-        body = f"{reason}\n".encode()
-        all_headers = [
-            (self._header_names.request_id, call.id),
-            ("Content-Type", "text/plain"),
-            *(headers or []),
-        ]
-        try:
-            yield from caller.respond(
-                status, all_headers, body, self._write_deadline(call)
-            )
-        except CallerGoneError:
-            return self._caller_left(caller)
-        return Ending(status, reason, not_run)
-
-    def _caller_left(self, caller: CallerConnection) -> Ending:
-        self._metrics.count("failures", Reason.CALLER_LEFT)
-        caller.abort()
-        return Ending(0, Reason.CALLER_LEFT)
-
-    def _write_deadline(self, call: Call) -> timedelta:
-        return max(call.deadline, self._clock.monotonic()) + timedelta(milliseconds=500)
-
-    def _caller_head(self, head: Head) -> Head:
-        """Return an upstream's head as it is sent to the caller."""
-        headers = [
-            (name, value)
-            for name, value in head.headers
-            if name.lower() not in HOP_BY_HOP_HEADERS
-            and name.lower() != "content-length"
-        ]
-        if head.status == NOT_RUN_STATUS:
-            headers = self._with_own_retry_after(headers)
-        return Head(head.status, headers, head.values)
-
-    def _with_own_retry_after(
-        self, headers: list[tuple[str, str]]
-    ) -> list[tuple[str, str]]:
-        """Replace an upstream's retry delay by the default one.
-
-        The upstream's delay was meant for this instance; the caller's next try reaches
-        another instance or another upstream.
-        """
-        own = self._header_names.retry_after
-        kept = [pair for pair in headers if pair[0].lower() != own.lower()]
-        if len(kept) == len(headers):
-            return headers
-        return [*kept, self._retry_after(DEFAULT_RETRY_AFTER)]
-
-    def _retry_after(self, wait: timedelta) -> tuple[str, str]:
-        return (self._header_names.retry_after, f"{wait.total_seconds():.3f}")
-
 
 def _request_outcome(result: Result | CompletedStream | None) -> RequestOutcome:
     """Return what the end of an attempt shows about its upstream."""
@@ -474,13 +312,3 @@
     if isinstance(result, MayHaveRun | OutOfTime):
         return RequestOutcome.FAILED
     return RequestOutcome.UNKNOWN
-
-
-def _reason_of(result: object) -> Reason:
-    if isinstance(result, NotRun | MayHaveRun):
-        return result.reason
-    if isinstance(result, OutOfTime):
-        return Reason.DEADLINE
-    if isinstance(result, CallerLeft):
-        return Reason.CALLER_LEFT
-    return Reason.UPSTREAM_ERROR
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/requests/caller_responses.py
@@ -0,0 +1,207 @@
+"""The last response to the caller of a request, and how the request ended."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..clock import Clock
+from ..failures import Reason
+from ..http import CallerConnection, CallerGoneError, Head
+from ..loop import Steps
+from ..metrics import Metrics
+from ..placement.messages import Refusal
+from .attempt import Answered, CallerLeft, MayHaveRun, NotRun, OutOfTime, Result
+from .call import Call
+from .header_names import HOP_BY_HOP_HEADERS, HeaderNames
+from .relay import StreamRelay
+
+NOT_RUN_STATUS = 503
+UNAUTHORIZED_STATUS = 401
+STATUS_BY_REASON = {
+    Reason.OVER_QUOTA: 429,
+    Reason.UNAUTHORIZED: UNAUTHORIZED_STATUS,
+    Reason.KEY_REMOVED: UNAUTHORIZED_STATUS,
+}
+"""Statuses of requests that have not run; 503 for other reasons."""
+BAD_GATEWAY_STATUS = 502
+TIMEOUT_STATUS = 504
+DEFAULT_RETRY_AFTER = timedelta(milliseconds=250)
+FIRST_SERVER_ERROR_STATUS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How a call ended, for the log line and the counters."""
+
+    status: int
+    reason: str
+    not_run: bool = False
+
+
+class CallerResponses:
+    """Responds to callers with an upstream's answer, or with a status of our own."""
+
+    def __init__(
+        self, header_names: HeaderNames, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._header_names = header_names
+        self._clock = clock
+        self._metrics = metrics
+
+    def finish(
+        self, call: Call, caller: CallerConnection, relay: StreamRelay, result: Result
+    ) -> Steps[Ending]:
+        """End a call with the result of its last attempt."""
+        if isinstance(result, CallerLeft):
+            return self.caller_left(caller)
+        if isinstance(result, OutOfTime):
+            return (yield from self.out_of_time(call, caller, relay))
+        if isinstance(result, Answered):
+            return (yield from self._forward_answer(call, caller, relay, result))
+        if isinstance(result, NotRun):
+            refusal = Refusal(result.reason)
+            return (yield from self.refuse(call, caller, relay, refusal))
+        reason = reason_of(result)
+        return (
+            yield from self._respond(call, caller, relay, BAD_GATEWAY_STATUS, reason)
+        )
+
+    def _forward_answer(
+        self, call: Call, caller: CallerConnection, relay: StreamRelay, result: Answered
+    ) -> Steps[Ending]:
+        if relay.started:
+            caller.abort()
+            return Ending(BAD_GATEWAY_STATUS, "cut")
+        status = result.head.status
+        if status in (408, 421, 429, 503) and not call.route.repeatable:
+            # The upstream did not state that the request has not run, so this status,
+            # which would promise that, must not be forwarded.
+            reason = Reason.UPSTREAM_ERROR
+            return (
+                yield from self._respond(
+                    call, caller, relay, BAD_GATEWAY_STATUS, reason
+                )
+            )
+        head = self.caller_head(result.head)
+        try:
+            yield from caller.respond(
+                status, head.headers, result.body, self._write_deadline(call)
+            )
+        except CallerGoneError:
+            return self.caller_left(caller)
+        return Ending(
+            status, "whole" if status < FIRST_SERVER_ERROR_STATUS else "upstream_error"
+        )
+
+    def refuse(
+        self,
+        call: Call,
+        caller: CallerConnection,
+        relay: StreamRelay,
+        refusal: Refusal,
+    ) -> Steps[Ending]:
+        """Respond that a call is not sent, or not sent again."""
+        if call.may_have_run:
+            reason = refusal.reason
+            return (
+                yield from self._respond(
+                    call, caller, relay, BAD_GATEWAY_STATUS, reason
+                )
+            )
+        wait = refusal.retry_after
+        if wait is None:
+            wait = DEFAULT_RETRY_AFTER
+        headers = [self._retry_after(wait)]
+        status = STATUS_BY_REASON.get(refusal.reason, NOT_RUN_STATUS)
+        if status == UNAUTHORIZED_STATUS:
+            headers = []
+        return (
+            yield from self._respond(
+                call, caller, relay, status, refusal.reason, headers
+            )
+        )
+
+    def out_of_time(
+        self, call: Call, caller: CallerConnection, relay: StreamRelay
+    ) -> Steps[Ending]:
+        """Respond that the deadline of a call has passed."""
+        reason = Reason.DEADLINE
+        if not call.sends:
+            return (yield from self.refuse(call, caller, relay, Refusal(reason)))
+        return (yield from self._respond(call, caller, relay, TIMEOUT_STATUS, reason))
+
+    def _respond(
+        self,
+        call: Call,
+        caller: CallerConnection,
+        relay: StreamRelay,
+        status: int,
+        reason: Reason,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> Steps[Ending]:
+        not_run = status == NOT_RUN_STATUS or reason in STATUS_BY_REASON
+        self._metrics.count("refusals" if not_run else "failures", reason)
+        if relay.started:
+            caller.abort()
+            return Ending(status, reason, False)
+        body = f"{reason}\n".encode()
+        all_headers = [
+            (self._header_names.request_id, call.id),
+            ("Content-Type", "text/plain"),
+            *(headers or []),
+        ]
+        try:
+            yield from caller.respond(
+                status, all_headers, body, self._write_deadline(call)
+            )
+        except CallerGoneError:
+            return self.caller_left(caller)
+        return Ending(status, reason, not_run)
+
+    def caller_left(self, caller: CallerConnection) -> Ending:
+        """End a call whose caller has disconnected."""
+        self._metrics.count("failures", Reason.CALLER_LEFT)
+        caller.abort()
+        return Ending(0, Reason.CALLER_LEFT)
+
+    def _write_deadline(self, call: Call) -> timedelta:
+        return max(call.deadline, self._clock.monotonic()) + timedelta(milliseconds=500)
+
+    def caller_head(self, head: Head) -> Head:
+        """Return an upstream's head as it is sent to the caller."""
+        headers = [
+            (name, value)
+            for name, value in head.headers
+            if name.lower() not in HOP_BY_HOP_HEADERS
+            and name.lower() != "content-length"
+        ]
+        if head.status == NOT_RUN_STATUS:
+            headers = self._with_own_retry_after(headers)
+        return Head(head.status, headers, head.values)
+
+    def _with_own_retry_after(
+        self, headers: list[tuple[str, str]]
+    ) -> list[tuple[str, str]]:
+        """Replace an upstream's retry delay by the default one.
+
+        The upstream's delay was meant for this instance; the caller's next try reaches
+        another instance or another upstream.
+        """
+        own = self._header_names.retry_after
+        kept = [pair for pair in headers if pair[0].lower() != own.lower()]
+        if len(kept) == len(headers):
+            return headers
+        return [*kept, self._retry_after(DEFAULT_RETRY_AFTER)]
+
+    def _retry_after(self, wait: timedelta) -> tuple[str, str]:
+        return (self._header_names.retry_after, f"{wait.total_seconds():.3f}")
+
+
+def reason_of(result: object) -> Reason:
+    """Return why an attempt ended without a response that is forwarded."""
+    if isinstance(result, NotRun | MayHaveRun):
+        return result.reason
+    if isinstance(result, OutOfTime):
+        return Reason.DEADLINE
+    if isinstance(result, CallerLeft):
+        return Reason.CALLER_LEFT
+    return Reason.UPSTREAM_ERROR
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -16,7 +16,8 @@
 from ..routing import Route, RouteTable, Service
 from .authentication import Authenticator, Identity
 from .call import Call, TokenCounts
-from .call_runner import CallRunner, Ending
+from .call_runner import CallRunner
+from .caller_responses import Ending
 from .choosers import Chooser
 from .fingerprint import fingerprint
 from .header_names import HeaderNames
