--- a/tests/request_scripts.py
+++ b/tests/request_scripts.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from ashhoist import logs
+
 from .platform_stand_ins.server import Call, Handler
 from .request_harness import HEADER_NAMES, Harness, event, response_headers
 
@@ -45,6 +47,12 @@
 
 
 class RequestTestCase(unittest.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        # The lines of its requests say why a test failed.
+        logs.configure(level="info")
+        self.addCleanup(logs.configure, level="error")
+
     def start(self, *scripts: Handler, **options: object) -> Harness:
         harness = Harness(*scripts, **options)  # type: ignore[arg-type]
         self.addCleanup(harness.close)
