Loop: look at the sockets again before timers that are late

What callers saw: 504 for a request whose response had arrived, where the instance was held up past the request's timeout.

Cause: a pause interrupts `epoll_wait`; Python finds the timeout over and returns no events without looking (`select.epoll.poll(1.0)` of a process that is stopped from 0.3 to 2.0 s returns [], and a poll right after it the byte that came at 0.5 s). The loop then ran the due timers, so each wait for a socket that had become ready meanwhile ended as timed out. A turn that takes longer than the waits that began in it ends them likewise.

Change: before timers that are late run, sockets are looked at once more, and what arrived goes first; at most 16 looks of 256 sockets, so that timers run under any load. `loop: timers late` tells how long the process was held up.

Why it works: a timer whose moment has passed now runs only after a look that began after that moment.

--- a/packages/ashhoist/src/ashhoist/loop/loop.py
+++ b/packages/ashhoist/src/ashhoist/loop/loop.py
@@ -3,6 +3,9 @@
 Everything that serves runs on the loop's thread, so nothing there needs a lock.
 A turn of the loop is one wait, then all that became due. The wait lasts until
 the next timer; there is no tick.
+
+A timer that runs late looks at the sockets again first: while the process was held up,
+what the timer's owner waits for may have arrived.
 """
 
 import heapq
@@ -24,8 +27,14 @@
 MOST_EVENTS = 256
 """Sockets that are served in one turn; the others follow in the next."""
 NO_WAIT = 0.0
+MOST_LOOKS = 16
+"""Looks at the sockets before late timers run: enough for 4,096 sockets, and bounded so
+that timers run under any load."""
 LONG_TURN = timedelta(milliseconds=50)
 """A turn that takes so long is logged: all else has waited for it."""
+LATE_TIMER = timedelta(milliseconds=50)
+"""A timer that runs so late is logged: the process got no processor time, or a turn was
+long."""
 
 Callback = Callable[[], None]
 
@@ -108,8 +117,7 @@
         events = self._poller.poll(self._longest_wait(), MOST_EVENTS)
         began = self.clock.monotonic()
         self.turns += 1
-        for descriptor, mask in events:
-            self._dispatch(descriptor, mask)
+        self._dispatch_all(events)
         self._run_due_timers()
         for _ in range(len(self._ready)):
             self._guarded(self._ready.popleft())
@@ -183,25 +191,48 @@
         """Return for how many seconds nothing is due; None is for ever."""
         if self._ready or self._at_end_of_turn or self._stopped:
             return NO_WAIT
+        next_at = self._next_timer_at()
+        if next_at is None:
+            return None
+        left = (next_at - self.clock.monotonic()).total_seconds()
+        return max(left, NO_WAIT)
+
+    def _next_timer_at(self) -> timedelta | None:
         timers = self._timers
         while timers and timers[0][2].callback is None:
             heapq.heappop(timers)
-        if not timers:
-            return None
-        left = (timers[0][0] - self.clock.monotonic()).total_seconds()
-        return max(left, NO_WAIT)
+        return timers[0][0] if timers else None
 
     def _run_due_timers(self) -> None:
-        timers = self._timers
-        if not timers:
+        """Run the timers that are due; sockets that became ready by then go first."""
+        next_at = self._next_timer_at()
+        if next_at is None:
             return
         now = self.clock.monotonic()
+        if next_at < now:
+            self._look_again()
+        if now - next_at >= LATE_TIMER:
+            late_ms = round((now - next_at) / timedelta(milliseconds=1))
+            self.log.warning("timers late", late_ms=late_ms)
+        timers = self._timers
         while timers and timers[0][0] <= now:
             timer = heapq.heappop(timers)[2]
             callback, timer.callback = timer.callback, None
             if callback is not None:
                 self._guarded(callback)
 
+    def _look_again(self) -> None:
+        """Dispatch all sockets that are ready now.
+
+        `poll` may have returned before they were, or, after a pause of the process,
+        without looking.
+        """
+        for _ in range(MOST_LOOKS):
+            events = self._poller.poll(NO_WAIT, MOST_EVENTS)
+            self._dispatch_all(events)
+            if len(events) < MOST_EVENTS:
+                return
+
     # Sockets
 
     def on_readable(self, descriptor: int, callback: Callback) -> None:
@@ -243,6 +274,10 @@
         if self._masks.pop(descriptor, None) is not None:
             self._poller.unregister(descriptor)
 
+    def _dispatch_all(self, events: list[tuple[int, int]]) -> None:
+        for descriptor, mask in events:
+            self._dispatch(descriptor, mask)
+
     def _dispatch(self, descriptor: int, mask: int) -> None:
         reader = self._readers.get(descriptor) if mask & READ_OR_GONE else None
         writer = self._writers.get(descriptor) if mask & WRITE_OR_GONE else None
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,5 +1,6 @@
 """The event loop: what it waits for, and what it costs at rest."""
 
+import itertools
 import socket
 import unittest
 import unittest.mock
@@ -11,6 +12,7 @@
 from ashhoist.clock import ManualClock
 from ashhoist.http.sockets import send_all
 from ashhoist.loop import Loop, Steps, Task, Wait, sleep_until
+from ashhoist.loop.loop import MOST_EVENTS, READ
 
 from .loops import new_loop, run
 
@@ -136,6 +138,74 @@
         self.assertEqual(self.seen, ["timer", "soon", "end"])
 
 
+class LateTimerTests(LoopTestCase):
+    """The process is held up, and something arrives before it goes on."""
+
+    def hold_up(self) -> None:
+        """Let the next poll return late, having seen nothing of the socket."""
+        one, other = self.pair()
+        poll = self.poller.poll
+
+        def late(timeout: float | None, maxevents: int) -> list[tuple[int, int]]:
+            self.poller.poll = poll  # type: ignore[method-assign]
+            self.clock.advance(5 * SECOND)
+            self.poller.events = [(one.fileno(), READ)]
+            return []
+
+        def steps() -> Steps[None]:
+            ready = yield Wait(SECOND, (one.fileno(),))
+            self.seen.append(ready == one.fileno())
+
+        self.task(steps())
+        self.turns(1)
+        self.poller.poll = late  # type: ignore[method-assign]
+        self.turns(1)
+
+    def test_what_arrived_goes_before_a_timer_that_is_late(self) -> None:
+        self.hold_up()
+        self.assertEqual(self.seen, [True])
+
+    def test_what_arrived_in_the_long_turn_that_began_a_wait_goes_first(self) -> None:
+        one, other = self.pair()
+
+        def steps() -> Steps[None]:
+            ready = yield Wait(self.clock.monotonic() + SECOND, (one.fileno(),))
+            self.seen.append(ready == one.fileno())
+
+        def begin_and_hold_up() -> None:
+            self.task(steps())._begin()
+            self.clock.advance(5 * SECOND)
+            self.poller.events = [(one.fileno(), READ)]
+
+        self.loop.on_readable(other.fileno(), begin_and_hold_up)
+        self.poller.events = [(other.fileno(), READ)]
+        self.turns(1)
+        self.assertEqual(self.seen, [True])
+
+    def test_timers_that_run_late_are_logged(self) -> None:
+        with unittest.mock.patch.object(self.loop, "log") as log:
+            self.hold_up()
+        log.warning.assert_called_once_with("timers late", late_ms=4000)
+
+    def test_all_sockets_that_are_ready_go_before_a_late_timer(self) -> None:
+        self.loop.call_at(SECOND, lambda: self.seen.append(poll.call_count))
+        self.clock.advance(2 * SECOND)
+        looks = [[], [(0, READ)] * MOST_EVENTS, [(0, READ)]]
+        poll = unittest.mock.Mock(side_effect=looks)
+        with unittest.mock.patch.object(self.poller, "poll", poll):
+            self.loop.run_turn()
+        self.assertEqual(self.seen, [len(looks)])
+
+    def test_late_timers_run_however_many_sockets_are_ready(self) -> None:
+        self.loop.call_at(SECOND, lambda: self.seen.append("ran"))
+        self.clock.advance(2 * SECOND)
+        always = itertools.repeat([(0, READ)] * MOST_EVENTS)
+        poll = unittest.mock.Mock(side_effect=always)
+        with unittest.mock.patch.object(self.poller, "poll", poll):
+            self.loop.run_turn()
+        self.assertEqual(self.seen, ["ran"])
+
+
 class TaskTests(LoopTestCase):
     def test_a_task_returns_what_its_steps_return(self) -> None:
         def steps() -> Steps[int]:
