A request leaves a silent upstream only for another one

What callers saw: 502 `no_upstream` (engines: 502 `no_place`) from an instance whose only upstream was slow, while that upstream worked on the response.

Cause: the silence timeout (1 s in the tests) was set whenever the route allowed another attempt. Whether there was another upstream was asked only after the request had left the silent one.

A cut connection would say `answer_cut`, a failed one `upstream_unreachable` with 503.

Change: when the timeout passes, the request leaves only if another upstream accepts requests, was not tried, is neither in back-off nor closed by a limit, and the retry budget has room; or if the record of the silent one has ended. Otherwise it waits on. The rule is in `requests/silence.py`, with both timeouts, which stood in two modules. `attempt ended` has `took_ms`.

Why it works: the conditions are those of the choice that follows in the same turn, so a plain service has the upstream that made the request leave.

Elsewhere: streams that stall, a budget that others spend meanwhile, back-off, leaving and rate limits had the same fault; a test for each.

--- a/packages/ashhoist/src/ashhoist/requests/attempt.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt.py
@@ -301,17 +301,20 @@
         self, call: Call, caller: CallerConnection, connection: UpstreamConnection
     ) -> Steps[MayHaveRun | CallerLeft | OutOfTime | None]:
         """Wait until data arrives from the upstream; return None once it has."""
-        wait_until = call.deadline
-        if call.silence_timeout is not None:
-            wait_until = min(wait_until, self._clock.monotonic() + call.silence_timeout)
+        wait_until = self._silent_until(call)
         while True:
             descriptor = connection.fileno()
             caller_fd = caller.watched
             readable = (descriptor,) if caller_fd is None else (descriptor, caller_fd)
             ready = yield Wait(wait_until, readable)
+            if ready is None and wait_until >= call.deadline:
+                return OutOfTime()
             if ready is None:
-                silent = wait_until < call.deadline
-                return MayHaveRun(Reason.UPSTREAM_SILENT) if silent else OutOfTime()
+                assert call.silence_limit is not None
+                if call.silence_limit.may_abandon():
+                    return MayHaveRun(Reason.UPSTREAM_SILENT)
+                wait_until = self._silent_until(call)
+                continue
             if ready != descriptor:
                 if caller.left():
                     return CallerLeft()
@@ -319,6 +322,12 @@
             broken = connection.receive()
             return None if broken is None else MayHaveRun(_failure_reason(broken))
 
+    def _silent_until(self, call: Call) -> timedelta:
+        """Return until when the upstream of a call may be silent from now on."""
+        if call.silence_limit is None:
+            return call.deadline
+        return min(call.deadline, self._clock.monotonic() + call.silence_limit.timeout)
+
 
 def _urgency(call: Call) -> int:
     """Return a call's urgency for engines, from 0 (first) to 9."""
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -7,6 +7,7 @@
 from ..http import Request
 from ..routing import Route
 from .authentication import ANONYMOUS, Identity
+from .silence import SilenceLimit
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,8 +53,8 @@
         Identifies the current attempt to the leader.
     tried : set of str
         Ids of the upstreams that were already tried.
-    silence_timeout : timedelta or None
-        How long an upstream may send nothing before the request goes to another one;
+    silence_limit : SilenceLimit or None
+        How long the upstream may send nothing before the request goes to another one;
         None if no further attempt is possible.
     placement_wait : timedelta
         How long the request waited for its adapter, over all attempts.
@@ -91,7 +92,7 @@
     charged_tokens: float = 0.0
     tried: set[str] = field(default_factory=set)
     use_id: str = ""
-    silence_timeout: timedelta | None = None
+    silence_limit: SilenceLimit | None = None
     placement_wait: timedelta = timedelta()
     sent_at: timedelta | None = None
     first_event_at: timedelta | None = None
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -35,18 +35,12 @@
 from .quarantine_gate import QuarantineGate
 from .relay import CompletedStream, SegmentEnd, StreamRelay
 from .send_permits import SendPermits
+from .silence import SilenceLimit, response_timeout
 
 MAX_REFUSED_SENDS = 3
 """Number of explicit refusals up to which a request is sent to another upstream. Sends
 that do not reach an upstream may exceed the route's attempts by the same number."""
 FIRST_REDIRECT_STATUS = 300
-EXPECTED_TIME_FACTOR = 2.0
-"""An upstream may be silent for this multiple of the expected time to the first event,
-plus `MIN_SILENCE_TIMEOUT`."""
-TARGET_LATENCY_FACTOR = 1.0
-"""Where no time is expected: an upstream may be silent for this multiple of the route's
-target latency, but at least for `MIN_SILENCE_TIMEOUT`."""
-MIN_SILENCE_TIMEOUT = timedelta(milliseconds=500)
 
 
 class CallRunner:
@@ -181,7 +175,7 @@
         relay: StreamRelay,
         chooser: Chooser,
     ) -> Steps[Result | CompletedStream]:
-        call.silence_timeout = self._silence_timeout(call, target)
+        call.silence_limit = self._silence_limit(call, target, chooser)
         call.sends += 1
         call.last_upstream = target.upstream
         call.sent_at = self._clock.monotonic()
@@ -207,17 +201,27 @@
                 result.connection.close()
         return segment_end
 
-    def _silence_timeout(self, call: Call, target: Target) -> timedelta | None:
-        """Return how long the upstream may be silent; None without another attempt."""
+    def _silence_limit(
+        self, call: Call, target: Target, chooser: Chooser
+    ) -> SilenceLimit | None:
+        """Return the limit on the upstream's silence; None without another attempt."""
         retryable = call.route.repeatable and call.runs + 1 < call.route.attempts
         if not retryable or not self._budget.has_capacity(call.service):
             return None
-        if target.expected is not None:
-            return target.expected * EXPECTED_TIME_FACTOR + MIN_SILENCE_TIMEOUT
-        return max(
-            call.route.target_latency * TARGET_LATENCY_FACTOR, MIN_SILENCE_TIMEOUT
+        return SilenceLimit(
+            response_timeout(call.route, target),
+            lambda: self._may_abandon(call, target, chooser),
         )
 
+    def _may_abandon(self, call: Call, target: Target, chooser: Chooser) -> bool:
+        """Return whether a call may leave a silent upstream.
+
+        One that has ended will hardly respond any more.
+        """
+        if target.upstream not in self._directory.view.by_id:
+            return True
+        return self._budget.has_capacity(call.service) and chooser.has_alternative(call)
+
     def _record_attempt(self, call: Call, target: Target, result: Result) -> None:
         """Record what an attempt shows about its upstream and its call."""
         if isinstance(result, MayHaveRun | OutOfTime):
@@ -247,9 +251,16 @@
             send=call.sends,
             result=type(result).__name__,
             reason=reason_of(result),
+            took_ms=self._elapsed_ms(call.sent_at),
             last_event=call.last_event_id,
         )
 
+    def _elapsed_ms(self, began: timedelta | None) -> int | None:
+        """Return the milliseconds since a moment; None if there was none."""
+        if began is None:
+            return None
+        return round((self._clock.monotonic() - began) / timedelta(milliseconds=1))
+
     def _record_answer(self, call: Call, target: Target, result: Answered) -> None:
         if result.head.status >= FIRST_SERVER_ERROR_STATUS:
             self._health.failed(target.upstream)
--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -20,6 +20,9 @@
     def choose(self, call: Call, caller: CallerConnection) -> Steps[Choice]:
         """Return the upstream that `call` is sent to next; may wait."""
 
+    def has_alternative(self, call: Call) -> bool:
+        """Return whether there is an upstream that `call` has not been sent to yet."""
+
     def on_first_event(self, call: Call, target: Target) -> None:
         """Record that the first event of an attempt has arrived."""
 
@@ -56,12 +59,22 @@
             self._balancer.begin(chosen.id)
             return Target(chosen.id, chosen.address, permitted=limited)
 
+    def has_alternative(self, call: Call) -> bool:
+        """Return whether `choose` would find an upstream for `call` now."""
+        return bool(self._balancer.available(self._sendable(call.service), call.tried))
+
+    def _sendable(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that no rate limit closes now."""
+        return [
+            upstream
+            for upstream in self._directory.view.of(service)
+            if not self._permits.retry_in(upstream.id)
+        ]
+
     def _least_loaded(self, call: Call) -> Upstream | Refusal:
         """Return the least loaded upstream among those that accept requests now."""
         known = self._directory.view.of(call.service)
-        sendable = [
-            upstream for upstream in known if not self._permits.retry_in(upstream.id)
-        ]
+        sendable = self._sendable(call.service)
         if call.sends:
             # Retries would use up permits that first sends need.
             unlimited = [
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -98,6 +98,13 @@
                 return self._send_without_leader(call, found)
         return (yield from self._ask_leader(call, caller))
 
+    def has_alternative(self, call: Call) -> bool:
+        """Return whether there is an engine that `call` has not been sent to yet.
+
+        Its adapter may have to be loaded there.
+        """
+        return self._any_engine.has_alternative(call)
+
     def on_first_event(self, call: Call, target: Target) -> None:
         """Record that the first event of an attempt has arrived."""
         if call.adapter is not None:
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from ..clock import Clock
@@ -18,11 +18,7 @@
 from .attempt import Attempts, CallerLeft, MayHaveRun, OutOfTime, Streaming
 from .call import Call
 from .events import EventSplitter, StreamEvent
-
-STALL_FACTOR = 3
-"""A stream has stalled once it pauses for longer than this multiple of the longest
-pause that counts as in time."""
-MIN_STALL_TIMEOUT = timedelta(milliseconds=800)
+from .silence import stall_timeout
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,9 +94,10 @@
 
     def _set_stall_timeout(self) -> None:
         call = self._call
-        if call.silence_timeout is not None:
-            stall_timeout = call.route.target_event_gap * STALL_FACTOR
-            call.silence_timeout = max(stall_timeout, MIN_STALL_TIMEOUT)
+        if call.silence_limit is not None:
+            call.silence_limit = replace(
+                call.silence_limit, timeout=stall_timeout(call.route)
+            )
 
     def _wait(
         self, connection: UpstreamConnection
--- a/packages/ashhoist/src/ashhoist/upstreams/balance.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/balance.py
@@ -44,11 +44,7 @@
             Ids of the upstreams that this request has already been sent to.
         """
         untried = [upstream for upstream in upstreams if upstream.id not in tried]
-        available = [
-            upstream
-            for upstream in untried
-            if not self._backoffs.is_backing_off(upstream.id)
-        ]
+        available = self.available(untried)
         if not available:
             return Reason.UPSTREAMS_REST if untried else Reason.NO_UPSTREAM
         usable = [
@@ -56,6 +52,17 @@
         ]
         return min(usable or available, key=self._cost)
 
+    def available(
+        self, upstreams: Iterable[Upstream], tried: Collection[str] = ()
+    ) -> list[Upstream]:
+        """Return the upstreams that a request may still be sent to; see `choose`."""
+        return [
+            upstream
+            for upstream in upstreams
+            if upstream.id not in tried
+            and not self._backoffs.is_backing_off(upstream.id)
+        ]
+
     def _cost(self, upstream: Upstream) -> float:
         cost = self._in_flight[upstream.id] / max(upstream.slots, 1)
         failure_share = self._health.share_failing(upstream.id)
--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -111,6 +111,18 @@
         self.assertEqual(self.choose(), Refusal(Reason.UPSTREAMS_REST))
         self.assertEqual(self.sent, [])
 
+    def test_a_silent_engine_is_kept_if_the_others_are_in_backoff(self) -> None:
+        # Guards against 502 for a request whose only engine is merely slow.
+        self.assertTrue(self.has_alternative("one"))
+        self.backoffs.begin("two", "two", BACKOFF)
+        self.assertFalse(self.has_alternative("one"))
+        self.clock.advance(BACKOFF)
+        self.assertTrue(self.has_alternative("one"))
+
+    def test_a_silent_engine_is_kept_if_the_others_leave(self) -> None:
+        self.directory.mark_leaving(UpstreamLeaving("two", "two"))
+        self.assertFalse(self.has_alternative("one"))
+
 
 class ServingTests(RequestTestCase):
     """Requests whose upstream was chosen before it requested a back-off.
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -60,7 +60,14 @@
 
     def choose(self, tried: tuple[str, ...] = ()) -> Any:
         """Return the choice for a new request."""
-        chooser = EngineChooser(
+        return finish(self.chooser().choose(self.call(tried), ConnectedCaller()))
+
+    def has_alternative(self, *tried: str) -> bool:
+        """Return whether there is another engine for a request."""
+        return self.chooser().has_alternative(self.call(tried))
+
+    def chooser(self) -> EngineChooser:
+        return EngineChooser(
             self.directory,
             self.active_configuration,
             Balancer("zone", self.health, self.backoffs, random.Random(1)),
@@ -71,12 +78,14 @@
             lambda: self.leader_known,
             self.clock,
         )
+
+    def call(self, tried: tuple[str, ...]) -> Call:
         route = Route("r", "host", "/", RouteKind.STREAM, (), 5 * SECOND, SECOND)
         now = self.clock.monotonic()
         request = Request("POST", "/", [], b"", now)
         call = Call("id", request, route, SERVICE, now + 5 * SECOND, ADAPTER)
         call.tried.update(tried)
-        return finish(chooser.choose(call, ConnectedCaller()))
+        return call
 
     def _receive(self, message: Any) -> None:
         self.sent.append(message)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -154,12 +154,25 @@
         message.answer.set_result(self.permit)
 
     def choose(self, *tried: str, sends: int = 0) -> Any:
+        call = self.call(*tried, sends=sends)
+        return finish(self.chooser.choose(call, ConnectedCaller()))
+
+    def call(self, *tried: str, sends: int = 0) -> Call:
         now = self.clock.monotonic()
         route = Route("r", "host", "/", RouteKind.SAFE, (), 5 * SECOND, SECOND)
         request = Request("POST", "/", [], b"", now)
         call = Call("id", request, route, "s", now + 5 * SECOND, sends=sends)
         call.tried.update(tried)
-        return finish(self.chooser.choose(call, ConnectedCaller()))
+        return call
+
+    def test_a_silent_upstream_is_kept_while_a_limit_closes_the_other(self) -> None:
+        # Guards against 502 for a request whose only upstream is merely slow.
+        self.assertTrue(self.chooser.has_alternative(self.call("two")))
+        self.choose("two")
+        self.assertFalse(self.chooser.has_alternative(self.call("two")))
+        self.assertTrue(self.chooser.has_alternative(self.call("one")))
+        self.clock.advance(SECOND)
+        self.assertTrue(self.chooser.has_alternative(self.call("two")))
 
     def test_after_a_refused_permit_the_other_upstream_is_used(
         self,
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -3,12 +3,20 @@
 import threading
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+
+from ashhoist.position import Position
 
 from .platform_stand_ins.server import Call
 from .request_harness import HEADER_NAMES, ID, event, response_headers
 from .request_scripts import RequestTestCase, good, silent, stream
 
 NOT_RUN = HEADER_NAMES.not_run
+BUDGET_OF_ONE = 1.3
+"""Allows one retry; part of a budget is kept back."""
+SLOW_S = 1.5
+"""Longer than the silence after which an upstream is abandoned."""
 
 
 class SilenceTests(RequestTestCase):
@@ -23,6 +31,51 @@
         self.assertEqual(harness.ask("/unsafe/", deadline_ms=60_000).status, 504)
         self.assertEqual(harness.calls(1), [])
 
+    def test_a_request_waits_for_the_only_upstream(self) -> None:
+        # Guards against 502 for a request whose only upstream is merely slow.
+        def slow(call: Call) -> None:
+            time.sleep(SLOW_S)
+            good(call)
+
+        harness = self.start(slow)
+        self.assertEqual(harness.ask("/safe/").status, 200)
+        self.assertEqual(len(harness.calls()), 1)
+
+    def test_a_request_waits_if_the_retry_budget_is_spent_meanwhile(self) -> None:
+        # Guards against 502 for a request that may not go elsewhere any more.
+        def slow(call: Call) -> None:
+            time.sleep(SLOW_S)
+            good(call)
+
+        harness = self.start(slow, good, extra=BUDGET_OF_ONE)
+        with ThreadPoolExecutor(2) as callers:
+            answers = list(callers.map(harness.ask, ["/safe/"] * 2))
+        self.assertEqual([answer.status for answer in answers], [200, 200])
+        self.assertEqual((len(harness.calls(0)), len(harness.calls(1))), (2, 1))
+
+    def test_a_stalled_stream_continues_at_the_only_upstream(self) -> None:
+        # Guards against cutting a stream off that cannot be resumed anywhere.
+        def stall(call: Call) -> None:
+            call.start_stream(response_headers(call))
+            call.chunk(event(1))
+            time.sleep(SLOW_S)
+            call.chunk(event(2))
+            call.end_stream()
+
+        harness = self.start(stall, event_gap=0.1)
+        answer = harness.ask("/stream/")
+        self.assertEqual(answer.body, event(1) + event(2))
+        self.assertTrue(answer.complete)
+
+    def test_a_silent_upstream_that_has_ended_is_abandoned(self) -> None:
+        harness = self.start(silent)
+        with harness.connect() as caller:
+            caller.send("/safe/")
+            while not harness.calls():
+                time.sleep(0.005)
+            harness.directory.end("upstream-0", Position(1), timedelta())
+            self.assertEqual(caller.receive().status, 502)
+
     def test_a_request_waits_if_no_other_attempt_is_allowed(self) -> None:
         def slow(call: Call) -> None:
             time.sleep(1.5)
