An upstream that is recorded as ready again gets requests

What callers saw: nothing of an upstream that had ended while draining and is listed as ready again: the directory went on showing it as leaving. A service with no other upstream answers 503 `no_upstream`.

Cause: at its end the incarnation was marked as leaving, against records that a restored log may bring back, and the mark held against any later record. An upstream that reports no start time keeps its incarnation when it restarts.

Change: a mark says where it is from (`upstreams/departures.py`). One from a response is final, as before. One from a record has its position, and a record that is certainly newer withdraws it. Notices between instances carry the position, in a message of its own, which an older release refuses and logs.

Why it works: what supersedes the join of the positions supersedes each of them, and a restored copy of an older record never does.

Elsewhere: records merged after a restore left the same mark, and notices took it to other instances; a test for each.

--- a/packages/ashhoist/src/ashhoist/control/departure_notices.py
+++ b/packages/ashhoist/src/ashhoist/control/departure_notices.py
@@ -15,6 +15,9 @@
 from .hubs import Hubs
 from .peers import Peers
 
+Row = list[Any]
+"""A notice as it stands in a message; see `messages.DepartureNotice`."""
+
 
 class DepartureNotices:
     """Learns of leaving upstreams from answers and other instances, and relays that.
@@ -77,8 +80,22 @@
         return new_notices
 
     def _notify(self, receivers: list[str], notices: list[UpstreamLeaving]) -> None:
-        if not notices:
-            return
-        rows = [[notice.upstream_id, notice.incarnation] for notice in notices]
-        for receiver in receivers:
-            self._send(receiver, messages.DepartureNotice(rows))
+        for rows in _rows(notices):
+            for receiver in receivers:
+                self._send(receiver, messages.DepartureNotice(rows))
+
+
+def _rows(notices: list[UpstreamLeaving]) -> list[list[Row]]:
+    """Return the rows of up to two messages.
+
+    Instances of a release without positions refuse a message that has any; they still
+    take the other one.
+    """
+    announced: list[Row] = []
+    recorded: list[Row] = []
+    for notice in notices:
+        if notice.recorded_at is None:
+            announced.append([notice.upstream_id, notice.incarnation])
+            continue
+        recorded.append([notice.upstream_id, notice.incarnation, notice.recorded_at])
+    return [rows for rows in (announced, recorded) if rows]
--- a/packages/ashhoist/src/ashhoist/control/messages/notices.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/notices.py
@@ -8,12 +8,13 @@
 @message(71)
 @dataclass(frozen=True, slots=True)
 class DepartureNotice:
-    """Upstreams that have announced in a response that they are leaving.
+    """Upstreams that have announced that they are leaving.
 
     Parameters
     ----------
     rows : list
-        One ``[id, incarnation]`` list per upstream.
+        One ``[id, incarnation]`` list per upstream that has announced it in a response,
+        or ``[id, incarnation, position]`` if a record at that position says so.
     """
 
     rows: list
--- a/packages/ashhoist/src/ashhoist/position.py
+++ b/packages/ashhoist/src/ashhoist/position.py
@@ -46,3 +46,12 @@
     if era_of(at) <= era_of(other):
         return at > other
     return other < 0 or offset_of(at) > offset_of(other)
+
+
+def join(one: Position, other: Position) -> Position:
+    """Return the lowest position whose successors supersede both positions."""
+    if min(one, other) < 0:
+        return max(one, other)
+    return position(
+        max(era_of(one), era_of(other)), max(offset_of(one), offset_of(other))
+    )
--- a/packages/ashhoist/src/ashhoist/upstreams/__init__.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/__init__.py
@@ -2,7 +2,8 @@
 
 from .backoffs import Backoffs
 from .balance import Balancer
-from .directory import Directory, Upstream, UpstreamLeaving, UpstreamState
+from .departures import UpstreamLeaving
+from .directory import Directory, Upstream, UpstreamState
 from .health import Health
 from .lapses import LapsedEnds
 from .limits import RateLimits, StatedLimit
--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -8,6 +8,8 @@
 Of two records of different eras, the one of the later era may be a copy of an older
 record. Unless its offset is higher, the two are merged: an incarnation that is leaving
 remains so, and a later incarnation replaces an earlier one.
+
+Which upstreams are leaving, and for how long that holds, is in `departures`.
 """
 
 from collections.abc import Iterable
@@ -16,12 +18,10 @@
 from enum import StrEnum
 from types import MappingProxyType
 
-from ..position import NO_POSITION, Position, era_of, supersedes
+from ..position import NO_POSITION, Position, era_of, join, supersedes
+from .departures import Departures, UpstreamLeaving
 
 ENDED_RETENTION = timedelta(minutes=2)
-MAX_LEAVING = 4096
-"""Maximum number of incarnations that are remembered as leaving; the oldest is removed
-first. The maximum is higher than the number that leave at the same time."""
 
 
 class UpstreamState(StrEnum):
@@ -71,20 +71,6 @@
         return self.state is UpstreamState.READY
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamLeaving:
-    """An upstream has announced in a response that it is leaving.
-
-    Parameters
-    ----------
-    incarnation : str
-        The incarnation that leaves; see `Upstream.incarnation`.
-    """
-
-    upstream_id: str
-    incarnation: str
-
-
 @dataclass(frozen=True, slots=True)
 class DirectoryView:
     """Immutable snapshot of the directory for request handling."""
@@ -108,7 +94,7 @@
     def __init__(self) -> None:
         self._by_id: dict[str, Upstream] = {}
         self._ended: dict[str, tuple[Position, timedelta]] = {}
-        self._leaving_by_incarnation: dict[str, UpstreamLeaving] = {}
+        self._departures = Departures()
         self.offset = NO_POSITION
         self._view: DirectoryView | None = None
 
@@ -137,41 +123,33 @@
         reports the same state then still counts as a change, and is forwarded to
         instances that have not seen such a response.
         """
-        if upstream.incarnation not in self._leaving_by_incarnation:
+        if self._departures.find(upstream.incarnation) is None:
             return upstream
         return replace(upstream, state=UpstreamState.DRAINING)
 
     def mark_leaving(self, notice: UpstreamLeaving) -> bool:
         """Mark an upstream as leaving and return whether this is new information.
 
-        It is not new if the record of the upstream says so already. The mark stays for
-        this incarnation, whatever its records say: an older record may be read later,
-        and a record may expire and come back.
+        It is not new if the record of the upstream says so already.
         """
-        if notice.incarnation in self._leaving_by_incarnation:
-            return False
         known = self._by_id.get(notice.upstream_id)
-        self._remember_leaving(notice)
         if known is None:
-            return True
-        if known.incarnation != notice.incarnation or not known.accepts_requests:
+            return self._departures.add(notice)
+        is_ready = known.incarnation == notice.incarnation and known.accepts_requests
+        if is_ready and notice.is_outdated_by(known.offset):
+            return False
+        if not self._departures.add(notice) or not is_ready:
             return False
         self._view = None
         return True
 
-    def _remember_leaving(self, notice: UpstreamLeaving) -> None:
-        self._leaving_by_incarnation[notice.incarnation] = notice
-        if len(self._leaving_by_incarnation) > MAX_LEAVING:
-            del self._leaving_by_incarnation[next(iter(self._leaving_by_incarnation))]
-
     def unrecorded_leaving(self) -> list[UpstreamLeaving]:
         """Return the leaving upstreams whose records still say that they are ready."""
         return [
             notice
             for upstream in self._by_id.values()
             if upstream.accepts_requests
-            and (notice := self._leaving_by_incarnation.get(upstream.incarnation))
-            is not None
+            and (notice := self._departures.find(upstream.incarnation)) is not None
         ]
 
     def put(self, upstream: Upstream) -> bool:
@@ -185,7 +163,11 @@
             return self._merge(known, upstream)
         self._by_id[upstream.id] = upstream
         self._ended.pop(upstream.id, None)
-        if known is not None and _is_same_for_requests(known, upstream):
+        is_ready_again = upstream.accepts_requests and self._departures.withdraw(
+            upstream.incarnation, upstream.offset
+        )
+        is_same = known is not None and _is_same_for_requests(known, upstream)
+        if is_same and not is_ready_again:
             return False
         self._view = None
         return True
@@ -203,12 +185,10 @@
         newest = max((known, received), key=lambda one: (one.born, one.offset))
         merged = replace(newest, offset=max(known.offset, received.offset))
         before = self._with_leaving_state(known)
-        is_leaving = any(
-            one.incarnation == merged.incarnation and not one.accepts_requests
-            for one in (known, received)
-        )
-        if is_leaving:
-            self._remember_leaving(UpstreamLeaving(merged.id, merged.incarnation))
+        for one in (known, received):
+            if one.incarnation == merged.incarnation and not one.accepts_requests:
+                notice = UpstreamLeaving(one.id, one.incarnation, one.offset)
+                self._departures.add(notice)
         self._by_id[merged.id] = merged
         if _is_same_for_requests(before, self._with_leaving_state(merged)):
             return False
@@ -231,7 +211,9 @@
             return False
         if not known.accepts_requests:
             # A restored log may list this incarnation as ready.
-            self._remember_leaving(UpstreamLeaving(upstream_id, known.incarnation))
+            recorded_at = join(known.offset, offset)
+            notice = UpstreamLeaving(upstream_id, known.incarnation, recorded_at)
+            self._departures.add(notice)
         del self._by_id[upstream_id]
         self._view = None
         return True
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -4,11 +4,18 @@
 """
 
 import unittest
+from dataclasses import replace
 from datetime import timedelta
+from unittest import mock
 
+from hypothesis import given, strategies as st
+
+from ashhoist.control import messages
+from ashhoist.control.departure_notices import DepartureNotices
 from ashhoist.http import Head
 from ashhoist.orders import EngineReport
 from ashhoist.placement.messages import Target
+from ashhoist.position import NO_POSITION, Position, join, position, supersedes
 from ashhoist.requests import HeaderNames
 from ashhoist.requests.notices import announces_leaving, requested_backoff
 from ashhoist.upstreams import Directory, Upstream, UpstreamLeaving, UpstreamState
@@ -27,6 +34,10 @@
 messages."""
 
 
+READY, DRAINING = UpstreamState.READY, UpstreamState.DRAINING
+NOTICE = UpstreamLeaving("one", "one@1")
+
+
 def head(status: int, **values: str) -> Head:
     named = {name.replace("_", "-"): value for name, value in values.items()}
     return Head(status, list(named.items()), named)
@@ -129,6 +140,115 @@
         self.assertEqual(self.directory.unrecorded_leaving(), [])
 
 
+class RecordedDepartureTests(unittest.TestCase):
+    """An upstream that is leaving according to its record only."""
+
+    def setUp(self) -> None:
+        self.directory = Directory()
+
+    def put(self, at: Position, state: UpstreamState = READY, born: int = 1) -> None:
+        self.directory.put(upstream(at, born, state))
+
+    def takes_work(self) -> bool:
+        return bool(self.directory.view.of("service"))
+
+    def test_an_incarnation_that_is_recorded_as_ready_again_takes_work(self) -> None:
+        # Guards against an upstream that gets no requests for as long as it runs.
+        for born in (0, 1):
+            with self.subTest(born=born):
+                self.directory = Directory()
+                self.put(Position(5), DRAINING, born)
+                self.directory.end("one", Position(6), SECOND)
+                self.put(Position(7), READY, born)
+                self.assertTrue(self.takes_work())
+
+    def test_a_restored_copy_does_not_bring_it_back(self) -> None:
+        self.put(position(0, 50), DRAINING)
+        for copied in (position(1, 40), position(1, 45), position(2, 50)):
+            self.put(copied)
+            self.assertFalse(self.takes_work())
+        self.put(position(2, 51))
+        self.assertTrue(self.takes_work())
+
+    def test_a_copy_that_is_restored_after_its_end_does_not_bring_it_back(self) -> None:
+        self.put(position(0, 50), DRAINING)
+        self.directory.end("one", position(0, 60), SECOND)
+        self.put(position(1, 55))
+        self.assertFalse(self.takes_work())
+        self.put(position(1, 61))
+        self.assertTrue(self.takes_work())
+
+    def test_it_stays_away_if_its_responses_announced_it_as_well(self) -> None:
+        self.put(position(0, 50), DRAINING)
+        self.put(position(1, 40))
+        self.assertTrue(self.directory.mark_leaving(NOTICE))
+        self.put(position(1, 51))
+        self.assertFalse(self.takes_work())
+
+    def test_a_notified_instance_lets_it_come_back_too(self) -> None:
+        self.put(position(0, 50), DRAINING)
+        self.put(position(1, 40))
+        [notice] = self.directory.unrecorded_leaving()
+        self.directory = Directory()
+        self.put(position(1, 40))
+        self.assertTrue(self.directory.mark_leaving(notice))
+        self.assertFalse(self.takes_work())
+        self.put(position(1, 51))
+        self.assertTrue(self.takes_work())
+        self.assertFalse(self.directory.mark_leaving(notice))
+        self.assertTrue(self.takes_work())
+
+
+class NoticeMessageTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.directory = Directory()
+        self.sent: list[messages.DepartureNotice] = []
+
+    def notices(self, directory: Directory) -> DepartureNotices:
+        return DepartureNotices(
+            directory,
+            mock.Mock(),
+            mock.Mock(members_except=mock.Mock(return_value=[])),
+            mock.Mock(),
+            lambda _, message: self.sent.append(message),
+            mock.Mock(),
+        )
+
+    def test_a_new_link_gets_both_kinds_of_notices(self) -> None:
+        recorded = Upstream("two", "service", "two:1", "zone", DRAINING, born=1)
+        self.directory.put(upstream(Position(5)))
+        self.directory.mark_leaving(NOTICE)
+        self.directory.put(replace(recorded, offset=position(0, 50)))
+        ready = replace(recorded, state=READY, offset=position(1, 40))
+        self.directory.put(ready)
+        self.notices(self.directory).greet("peer")
+        self.assertEqual(
+            [message.rows for message in self.sent],
+            [[["one", "one@1"]], [["two", "two@1", position(0, 50)]]],
+        )
+        other = Directory()
+        other.put(upstream(Position(5)))
+        other.put(ready)
+        for message in self.sent:
+            self.notices(other).notices_received("peer", message)
+        self.assertFalse(other.view.of("service"))
+
+
+class JoinTests(unittest.TestCase):
+    positions = st.builds(position, st.integers(0, 3), st.integers(0, 9))
+
+    @given(positions, positions, positions)
+    def test_what_supersedes_a_join_supersedes_both(
+        self, record: Position, one: Position, other: Position
+    ) -> None:
+        both = supersedes(record, one) and supersedes(record, other)
+        self.assertEqual(supersedes(record, join(one, other)), both)
+
+    def test_no_position_adds_nothing(self) -> None:
+        self.assertEqual(join(NO_POSITION, position(1, 2)), position(1, 2))
+        self.assertEqual(join(position(1, 2), NO_POSITION), position(1, 2))
+
+
 class WorldTests(unittest.TestCase):
     """Several instances on one clock; the log lists the engine as ready throughout."""
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -62,6 +62,9 @@
     # An older end arrived late and replaced the newer one, so a record older than the
     # newer end was accepted again.
     @example([(2, 5, "end"), (2, 2, "end"), (2, 4, "ready")])
+    # An upstream that ended while draining was shown as leaving although a newer record
+    # listed the same incarnation as ready.
+    @example([(0, 0, "draining"), (0, 1, "end"), (0, 2, "ready")])
     def test_the_view_contains_the_newest_record_of_each_upstream(
         self, steps: list[tuple[int, int, str]]
     ) -> None:
