Tests: two new tests no longer rely on how fast the machine is

Cause: the test of a budget that is spent meanwhile compared two timers, and passed on where the response was early; the test of a suspension failed where a machine held it up for 1 s before the suspension began.

Change: the upstream of the first responds only well after the retry; the route of the second allows 4 s. Names say what they hold.

--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -22,14 +22,13 @@
 Document = dict[str, Any]
 
 
-PATIENT_MS = 30_000
-"""Timeout of requests: a machine with little time for the test may hold it up for
-seconds."""
+REQUEST_TIMEOUT_MS = 30_000
+"""Long, as a machine with little time for the test may hold it up for seconds."""
 
 
-def patient(document: Document) -> Document:
-    """Return a configuration whose routes let requests take `PATIENT_MS`."""
-    routes = [{**route, "timeout-ms": PATIENT_MS} for route in document["routes"]]
+def with_route_timeout(document: Document, timeout_ms: int) -> Document:
+    """Return a configuration with another timeout of all routes."""
+    routes = [{**route, "timeout-ms": timeout_ms} for route in document["routes"]]
     return {**document, "routes": routes}
 
 
@@ -87,10 +86,10 @@
     def ask(self, path: str, id: str, model: str = "") -> tuple[int, bytes]:
         """Ask as a client of the platform does."""
         headers = [("Host", HOST), ("X-Attempt-Id", id)]
-        headers.append(("X-Deadline-Ms", str(PATIENT_MS)))
+        headers.append(("X-Deadline-Ms", str(REQUEST_TIMEOUT_MS)))
         if model:
             headers += [("X-Model", model), ("X-Token-Count", "100,10")]
-        wait_s = 2 * PATIENT_MS / 1000
+        wait_s = 2 * REQUEST_TIMEOUT_MS / 1000
         with socket.create_connection(_pair(self.callers), wait_s) as peer:
             lines = [f"POST {path} HTTP/1.1"]
             lines += [f"{name}: {value}" for name, value in headers]
@@ -147,7 +146,7 @@
         What is in force when the processes start.
     """
 
-    configuration = patient(CONFIGURATION)
+    configuration = with_route_timeout(CONFIGURATION, REQUEST_TIMEOUT_MS)
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -43,11 +43,18 @@
 
     def test_a_request_waits_if_the_retry_budget_is_spent_meanwhile(self) -> None:
         # Guards against 502 for a request that may not go elsewhere any more.
+        spent = threading.Event()
+
         def slow(call: Call) -> None:
+            spent.wait()
             time.sleep(SLOW_S)
             good(call)
 
-        harness = self.start(slow, good, extra=BUDGET_OF_ONE)
+        def retried(call: Call) -> None:
+            spent.set()
+            good(call)
+
+        harness = self.start(slow, retried, extra=BUDGET_OF_ONE)
         with ThreadPoolExecutor(2) as callers:
             answers = list(callers.map(harness.ask, ["/safe/"] * 2))
         self.assertEqual([answer.status for answer in answers], [200, 200])
--- a/tests/test_suspensions.py
+++ b/tests/test_suspensions.py
@@ -11,13 +11,13 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from .platform_process import ProcessTestCase
+from .platform_process import ProcessTestCase, with_route_timeout
 from .platform_stand_ins.server import Call
 from .platform_stand_ins.worker import PlainWorker
 from .test_platform import CONFIGURATION, SOON
 
-ROUTE_TIMEOUT_S = 1.0
-"""Timeout of the plain route in `CONFIGURATION`."""
+ROUTE_TIMEOUT_MS = 4_000
+"""Ends during the suspension, not before it."""
 
 
 class HeldWorker(PlainWorker):
@@ -37,7 +37,7 @@
 
 
 class SuspensionTests(ProcessTestCase):
-    configuration = CONFIGURATION
+    configuration = with_route_timeout(CONFIGURATION, ROUTE_TIMEOUT_MS)
 
     def test_a_response_that_arrives_during_a_suspension_is_delivered(self) -> None:
         worker = HeldWorker("i-plain-0")
@@ -49,7 +49,7 @@
             answer = callers.submit(process.ask, "/lobby/x", "one")
             self.assertTrue(worker.arrived.wait(SOON))
             os.kill(process.process.pid, signal.SIGSTOP)
-            timeout_at = time.monotonic() + ROUTE_TIMEOUT_S
+            timeout_at = time.monotonic() + ROUTE_TIMEOUT_MS / 1000
             worker.release.set()
             self.assertTrue(worker.responded.wait(SOON))
             self.wait(lambda: time.monotonic() > timeout_at)
