Requests: log and count why a stream was late

The line of an ended request has the longest pause between two events, the event after it, and the part of the pause in which the caller's connection took no data. A counter tells late first events from long pauses. The log line and counters of an ended request are a module of their own.

--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -36,6 +36,10 @@
     "appends": ("Appends to the log", ("stream", "result")),
     "customer_requests": ("Requests of a customer that ended", ("customer", "end")),
     "customer_tokens": ("Charged to a customer's quota", ("customer", "end")),
+    "late_streams": (
+        "Completed streams with a late first event, a long pause, or both",
+        ("by",),
+    ),
     "permits": ("Sends to limited upstreams that were asked for", ("result",)),
     "charged_alone": ("Charges without an answer of the leader", ("result",)),
     "refused_records": ("Records of the log that are not acceptable", ("key",)),
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -7,6 +7,7 @@
 from ..http import Request
 from ..routing import Route
 from .authentication import ANONYMOUS, Identity
+from .event_pause import EventPause
 from .silence import SilenceLimit
 
 
@@ -60,6 +61,9 @@
         How long the request waited for its adapter, over all attempts.
     sent_at : timedelta or None
         When the last attempt began.
+    longest_pause : EventPause or None
+        The longest pause between two events of a stream, over all attempts; None before
+        the second event.
     may_have_run : bool
         True once an attempt ended with neither a valid response nor an express
         refusal.
@@ -97,6 +101,7 @@
     sent_at: timedelta | None = None
     first_event_at: timedelta | None = None
     last_event_at: timedelta | None = None
+    longest_pause: EventPause | None = None
     last_event_id: str = ""
 
     @property
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -25,6 +25,7 @@
 from .call import Call
 from .caller_responses import (
     FIRST_SERVER_ERROR_STATUS,
+    WHOLE,
     CallerResponses,
     Ending,
     reason_of,
@@ -122,7 +123,7 @@
             if isinstance(result, CompletedStream):
                 self._health.answered(target.upstream)
                 self._quarantine_gate.response_completed(call)
-                return Ending(result.status, "whole")
+                return Ending(result.status, WHOLE)
             self._record_attempt(call, target, result)
             if self._should_retry(call, result, relay):
                 continue
--- a/packages/ashhoist/src/ashhoist/requests/caller_responses.py
+++ b/packages/ashhoist/src/ashhoist/requests/caller_responses.py
@@ -26,6 +26,8 @@
 TIMEOUT_STATUS = 504
 DEFAULT_RETRY_AFTER = timedelta(milliseconds=250)
 FIRST_SERVER_ERROR_STATUS = 500
+WHOLE = "whole"
+"""The reason of calls that were answered completely."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +91,7 @@
         except CallerGoneError:
             return self.caller_left(caller)
         return Ending(
-            status, "whole" if status < FIRST_SERVER_ERROR_STATUS else "upstream_error"
+            status, WHOLE if status < FIRST_SERVER_ERROR_STATUS else "upstream_error"
         )
 
     def refuse(
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/requests/end_recorder.py
@@ -0,0 +1,84 @@
+"""Logs and counts requests that have ended."""
+
+from datetime import timedelta
+
+from ..clock import Clock
+from ..logs import Logger
+from ..metrics import Metrics
+from .call import Call
+from .caller_responses import WHOLE, Ending
+
+MILLISECOND = timedelta(milliseconds=1)
+LATE_BY_FIRST_EVENT = "first_event"
+LATE_BY_PAUSE = "pause"
+LATE_BY_BOTH = "both"
+
+
+class EndRecorder:
+    """Records how and when calls ended."""
+
+    def __init__(self, clock: Clock, metrics: Metrics, log: Logger) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+
+    def record(self, call: Call, ending: Ending) -> None:
+        """Log and count the end of a call."""
+        elapsed = self._clock.monotonic() - call.received_at
+        self._count(call, ending, elapsed)
+        pause = call.longest_pause
+        self._log.info(
+            "request ended",
+            request=call.id,
+            fingerprint=call.fingerprint,
+            route=call.route.name,
+            customer=call.customer_name,
+            adapter=str(call.adapter or ""),
+            upstream=call.last_upstream,
+            status=ending.status,
+            reason=ending.reason,
+            sends=call.sends,
+            waited_ms=_milliseconds(call.placement_wait),
+            sent_ms=_elapsed_ms(call.received_at, call.sent_at),
+            first_ms=_elapsed_ms(call.received_at, call.first_event_at),
+            longest_pause_ms=None if pause is None else _milliseconds(pause.length),
+            pause_at_event=None if pause is None else pause.event,
+            caller_wait_ms=None if pause is None else _milliseconds(pause.caller_wait),
+            took_ms=_milliseconds(elapsed),
+            aim_ms=_milliseconds(call.route.target_latency),
+            tokens=call.token_counts.prompt_tokens,
+        )
+
+    def _count(self, call: Call, ending: Ending, elapsed: timedelta) -> None:
+        self._metrics.observe("request_seconds", elapsed.total_seconds())
+        self._metrics.count("customer_requests", call.customer_name, ending.reason)
+        if call.adapter is not None:
+            self._metrics.observe(
+                "load_stall_seconds", call.placement_wait.total_seconds()
+            )
+        late_by = _late_by(call) if ending.reason == WHOLE else None
+        if late_by is not None:
+            self._metrics.count("late_streams", late_by)
+
+
+def _late_by(call: Call) -> str | None:
+    """Return what made a stream late; None for one on time and for other answers."""
+    if call.first_event_at is None:
+        return None
+    route, pause = call.route, call.longest_pause
+    first_late = call.first_event_at - call.received_at > route.target_latency
+    pause_late = pause is not None and pause.length > route.target_event_gap
+    if first_late and pause_late:
+        return LATE_BY_BOTH
+    if first_late:
+        return LATE_BY_FIRST_EVENT
+    return LATE_BY_PAUSE if pause_late else None
+
+
+def _elapsed_ms(began: timedelta, at: timedelta | None) -> int | None:
+    """Return the milliseconds between two moments; None if `at` is None."""
+    return None if at is None else _milliseconds(at - began)
+
+
+def _milliseconds(time: timedelta) -> int:
+    return round(time / MILLISECOND)
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -17,8 +17,8 @@
 from .authentication import Authenticator, Identity
 from .call import Call, TokenCounts
 from .call_runner import CallRunner
-from .caller_responses import Ending
 from .choosers import Chooser
+from .end_recorder import EndRecorder
 from .fingerprint import fingerprint
 from .header_names import HeaderNames
 
@@ -78,6 +78,7 @@
         self._choosers = choosers
         self._authenticator = authenticator
         self._closing = closing
+        self._end_recorder = EndRecorder(clock, metrics, log)
         self._clock = clock
         self._metrics = metrics
         self._log = log
@@ -161,7 +162,7 @@
         services = admitted.table.configuration.services
         chooser = self._chooser(services.get(call.service))
         ending = yield from self._call_runner.run(call, caller, chooser)
-        self._record_end(call, ending)
+        self._end_recorder.record(call, ending)
 
     def _chooser(self, service: Service | None) -> Chooser:
         engine = service is not None and service.engine is not None
@@ -228,39 +229,6 @@
         deadline = self._clock.monotonic() + RESPONSE_WRITE_TIMEOUT
         yield from caller.respond(status, headers, f"{reason}\n".encode(), deadline)
 
-    def _record_end(self, call: Call, ending: Ending) -> None:
-        now = self._clock.monotonic()
-        elapsed_ms = (now - call.received_at) / MILLISECOND
-        self._metrics.observe("request_seconds", elapsed_ms / 1000)
-        self._metrics.count("customer_requests", call.customer_name, ending.reason)
-        if call.adapter is not None:
-            self._metrics.observe(
-                "load_stall_seconds", call.placement_wait.total_seconds()
-            )
-        self._log.info(
-            "request ended",
-            request=call.id,
-            fingerprint=call.fingerprint,
-            route=call.route.name,
-            customer=call.customer_name,
-            adapter=str(call.adapter or ""),
-            upstream=call.last_upstream,
-            status=ending.status,
-            reason=ending.reason,
-            sends=call.sends,
-            waited_ms=round(call.placement_wait / MILLISECOND),
-            sent_ms=_elapsed_ms(call.received_at, call.sent_at),
-            first_ms=_elapsed_ms(call.received_at, call.first_event_at),
-            took_ms=round(elapsed_ms),
-            aim_ms=round(call.route.target_latency / MILLISECOND),
-            tokens=call.token_counts.prompt_tokens,
-        )
-
-
-def _elapsed_ms(began: timedelta, at: timedelta | None) -> int | None:
-    """Return the milliseconds between two moments; None if `at` is None."""
-    return None if at is None else round((at - began) / MILLISECOND)
-
 
 def _parse_token_counts(text: str) -> TokenCounts:
     counts = [part.strip() for part in text.split(",")]
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -17,6 +17,7 @@
 from ..loop import Steps
 from .attempt import Attempts, CallerLeft, MayHaveRun, OutOfTime, Streaming
 from .call import Call
+from .event_pause import EventPause
 from .events import EventSplitter, StreamEvent
 from .silence import stall_timeout
 
@@ -53,6 +54,7 @@
         self._attempts = attempts
         self._clock = clock
         self._last_event_number: int | None = None
+        self._events_sent = 0
         self.started = False
         self.events_relayed = 0
 
@@ -107,18 +109,18 @@
     def _forward(
         self, splitter: EventSplitter, data: bytes, head: Head
     ) -> Steps[MayHaveRun | CallerLeft | None]:
-        new_events: list[bytes] = []
+        new_events: list[StreamEvent] = []
         for event in splitter.feed(data):
             is_new = self._is_new(event)
             if is_new is None:
                 return MayHaveRun(Reason.BAD_FRAME)
             if is_new:
-                new_events.append(event.data)
+                new_events.append(event)
         if splitter.oversized:
             return MayHaveRun(Reason.BAD_FRAME)
         if not new_events:
             return None
-        return (yield from self._send(b"".join(new_events), head))
+        return (yield from self._send(new_events, head))
 
     def _is_new(self, event: StreamEvent) -> bool | None:
         """Return whether an event is new; None if its id leaves a gap."""
@@ -138,16 +140,37 @@
         self.events_relayed += 1
         return True
 
-    def _send(self, data: bytes, head: Head) -> Steps[CallerLeft | None]:
+    def _send(self, events: list[StreamEvent], head: Head) -> Steps[CallerLeft | None]:
+        data = b"".join(event.data for event in events)
         try:
             if not self.started:
                 yield from self._start(head)
+            began = self._clock.monotonic()
             yield from self._caller.send(data, self._write_deadline())
-            self._call.last_event_at = self._clock.monotonic()
         except CallerGoneError:
             return CallerLeft()
+        self._record_sent(events, began)
         return None
 
+    def _record_sent(self, events: list[StreamEvent], began: timedelta) -> None:
+        """Record that events were sent, and the pause before the first of them.
+
+        Parameters
+        ----------
+        began : timedelta
+            When their sending began.
+        """
+        call = self._call
+        now = self._clock.monotonic()
+        previous, longest = call.last_event_at, call.longest_pause
+        if previous is not None and (
+            longest is None or now - previous > longest.length
+        ):
+            event = events[0].id or str(self._events_sent + 1)
+            call.longest_pause = EventPause(now - previous, event, now - began)
+        call.last_event_at = now
+        self._events_sent += len(events)
+
     def _start(self, head: Head) -> Steps[None]:
         self.started = True
         self._call.first_event_at = self._clock.monotonic()
