Requests: record ended attempts in a module of their own

What an attempt shows about its upstream and its call is now recorded by AttemptRecorder; behaviour is unchanged.

--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
@@ -0,0 +1,102 @@
+"""Records what attempts show about their upstreams and their calls."""
+
+from datetime import timedelta
+
+from ..clock import Clock
+from ..failures import Reason
+from ..logs import Logger
+from ..placement.messages import RequestOutcome, Target
+from ..upstreams import Health
+from .attempt import Answered, MayHaveRun, NotRun, OutOfTime, Result
+from .call import Call
+from .caller_responses import FIRST_SERVER_ERROR_STATUS, reason_of
+from .quarantine_gate import QuarantineGate
+from .relay import CompletedStream
+
+FIRST_REDIRECT_STATUS = 300
+
+
+class AttemptRecorder:
+    """Records ended attempts in the log, upstreams' health and the quarantine."""
+
+    def __init__(
+        self,
+        health: Health,
+        quarantine_gate: QuarantineGate,
+        clock: Clock,
+        log: Logger,
+    ) -> None:
+        self._health = health
+        self._quarantine_gate = quarantine_gate
+        self._clock = clock
+        self._log = log
+
+    def stream_completed(self, call: Call, target: Target) -> None:
+        """Record that an upstream has ended the stream of a call properly."""
+        self._health.answered(target.upstream)
+        self._quarantine_gate.response_completed(call)
+
+    def record(self, call: Call, target: Target, result: Result) -> None:
+        """Record what an attempt shows about its upstream and its call."""
+        if isinstance(result, MayHaveRun | OutOfTime):
+            call.may_have_run = True
+            call.runs += 1
+            self._health.failed(target.upstream)
+        if isinstance(result, MayHaveRun) and result.reason is Reason.ANSWER_CUT:
+            self._quarantine_gate.response_cut(call)
+        if isinstance(result, NotRun):
+            call.attempt_unresolved = False
+        if isinstance(result, NotRun) and not result.reached_upstream:
+            self._health.failed(target.upstream, unreachable=True)
+        if isinstance(result, Answered):
+            call.runs += 1
+            self._record_answer(call, target, result)
+        if (
+            isinstance(result, Answered)
+            and result.head.status < FIRST_SERVER_ERROR_STATUS
+        ):
+            return
+        self._log.info(
+            "attempt ended",
+            request=call.id,
+            fingerprint=call.fingerprint,
+            upstream=target.upstream,
+            address=target.address,
+            send=call.sends,
+            result=type(result).__name__,
+            reason=reason_of(result),
+            took_ms=self._elapsed_ms(call.sent_at),
+            last_event=call.last_event_id,
+        )
+
+    def _elapsed_ms(self, began: timedelta | None) -> int | None:
+        """Return the milliseconds since a moment; None if there was none."""
+        if began is None:
+            return None
+        return round((self._clock.monotonic() - began) / timedelta(milliseconds=1))
+
+    def _record_answer(self, call: Call, target: Target, result: Answered) -> None:
+        if result.head.status >= FIRST_SERVER_ERROR_STATUS:
+            self._health.failed(target.upstream)
+            return
+        self._health.answered(target.upstream)
+        if result.head.status < FIRST_REDIRECT_STATUS:
+            self._quarantine_gate.response_completed(call)
+
+
+def request_outcome(result: Result | CompletedStream | None) -> RequestOutcome:
+    """Return what the end of an attempt shows about its upstream."""
+    if isinstance(result, CompletedStream):
+        return RequestOutcome.SUCCEEDED
+    if isinstance(result, Answered):
+        failed = result.head.status >= FIRST_SERVER_ERROR_STATUS
+        return RequestOutcome.FAILED if failed else RequestOutcome.SUCCEEDED
+    if isinstance(result, NotRun):
+        return (
+            RequestOutcome.UNKNOWN
+            if result.reached_upstream
+            else RequestOutcome.UNREACHABLE
+        )
+    if isinstance(result, MayHaveRun | OutOfTime):
+        return RequestOutcome.FAILED
+    return RequestOutcome.UNKNOWN
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -1,7 +1,5 @@
 """Runs one call: chooses an upstream, sends, retries where allowed, and responds."""
 
-from datetime import timedelta
-
 from ..clock import Clock
 from ..failures import Reason
 from ..http import CallerConnection
@@ -14,12 +12,12 @@
     Answered,
     Attempts,
     CallerLeft,
-    MayHaveRun,
     NotRun,
     OutOfTime,
     Result,
     Streaming,
 )
+from .attempt_recorder import AttemptRecorder, request_outcome
 from .authentication import Authenticator
 from .budget import RetryBudget
 from .call import Call
@@ -41,7 +39,6 @@
 MAX_REFUSED_SENDS = 3
 """Number of explicit refusals up to which a request is sent to another upstream. Sends
 that do not reach an upstream may exceed the route's attempts by the same number."""
-FIRST_REDIRECT_STATUS = 300
 
 
 class CallRunner:
@@ -72,7 +69,7 @@
         self._responses = CallerResponses(header_names, clock, metrics)
         self._attempts = attempts
         self._budget = budget
-        self._health = health
+        self._attempt_recorder = AttemptRecorder(health, quarantine_gate, clock, log)
         self._clock = clock
         self._metrics = metrics
         self._log = log
@@ -119,12 +116,11 @@
             try:
                 result = yield from self._attempt(call, target, caller, relay, chooser)
             finally:
-                chooser.on_attempt_ended(call, target, _request_outcome(result))
+                chooser.on_attempt_ended(call, target, request_outcome(result))
             if isinstance(result, CompletedStream):
-                self._health.answered(target.upstream)
-                self._quarantine_gate.response_completed(call)
+                self._attempt_recorder.stream_completed(call, target)
                 return Ending(result.status, WHOLE)
-            self._record_attempt(call, target, result)
+            self._attempt_recorder.record(call, target, result)
             if self._should_retry(call, result, relay):
                 continue
             return (yield from self._responses.finish(call, caller, relay, result))
@@ -223,53 +219,6 @@
             return True
         return self._budget.has_capacity(call.service) and chooser.has_alternative(call)
 
-    def _record_attempt(self, call: Call, target: Target, result: Result) -> None:
-        """Record what an attempt shows about its upstream and its call."""
-        if isinstance(result, MayHaveRun | OutOfTime):
-            call.may_have_run = True
-            call.runs += 1
-            self._health.failed(target.upstream)
-        if isinstance(result, MayHaveRun) and result.reason is Reason.ANSWER_CUT:
-            self._quarantine_gate.response_cut(call)
-        if isinstance(result, NotRun):
-            call.attempt_unresolved = False
-        if isinstance(result, NotRun) and not result.reached_upstream:
-            self._health.failed(target.upstream, unreachable=True)
-        if isinstance(result, Answered):
-            call.runs += 1
-            self._record_answer(call, target, result)
-        if (
-            isinstance(result, Answered)
-            and result.head.status < FIRST_SERVER_ERROR_STATUS
-        ):
-            return
-        self._log.info(
-            "attempt ended",
-            request=call.id,
-            fingerprint=call.fingerprint,
-            upstream=target.upstream,
-            address=target.address,
-            send=call.sends,
-            result=type(result).__name__,
-            reason=reason_of(result),
-            took_ms=self._elapsed_ms(call.sent_at),
-            last_event=call.last_event_id,
-        )
-
-    def _elapsed_ms(self, began: timedelta | None) -> int | None:
-        """Return the milliseconds since a moment; None if there was none."""
-        if began is None:
-            return None
-        return round((self._clock.monotonic() - began) / timedelta(milliseconds=1))
-
-    def _record_answer(self, call: Call, target: Target, result: Answered) -> None:
-        if result.head.status >= FIRST_SERVER_ERROR_STATUS:
-            self._health.failed(target.upstream)
-            return
-        self._health.answered(target.upstream)
-        if result.head.status < FIRST_REDIRECT_STATUS:
-            self._quarantine_gate.response_completed(call)
-
     # Another attempt
 
     def _should_retry(self, call: Call, result: Result, relay: StreamRelay) -> bool:
@@ -306,21 +255,3 @@
     def _count_retry(self, call: Call, result: Result) -> bool:
         self._metrics.count("retries", reason_of(result))
         return True
-
-
-def _request_outcome(result: Result | CompletedStream | None) -> RequestOutcome:
-    """Return what the end of an attempt shows about its upstream."""
-    if isinstance(result, CompletedStream):
-        return RequestOutcome.SUCCEEDED
-    if isinstance(result, Answered):
-        failed = result.head.status >= FIRST_SERVER_ERROR_STATUS
-        return RequestOutcome.FAILED if failed else RequestOutcome.SUCCEEDED
-    if isinstance(result, NotRun):
-        return (
-            RequestOutcome.UNKNOWN
-            if result.reached_upstream
-            else RequestOutcome.UNREACHABLE
-        )
-    if isinstance(result, MayHaveRun | OutOfTime):
-        return RequestOutcome.FAILED
-    return RequestOutcome.UNKNOWN
