Placement: batches, run times and streams in the expected wait at an engine

The leader's model of an engine includes the wait for a place in its batch, the cost of taking one of the last places, and that of a prefill that delays running streams. Placement queries carry the allowed pause. Links tell which message fields they know, so that instances of the previous version are sent only the fields that they accept.

--- a/packages/ashhoist/src/ashhoist/codec.py
+++ b/packages/ashhoist/src/ashhoist/codec.py
@@ -3,15 +3,21 @@
 A frame is a CBOR array of messages; a message is an array of its code and its
 fields in order. Every field is checked against its type; anything that does not
 fit makes `decode` raise `FrameError`, and the link that brought it is closed.
+
+Fields with a default were added later. A frame may lack them, and they are left out of
+frames for instances that do not know them: these accept the exact fields only.
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, fields
+from dataclasses import MISSING, dataclass, fields
 from typing import Any, TypeVar, get_type_hints
 
 import cbor2
 
 PROTOCOL = 1
+FIELD_LEVEL = 1
+"""Raised when a field with a default is added to a message. Each side of a link tells
+its level in the handshake; see `links.handshake`."""
 MAX_FRAME_BYTES = 4_194_304
 MAX_MESSAGES = 4096
 ARRAY = 0x80
@@ -22,6 +28,7 @@
 types_by_code: dict[int, type] = {}
 codes_by_type: dict[type, int] = {}
 _checks_by_type: dict[type, tuple[tuple[type, ...], ...]] = {}
+_required_by_type: dict[type, int] = {}
 T = TypeVar("T", bound=type)
 
 
@@ -39,6 +46,10 @@
         _checks_by_type[kind] = tuple(
             _accepted(hints[field.name]) for field in fields(kind)
         )
+        _required_by_type[kind] = sum(
+            field.default is MISSING and field.default_factory is MISSING
+            for field in fields(kind)
+        )
         return kind
 
     return decorate
@@ -67,9 +78,19 @@
     return join([encode_one(item) for item in messages])
 
 
-def encode_one(item: Message) -> bytes:
-    """Return one message as it stands in a frame; see `join`."""
-    fields_in_order = [getattr(item, name) for name in item.__slots__]
+def encode_one(item: Message, level: int = FIELD_LEVEL) -> bytes:
+    """Return one message as it stands in a frame; see `join`.
+
+    Parameters
+    ----------
+    level : int
+        The field level of the receiver. Fields with a default are left out if it is
+        lower than that of this instance.
+    """
+    names = item.__slots__
+    if level < FIELD_LEVEL:
+        names = names[: _required_by_type[type(item)]]
+    fields_in_order = [getattr(item, name) for name in names]
     return cbor2.dumps([codes_by_type[type(item)], *fields_in_order])
 
 
@@ -112,9 +133,9 @@
     if kind is None:
         raise FrameError(f"unknown message code {item[0]}")
     checks = _checks_by_type[kind]
-    if len(item) != len(checks) + 1:
+    if not _required_by_type[kind] <= len(item) - 1 <= len(checks):
         raise FrameError(f"{kind.__name__} has {len(checks)} fields")
-    for value, accepted in zip(item[1:], checks, strict=True):
+    for value, accepted in zip(item[1:], checks, strict=False):
         if not isinstance(value, accepted):
             raise FrameError(f"{kind.__name__} has a field of the wrong type")
         if isinstance(value, bool) and bool not in accepted:
--- a/packages/ashhoist/src/ashhoist/control/messages/requests.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/requests.py
@@ -18,6 +18,8 @@
         Value of a response within the target latency, and of a late one.
     tried : list
         Upstreams that have already refused or failed the request.
+    gap_ms : int
+        Longest pause between two events of the response that is on time; 0 if unknown.
     """
 
     id: str
@@ -34,6 +36,7 @@
     zone: str
     may_retry: bool
     tried: list
+    gap_ms: int = 0
 
 
 @message(47)
--- a/packages/ashhoist/src/ashhoist/control/placement_client.py
+++ b/packages/ashhoist/src/ashhoist/control/placement_client.py
@@ -102,6 +102,7 @@
             self._zone,
             wanted.may_retry,
             list(wanted.tried),
+            wanted.gap_ms,
         )
 
     # Responses of the leader
--- a/packages/ashhoist/src/ashhoist/control/scheduling.py
+++ b/packages/ashhoist/src/ashhoist/control/scheduling.py
@@ -171,6 +171,7 @@
                 ask.zone,
                 ask.may_retry,
                 frozenset(ask.tried),
+                ask.gap_ms,
             )
         )
 
@@ -186,8 +187,11 @@
         for use_id, upstream, model, name, tokens in uses.began:
             sent = DirectSend(upstream, Adapter(model, name), tokens)
             self.scheduler.record_direct_send(use_id, instance, sent)
+        # A new leader is sent all uses at once; when they started is not known then.
+        began_ids = {row[0] for row in uses.began}
         for use_id, upstream in uses.started:
-            self.scheduler.record_first_token(upstream, use_id)
+            observed = use_id not in began_ids
+            self.scheduler.record_first_token(upstream, use_id, observed)
         for use_id, upstream, end in uses.ended:
             self.scheduler.record_end(upstream, use_id, RequestOutcome(end))
 
--- a/packages/ashhoist/src/ashhoist/links/handshake.py
+++ b/packages/ashhoist/src/ashhoist/links/handshake.py
@@ -19,6 +19,11 @@
 from ..loop import Loop, Steps, Wait
 from .link import READ_SIZE
 
+LEVEL_HEADER = "Ashhoist-Field-Level"
+"""Tells the other side the `codec.FIELD_LEVEL`. Instances that do not send it take
+messages without the fields that were added later."""
+MAX_LEVEL_DIGITS = 6
+
 
 @dataclass(frozen=True, slots=True)
 class Greeted:
@@ -26,12 +31,15 @@
 
     Parameters
     ----------
+    level : int
+        The other side's `codec.FIELD_LEVEL`; 0 if it told none.
     frames : list
         What came right behind the hello.
     """
 
     protocol: Protocol
     hello: codec.Hello
+    level: int
     frames: list[Any]
 
 
@@ -46,6 +54,8 @@
     ----------
     until : timedelta
         When it has to be done, on the monotonic clock.
+    level : int
+        The field level that the other side is told.
     """
 
     def __init__(
@@ -54,11 +64,13 @@
         peer: socket.socket,
         own: codec.Hello,
         until: timedelta,
+        level: int = codec.FIELD_LEVEL,
     ) -> None:
         self._loop = loop
         self._peer = peer
         self._own = own
         self._until = until
+        self._level = str(level)
         self._events: list[Any] = []
 
     def accept(self, is_token: Callable[[str], bool]) -> Steps[Greeted]:
@@ -84,13 +96,14 @@
             response = protocol.accept(request)
         else:
             response = protocol.reject(HTTPStatus.UNAUTHORIZED, "wrong token\n")
+        response.headers[LEVEL_HEADER] = self._level
         protocol.send_response(response)
         yield from self._send(protocol)
         if not allowed:
             raise HandshakeError("wrong token")
         if response.status_code != HTTPStatus.SWITCHING_PROTOCOLS:
             raise HandshakeError("not a websocket")
-        return (yield from self._greet(protocol))
+        return (yield from self._greet(protocol, _level(request)))
 
     def ask(self, address: str, token: str) -> Steps[Greeted]:
         """Begin a websocket. Raises as `accept` does."""
@@ -98,18 +111,19 @@
         protocol = ClientProtocol(uri, max_size=codec.MAX_FRAME_BYTES)
         request = protocol.connect()
         request.headers["Authorization"] = f"Bearer {token}"
+        request.headers[LEVEL_HEADER] = self._level
         protocol.send_request(request)
         yield from self._send(protocol)
         response = yield from self._next_event(protocol)
         if not isinstance(response, Response) or protocol.handshake_exc is not None:
             raise HandshakeError("refused")
-        return (yield from self._greet(protocol))
+        return (yield from self._greet(protocol, _level(response)))
 
-    def _greet(self, protocol: Protocol) -> Steps[Greeted]:
+    def _greet(self, protocol: Protocol, level: int) -> Steps[Greeted]:
         protocol.send_binary(codec.encode([self._own]))
         yield from self._send(protocol)
         frame = yield from self._next_event(protocol)
-        return Greeted(protocol, _hello(frame), self._events)
+        return Greeted(protocol, _hello(frame), level, self._events)
 
     def _next_event(self, protocol: Protocol) -> Steps[Any]:
         while not self._events:
@@ -140,6 +154,14 @@
             raise HandshakeError("too slow")
 
 
+def _level(head: Request | Response) -> int:
+    """Return the other side's field level; 0 if it told none that can be read."""
+    value = ",".join(head.headers.get_all(LEVEL_HEADER))
+    if not (value.isascii() and value.isdigit()) or len(value) > MAX_LEVEL_DIGITS:
+        return 0
+    return int(value)
+
+
 def _hello(frame: Any) -> codec.Hello:
     """Return the hello in a frame. Raises `HandshakeError` if there is none."""
     try:
--- a/packages/ashhoist/src/ashhoist/links/link.py
+++ b/packages/ashhoist/src/ashhoist/links/link.py
@@ -38,6 +38,8 @@
         Who the other side said it is.
     dialled_by : str
         The name of the side that opened the link.
+    level : int
+        The other side's `codec.FIELD_LEVEL`.
     deliver : callable
         Takes the messages that came, in their order.
     closed : callable
@@ -52,6 +54,7 @@
         name: str,
         incarnation: str,
         dialled_by: str,
+        level: int,
         deliver: Deliver,
         closed: Callable[["Link"], None],
         count: Callable[..., None],
@@ -60,6 +63,7 @@
         self.name = name
         self.incarnation = incarnation
         self.dialled_by = dialled_by
+        self.level = level
         self.opened_at = loop.clock.monotonic()
         self._loop = loop
         self._peer = peer
--- a/packages/ashhoist/src/ashhoist/links/links.py
+++ b/packages/ashhoist/src/ashhoist/links/links.py
@@ -58,6 +58,7 @@
     ) -> None:
         self._loop = loop
         self._hello = codec.Hello(codec.PROTOCOL, own.name, incarnation)
+        self._level = codec.FIELD_LEVEL
         self._tokens = tokens
         self._tell = tell
         self._count = count
@@ -92,10 +93,12 @@
     def send_to(self, name: str, message: Any) -> bool:
         """Send a message to an instance; return False if there is no link."""
         link = self._by_name.get(name)
-        return link is not None and link.send(self._encode(message))
+        return link is not None and link.send(self._encode(message, link.level))
 
-    def _encode(self, message: Any) -> bytes:
+    def _encode(self, message: Any, level: int) -> bytes:
         """Return a message encoded; one that goes to many is encoded once."""
+        if level < codec.FIELD_LEVEL:
+            return codec.encode_one(message, level)
         last, encoded = self._last_encoded
         if message is not last:
             encoded = codec.encode_one(message)
@@ -175,7 +178,8 @@
         """Return who is there; None if nobody of ours is, and the socket closed."""
         until = self._loop.clock.monotonic() + HELLO_TIME
         try:
-            greeted = yield from begin(Handshake(self._loop, peer, self._hello, until))
+            shake = Handshake(self._loop, peer, self._hello, until, self._level)
+            greeted = yield from begin(shake)
         except HandshakeError as error:
             self._count("bad_frames", "hello")
             self._log.info("no link", why=str(error))
@@ -197,6 +201,7 @@
             hello.name,
             hello.incarnation,
             dialled_by,
+            greeted.level,
             self._deliver,
             self._closed,
             self._count,
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -106,6 +106,9 @@
         Versions of the adapters that it probably has copies of, oldest first.
     index : AdapterIndex or None
         The index to update when its slots or copies change.
+    batch : int
+        Number of requests that it runs concurrently. If it is 0 or 1, no wait for a
+        place in the batch is assumed.
 
     Attributes
     ----------
@@ -127,6 +130,7 @@
         capacity: int,
         copies: "OrderedDict[Adapter, int] | None" = None,
         index: AdapterIndex | None = None,
+        batch: int = 0,
     ) -> None:
         self.upstream = upstream
         self.capacity = capacity
@@ -140,7 +144,7 @@
         self.report_in_flight = False
         self.unresolved_order: Order | None = None
         self.paused_until = timedelta()
-        self.inflight = InflightRequests()
+        self.inflight = InflightRequests(batch)
         self.reserved_tokens = 0
         self.reserved_requests = 0
         self.adapters_awaiting_permits: set[Adapter] = set()
@@ -168,6 +172,20 @@
         """Return the upstream's id."""
         return self.upstream.id
 
+    @property
+    def batch(self) -> int:
+        """Return the number of requests that it runs concurrently; 0 if unknown."""
+        return self.inflight.batch.size
+
+    @batch.setter
+    def batch(self, size: int) -> None:
+        self.inflight.batch.size = size
+
+    @property
+    def batch_share(self) -> float:
+        """Return the share of its batch in use; above 1 if requests wait there."""
+        return self.inflight.batch.share_in_use(len(self.inflight))
+
     @property
     def state_known(self) -> bool:
         """Return whether the contents of its slots are known for certain."""
--- a/packages/ashhoist/src/ashhoist/placement/inflight_requests.py
+++ b/packages/ashhoist/src/ashhoist/placement/inflight_requests.py
@@ -2,7 +2,8 @@
 
 An engine prefills prompts one after another, so the time to first token is the prefill
 time of the prompts ahead plus that of the new prompt. The prefill speed of an engine is
-estimated from the times to first token that were observed.
+estimated from the times to first token that were observed. If the batch of the engine
+is full, the wait for a place in it is added (see `batch`).
 """
 
 from collections import Counter
@@ -11,6 +12,7 @@
 from datetime import timedelta
 
 from ..adapter import Adapter
+from .batch import Batch
 
 TOKENS_PER_SECOND = 17_000.0
 """The prefill speed of an engine whose latency factor is 1."""
@@ -39,6 +41,12 @@
         Length of the prompt.
     expected : timedelta
         The time to first token that was estimated when the request was sent.
+    gap_ms : int
+        The longest pause between two events that is on time; 0 if unknown.
+    waited_for_place : bool
+        Whether the batch was full when the request was sent.
+    run_time_known : bool
+        Whether the time of its first event was observed.
     """
 
     instance: str
@@ -46,13 +54,23 @@
     tokens: int
     sent_at: timedelta
     expected: timedelta
+    gap_ms: int = 0
+    waited_for_place: bool = False
     started: bool = False
+    run_time_known: bool = False
 
 
 class InflightRequests:
-    """All requests at one engine, by id."""
+    """All requests at one engine, by id.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    batch : int
+        Number of requests that the engine runs concurrently; see `Batch`.
+    """
+
+    def __init__(self, batch: int = 0) -> None:
+        self.batch = Batch(batch)
         self._by_id: dict[str, InflightRequest] = {}
         self._awaiting_first_token: dict[str, InflightRequest] = {}
         self._count_by_adapter: Counter[Adapter] = Counter()
@@ -86,9 +104,31 @@
         long as the overdue one has waited so far.
         """
         prefill = timedelta(seconds=(self._queued_tokens + tokens) / TOKENS_PER_SECOND)
-        return max(
-            (BASE_LATENCY + prefill) * self._latency_factor, self._overdue_wait(now)
-        )
+        wait = (BASE_LATENCY + prefill) * self._latency_factor
+        if self.batch.is_full(len(self._by_id)):
+            wait += self.wait_for_place(now)
+        return max(wait, self._overdue_wait(now))
+
+    def wait_for_place(self, now: timedelta) -> timedelta:
+        """Return the expected wait of one more request for a place in the batch."""
+        return self.batch.wait_for_place(len(self._by_id), now)
+
+    def cost_to_others(self, tokens: int, reserved_tokens: int) -> timedelta:
+        """Return what a prompt costs other requests: streams, and those to come.
+
+        Parameters
+        ----------
+        tokens : int
+            Length of the prompt.
+        reserved_tokens : int
+            Length of the prompts that are going to be sent before it.
+        """
+        cost = self.batch.crowding_cost(len(self._by_id))
+        if not self.batch.has_streams:
+            return cost
+        prefill = tokens * self.seconds_per_token
+        queued = (self._queued_tokens + reserved_tokens) * self.seconds_per_token
+        return cost + self.batch.delay_cost(prefill, queued)
 
     def is_overdue(self, now: timedelta) -> bool:
         """Return whether a first token is overdue, so that estimates are unreliable."""
@@ -110,36 +150,63 @@
         adapter: Adapter,
         tokens: int,
         now: timedelta,
-    ) -> None:
-        """Record that a request was sent to the engine."""
-        if request_id in self._by_id:
-            return
+        gap_ms: int = 0,
+    ) -> timedelta:
+        """Record that a request was sent; return its expected time to first token."""
+        known = self._by_id.get(request_id)
+        if known is not None:
+            return known.expected
         expected = self.time_to_first_token(tokens, now)
-        request = InflightRequest(instance, adapter, tokens, now, expected)
+        waits = self.batch.is_full(len(self._by_id))
+        request = InflightRequest(
+            instance, adapter, tokens, now, expected, gap_ms, waits
+        )
         self._by_id[request_id] = self._awaiting_first_token[request_id] = request
         self._count_by_adapter[adapter] += 1
         self._queued_tokens += tokens
+        return expected
+
+    def record_first_token(
+        self, request_id: str, now: timedelta, observed: bool = True
+    ) -> None:
+        """Record the first token of a request, and update the latency factor.
 
-    def record_first_token(self, request_id: str, now: timedelta) -> None:
-        """Record the first token of a request, and update the latency factor."""
+        Parameters
+        ----------
+        observed : bool
+            False if the first token came at an unknown time before.
+        """
         request = self._by_id.get(request_id)
         if request is None or request.started:
             return
         request.started = True
         del self._awaiting_first_token[request_id]
         self._queued_tokens -= request.tokens
+        self.batch.start(request_id, request.gap_ms, now)
+        request.run_time_known = observed
+        # With a full batch, the wait for a place says nothing about the prefill speed.
+        if not observed or request.waited_for_place:
+            return
         took = now - request.sent_at
         if request.expected < MIN_LEARNABLE_WAIT:
             return
-        observed = self._latency_factor * (took / request.expected)
-        observed = min(max(observed, MIN_LATENCY_FACTOR), MAX_LATENCY_FACTOR)
-        self._latency_factor += (observed - self._latency_factor) * SMOOTHING
+        factor = self._latency_factor * (took / request.expected)
+        factor = min(max(factor, MIN_LATENCY_FACTOR), MAX_LATENCY_FACTOR)
+        self._latency_factor += (factor - self._latency_factor) * SMOOTHING
+
+    def complete(self, request_id: str, now: timedelta) -> Adapter | None:
+        """Remove a request that has run to its end, and learn its run time."""
+        request = self._by_id.get(request_id)
+        if request is not None and request.run_time_known:
+            self.batch.observe_run_time(request_id, now)
+        return self.remove(request_id)
 
     def remove(self, request_id: str) -> Adapter | None:
         """Remove a request that has ended; return its adapter if it was known."""
         request = self._by_id.pop(request_id, None)
         if request is None:
             return None
+        self.batch.remove(request_id, request.gap_ms)
         if self._awaiting_first_token.pop(request_id, None) is not None:
             self._queued_tokens -= request.tokens
         self._count_by_adapter[request.adapter] -= 1
@@ -153,6 +220,10 @@
 
     def remove_expired(self, now: timedelta) -> None:
         """Remove old requests: their end was probably never reported."""
+        # The oldest is the first one, so that usually nothing else is looked at.
+        oldest = next(iter(self._by_id.values()), None)
+        if oldest is None or now - oldest.sent_at <= MAX_REQUEST_AGE:
+            return
         self._remove_where(lambda request: now - request.sent_at > MAX_REQUEST_AGE)
 
     def _remove_where(self, matches: Callable[[InflightRequest], bool]) -> None:
--- a/packages/ashhoist/src/ashhoist/placement/messages.py
+++ b/packages/ashhoist/src/ashhoist/placement/messages.py
@@ -74,6 +74,8 @@
         Gets a `Target` or a `Refusal`.
     acknowledged : Future
         Done once the leader has acknowledged that the request is queued there.
+    gap_ms : int
+        The longest pause between two events that is on time; 0 if it is not a stream.
     """
 
     id: str
@@ -90,6 +92,7 @@
     tried: tuple[str, ...]
     answer: "Future[Target | Refusal]"
     acknowledged: "Future[None]" = field(default_factory=Future)
+    gap_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ashhoist/src/ashhoist/placement/pending_requests.py
+++ b/packages/ashhoist/src/ashhoist/placement/pending_requests.py
@@ -35,6 +35,8 @@
         Whether the caller has time to retry if it is refused at once.
     tried : frozenset of str
         Upstreams that it was sent to before, and those that are in a back-off period.
+    gap_ms : int
+        The longest pause between two events that is on time; 0 if unknown.
     """
 
     id: str
@@ -52,6 +54,7 @@
     zone: str = ""
     may_retry: bool = False
     tried: frozenset[str] = frozenset()
+    gap_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -148,12 +148,14 @@
                 self._execute(ServedAdaptersChanged(engine.id, {}))
         for upstream in found:
             known = self.engines.get(upstream.id)
+            batch = settings[upstream.service].batch
             if known is not None:
                 known.upstream = upstream
+                known.batch = batch
             else:
                 capacity = settings[upstream.service].adapter_slot_count
                 copies = self._residency.copies(upstream.id)
-                engine = Engine(upstream, capacity, copies, self._index)
+                engine = Engine(upstream, capacity, copies, self._index, batch=batch)
                 served = self._residency.served_by(upstream.id)
                 engine.assume_serving(served, self._clock.monotonic())
                 self.engines[upstream.id] = engine
@@ -185,11 +187,20 @@
         engine.inflight.add(request_id, instance, send.adapter, send.tokens, now)
         engine.touch(send.adapter, now)
 
-    def record_first_token(self, upstream: str, request_id: str) -> None:
-        """Record that a request has received its first token."""
+    def record_first_token(
+        self, upstream: str, request_id: str, observed: bool = True
+    ) -> None:
+        """Record that a request has received its first token.
+
+        Parameters
+        ----------
+        observed : bool
+            False if it was received at an unknown time before.
+        """
         engine = self.engines.get(upstream)
         if engine is not None:
-            engine.inflight.record_first_token(request_id, self._clock.monotonic())
+            now = self._clock.monotonic()
+            engine.inflight.record_first_token(request_id, now, observed)
 
     def record_end(
         self, upstream: str, request_id: str, outcome: RequestOutcome
@@ -202,9 +213,13 @@
             self._health.answered(upstream)
         elif outcome is not RequestOutcome.UNKNOWN:
             self._health.failed(upstream, outcome is RequestOutcome.UNREACHABLE)
-        adapter = engine.inflight.remove(request_id)
+        now = self._clock.monotonic()
+        if outcome is RequestOutcome.SUCCEEDED:
+            adapter = engine.inflight.complete(request_id, now)
+        else:
+            adapter = engine.inflight.remove(request_id)
         if adapter is not None:
-            engine.touch(adapter, self._clock.monotonic())
+            engine.touch(adapter, now)
 
     def remove_instance(self, instance: str) -> None:
         """Remove the queued and running requests of an unreachable instance."""
@@ -288,13 +303,16 @@
             engine.id
         )
         version = engine.served_adapters()[request.adapter]
-        expected = engine.inflight.time_to_first_token(request.tokens, now)
-        engine.inflight.add(
-            request.id, request.instance, request.adapter, request.tokens, now
+        expected = engine.inflight.add(
+            request.id,
+            request.instance,
+            request.adapter,
+            request.tokens,
+            now,
+            request.gap_ms,
         )
         engine.touch(request.adapter, now)
-        batch = self._settings[engine.upstream.service].batch
-        self._metrics.observe("batch_fill", len(engine.inflight) / max(batch, 1))
+        self._metrics.observe("batch_fill", len(engine.inflight) / max(engine.batch, 1))
         self._execute(Placed(request, engine.id, version, expected, permitted))
 
     def _engine_to_send_to(self, request: PendingRequest) -> Engine | None:
@@ -317,6 +335,7 @@
     def _best_serving(self, request: PendingRequest) -> Engine | None:
         """Return the engine with the earliest first token that serves the adapter.
 
+        Of equal ones, it is the one with the smallest share of its batch in use.
         Engines whose rate limit permits no request now are left out.
         """
         permitted = [
@@ -324,9 +343,14 @@
             for engine in self._engines_serving(request)
             if not self._permits.wait(engine.id)
         ]
+        if len(permitted) == 1:
+            return permitted[0]
         return min(
             permitted,
-            key=lambda engine: self._first_token_wait(engine, request.tokens),
+            key=lambda engine: (
+                self._first_token_wait(engine, request.tokens),
+                engine.batch_share,
+            ),
             default=None,
         )
 
@@ -348,10 +372,12 @@
     def _first_token_wait(self, engine: Engine, tokens: int) -> timedelta:
         """Return the expected wait for a first token.
 
-        Includes the wait for a permit and penalties for an engine that fails.
+        Includes the wait for a permit, the cost to other requests, and penalties for an
+        engine that fails.
         """
         now = self._clock.monotonic()
         wait = engine.inflight.time_to_first_token(tokens + engine.reserved_tokens, now)
+        wait += engine.inflight.cost_to_others(tokens, engine.reserved_tokens)
         wait += self._limited.permit_wait(engine)
         wait += FAILURE_COST * self._health.share_failing(engine.id)
         if not self._health.usable(engine.id):
@@ -389,6 +415,7 @@
 
     def log_state(self) -> None:
         """Log the state of the engines and the number of queued requests."""
+        now = self._clock.monotonic()
         for engine in self.engines.values():
             slots = engine.adapter_slots.values()
             self._log.info(
@@ -403,6 +430,9 @@
                 running=len(engine.inflight),
                 permit_ms=round(self._permits.wait(engine.id) / MILLISECOND),
                 pace=round(engine.inflight.latency_factor, 2),
+                batch=engine.batch,
+                run_ms=round(engine.inflight.batch.run_time / MILLISECOND),
+                place_ms=round(engine.inflight.wait_for_place(now) / MILLISECOND),
                 copies=len(engine.copies),
             )
         self._log.info(
@@ -434,6 +464,7 @@
         open_zones = self._find_open_zones()
         for engine in self.engines.values():
             engine.clear_reservations()
+            engine.inflight.remove_expired(now)
             self._time_out_order(engine, now)
             self._orders.follow_up(engine, open_zones, now)
         self._load_models(open_zones)
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -34,6 +34,7 @@
 from .waiting import wait_for
 from .worth import LATE_WORTH_SHARE, WorthEstimator
 
+MILLISECOND = timedelta(milliseconds=1)
 MAX_WAIT_SHARE = 0.42
 """Share of its remaining time that a request waits at most unless its adapter is being
 loaded already."""
@@ -241,4 +242,12 @@
             call.first_try and not call.sends,
             (*call.tried, *self._backoffs.backing_off()),
             answer,
+            gap_ms=_gap_ms(call),
         )
+
+
+def _gap_ms(call: Call) -> int:
+    """Return the longest pause that is on time; 0 if the answer is not a stream."""
+    if not call.route.streams:
+        return 0
+    return int(call.route.target_event_gap / MILLISECOND)
--- a/tests/scheduler_world.py
+++ b/tests/scheduler_world.py
@@ -33,6 +33,8 @@
         Number of adapter slots of each engine.
     permits : EnginePermits or None
         Permits of engines with a rate limit; None if no engine has one.
+    batch : int
+        Number of requests that each engine runs concurrently.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         served: dict[str, list[int]],
         capacity: int = 6,
         permits: EnginePermits | None = None,
+        batch: int = 96,
     ) -> None:
         self.clock = ManualClock()
         self.clock.advance(10 * SECOND)
@@ -55,7 +58,7 @@
             logs.get("control"),
         )
         model = EngineModel(MODEL, 16000, SECOND, 100, 14)
-        self.settings = EngineSettings({MODEL: model}, 96, 16500, capacity, 2.0)
+        self.settings = EngineSettings({MODEL: model}, batch, 16500, capacity, 2.0)
         self.upstreams = [
             Upstream(name, SERVICE, f"{name}:1", "zone", slots=96, models=(MODEL,))
             for name in served
@@ -80,7 +83,12 @@
         self.scheduler.set_upstreams({SERVICE: self.settings}, self.upstreams)
 
     def submit(
-        self, number: int, tokens: int = 800, worth: float = 1.0, aim_s: float = 1.0
+        self,
+        number: int,
+        tokens: int = 800,
+        worth: float = 1.0,
+        aim_s: float = 1.0,
+        gap_ms: int = 0,
     ) -> str:
         """Submit a request for an adapter; return its id."""
         self._request_count += 1
@@ -98,6 +106,7 @@
             now + aim_s * SECOND,
             now + 5 * SECOND,
             now + 2 * SECOND,
+            gap_ms=gap_ms,
         )
         self.scheduler.submit(request)
         return request.id
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,9 +7,13 @@
 from datetime import timedelta
 from typing import Any
 
+from websockets.datastructures import Headers
+from websockets.http11 import Request
+
 from ashhoist import logs
-from ashhoist.control.messages import PlacementQueryCancel
+from ashhoist.control.messages import PlacementQuery, PlacementQueryCancel
 from ashhoist.links import Links, news
+from ashhoist.links.handshake import LEVEL_HEADER, _level
 from ashhoist.loop import Loop
 from ashhoist.types import Endpoint
 
@@ -114,6 +118,40 @@
         self.wait(lambda: len(other.received) == 20)
         self.assertEqual(other.count(news.PeerMessages), 1)
 
+    def test_a_peer_of_the_previous_version_gets_only_the_fields_it_knows(self) -> None:
+        # It closes a link that brings more, so that no request would be placed while
+        # instances are upgraded one after the other.
+        row: Any = ("r", "s", "m", "a", 0, 1, 1.0, 0.3, 1, 1, 1, "z", True, [])
+        query = PlacementQuery(*row, gap_ms=300)
+        for dials in (True, False):
+            one, other = self.instance("one"), self.instance("two")
+            other.links._level = 0
+            dialling, dialled = (one, other) if dials else (other, one)
+            dialling.dial(dialled)
+            self.wait(lambda a=one, b=other: a.linked and b.linked)
+            one.links.send_to("two", query)
+            other.links.send_to("one", query)
+            self.wait(lambda a=one, b=other: a.received and b.received)
+            self.assertEqual(other.received, [PlacementQuery(*row)])
+            self.assertEqual(one.received, [query])
+            one.links.close()
+            other.links.close()
+
+    def test_a_field_level_that_cannot_be_read_counts_as_none(self) -> None:
+        # Instances of the previous version send no level.
+        for values, expected in (
+            ((), 0),
+            (("1",), 1),
+            (("12",), 12),
+            (("",), 0),
+            (("-1",), 0),
+            (("1", "2"), 0),
+            (("\u0661",), 0),
+            (("9" * 5000,), 0),
+        ):
+            request = Request("/", Headers([(LEVEL_HEADER, value) for value in values]))
+            self.assertEqual(_level(request), expected)
+
     def test_instances_that_dial_each_other_keep_one_link(self) -> None:
         for _ in range(10):
             one, other = self.instance("one"), self.instance("two")
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -5,7 +5,8 @@
 import cbor2
 from hypothesis import given, strategies as st
 
-from ashhoist import messages
+from ashhoist import codec, messages
+from ashhoist.control.messages import PlacementQuery
 
 JUNK = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text() | st.binary(),
@@ -49,6 +50,60 @@
         except messages.FrameError:
             pass
 
+    def test_extra_fields_are_rejected(self) -> None:
+        frame = cbor2.dumps([[5, "r", 1, 2]])
+        with self.assertRaises(messages.FrameError):
+            messages.decode(frame)
+
+
+class AddedFieldTests(unittest.TestCase):
+    """Messages between an instance and one of the previous version.
+
+    An instance of the previous version closes the link if the number of fields differs,
+    so during a rolling upgrade no request would be placed.
+    """
+
+    FIELDS = (
+        "r",
+        "engines",
+        "base",
+        "a1",
+        0,
+        800,
+        1.0,
+        0.3,
+        800,
+        5000,
+        2000,
+        "z",
+        True,
+    )
+
+    def test_a_query_of_the_previous_version_is_decoded(self) -> None:
+        frame = cbor2.dumps([[46, *self.FIELDS, ["e0"]]])
+        [query] = codec.decode(frame)
+        self.assertEqual(query, PlacementQuery(*self.FIELDS, ["e0"], gap_ms=0))
+
+    def test_the_previous_version_is_sent_the_fields_that_it_knows(self) -> None:
+        query = PlacementQuery(*self.FIELDS, ["e0"], 300)
+        encoded = codec.encode_one(query, level=0)
+        self.assertEqual(cbor2.loads(encoded), [46, *self.FIELDS, ["e0"]])
+
+    def test_the_same_version_is_sent_all_fields(self) -> None:
+        query = PlacementQuery(*self.FIELDS, ["e0"], 300)
+        self.assertEqual(codec.decode(codec.encode([query])), [query])
+
+    def test_added_fields_are_checked(self) -> None:
+        for wrong in ("300", True, 0.3, None):
+            frame = cbor2.dumps([[46, *self.FIELDS, [], wrong]])
+            with self.assertRaises(messages.FrameError):
+                codec.decode(frame)
+
+    def test_required_fields_may_not_be_missing(self) -> None:
+        frame = cbor2.dumps([[46, *self.FIELDS]])
+        with self.assertRaises(messages.FrameError):
+            codec.decode(frame)
+
 
 if __name__ == "__main__":
     unittest.main()
