--- a/packages/ashhoist/src/ashhoist/placement/batch.py
+++ b/packages/ashhoist/src/ashhoist/placement/batch.py
@@ -4,6 +4,7 @@
 waits until one of them ends, or preempts a less urgent one.
 """
 
+import sys
 from collections import Counter
 from collections.abc import Iterable
 from datetime import timedelta
@@ -39,11 +40,18 @@
     """
 
     def __init__(self, size: int = 0) -> None:
-        self.size = size
+        self.resize(size)
         self._run_time = DEFAULT_RUN_TIME
         self._started_at: dict[str, timedelta] = {}
         self._streams_by_gap: Counter[int] = Counter()
 
+    def resize(self, size: int) -> None:
+        """Set the number of requests that the engine runs concurrently."""
+        self.size = size
+        # A small batch is not nearly full while half of it is free.
+        self._last_places = min(NEARLY_FULL_PLACES, size // 2)
+        self._uncrowded = size - self._last_places if size > 1 else sys.maxsize
+
     @property
     def run_time(self) -> timedelta:
         """Return the expected time from the first event of a stream to its end."""
@@ -119,14 +127,10 @@
         time between two ends. Otherwise a batch would be full before another engine
         is chosen, and bursts and urgent requests would find no place.
         """
-        if self.size < 2:
-            return ZERO
-        # A small batch is not nearly full while half of it is free.
-        kept = min(NEARLY_FULL_PLACES, self.size // 2)
-        used = min(inflight - (self.size - kept), kept)
-        if used <= 0:
+        if inflight <= self._uncrowded:
             return ZERO
-        return self._run_time * used / (kept * self.size)
+        used = min(inflight - self._uncrowded, self._last_places)
+        return self._run_time * used / (self._last_places * self.size)
 
     def delay_cost(self, prefill: float, queued: float) -> timedelta:
         """Return the cost of a prompt's prefill to the streams that run.
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -179,7 +179,7 @@
 
     @batch.setter
     def batch(self, size: int) -> None:
-        self.inflight.batch.size = size
+        self.inflight.batch.resize(size)
 
     @property
     def batch_share(self) -> float:
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -22,6 +22,9 @@
 BATCH = 16
 MILLISECOND = timedelta(milliseconds=1)
 FIRST_EVENT = 90 * MILLISECOND
+TICK = 5 * MILLISECOND
+TOKENS = 100
+"""A short prompt, so that requests spread by places and not by queued prompts."""
 
 
 class Traffic:
@@ -31,14 +34,19 @@
     ----------
     run_times : dict of str to timedelta
         Time from the first event of a stream to its end, by engine.
+    latency_factors : dict of str to float
+        Time to the first event relative to `FIRST_EVENT`, by engine; 1 by default.
     """
 
     def __init__(
-        self, world: SchedulerWorld, run_times: dict[str, timedelta], gap_ms: int = 0
+        self,
+        world: SchedulerWorld,
+        run_times: dict[str, timedelta],
+        latency_factors: dict[str, float] | None = None,
     ) -> None:
         self._world = world
         self._run_times = run_times
-        self._gap_ms = gap_ms
+        self._latency_factors = latency_factors or {}
         self._starts: list[tuple[timedelta, str, str]] = []
         self._ends: list[tuple[timedelta, str, str]] = []
         self.sent: Counter[str] = Counter()
@@ -46,19 +54,21 @@
 
     def run(self, duration: timedelta, per_second: int) -> None:
         """Send requests at equal intervals."""
-        for _ in range(int(duration / SECOND * per_second)):
-            self._world.clock.advance(SECOND / per_second)
+        ticks = round(SECOND / per_second / TICK)
+        for tick in range(int(duration / TICK)):
+            self._world.clock.advance(TICK)
             self._report_events()
-            self._send()
+            if tick % ticks == 0:
+                self._send()
 
     def _send(self) -> None:
         now = self._world.clock.monotonic()
-        request_id = self._world.submit(1, gap_ms=self._gap_ms)
+        request_id = self._world.submit(1, TOKENS)
         engine = self._world.placed()[request_id]
         self.sent[engine] += 1
         in_flight = len(self._world.scheduler.engines[engine].inflight)
         self.most_in_flight[engine] = max(self.most_in_flight[engine], in_flight)
-        started_at = now + FIRST_EVENT
+        started_at = now + FIRST_EVENT * self._latency_factors.get(engine, 1.0)
         self._starts.append((started_at, engine, request_id))
         self._ends.append((started_at + self._run_times[engine], engine, request_id))
 
@@ -88,14 +98,9 @@
         # A few engines ran 20 to 28 requests with a batch of 16, and others 2 or 3.
         # One copy has a slightly earlier first token, so that it was always chosen.
         world = SchedulerWorld({"one": [1], "two": [1], "three": [1]}, batch=BATCH)
-        for _ in range(3):
-            inflight = world.scheduler.engines["one"].inflight
-            now = world.clock.monotonic()
-            inflight.add("fast", "instance", adapter(1), 800, now)
-            inflight.record_first_token("fast", now + 110 * MILLISECOND)
-            inflight.remove("fast")
-        traffic = Traffic(world, dict.fromkeys(world.scheduler.engines, 1.5 * SECOND))
-        traffic.run(6 * SECOND, per_second=24)
+        run_times = dict.fromkeys(world.scheduler.engines, 3 * SECOND)
+        traffic = Traffic(world, run_times, {"one": 0.9})
+        traffic.run(12 * SECOND, per_second=10)
         self.assertEqual(set(traffic.sent), {"one", "two", "three"})
         self.assertLess(max(traffic.most_in_flight.values()), BATCH)
 
