--- a/packages/ashhoist/src/ashhoist/placement/inflight_requests.py
+++ b/packages/ashhoist/src/ashhoist/placement/inflight_requests.py
@@ -12,12 +12,14 @@
 from datetime import timedelta
 
 from ..adapter import Adapter
+from ..clock import ZERO
 from .batch import Batch
 
 TOKENS_PER_SECOND = 17_000.0
 """The prefill speed of an engine whose latency factor is 1."""
 BASE_LATENCY = timedelta(milliseconds=90)
 """Time to first token at an idle engine, without prefill."""
+BASE_SECONDS = BASE_LATENCY.total_seconds()
 SMOOTHING = 0.15
 """Weight of a new observation in the moving average of the latency factor."""
 MIN_LATENCY_FACTOR, MAX_LATENCY_FACTOR = 0.4, 8.0
@@ -103,8 +105,8 @@
         If a first token is overdue, the next request is expected to wait at least as
         long as the overdue one has waited so far.
         """
-        prefill = timedelta(seconds=(self._queued_tokens + tokens) / TOKENS_PER_SECOND)
-        wait = (BASE_LATENCY + prefill) * self._latency_factor
+        prefill = (self._queued_tokens + tokens) / TOKENS_PER_SECOND
+        wait = timedelta(seconds=(BASE_SECONDS + prefill) * self._latency_factor)
         if self.batch.is_full(len(self._by_id)):
             wait += self.wait_for_place(now)
         return max(wait, self._overdue_wait(now))
@@ -138,10 +140,10 @@
         """Return the age of the oldest request without a first token, if overdue."""
         oldest = next(iter(self._awaiting_first_token.values()), None)
         if oldest is None:
-            return timedelta()
+            return ZERO
         age = now - oldest.sent_at
         overdue = age > oldest.expected * OVERDUE_FACTOR + OVERDUE_MARGIN
-        return age if overdue else timedelta()
+        return age if overdue else ZERO
 
     def add(
         self,
