--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -94,7 +94,9 @@
         self, rng: Random, engines: int
     ) -> None:
         world = SchedulerWorld(
-            {f"e{index}": [] for index in range(engines)}, capacity=3
+            {f"e{index}": [] for index in range(engines)},
+            capacity=3,
+            batch=rng.choice((0, 3, 96)),
         )
         self.populate(world, rng)
         for number in range(100, 108):
@@ -133,7 +135,11 @@
             for number in range(rng.randrange(5)):
                 now = world.clock.monotonic()
                 request_id, tokens = f"{name}-{number}", rng.randrange(9000)
-                engine.inflight.add(request_id, "instance", adapter(1), tokens, now)
+                engine.inflight.add(
+                    request_id, "instance", adapter(1), tokens, now, 300
+                )
+                if rng.random() < 0.5:
+                    engine.inflight.record_first_token(request_id, now, observed=False)
         world.clock.advance(SECOND)
 
 
