--- a/packages/ashhoist/src/ashhoist/overload/__init__.py
+++ b/packages/ashhoist/src/ashhoist/overload/__init__.py
@@ -1,8 +1,8 @@
 """Admission control for upstreams that get more requests than they can take."""
 
 from .messages import (
-    Admitted,
     AdmissionRequest,
+    Admitted,
     AttemptOutcome,
     Decision,
     Rejected,
