--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/placement/batch_load.py
@@ -0,0 +1,89 @@
+"""How full the batches of engines are, now and with the demand for what they hold."""
+
+import math
+from datetime import timedelta
+
+from ..adapter import Adapter
+from .adapter_index import AdapterIndex
+from .engine import Engine
+from .popularity import HALF_LIFE, Popularity
+
+NEARLY_FULL = 0.75
+"""At 16 streams and one second each, the last quarter fills in a quarter of a second:
+about the time that a load from the weight store takes."""
+LARGE_BATCH = 64
+"""Batches of this size or more count as unloaded until they are nearly full."""
+EXPECTED_RUN_TIME = timedelta(seconds=1)
+"""Time that a request is expected to occupy a place in a batch."""
+DEMAND_CACHE_TIME = timedelta(milliseconds=250)
+"""Short compared to the half-life of `Popularity`."""
+
+
+def has_batch(engine: Engine) -> bool:
+    """Return whether the size of the engine's batch limits what it is sent."""
+    return engine.batch > 1
+
+
+def is_nearly_full(engine: Engine) -> bool:
+    """Return whether few places are left in the engine's batch."""
+    if not has_batch(engine):
+        return False
+    return len(engine.inflight) >= math.ceil(engine.batch * NEARLY_FULL)
+
+
+def requests_per_second(count: float) -> float:
+    """Return the steady rate that keeps a count of `Popularity` as it is."""
+    return count * math.log(2) / HALF_LIFE.total_seconds()
+
+
+class BatchLoad:
+    """Expected use of the batches, from the demand for the adapters that engines hold.
+
+    Parameters
+    ----------
+    index : AdapterIndex
+        Which engines hold which adapters: these share the demand for an adapter.
+    """
+
+    def __init__(self, popularity: Popularity, index: AdapterIndex) -> None:
+        self._popularity = popularity
+        self._index = index
+        self._streams: dict[str, tuple[timedelta, float]] = {}
+
+    def fill(self, engine: Engine, now: timedelta) -> float:
+        """Return the used part of a batch, 1 if full; more if requests wait.
+
+        It is 0 for an engine without a batch, and for a large batch that is not nearly
+        full.
+        """
+        if not has_batch(engine):
+            return 0.0
+        if engine.batch >= LARGE_BATCH and not is_nearly_full(engine):
+            return 0.0
+        running = len(engine.inflight) + engine.reserved_requests
+        return max(running, self.demanded_streams(engine, now)) / engine.batch
+
+    def demanded_streams(self, engine: Engine, now: timedelta) -> float:
+        """Return how many streams the adapters in the engine's slots bring on average.
+
+        The result is kept for `DEMAND_CACHE_TIME`, or until `forget`.
+        """
+        cached = self._streams.get(engine.id)
+        if cached is not None and now - cached[0] < DEMAND_CACHE_TIME:
+            return cached[1]
+        streams = sum(self.streams_of(name) for name in engine.adapter_slots)
+        self._streams[engine.id] = (now, streams)
+        return streams
+
+    def streams_of(self, adapter: Adapter) -> float:
+        """Return the streams that use an adapter at each engine that holds it."""
+        sharing = max(len(self._index.holding(adapter)), 1)
+        return self.streams_of_count(self._popularity.rate(adapter) / sharing)
+
+    def streams_of_count(self, count: float) -> float:
+        """Return how many streams a request count of `Popularity` stands for."""
+        return requests_per_second(count) * EXPECTED_RUN_TIME.total_seconds()
+
+    def forget(self, engine_id: str) -> None:
+        """Compute the demand anew when it is needed next: the slots have changed."""
+        self._streams.pop(engine_id, None)
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -61,6 +61,8 @@
         Whether the adapter is loaded from the weight store.
     unload_accepted : bool
         True once the engine has accepted the order to unload it.
+    loading_at : timedelta or None
+        When the engine last answered that it is still loading.
     """
 
     adapter: Adapter
@@ -71,6 +73,7 @@
     cold: bool = True
     unload_accepted: bool = False
     used_at: timedelta = timedelta()
+    loading_at: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +85,9 @@
     loaded : Adapter or None
         The adapter whose load has ended.
     duration : timedelta
-        How long that load took.
+        How long that load took, up to the answer that it has ended.
+    min_duration : timedelta
+        How long it took at least: up to the last answer that it had not ended.
     cold : bool
         Whether it was loaded from the weight store.
     serving_changed : bool
@@ -93,6 +98,7 @@
     duration: timedelta = timedelta()
     cold: bool = False
     serving_changed: bool = False
+    min_duration: timedelta = timedelta()
 
 
 class Engine:
@@ -106,6 +112,8 @@
         Versions of the adapters that it probably has copies of, oldest first.
     index : AdapterIndex or None
         The index to update when its slots or copies change.
+    batch : int
+        Number of requests that it runs concurrently; 0 if it is not known.
 
     Attributes
     ----------
@@ -127,9 +135,11 @@
         capacity: int,
         copies: "OrderedDict[Adapter, int] | None" = None,
         index: AdapterIndex | None = None,
+        batch: int = 0,
     ) -> None:
         self.upstream = upstream
         self.capacity = capacity
+        self.batch = batch
         self._index = index or AdapterIndex()
         self.adapter_slots: dict[Adapter, AdapterSlot] = {}
         self.copies: OrderedDict[Adapter, int] = copies or OrderedDict()
@@ -353,6 +363,7 @@
             self.order_count = order.expected + 1
         if answer is OrderAnswer.ACCEPTED:
             slot.poll_at = max(slot.poll_at, now + LOAD_POLL_INTERVAL)
+            slot.loading_at = now
             return EngineUpdate()
         return self._finish_load(slot, now)
 
@@ -381,7 +392,8 @@
         slot.used_at = now
         self._update_load_time(duration, slot.cold)
         self._record_copy(slot.adapter, slot.version)
-        return EngineUpdate(slot.adapter, duration, slot.cold, True)
+        min_duration = (slot.loading_at or slot.since) - slot.since
+        return EngineUpdate(slot.adapter, duration, slot.cold, True, min_duration)
 
     def _update_load_time(self, duration: timedelta, cold: bool) -> None:
         duration = min(duration, MAX_LOAD_TIME)
--- a/packages/ashhoist/src/ashhoist/placement/planning_round.py
+++ b/packages/ashhoist/src/ashhoist/placement/planning_round.py
@@ -9,6 +9,7 @@
 from ..adapter import Adapter
 from ..orders.order import OrderKind
 from .adapter_index import AdapterIndex
+from .batch_load import BatchLoad
 from .candidates import Candidates
 from .engine import (
     COLD_LOAD_TIME,
@@ -26,6 +27,9 @@
 """For each copy that the engine keeps."""
 OCCUPANCY_COST = 0.1
 """For an engine whose slots are all occupied; in proportion otherwise."""
+BATCH_COST = 0.5
+"""For an engine whose batch is full; in proportion otherwise. The wait for a place is
+about half of a run."""
 COLD_COST = 0.9
 """Cost of a load from the weight store, in seconds of waiting like the costs above."""
 COLD_LOAD_PRICE = 0.74
@@ -96,6 +100,8 @@
     permit_wait : callable
         Takes an engine; returns how long until one more request can be sent there: no
         time unless it has a rate limit.
+    load : BatchLoad or None
+        How full the batches are; None to compute it for this round only.
     """
 
     def __init__(
@@ -108,8 +114,10 @@
         first_token_wait: Callable[[Engine, int], timedelta],
         permit_wait: Callable[[Engine], timedelta],
         now: timedelta,
+        load: BatchLoad | None = None,
     ) -> None:
         engines = list(engines)
+        self._load = load or BatchLoad(popularity, index)
         self._index = index
         self._popularity = popularity
         self._first_token_wait = first_token_wait
@@ -149,6 +157,10 @@
         """Return whether an engine was loading the adapter when the round began."""
         return id(demand) in self._being_loaded
 
+    def loading_demands(self) -> Iterable[AdapterDemand]:
+        """Return the demands whose adapter was being loaded when the round began."""
+        return self._being_loaded.values()
+
     def _engines_loading(self, demand: AdapterDemand) -> Iterator[Engine]:
         holding = self._index.holding(demand.adapter)
         ordered = self._load_orders.get(demand.adapter, ())
@@ -239,6 +251,7 @@
     def record_order(self, engine: Engine, demand: AdapterDemand) -> None:
         """Record that an engine was sent an order, which changes its free slots."""
         engine.reserve(demand.total_tokens, len(demand.by_id))
+        self._load.forget(engine.id)
         self._spare_slots.pop(engine.id, None)
         is_eligible = self._is_eligible(engine)
         if not is_eligible:
@@ -259,6 +272,7 @@
         """Return the part of the cost that is the same for every adapter."""
         cost = self._first_token_wait(engine, tokens).total_seconds()
         cost += len(engine.copies) * COPY_COST
+        cost += self._load.fill(engine, self._now) * BATCH_COST
         return (
             cost
             + (engine.capacity - engine.free_slots) / engine.capacity * OCCUPANCY_COST
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/placement/replication.py
@@ -0,0 +1,425 @@
+"""Further copies of busy adapters on engines with spare capacity.
+
+A copy is loaded when every engine that serves an adapter is busy, without waiting until
+requests are late. The decision uses no I/O; the scheduler sends the orders.
+"""
+
+import math
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import StrEnum
+
+from ..adapter import Adapter
+from ..orders.order import OrderKind
+from .adapter_index import AdapterIndex
+from .batch_load import (
+    LARGE_BATCH,
+    NEARLY_FULL,
+    BatchLoad,
+    has_batch,
+    is_nearly_full,
+    requests_per_second,
+)
+from .engine import MAX_CONCURRENT_LOADS, Engine, SlotState
+from .inflight_requests import BASE_LATENCY
+from .planning_round import (
+    BATCH_COST,
+    COLD_COST,
+    COLD_LOAD_PRICE,
+    AvailableSlot,
+    find_spare_slot,
+)
+from .popularity import Popularity
+
+ALLOWED_PAUSE = timedelta(milliseconds=300)
+"""Longer pauses between the events of a stream are late on the most urgent routes."""
+REPLICATION_INTERVAL = timedelta(milliseconds=50)
+"""Short compared to a load, which takes 250 ms or more from the weight store."""
+SPARE_FILL = 0.5
+"""An engine has spare capacity while less of its batch than this is in use."""
+MAX_SPARE_WAIT = timedelta(milliseconds=500)
+"""Above this, an engine is failing, limited or slow, and gets no copy."""
+COPY_LIFETIME = timedelta(seconds=10)
+"""For how long a copy is expected to be used; demand changes within about this time."""
+REQUEST_BENEFIT = 0.2
+"""Value that is gained for each request which a copy takes from a busy engine. A late
+answer loses about 0.7 of its value, and only some of the requests would be late."""
+MIN_GAIN = 0.2
+"""A load from a kept copy has no price, but takes a slot and two orders."""
+EVICTION_MARGIN = 2.0
+"""A copy must bring this many times the demand of the adapter that it evicts. Otherwise
+two adapters in similar demand would evict each other in turn."""
+MAX_COPIES_UNDER_WAY = 2
+"""Leaves most of the store's loads (26 per second on the smaller site) to requests that
+have no engine at all: 2 copies of 288 ms each are 7 loads per second."""
+MAX_COPY_TIME = timedelta(seconds=3)
+"""After this time a copy counts as abandoned, and another engine may get one."""
+
+
+class CopyResult(StrEnum):
+    """What has become of a copy."""
+
+    STARTED = "started"
+    SERVED = "served"
+    ABANDONED = "abandoned"
+
+
+@dataclass(frozen=True, slots=True)
+class AdapterCopy:
+    """A copy of an adapter that is under way.
+
+    Parameters
+    ----------
+    served_by : int
+        The number of engines that served the adapter when the copy was decided on.
+    """
+
+    service: str
+    adapter: Adapter
+    version: int
+    engine: Engine
+    started_at: timedelta
+    cold: bool
+    served_by: int
+
+
+@dataclass(frozen=True, slots=True)
+class CopyOrder:
+    """An order to send for a copy: to unload `evict`, or else to load the adapter."""
+
+    copy: AdapterCopy
+    evict: Adapter | None = None
+
+
+@dataclass(slots=True)
+class ReplicationPlan:
+    """What to do for the copies of busy adapters now.
+
+    Parameters
+    ----------
+    orders : list of CopyOrder
+        Orders to send; at most one for each engine.
+    changes : list of tuple
+        Copies that were started or have ended, with the result.
+    """
+
+    orders: list[CopyOrder] = field(default_factory=list)
+    changes: list[tuple[AdapterCopy, CopyResult]] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class _BusyAdapter:
+    """An adapter that only busy engines serve.
+
+    Parameters
+    ----------
+    share : float
+        The part of its request count that one more copy takes.
+    """
+
+    service: str
+    adapter: Adapter
+    version: int
+    serving: tuple[Engine, ...]
+    share: float
+
+    @property
+    def gain(self) -> float:
+        """Return the value that one more copy brings."""
+        requests = requests_per_second(self.share) * COPY_LIFETIME.total_seconds()
+        return requests * REQUEST_BENEFIT
+
+
+class Replication:
+    """Decides which adapters are copied, and to which engines.
+
+    Parameters
+    ----------
+    engines : dict of str to Engine
+        All engines, by id; changed by the scheduler.
+    first_token_wait : callable
+        Takes an engine and the length of a prompt; returns the expected time to its
+        first token.
+    allowed_pause : timedelta
+        The longest pause between the events of a stream that is on time.
+    """
+
+    def __init__(
+        self,
+        engines: dict[str, Engine],
+        index: AdapterIndex,
+        popularity: Popularity,
+        load: BatchLoad,
+        first_token_wait: Callable[[Engine, int], timedelta],
+        allowed_pause: timedelta = ALLOWED_PAUSE,
+    ) -> None:
+        self._engines = engines
+        self._index = index
+        self._popularity = popularity
+        self._load = load
+        self._first_token_wait = first_token_wait
+        self._allowed_pause = allowed_pause
+        self._under_way: dict[tuple[str, Adapter], AdapterCopy] = {}
+        self._next_plan_at = timedelta()
+
+    def plan(
+        self, open_zones: set[str], may_load_cold: bool, now: timedelta
+    ) -> ReplicationPlan:
+        """Return the orders that are due for copies.
+
+        Parameters
+        ----------
+        open_zones : set of str
+            The availability zones to whose engines orders may be sent now.
+        may_load_cold : bool
+            Whether a further load from the weight store runs at full speed.
+        """
+        plan = ReplicationPlan()
+        if now < self._next_plan_at:
+            return plan
+        self._next_plan_at = now + REPLICATION_INTERVAL
+        busy = {
+            engine.id: engine
+            for engine in self._engines.values()
+            if self._is_busy(engine, now)
+        }
+        self._continue_copies(plan, busy, open_zones, now)
+        if not busy:
+            return plan
+        relieved = self._relieved_engines()
+        adapters = list(self._busy_adapters(busy, now))
+        adapters.sort(key=lambda found: (-found.share, found.service, found.adapter))
+        for found in adapters:
+            if len(self._under_way) >= MAX_COPIES_UNDER_WAY:
+                break
+            if relieved.intersection(engine.id for engine in found.serving):
+                continue
+            order = self._start(found, open_zones, may_load_cold, now)
+            if order is None:
+                continue
+            plan.orders.append(order)
+            plan.changes.append((order.copy, CopyResult.STARTED))
+            relieved.update(engine.id for engine in found.serving)
+        return plan
+
+    # Load of engines
+
+    def _is_busy(self, engine: Engine, now: timedelta) -> bool:
+        """Return whether further requests would be late or make running streams late.
+
+        The prefill does not count where the batch is large.
+        """
+        if not has_batch(engine):
+            return False
+        if is_nearly_full(engine):
+            return True
+        if engine.batch >= LARGE_BATCH or not len(engine.inflight):
+            return False
+        return self._queued_prefill(engine, now) > self._allowed_pause
+
+    def _queued_prefill(self, engine: Engine, now: timedelta) -> timedelta:
+        idle_wait = BASE_LATENCY * engine.inflight.latency_factor
+        return engine.inflight.time_to_first_token(0, now) - idle_wait
+
+    def _has_spare_capacity(
+        self, engine: Engine, found: _BusyAdapter, now: timedelta
+    ) -> bool:
+        used = len(engine.inflight) + engine.reserved_requests
+        if used >= engine.batch * SPARE_FILL:
+            return False
+        if self._queued_prefill(engine, now) > self._allowed_pause / 2:
+            return False
+        streams = self._load.demanded_streams(engine, now)
+        streams += self._load.streams_of_count(found.share)
+        if streams > engine.batch * NEARLY_FULL:
+            return False
+        return self._first_token_wait(engine, 0) <= MAX_SPARE_WAIT
+
+    # Copies under way
+
+    def _continue_copies(
+        self,
+        plan: ReplicationPlan,
+        busy: dict[str, Engine],
+        open_zones: set[str],
+        now: timedelta,
+    ) -> None:
+        """Load the copies whose slot is free now, and drop those that have ended."""
+        for key, copy in list(self._under_way.items()):
+            engine = copy.engine
+            if self._engines.get(engine.id) is not engine:
+                result = CopyResult.ABANDONED
+            elif engine.serves(copy.adapter, copy.version):
+                result = CopyResult.SERVED
+            elif now - copy.started_at > MAX_COPY_TIME:
+                result = CopyResult.ABANDONED
+            elif self._is_under_way(engine, copy, now):
+                continue
+            elif _has_refused(engine, now):
+                result = CopyResult.ABANDONED
+            elif not engine.can_order(now) or engine.upstream.zone not in open_zones:
+                continue
+            elif engine.free_slots > 0 and self._is_needed(copy, busy):
+                plan.orders.append(CopyOrder(copy))
+                continue
+            else:
+                result = CopyResult.ABANDONED
+            del self._under_way[key]
+            plan.changes.append((copy, result))
+
+    def _is_under_way(self, engine: Engine, copy: AdapterCopy, now: timedelta) -> bool:
+        """Return whether the copy is loading, or the slot for it is being emptied."""
+        if engine.is_loading(copy.adapter, copy.version, now):
+            return True
+        return engine.free_slots <= 0 and any(
+            slot.state is SlotState.UNLOADING for slot in engine.adapter_slots.values()
+        )
+
+    def _is_needed(self, copy: AdapterCopy, busy: dict[str, Engine]) -> bool:
+        serving = self._serving(copy.service, copy.adapter)
+        return all(engine.id in busy for engine in serving)
+
+    def _relieved_engines(self) -> set[str]:
+        """Return the busy engines that get less work once a copy is loaded."""
+        return {
+            engine.id
+            for copy in self._under_way.values()
+            for engine in self._serving(copy.service, copy.adapter)
+        }
+
+    # New copies
+
+    def _serving(self, service: str, adapter: Adapter) -> list[Engine]:
+        return [
+            engine
+            for engine in self._index.holding(adapter).values()
+            if engine.upstream.service == service and engine.serves(adapter, 0)
+        ]
+
+    def _busy_adapters(
+        self, busy: dict[str, Engine], now: timedelta
+    ) -> Iterator[_BusyAdapter]:
+        """Yield the adapters that only busy engines serve and that nobody loads."""
+        loading = self._adapters_being_loaded(now)
+        seen: set[tuple[str, Adapter]] = set()
+        for engine in busy.values():
+            for slot in engine.adapter_slots.values():
+                key = (engine.upstream.service, slot.adapter)
+                if slot.state is not SlotState.SERVING or key in seen:
+                    continue
+                seen.add(key)
+                if key in loading or key in self._under_way:
+                    continue
+                serving = self._serving(*key)
+                if not all(other.id in busy for other in serving):
+                    continue
+                version = max(
+                    other.adapter_slots[slot.adapter].version for other in serving
+                )
+                share = self._popularity.rate(slot.adapter) / (len(serving) + 1)
+                found = _BusyAdapter(*key, version, tuple(serving), share)
+                if found.gain >= MIN_GAIN:
+                    yield found
+
+    def _adapters_being_loaded(self, now: timedelta) -> set[tuple[str, Adapter]]:
+        """Return the adapters that are being loaded, for requests or as a copy.
+
+        An order that is repeated because the engine did not answer does not count.
+        """
+        found: set[tuple[str, Adapter]] = set()
+        for engine in self._engines.values():
+            service = engine.upstream.service
+            order = engine.order_in_flight
+            is_load = order is not None and order.kind is OrderKind.LOAD
+            if order is not None and is_load and engine.unresolved_order is None:
+                found.add((service, order.adapter))
+            for slot in engine.adapter_slots.values():
+                if slot.state is not SlotState.LOADING:
+                    continue
+                if engine.is_loading(slot.adapter, slot.version, now):
+                    found.add((service, slot.adapter))
+        return found
+
+    def _start(
+        self,
+        found: _BusyAdapter,
+        open_zones: set[str],
+        may_load_cold: bool,
+        now: timedelta,
+    ) -> CopyOrder | None:
+        """Return the order that begins a copy, if a copy pays for itself somewhere."""
+        candidates = self._engines_for_copy(found, open_zones, now)
+        best = self._cheapest(candidates, found, may_load_cold, now)
+        if best is None:
+            return None
+        engine, slot = best
+        copy = AdapterCopy(
+            found.service,
+            found.adapter,
+            found.version,
+            engine,
+            now,
+            not engine.has_copy(found.adapter, found.version),
+            len(found.serving),
+        )
+        self._under_way[found.service, found.adapter] = copy
+        return CopyOrder(copy, slot.evict)
+
+    def _engines_for_copy(
+        self, found: _BusyAdapter, open_zones: set[str], now: timedelta
+    ) -> Iterator[Engine]:
+        targets = {copy.engine.id for copy in self._under_way.values()}
+        for engine in self._engines.values():
+            if engine.upstream.service != found.service or not has_batch(engine):
+                continue
+            if found.adapter in engine.adapter_slots or engine.id in targets:
+                continue
+            if engine.upstream.zone not in open_zones or not engine.can_order(now):
+                continue
+            if found.adapter.model not in engine.models:
+                continue
+            if engine.loading_count >= MAX_CONCURRENT_LOADS:
+                continue
+            if self._has_spare_capacity(engine, found, now):
+                yield engine
+
+    def _cheapest(
+        self,
+        candidates: Iterable[Engine],
+        found: _BusyAdapter,
+        may_load_cold: bool,
+        now: timedelta,
+    ) -> tuple[Engine, AvailableSlot] | None:
+        best: tuple[Engine, AvailableSlot] | None = None
+        min_cost = math.inf
+        for engine in candidates:
+            cold = not engine.has_copy(found.adapter, found.version)
+            if cold and (not may_load_cold or found.gain < COLD_LOAD_PRICE):
+                continue
+            slot = self._slot_for_copy(engine, found, now)
+            if slot is None:
+                continue
+            cost = self._first_token_wait(engine, 0).total_seconds()
+            cost += self._load.fill(engine, now) * BATCH_COST
+            if cold:
+                cost += COLD_COST
+            if cost < min_cost:
+                best, min_cost = (engine, slot), cost
+        return best
+
+    def _slot_for_copy(
+        self, engine: Engine, found: _BusyAdapter, now: timedelta
+    ) -> AvailableSlot | None:
+        """Return a free slot, or that of an unused adapter in much less demand."""
+        slot = find_spare_slot(engine, self._popularity, now)
+        if slot is None or slot.evict is None:
+            return slot
+        if self._popularity.rate(slot.evict) * EVICTION_MARGIN > found.share:
+            return None
+        return slot
+
+
+def _has_refused(engine: Engine, now: timedelta) -> bool:
+    """Return whether an engine takes no orders, and none will be repeated there."""
+    return not engine.accepts_orders(now) and engine.unresolved_order is None
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -24,15 +24,18 @@
     ServedAdaptersChanged,
 )
 from .adapter_index import AdapterIndex
+from .batch_load import BatchLoad
 from .engine import Engine, EngineUpdate, SlotState
 from .engine_orders import EngineOrders
 from .limited_engines import LimitedEngines
+from .load_concurrency import LoadConcurrency
 from .messages import RequestOutcome
 from .model_loads import ModelLoads
 from .pending_requests import AdapterDemand, PendingRequest, PendingRequests
 from .permits import EnginePermits
 from .planning_round import PlanningRound, find_slot
 from .popularity import Popularity
+from .replication import CopyOrder, Replication
 from .residency import Residency
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -106,6 +109,16 @@
             self._send_to,
         )
         self.popularity = Popularity(clock)
+        self._batch_load = BatchLoad(self.popularity, self._index)
+        self._cold_loads = LoadConcurrency()
+        self._held_back: set[Adapter] = set()
+        self._replication = Replication(
+            self.engines,
+            self._index,
+            self.popularity,
+            self._batch_load,
+            self._first_token_wait,
+        )
 
     @property
     def busy(self) -> bool:
@@ -142,6 +155,7 @@
             del self.engines[engine.id]
             self._index.remove_engine(engine)
             self._health.forget(engine.id)
+            self._batch_load.forget(engine.id)
             if engine.id in incarnation_by_id:
                 # It was restarted: it holds nothing until it reports.
                 self._residency.forget(engine.id)
@@ -150,10 +164,12 @@
             known = self.engines.get(upstream.id)
             if known is not None:
                 known.upstream = upstream
+                known.batch = settings[upstream.service].batch
             else:
                 capacity = settings[upstream.service].adapter_slot_count
                 copies = self._residency.copies(upstream.id)
-                engine = Engine(upstream, capacity, copies, self._index)
+                batch = settings[upstream.service].batch
+                engine = Engine(upstream, capacity, copies, self._index, batch=batch)
                 served = self._residency.served_by(upstream.id)
                 engine.assume_serving(served, self._clock.monotonic())
                 self.engines[upstream.id] = engine
@@ -260,8 +276,21 @@
             # anew for the others.
             engine.clear_reservations()
             self._metrics.count("loads", "cold" if update.cold else "warm")
+            self._record_load_time(update)
         self._send_pending(engine, update)
 
+    def _record_load_time(self, update: EngineUpdate) -> None:
+        now = self._clock.monotonic()
+        if not self._cold_loads.record(update, self.engines.values(), now):
+            return
+        assert self._cold_loads.limit is not None
+        self._log.info(
+            "loads slow down",
+            limit=round(self._cold_loads.limit),
+            fastest_ms=round(self._cold_loads.fastest / MILLISECOND),
+            took_ms=round(update.duration / MILLISECOND),
+        )
+
     def _send_pending(self, engine: Engine, update: EngineUpdate) -> None:
         """Send the queued requests for the adapters that an engine serves now."""
         load_began = self._clock.monotonic() - update.duration
@@ -437,8 +466,15 @@
             self._time_out_order(engine, now)
             self._orders.follow_up(engine, open_zones, now)
         self._load_models(open_zones)
-        if not len(self.pending_requests):
-            return
+        self._cold_loads.begin_round(self.engines.values(), now)
+        if len(self.pending_requests):
+            self._load_for_requests(open_zones, now)
+        else:
+            self._held_back.clear()
+        self._replicate(open_zones, now)
+
+    def _load_for_requests(self, open_zones: set[str], now: timedelta) -> None:
+        """Load the adapters that requests wait for, the most valuable first."""
         self._limited.begin_round(self.engines.values())
         round_ = PlanningRound(
             self.engines.values(),
@@ -449,14 +485,45 @@
             self._first_token_wait,
             self._limited.permit_wait,
             now,
+            self._batch_load,
         )
         self._refuse_overdue(round_, now)
         demands = [
             demand for demand in self.pending_requests.demands() if demand.adapter.name
         ]
+        if self._cold_loads.is_reached:
+            for demand in round_.loading_demands():
+                self._cold_loads.record_value(round_.value_per_second(demand))
+        self._held_back &= {demand.adapter for demand in demands}
         for demand in sorted(demands, key=round_.value_per_second, reverse=True):
             self._load_adapter(round_, demand, now)
 
+    def _replicate(self, open_zones: set[str], now: timedelta) -> None:
+        """Send the orders for further copies of busy adapters."""
+        may_load_cold = not self._cold_loads.is_reached
+        plan = self._replication.plan(open_zones, may_load_cold, now)
+        for copy, result in plan.changes:
+            self._metrics.count("copies", result)
+            self._log.info(
+                "adapter copy",
+                result=result,
+                upstream=copy.engine.id,
+                adapter=str(copy.adapter),
+                cold=copy.cold,
+                served_by=copy.served_by,
+                took_ms=round((now - copy.started_at) / MILLISECOND),
+            )
+        for order in plan.orders:
+            self._order_copy(order)
+
+    def _order_copy(self, order: CopyOrder) -> None:
+        copy = order.copy
+        self._batch_load.forget(copy.engine.id)
+        if order.evict is not None:
+            self._orders.unload(copy.engine, order.evict)
+        else:
+            self._orders.load(copy.engine, copy.adapter, copy.version)
+
     def _find_open_zones(self) -> set[str]:
         zones = {engine.upstream.zone for engine in self.engines.values()}
         return {zone for zone in zones if self._may_order(zone)}
@@ -506,6 +573,14 @@
             return
         if not engine.can_order(now):
             return
+        cold = not engine.has_copy(demand.adapter, demand.oldest_version)
+        value = round_.value_per_second(demand) if cold else 0.0
+        if cold and self._cold_loads.holds_back(value, now):
+            self._hold_back(demand)
+            self._send_to_serving(demand, now)
+            return
+        if cold:
+            self._cold_loads.record_start(value)
         slot = round_.slot_for(engine, demand.adapter)
         assert slot is not None
         if slot.evict is not None:
@@ -514,6 +589,20 @@
             self._orders.load(engine, demand.adapter, demand.oldest_version)
         round_.record_order(engine, demand)
 
+    def _hold_back(self, demand: AdapterDemand) -> None:
+        """Report, once for each adapter, that its load would slow down others."""
+        if demand.adapter in self._held_back:
+            return
+        self._held_back.add(demand.adapter)
+        self._metrics.count("loads_held_back")
+        self._log.info(
+            "load held back",
+            adapter=str(demand.adapter),
+            requests=len(demand.by_id),
+            in_progress=self._cold_loads.in_progress,
+            limit=round(self._cold_loads.limit or 0),
+        )
+
     def _could_load(self, engine: Engine, adapter: Adapter, now: timedelta) -> bool:
         if not engine.accepts_orders(now) or not self._may_order(engine.upstream.zone):
             return False
--- a/tests/scheduler_world.py
+++ b/tests/scheduler_world.py
@@ -33,6 +33,8 @@
         Number of adapter slots of each engine.
     permits : EnginePermits or None
         Permits of engines with a rate limit; None if no engine has one.
+    batch : int
+        Number of requests that each engine runs concurrently.
     """
 
     def __init__(
@@ -40,22 +42,24 @@
         served: dict[str, list[int]],
         capacity: int = 6,
         permits: EnginePermits | None = None,
+        batch: int = 96,
     ) -> None:
         self.clock = ManualClock()
         self.clock.advance(10 * SECOND)
         self.actions: list[SchedulerAction] = []
         self.residency = Residency()
+        self.metrics = Metrics()
         self.scheduler = Scheduler(
             lambda zone: True,
             self.actions.append,
             permits or NoLimits(),
             self.residency,
             self.clock,
-            Metrics(),
+            self.metrics,
             logs.get("control"),
         )
         model = EngineModel(MODEL, 16000, SECOND, 100, 14)
-        self.settings = EngineSettings({MODEL: model}, 96, 16500, capacity, 2.0)
+        self.settings = EngineSettings({MODEL: model}, batch, 16500, capacity, 2.0)
         self.upstreams = [
             Upstream(name, SERVICE, f"{name}:1", "zone", slots=96, models=(MODEL,))
             for name in served
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -40,6 +40,46 @@
         self.assertEqual(world.scheduler.engines[order.upstream].reserved_tokens, 0)
 
 
+class BatchPlacementTests(unittest.TestCase):
+    """Loads on engines whose batches are small."""
+
+    def test_two_busy_adapters_are_loaded_on_different_engines(self) -> None:
+        # Guards against engines with 20 streams and more while others run 2 or 3.
+        world = SchedulerWorld({"one": [1], "two": []}, batch=16)
+        engine = world.scheduler.engines["one"]
+        for _ in range(60):
+            world.scheduler.popularity.record_request(adapter(1))
+        # The idle engine costs more as far as its slots and copies are concerned.
+        world.report("two", [8, 9])
+        self.assertEqual(len(engine.inflight), 0)
+        world.submit(2, tokens=10)
+        self.assertEqual([order.upstream for order in world.plan()], ["two"])
+
+    def test_loads_avoid_an_engine_whose_batch_is_filling(self) -> None:
+        # Guards against a cost that knows queued prompts only, not running streams.
+        world = SchedulerWorld({"one": [], "two": [8, 9]}, batch=16)
+        self.run_streams(world, "one", 8)
+        world.submit(2, tokens=10)
+        self.assertEqual([order.upstream for order in world.plan()], ["two"])
+
+    def test_streams_do_not_count_while_a_large_batch_has_room(self) -> None:
+        # Guards against changes where batches are large, or where there is none.
+        for batch, streams in ((0, 40), (1, 40), (64, 47), (96, 71)):
+            with self.subTest(batch=batch):
+                world = SchedulerWorld({"one": [], "two": [8, 9]}, batch=batch)
+                self.run_streams(world, "one", streams)
+                world.submit(2, tokens=10)
+                self.assertEqual([order.upstream for order in world.plan()], ["one"])
+
+    def run_streams(self, world: SchedulerWorld, name: str, count: int) -> None:
+        """Let an engine run streams that have received their first tokens."""
+        inflight = world.scheduler.engines[name].inflight
+        now = world.clock.monotonic()
+        for number in range(count):
+            inflight.add(f"{name}-{number}", "instance", adapter(7), 10, now)
+            inflight.record_first_token(f"{name}-{number}", now)
+
+
 class LoadWaitTests(unittest.TestCase):
     """A request waits for one load only."""
 
@@ -89,12 +129,16 @@
     """The engine that a round chooses without computing the cost of all of them."""
 
     @settings(max_examples=60, deadline=None)
-    @given(st.randoms(use_true_random=False), st.integers(1, 12))
+    @given(
+        st.randoms(use_true_random=False),
+        st.integers(1, 12),
+        st.sampled_from((0, 4, 16, 96)),
+    )
     def test_it_is_the_one_that_an_exhaustive_search_finds(
-        self, rng: Random, engines: int
+        self, rng: Random, engines: int, batch: int
     ) -> None:
         world = SchedulerWorld(
-            {f"e{index}": [] for index in range(engines)}, capacity=3
+            {f"e{index}": [] for index in range(engines)}, capacity=3, batch=batch
         )
         self.populate(world, rng)
         for number in range(100, 108):
@@ -134,6 +178,9 @@
                 now = world.clock.monotonic()
                 request_id, tokens = f"{name}-{number}", rng.randrange(9000)
                 engine.inflight.add(request_id, "instance", adapter(1), tokens, now)
+            for number in copies:
+                for _ in range(rng.randrange(40)):
+                    world.scheduler.popularity.record_request(adapter(number))
         world.clock.advance(SECOND)
 
 
