--- a/packages/ashhoist/src/ashhoist/placement/batch_load.py
+++ b/packages/ashhoist/src/ashhoist/placement/batch_load.py
@@ -28,7 +28,7 @@
     """Return whether few places are left in the engine's batch."""
     if not has_batch(engine):
         return False
-    return len(engine.inflight) >= math.ceil(engine.batch * NEARLY_FULL)
+    return len(engine.inflight) >= engine.batch * NEARLY_FULL
 
 
 def requests_per_second(count: float) -> float:
@@ -56,12 +56,14 @@
         It is 0 for an engine without a batch, and for a large batch that is not nearly
         full.
         """
-        if not has_batch(engine):
+        batch = engine.batch
+        if batch < 2:
             return 0.0
-        if engine.batch >= LARGE_BATCH and not is_nearly_full(engine):
+        running = len(engine.inflight)
+        if batch >= LARGE_BATCH and running < batch * NEARLY_FULL:
             return 0.0
-        running = len(engine.inflight) + engine.reserved_requests
-        return max(running, self.demanded_streams(engine, now)) / engine.batch
+        running += engine.reserved_requests
+        return max(running, self.demanded_streams(engine, now)) / batch
 
     def demanded_streams(self, engine: Engine, now: timedelta) -> float:
         """Return how many streams the adapters in the engine's slots bring on average.
--- a/packages/ashhoist/src/ashhoist/placement/replication.py
+++ b/packages/ashhoist/src/ashhoist/placement/replication.py
@@ -185,8 +185,19 @@
             if self._is_busy(engine, now)
         }
         self._continue_copies(plan, busy, open_zones, now)
-        if not busy:
-            return plan
+        if busy and len(self._under_way) < MAX_COPIES_UNDER_WAY and self._has_room():
+            self._start_copies(plan, busy, open_zones, may_load_cold, now)
+        return plan
+
+    def _start_copies(
+        self,
+        plan: ReplicationPlan,
+        busy: dict[str, Engine],
+        open_zones: set[str],
+        may_load_cold: bool,
+        now: timedelta,
+    ) -> None:
+        """Start copies of the adapters in most demand; one for each busy engine."""
         relieved = self._relieved_engines()
         adapters = list(self._busy_adapters(busy, now))
         adapters.sort(key=lambda found: (-found.share, found.service, found.adapter))
@@ -201,7 +212,6 @@
             plan.orders.append(order)
             plan.changes.append((order.copy, CopyResult.STARTED))
             relieved.update(engine.id for engine in found.serving)
-        return plan
 
     # Load of engines
 
@@ -222,11 +232,13 @@
         idle_wait = BASE_LATENCY * engine.inflight.latency_factor
         return engine.inflight.time_to_first_token(0, now) - idle_wait
 
+    def _has_room(self) -> bool:
+        return any(_has_spare_places(engine) for engine in self._engines.values())
+
     def _has_spare_capacity(
         self, engine: Engine, found: _BusyAdapter, now: timedelta
     ) -> bool:
-        used = len(engine.inflight) + engine.reserved_requests
-        if used >= engine.batch * SPARE_FILL:
+        if not _has_spare_places(engine):
             return False
         if self._queued_prefill(engine, now) > self._allowed_pause / 2:
             return False
@@ -371,7 +383,7 @@
     ) -> Iterator[Engine]:
         targets = {copy.engine.id for copy in self._under_way.values()}
         for engine in self._engines.values():
-            if engine.upstream.service != found.service or not has_batch(engine):
+            if engine.upstream.service != found.service:
                 continue
             if found.adapter in engine.adapter_slots or engine.id in targets:
                 continue
@@ -420,6 +432,11 @@
         return slot
 
 
+def _has_spare_places(engine: Engine) -> bool:
+    used = len(engine.inflight) + engine.reserved_requests
+    return has_batch(engine) and used < engine.batch * SPARE_FILL
+
+
 def _has_refused(engine: Engine, now: timedelta) -> bool:
     """Return whether an engine takes no orders, and none will be repeated there."""
     return not engine.accepts_orders(now) and engine.unresolved_order is None
