--- a/packages/ashhoist/src/ashhoist/placement/planning_round.py
+++ b/packages/ashhoist/src/ashhoist/placement/planning_round.py
@@ -251,7 +251,6 @@
     def record_order(self, engine: Engine, demand: AdapterDemand) -> None:
         """Record that an engine was sent an order, which changes its free slots."""
         engine.reserve(demand.total_tokens, len(demand.by_id))
-        self._load.forget(engine.id)
         self._spare_slots.pop(engine.id, None)
         is_eligible = self._is_eligible(engine)
         if not is_eligible:
--- a/packages/ashhoist/src/ashhoist/placement/replication.py
+++ b/packages/ashhoist/src/ashhoist/placement/replication.py
@@ -404,7 +404,7 @@
         now: timedelta,
     ) -> tuple[Engine, AvailableSlot] | None:
         best: tuple[Engine, AvailableSlot] | None = None
-        min_cost = math.inf
+        min_cost = (math.inf, "")
         for engine in candidates:
             cold = not engine.has_copy(found.adapter, found.version)
             if cold and (not may_load_cold or found.gain < COLD_LOAD_PRICE):
@@ -416,8 +416,8 @@
             cost += self._load.fill(engine, now) * BATCH_COST
             if cold:
                 cost += COLD_COST
-            if cost < min_cost:
-                best, min_cost = (engine, slot), cost
+            if (cost, engine.id) < min_cost:
+                best, min_cost = (engine, slot), (cost, engine.id)
         return best
 
     def _slot_for_copy(
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -269,6 +269,7 @@
 
     def _apply(self, engine: Engine, update: EngineUpdate) -> None:
         self._has_changes = True
+        self._batch_load.forget(engine.id)
         if update.serving_changed:
             self._execute(ServedAdaptersChanged(engine.id, engine.served_adapters()))
         if update.loaded is not None:
@@ -518,7 +519,6 @@
 
     def _order_copy(self, order: CopyOrder) -> None:
         copy = order.copy
-        self._batch_load.forget(copy.engine.id)
         if order.evict is not None:
             self._orders.unload(copy.engine, order.evict)
         else:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -10,7 +10,7 @@
 from ashhoist.placement.inflight_requests import BASE_LATENCY
 from ashhoist.placement.messages import RequestOutcome
 from ashhoist.placement.permits import NoLimits
-from ashhoist.placement.replication import MAX_COPY_TIME
+from ashhoist.placement.replication import MAX_COPIES_UNDER_WAY, MAX_COPY_TIME
 from ashhoist.placement.scheduler import Scheduler
 
 from .scheduler_world import MODEL, SECOND, SERVICE, SchedulerWorld, adapter
@@ -143,6 +143,29 @@
         self.assertEqual(loads(orders, 1), [])
         self.assertEqual(loads(orders, 2), ["two"])
 
+    def test_a_kept_copy_is_loaded_for_less_demand(self) -> None:
+        # Guards against asking the price of the weight store for a load that spares it.
+        for kept in ([], [1]):
+            with self.subTest(kept=kept):
+                world = SchedulerWorld({"one": [1, 2], "two": []}, batch=BATCH)
+                world.report("two", kept)
+                world.report("two", [])
+                for number in (1, 2):
+                    run_streams(world, number, NEARLY_FULL // 2)
+                orders = plan_for(world, 0.5)
+                self.assertEqual(
+                    [order.adapter for order in orders], list(map(adapter, kept))
+                )
+
+    def test_few_copies_are_under_way_at_a_time(self) -> None:
+        # Guards against copies that use up the loads of the weight store.
+        served: dict[str, list[int]] = {f"e{number}": [number] for number in range(5)}
+        served.update({f"idle{number}": [] for number in range(5)})
+        world = SchedulerWorld(served, batch=BATCH)
+        for number in range(5):
+            run_streams(world, number, NEARLY_FULL)
+        self.assertEqual(len(plan_for(world, 0.5)), MAX_COPIES_UNDER_WAY)
+
 
 class EvictionTests(unittest.TestCase):
     def world(self, held: list[int]) -> SchedulerWorld:
@@ -296,9 +319,9 @@
 
 class PlanningTests(unittest.TestCase):
     def test_the_decision_depends_on_its_input_only(self) -> None:
-        # Guards against an order of engines that differs from run to run.
+        # Guards against a choice that depends on the order in which engines were found.
         chosen = set()
-        for names in (("one", "two", "three"), ("one", "two", "three")):
+        for names in (("one", "two", "three"), ("three", "two", "one")):
             served: dict[str, list[int]] = {name: [] for name in names}
             served["one"] = [1, 2, 3]
             world = SchedulerWorld(served, batch=BATCH)
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -55,6 +55,19 @@
         world.submit(2, tokens=10)
         self.assertEqual([order.upstream for order in world.plan()], ["two"])
 
+    def test_demand_counts_as_soon_as_a_load_has_begun(self) -> None:
+        # Guards against a second busy adapter that joins the first one while it loads.
+        world = SchedulerWorld({"one": [], "two": [6, 7, 8, 9]}, batch=16)
+        for number in (1, 2):
+            for _ in range(60):
+                world.scheduler.popularity.record_request(adapter(number))
+        world.submit(1, tokens=10)
+        [first] = world.plan()
+        world.answer_order(first, OrderAnswer.ACCEPTED)
+        world.submit(2, tokens=10)
+        [second] = world.plan()
+        self.assertEqual((first.upstream, second.upstream), ("one", "two"))
+
     def test_loads_avoid_an_engine_whose_batch_is_filling(self) -> None:
         # Guards against a cost that knows queued prompts only, not running streams.
         world = SchedulerWorld({"one": [], "two": [8, 9]}, batch=16)
