--- a/tests/scheduler_world.py
+++ b/tests/scheduler_world.py
@@ -48,13 +48,14 @@
         self.clock.advance(10 * SECOND)
         self.actions: list[SchedulerAction] = []
         self.residency = Residency()
+        self.metrics = Metrics()
         self.scheduler = Scheduler(
             lambda zone: True,
             self.actions.append,
             permits or NoLimits(),
             self.residency,
             self.clock,
-            Metrics(),
+            self.metrics,
             logs.get("control"),
         )
         model = EngineModel(MODEL, 16000, SECOND, 100, 14)
