--- a/packages/ashhoist/src/ashhoist/placement/batch.py
+++ b/packages/ashhoist/src/ashhoist/placement/batch.py
@@ -13,8 +13,7 @@
 from ..clock import ZERO
 
 DEFAULT_RUN_TIME = timedelta(milliseconds=1500)
-"""Expected time from the first event to the end of a stream before one was observed:
-36 events of 8 tokens, at 5.2 ms for each token."""
+"""Expected time from the first event to the end of a stream before one was observed."""
 SMOOTHING = 0.15
 """Weight of a new run time in the moving average."""
 MIN_RUN_TIME = timedelta(milliseconds=50)
@@ -22,7 +21,7 @@
 """A longer run counts as this many times the average, as its caller may read slowly."""
 NEARLY_FULL_PLACES = 8
 """A batch with fewer free places is nearly full. A busy adapter gets about as many
-requests (32 per second) during the 0.3 s in which another copy is loaded."""
+requests while another copy of it is loaded."""
 MAX_DELAY_COST = 1.0
 """Seconds. Lower than the cost of a failing engine, so that none is chosen to avoid
 making streams late."""
--- a/packages/ashhoist/src/ashhoist/placement/batch_load.py
+++ b/packages/ashhoist/src/ashhoist/placement/batch_load.py
@@ -13,8 +13,6 @@
 about the time that a load from the weight store takes."""
 LARGE_BATCH = 64
 """Batches of this size or more count as unloaded until they are nearly full."""
-EXPECTED_RUN_TIME = timedelta(seconds=1)
-"""Time that a request is expected to occupy a place in a batch."""
 DEMAND_CACHE_TIME = timedelta(milliseconds=250)
 """Short compared to the half-life of `Popularity`."""
 
@@ -73,18 +71,20 @@
         cached = self._streams.get(engine.id)
         if cached is not None and now - cached[0] < DEMAND_CACHE_TIME:
             return cached[1]
-        streams = sum(self.streams_of(name) for name in engine.adapter_slots)
+        count = sum(self._share_of(name) for name in engine.adapter_slots)
+        streams = self.streams_of_count(engine, count)
         self._streams[engine.id] = (now, streams)
         return streams
 
-    def streams_of(self, adapter: Adapter) -> float:
-        """Return the streams that use an adapter at each engine that holds it."""
+    def _share_of(self, adapter: Adapter) -> float:
+        """Return the request count of an adapter for each engine that holds it."""
         sharing = max(len(self._index.holding(adapter)), 1)
-        return self.streams_of_count(self._popularity.rate(adapter) / sharing)
+        return self._popularity.rate(adapter) / sharing
 
-    def streams_of_count(self, count: float) -> float:
-        """Return how many streams a request count of `Popularity` stands for."""
-        return requests_per_second(count) * EXPECTED_RUN_TIME.total_seconds()
+    def streams_of_count(self, engine: Engine, count: float) -> float:
+        """Return how many streams of an engine a request count stands for."""
+        run_time = engine.inflight.batch.run_time
+        return requests_per_second(count) * run_time.total_seconds()
 
     def forget(self, engine_id: str) -> None:
         """Compute the demand anew when it is needed next: the slots have changed."""
--- a/packages/ashhoist/src/ashhoist/placement/replication.py
+++ b/packages/ashhoist/src/ashhoist/placement/replication.py
@@ -51,8 +51,8 @@
 """A copy must bring this many times the demand of the adapter that it evicts. Otherwise
 two adapters in similar demand would evict each other in turn."""
 MAX_COPIES_UNDER_WAY = 2
-"""Leaves most of the store's loads (26 per second on the smaller site) to requests that
-have no engine at all: 2 copies of 288 ms each are 7 loads per second."""
+"""Leaves most of the loads that the weight store allows to requests that have no engine
+at all."""
 MAX_COPY_TIME = timedelta(seconds=3)
 """After this time a copy counts as abandoned, and another engine may get one."""
 
@@ -243,7 +243,7 @@
         if self._queued_prefill(engine, now) > self._allowed_pause / 2:
             return False
         streams = self._load.demanded_streams(engine, now)
-        streams += self._load.streams_of_count(found.share)
+        streams += self._load.streams_of_count(engine, found.share)
         if streams > engine.batch * NEARLY_FULL:
             return False
         return self._first_token_wait(engine, 0) <= MAX_SPARE_WAIT
