--- a/packages/ashhoist/src/ashhoist/codec.py
+++ b/packages/ashhoist/src/ashhoist/codec.py
@@ -12,6 +12,9 @@
 import cbor2
 
 PROTOCOL = 1
+FIRST_REVISION = 1
+REVISION = 2
+"""Revision of the set of messages; both sides of a link agree on the lower one."""
 MAX_FRAME_BYTES = 4_194_304
 MAX_MESSAGES = 4096
 ARRAY = 0x80
@@ -21,6 +24,7 @@
 
 types_by_code: dict[int, type] = {}
 codes_by_type: dict[type, int] = {}
+revisions_by_type: dict[type, int] = {}
 _checks_by_type: dict[type, tuple[tuple[type, ...], ...]] = {}
 T = TypeVar("T", bound=type)
 
@@ -29,12 +33,20 @@
     """A frame that is not what the protocol allows."""
 
 
-def message(code: int) -> Callable[[T], T]:
-    """Register a data class as the message of that code."""
+def message(code: int, revision: int = FIRST_REVISION) -> Callable[[T], T]:
+    """Register a data class as the message of that code.
+
+    Parameters
+    ----------
+    revision : int
+        The first revision that has it; peers of an earlier one close the link if they
+        receive it.
+    """
 
     def decorate(kind: T) -> T:
         types_by_code[code] = kind
         codes_by_type[kind] = code
+        revisions_by_type[kind] = revision
         hints = get_type_hints(kind)
         _checks_by_type[kind] = tuple(
             _accepted(hints[field.name]) for field in fields(kind)
--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -29,6 +29,8 @@
 from ..store.follower import FollowedRecords
 from ..upstreams import Directory, Health, RateLimits, StatedLimit, UpstreamLeaving
 from . import message_handlers, messages
+from .admission_client import AdmissionClient
+from .admissions import Admissions
 from .crash_notices import CrashNotices
 from .crash_reports import CrashReports
 from .departure_notices import DepartureNotices
@@ -179,6 +181,20 @@
             metrics,
             log,
         )
+        self.admission_client = AdmissionClient(
+            settings.zone, directory, self._send_to_leader, clock
+        )
+        self.admissions = Admissions(
+            settings.name,
+            active_configuration,
+            directory,
+            self.peers,
+            lambda: self.scheduling.epoch,
+            self._send,
+            clock,
+            metrics,
+            log,
+        )
         self.proofs = Proofs(
             proof,
             self.records.replica,
@@ -367,6 +383,7 @@
         self.peers.link_down(peer, self._clock.monotonic())
         self._log.info("instance lost", peer=peer)
         self.scheduling.instance_gone(peer)
+        self.admissions.instance_gone(peer)
         self._heartbeats.forget(peer)
         self.quotas.forget(peer)
         self._elect()
@@ -439,6 +456,8 @@
         self.leader = leader
         self.quotas.follow(leader)
         self.permits.follow(leader)
+        self.admissions.follow(leader)
+        self.admission_client.follow(leader)
         self._log.info("leader changed", leader=leader)
         self.membership.relink()
         if leader is None:
@@ -492,6 +511,7 @@
         """Act on the changes that a batch of messages has made."""
         if self.leader is not None:
             self.placement_client.send_use_changes()
+            self.admission_client.send_ends()
         if self.quotas.take_tight_changed():
             self._heartbeats.send_all(self.leader)
         self.crash_notices.notify_quarantined(self.crashes.update_quarantined())
@@ -519,6 +539,7 @@
             self._gauges.measure(self.ready)
         self.settle()
         self.scheduling.plan(on_timer=True)
+        self.admissions.step()
 
     def _update_log_reading(self) -> None:
         """Update whether this instance reads the log itself."""
--- a/packages/ashhoist/src/ashhoist/control/message_handlers.py
+++ b/packages/ashhoist/src/ashhoist/control/message_handlers.py
@@ -277,3 +277,62 @@
 @_handles(messages.ReturnTokens)
 def _on_return_tokens(core: "Core", peer: str, message: messages.ReturnTokens) -> None:
     core.quotas.returned(message)
+
+
+# Admission to contended services
+
+
+@_handles(messages.OverloadReport)
+def _on_overload_report(
+    core: "Core", peer: str, message: messages.OverloadReport
+) -> None:
+    core.admissions.overload_reported(peer, message)
+
+
+@_handles(messages.ContentionNotice)
+def _on_contention_notice(
+    core: "Core", peer: str, message: messages.ContentionNotice
+) -> None:
+    core.admission_client.notice_received(peer, message)
+
+
+@_handles(messages.AdmissionQuery)
+def _on_admission_query(
+    core: "Core", peer: str, message: messages.AdmissionQuery
+) -> None:
+    core.admissions.asked(peer, message)
+
+
+@_handles(messages.AdmissionQueued)
+def _on_admission_queued(
+    core: "Core", peer: str, message: messages.AdmissionQueued
+) -> None:
+    core.admission_client.queued(message)
+
+
+@_handles(messages.AdmissionGrant)
+def _on_admission_grant(
+    core: "Core", peer: str, message: messages.AdmissionGrant
+) -> None:
+    core.admission_client.granted(message)
+
+
+@_handles(messages.AdmissionRefusal)
+def _on_admission_refusal(
+    core: "Core", peer: str, message: messages.AdmissionRefusal
+) -> None:
+    core.admission_client.refused(message)
+
+
+@_handles(messages.AdmissionEnded)
+def _on_admission_ended(
+    core: "Core", peer: str, message: messages.AdmissionEnded
+) -> None:
+    core.admissions.ended(peer, message)
+
+
+@_handles(messages.AdmissionCancelled)
+def _on_admission_cancelled(
+    core: "Core", peer: str, message: messages.AdmissionCancelled
+) -> None:
+    core.admissions.cancelled(peer, message)
--- a/packages/ashhoist/src/ashhoist/control/messages/__init__.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/__init__.py
@@ -1,5 +1,15 @@
 """Messages between the instances of a deployment, grouped by subject."""
 
+from .admissions import (
+    AdmissionCancelled,
+    AdmissionEnded,
+    AdmissionGrant,
+    AdmissionQuery,
+    AdmissionQueued,
+    AdmissionRefusal,
+    ContentionNotice,
+    OverloadReport,
+)
 from .membership import Heartbeat, InstanceList, InstanceListRequest, Introduction
 from .notices import CrashNotice, CrashWriteRequest, DepartureNotice
 from .orders import (
@@ -36,6 +46,14 @@
 )
 
 __all__ = [
+    "AdmissionCancelled",
+    "AdmissionEnded",
+    "AdmissionGrant",
+    "AdmissionQuery",
+    "AdmissionQueued",
+    "AdmissionRefusal",
+    "ContentionNotice",
+    "OverloadReport",
     "LargeRecordsNotice",
     "ClaimAppendRequest",
     "PlacementQuery",
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -8,8 +8,9 @@
 from ..http import Pool
 from ..links import Links, news
 from ..logs import Logger
-from ..loop import Loop
+from ..loop import Loop, Timer
 from ..orders import LeaseAction, Order
+from ..overload.sends import SendCancelled, SendEnded, SendQuery, ServiceOverloaded
 from ..placement.actions import FetchReport
 from ..placement.messages import (
     FirstEventReceived,
@@ -65,6 +66,7 @@
         self._log = log
         self._loop = loop
         self._settle_scheduled = False
+        self._admission_timer: Timer | None = None
         self.core: Core
         self._links: Links
         self._store: StoreCalls
@@ -114,6 +116,24 @@
     def _settle(self) -> None:
         self._settle_scheduled = False
         self.core.settle()
+        self._schedule_admissions()
+
+    def _schedule_admissions(self) -> None:
+        """Set the timer for the next decision about queued requests."""
+        at = self.core.admissions.next_step_at()
+        if at is None:
+            return
+        timer = self._admission_timer
+        if timer is not None:
+            if timer.at <= at:
+                return
+            timer.cancel()
+        self._admission_timer = self._loop.call_at(at, self._step_admissions)
+
+    def _step_admissions(self) -> None:
+        self._admission_timer = None
+        self.core.admissions.step()
+        self._schedule_admissions()
 
     def _tick(self) -> None:
         """Run the core's periodic work, and schedule the next tick."""
@@ -285,6 +305,22 @@
     def _permit_request(self, message: PermitRequest) -> None:
         self.core.permits.ask(message)
 
+    @_handles(SendQuery)
+    def _send_query(self, message: SendQuery) -> None:
+        self.core.admission_client.ask(message)
+
+    @_handles(SendCancelled)
+    def _send_cancelled(self, message: SendCancelled) -> None:
+        self.core.admission_client.cancel(message)
+
+    @_handles(SendEnded)
+    def _send_ended(self, message: SendEnded) -> None:
+        self.core.admission_client.record_end(message)
+
+    @_handles(ServiceOverloaded)
+    def _service_overloaded(self, message: ServiceOverloaded) -> None:
+        self.core.admission_client.report_overload(message)
+
     @_handles(OrderDone)
     def _order_done(self, message: OrderDone) -> None:
         upstream, reply = message.order.upstream, message.reply
--- a/packages/ashhoist/src/ashhoist/links/handshake.py
+++ b/packages/ashhoist/src/ashhoist/links/handshake.py
@@ -1,7 +1,7 @@
 """How a link begins: the websocket's handshake, then a hello from both sides."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
@@ -12,6 +12,7 @@
 from websockets.http11 import Request, Response
 from websockets.protocol import Protocol
 from websockets.server import ServerProtocol
+from websockets.typing import Subprotocol
 from websockets.uri import parse_uri
 
 from .. import codec
@@ -19,6 +20,10 @@
 from ..loop import Loop, Steps, Wait
 from .link import READ_SIZE
 
+REVISION_PROTOCOLS = {Subprotocol("ashhoist.2"): codec.REVISION}
+"""Revisions of the messages by websocket subprotocol. Instances of the first revision
+neither offer nor select a subprotocol."""
+
 
 @dataclass(frozen=True, slots=True)
 class Greeted:
@@ -34,6 +39,13 @@
     hello: codec.Hello
     frames: list[Any]
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the messages that both sides know."""
+        if self.protocol.subprotocol is None:
+            return codec.FIRST_REVISION
+        return REVISION_PROTOCOLS[self.protocol.subprotocol]
+
 
 class HandshakeError(Exception):
     """The other side is gone, too slow, or none of ours."""
@@ -74,7 +86,9 @@
         HandshakeError
             If there will be no link.
         """
-        protocol = ServerProtocol(max_size=codec.MAX_FRAME_BYTES)
+        protocol = ServerProtocol(
+            select_subprotocol=_select_subprotocol, max_size=codec.MAX_FRAME_BYTES
+        )
         request = yield from self._next_event(protocol)
         if not isinstance(request, Request):
             raise HandshakeError("no request")
@@ -95,7 +109,11 @@
     def ask(self, address: str, token: str) -> Steps[Greeted]:
         """Begin a websocket. Raises as `accept` does."""
         uri = parse_uri(f"ws://{address}/")
-        protocol = ClientProtocol(uri, max_size=codec.MAX_FRAME_BYTES)
+        protocol = ClientProtocol(
+            uri,
+            subprotocols=list(REVISION_PROTOCOLS),
+            max_size=codec.MAX_FRAME_BYTES,
+        )
         request = protocol.connect()
         request.headers["Authorization"] = f"Bearer {token}"
         protocol.send_request(request)
@@ -140,6 +158,16 @@
             raise HandshakeError("too slow")
 
 
+def _select_subprotocol(
+    _: ServerProtocol, offered: Sequence[Subprotocol]
+) -> Subprotocol | None:
+    """Return the first known subprotocol; None continues with the first revision."""
+    for subprotocol in offered:
+        if subprotocol in REVISION_PROTOCOLS:
+            return subprotocol
+    return None
+
+
 def _hello(frame: Any) -> codec.Hello:
     """Return the hello in a frame. Raises `HandshakeError` if there is none."""
     try:
--- a/packages/ashhoist/src/ashhoist/links/link.py
+++ b/packages/ashhoist/src/ashhoist/links/link.py
@@ -38,6 +38,8 @@
         Who the other side said it is.
     dialled_by : str
         The name of the side that opened the link.
+    revision : int
+        The revision of the messages that both sides know.
     deliver : callable
         Takes the messages that came, in their order.
     closed : callable
@@ -52,6 +54,7 @@
         name: str,
         incarnation: str,
         dialled_by: str,
+        revision: int,
         deliver: Deliver,
         closed: Callable[["Link"], None],
         count: Callable[..., None],
@@ -60,6 +63,7 @@
         self.name = name
         self.incarnation = incarnation
         self.dialled_by = dialled_by
+        self.revision = revision
         self.opened_at = loop.clock.monotonic()
         self._loop = loop
         self._peer = peer
--- a/packages/ashhoist/src/ashhoist/links/links.py
+++ b/packages/ashhoist/src/ashhoist/links/links.py
@@ -90,9 +90,17 @@
             link.close()
 
     def send_to(self, name: str, message: Any) -> bool:
-        """Send a message to an instance; return False if there is no link."""
+        """Send a message to an instance.
+
+        Returns
+        -------
+        bool
+            False if there is no link, or the instance does not know the message.
+        """
         link = self._by_name.get(name)
-        return link is not None and link.send(self._encode(message))
+        if link is None or link.revision < codec.revisions_by_type[type(message)]:
+            return False
+        return link.send(self._encode(message))
 
     def _encode(self, message: Any) -> bytes:
         """Return a message encoded; one that goes to many is encoded once."""
@@ -197,6 +205,7 @@
             hello.name,
             hello.incarnation,
             dialled_by,
+            greeted.revision,
             self._deliver,
             self._closed,
             self._count,
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -37,6 +37,10 @@
     "customer_requests": ("Requests of a customer that ended", ("customer", "end")),
     "customer_tokens": ("Charged to a customer's quota", ("customer", "end")),
     "permits": ("Sends to limited upstreams that were asked for", ("result",)),
+    "undecided_sends": (
+        "Sends to contended services without a decision of the leader",
+        ("service",),
+    ),
     "charged_alone": ("Charges without an answer of the leader", ("result",)),
     "refused_records": ("Records of the log that are not acceptable", ("key",)),
     "http_requests": ("HTTP requests of callers and operators", ("status",)),
@@ -62,6 +66,7 @@
     "quarantined_requests": ("Requests held back as they crash upstreams", ()),
     "ready": ("1 if callers may be sent here", ()),
     "leads": ("1 if this instance schedules", ()),
+    "contended_services": ("Services that this instance admits requests to", ()),
     "requests_waiting": ("Requests that wait for adapters, where it schedules", ()),
     "upstreams": ("Upstreams that take work", ("service",)),
 }
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -27,6 +27,7 @@
 from .process_settings import ProcessSettings, paces
 from .quarantine import Quarantine
 from .requests import Handler, HeaderNames, RetryBudget
+from .requests.admission_gate import AdmissionGate
 from .requests.attempt import Attempts
 from .requests.authentication import Authenticator
 from .requests.call_runner import CallRunner
@@ -230,6 +231,12 @@
             logs.get("requests"),
         )
         sends = SendPermits(self.limits, self.control.send, clock)
+        gate = AdmissionGate(
+            self.control.core.admission_client.is_contended,
+            self.control.send,
+            clock,
+            self.metrics,
+        )
         serving = CallRunner(
             header_names,
             Attempts(header_names, self.pool, notices, clock),
@@ -248,7 +255,7 @@
             logs.get("requests"),
         )
         choosers: dict[str, Chooser] = {
-            "plain": PlainChooser(self.directory, balancer, sends),
+            "plain": PlainChooser(self.directory, balancer, sends, gate),
             "engine": EngineChooser(
                 self.directory,
                 self.active_configuration,
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -58,6 +58,12 @@
         None if no further attempt is possible.
     placement_wait : timedelta
         How long the request waited for its adapter, over all attempts.
+    admission_wait : timedelta
+        How long it waited for admission to a contended service, over all attempts.
+    grant_number : int
+        Identifies the leader's grant for the current attempt; 0 if there is none.
+    sent_undecided : bool
+        Whether the last attempt was sent as the leader did not decide in time.
     sent_at : timedelta or None
         When the last attempt began.
     may_have_run : bool
@@ -94,6 +100,9 @@
     use_id: str = ""
     silence_limit: SilenceLimit | None = None
     placement_wait: timedelta = timedelta()
+    admission_wait: timedelta = timedelta()
+    grant_number: int = 0
+    sent_undecided: bool = False
     sent_at: timedelta | None = None
     first_event_at: timedelta | None = None
     last_event_at: timedelta | None = None
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -8,6 +8,7 @@
 from ..logs import Logger
 from ..loop import Steps
 from ..metrics import Metrics
+from ..overload import AttemptOutcome
 from ..placement.messages import Refusal, RequestOutcome, Target
 from ..upstreams import Backoffs, Directory, Health
 from .attempt import (
@@ -41,6 +42,7 @@
 """Number of explicit refusals up to which a request is sent to another upstream. Sends
 that do not reach an upstream may exceed the route's attempts by the same number."""
 FIRST_REDIRECT_STATUS = 300
+MILLISECOND = timedelta(milliseconds=1)
 
 
 class CallRunner:
@@ -105,29 +107,49 @@
             if isinstance(target, OutOfTime):
                 return (yield from self._responses.out_of_time(call, caller, relay))
             if isinstance(target, Refusal):
+                self._log_overload(call, target)
                 return (yield from self._responses.refuse(call, caller, relay, target))
             refusal = self._send_refusal(call)
             if refusal is not None:
-                chooser.on_attempt_ended(call, target, RequestOutcome.UNKNOWN)
+                chooser.on_attempt_ended(call, target, RequestOutcome.UNKNOWN, None)
                 return (yield from self._responses.refuse(call, caller, relay, refusal))
             if self._rejects_placement(call, target):
-                chooser.on_attempt_ended(call, target, RequestOutcome.UNKNOWN)
+                chooser.on_attempt_ended(call, target, RequestOutcome.UNKNOWN, None)
                 call.tried.add(target.upstream)
                 continue
             result: Result | CompletedStream | None = None
             try:
                 result = yield from self._attempt(call, target, caller, relay, chooser)
             finally:
-                chooser.on_attempt_ended(call, target, _request_outcome(result))
+                chooser.on_attempt_ended(
+                    call, target, _request_outcome(result), _attempt_outcome(result)
+                )
             if isinstance(result, CompletedStream):
                 self._health.answered(target.upstream)
                 self._quarantine_gate.response_completed(call)
                 return Ending(result.status, "whole")
             self._record_attempt(call, target, result)
-            if self._should_retry(call, result, relay):
+            if self._should_retry(call, result, chooser):
                 continue
             return (yield from self._responses.finish(call, caller, relay, result))
 
+    def _log_overload(self, call: Call, refusal: Refusal) -> None:
+        """Log a refusal by the leader, which admits the requests to the service."""
+        if refusal.reason is not Reason.OVERLOADED:
+            return
+        retry_after = refusal.retry_after or timedelta()
+        self._log.info(
+            "request refused",
+            request=call.id,
+            fingerprint=call.fingerprint,
+            reason=refusal.reason,
+            customer=call.customer_name,
+            service=call.service,
+            sends=call.sends,
+            admission_ms=call.admission_wait // MILLISECOND,
+            retry_after_ms=retry_after // MILLISECOND,
+        )
+
     def _send_refusal(self, call: Call) -> Refusal | None:
         """Return why a call that had to wait must not be sent any more, or None."""
         invalid = self._authenticator.refusal_reason(call.identity)
@@ -271,7 +293,7 @@
 
     # Another attempt
 
-    def _should_retry(self, call: Call, result: Result, relay: StreamRelay) -> bool:
+    def _should_retry(self, call: Call, result: Result, chooser: Chooser) -> bool:
         """Return whether another attempt is allowed and within the retry budget."""
         if isinstance(result, CallerLeft | OutOfTime):
             return False
@@ -283,6 +305,9 @@
         if isinstance(result, NotRun):
             refused = call.sends - call.runs
             allowed = refused <= MAX_REFUSED_SENDS and self._may_run_again(call)
+            if allowed and chooser.is_admitted_by_leader(call):
+                # The leader limits these retries; the budget is left for failures.
+                return self._count_retry(call, result)
             return allowed and self._spend_retry(call, result)
         if (
             isinstance(result, Answered)
@@ -323,3 +348,19 @@
     if isinstance(result, MayHaveRun | OutOfTime):
         return RequestOutcome.FAILED
     return RequestOutcome.UNKNOWN
+
+
+def _attempt_outcome(result: Result | CompletedStream | None) -> AttemptOutcome:
+    """Return how an attempt that was sent has ended, for the leader's admission."""
+    if isinstance(result, NotRun) and result.reason is Reason.UPSTREAM_REFUSED:
+        return AttemptOutcome.REFUSED
+    if isinstance(result, NotRun) and result.reached_upstream:
+        return AttemptOutcome.UNKNOWN
+    end = _request_outcome(result)
+    if end is RequestOutcome.SUCCEEDED:
+        return AttemptOutcome.SUCCEEDED
+    return (
+        AttemptOutcome.UNKNOWN
+        if end is RequestOutcome.UNKNOWN
+        else AttemptOutcome.FAILED
+    )
--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -5,8 +5,11 @@
 from ..failures import Reason
 from ..http import CallerConnection
 from ..loop import Steps
+from ..overload import AttemptOutcome
+from ..overload.sends import SendGranted, SendRefused
 from ..placement.messages import Refusal, RequestOutcome, Target
 from ..upstreams import Balancer, Directory, Upstream
+from .admission_gate import AdmissionGate
 from .attempt import CallerLeft, OutOfTime
 from .call import Call
 from .send_permits import SendPermits
@@ -26,42 +29,113 @@
     def on_first_event(self, call: Call, target: Target) -> None:
         """Record that the first event of an attempt has arrived."""
 
-    def on_attempt_ended(self, call: Call, target: Target, end: RequestOutcome) -> None:
-        """Record that an attempt has ended, and how the upstream behaved."""
+    def is_admitted_by_leader(self, call: Call) -> bool:
+        """Return whether the leader decides if `call` is sent again."""
+
+    def on_attempt_ended(
+        self,
+        call: Call,
+        target: Target,
+        end: RequestOutcome,
+        outcome: AttemptOutcome | None,
+    ) -> None:
+        """Record that an attempt has ended, and how the upstream behaved.
+
+        Parameters
+        ----------
+        outcome : AttemptOutcome or None
+            None if the attempt was not sent.
+        """
 
 
 class PlainChooser:
-    """Selects the least loaded upstream of a plain service."""
+    """Selects the least loaded upstream of a plain service.
+
+    Parameters
+    ----------
+    gate : AdmissionGate or None
+        Asks the leader instead while the service is contended; None for services that
+        the leader does not admit requests to.
+    """
 
     def __init__(
-        self, directory: Directory, balancer: Balancer, permits: SendPermits
+        self,
+        directory: Directory,
+        balancer: Balancer,
+        permits: SendPermits,
+        gate: AdmissionGate | None = None,
     ) -> None:
         self._directory = directory
         self._balancer = balancer
         self._permits = permits
+        self._gate = gate
 
     def choose(self, call: Call, caller: CallerConnection) -> Steps[Choice]:
         """Return the upstream for `call`, or why there is none.
 
-        Waits only for permits to send to upstreams that have announced a rate limit.
+        Waits only for admission to a contended service, and for permits to send to
+        upstreams that have announced a rate limit.
         """
         while True:
-            chosen = self._least_loaded(call)
-            if isinstance(chosen, Refusal):
+            chosen = yield from self._next_upstream(call, caller)
+            if not isinstance(chosen, Upstream):
                 return chosen
             limited = self._permits.is_limited(chosen.id)
             if limited:
                 permit = yield from self._permits.request_permit(chosen.id, caller)
                 if isinstance(permit, CallerLeft):
+                    self._give_back(call)
                     return permit
                 if not permit.granted:
+                    self._give_back(call)
                     continue
             self._balancer.begin(chosen.id)
             return Target(chosen.id, chosen.address, permitted=limited)
 
+    def _next_upstream(
+        self, call: Call, caller: CallerConnection
+    ) -> Steps[Upstream | Refusal | CallerLeft]:
+        """Return the upstream that the leader grants, or else the least loaded one."""
+        available = self._available(call) if self.is_admitted(call.service) else []
+        if self._gate is None or not available:
+            return self._least_loaded(call)
+        known = self._directory.view.of(call.service)
+        excluded = {one.id for one in known if one not in available}
+        tried = frozenset(excluded | call.tried)
+        answer = yield from self._gate.admit(call, tried, caller)
+        if isinstance(answer, CallerLeft):
+            return answer
+        if isinstance(answer, SendRefused):
+            return Refusal(Reason.OVERLOADED, answer.retry_after)
+        if isinstance(answer, SendGranted):
+            granted = self._directory.view.by_id.get(answer.upstream_id)
+            if granted is not None:
+                return granted
+            self._gate.give_back(call)
+        return self._least_loaded(call)
+
+    def is_admitted(self, service: str) -> bool:
+        """Return whether the leader admits the requests to a service now."""
+        return self._gate is not None and self._gate.is_contended(service)
+
+    def is_admitted_by_leader(self, call: Call) -> bool:
+        """Return whether the leader decides if `call` is sent again.
+
+        It does not if it has left the last attempt undecided.
+        """
+        return not call.sent_undecided and self.is_admitted(call.service)
+
+    def _give_back(self, call: Call) -> None:
+        if self._gate is not None:
+            self._gate.give_back(call)
+
     def has_alternative(self, call: Call) -> bool:
         """Return whether `choose` would find an upstream for `call` now."""
-        return bool(self._balancer.available(self._sendable(call.service), call.tried))
+        return bool(self._available(call))
+
+    def _available(self, call: Call) -> list[Upstream]:
+        """Return the upstreams that `call` may be sent to now."""
+        return self._balancer.available(self._sendable(call.service), call.tried)
 
     def _sendable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that no rate limit closes now."""
@@ -97,6 +171,18 @@
     def on_first_event(self, call: Call, target: Target) -> None:
         """Do nothing: first events do not affect the choice."""
 
-    def on_attempt_ended(self, call: Call, target: Target, end: RequestOutcome) -> None:
+    def on_attempt_ended(
+        self,
+        call: Call,
+        target: Target,
+        end: RequestOutcome,
+        outcome: AttemptOutcome | None,
+    ) -> None:
         """Record that an attempt has ended."""
         self._balancer.end(target.upstream)
+        if self._gate is None:
+            return
+        if outcome is None:
+            self._gate.give_back(call)
+            return
+        self._gate.record_end(call, outcome)
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -14,6 +14,7 @@
 from ..failures import Reason
 from ..http import CallerConnection
 from ..loop import Steps, Wait
+from ..overload import AttemptOutcome
 from ..placement.messages import (
     FirstEventReceived,
     Lookup,
@@ -110,7 +111,17 @@
         if call.adapter is not None:
             self._send(FirstEventReceived(call.use_id, target.upstream))
 
-    def on_attempt_ended(self, call: Call, target: Target, end: RequestOutcome) -> None:
+    def is_admitted_by_leader(self, call: Call) -> bool:
+        """Return False: requests to engines are placed, not admitted."""
+        return False
+
+    def on_attempt_ended(
+        self,
+        call: Call,
+        target: Target,
+        end: RequestOutcome,
+        outcome: AttemptOutcome | None,
+    ) -> None:
         """Record that an attempt has ended."""
         self._balancer.end(target.upstream)
         if call.adapter is not None:
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -249,6 +249,7 @@
             reason=ending.reason,
             sends=call.sends,
             waited_ms=round(call.placement_wait / MILLISECOND),
+            admission_ms=round(call.admission_wait / MILLISECOND),
             sent_ms=_elapsed_ms(call.received_at, call.sent_at),
             first_ms=_elapsed_ms(call.received_at, call.first_event_at),
             took_ms=round(elapsed_ms),
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -12,6 +12,7 @@
 from ashhoist.http import CallerConnection, Listener, Pool
 from ashhoist.loop import Steps
 from ashhoist.metrics import Metrics
+from ashhoist.overload import AttemptOutcome
 from ashhoist.placement.messages import Refusal, RequestOutcome, Target
 from ashhoist.quarantine import Quarantine
 from ashhoist.requests import Handler, RetryBudget
@@ -41,14 +42,27 @@
 
 
 class ListChooser:
-    """Tries the harness's upstreams in order, each once per call."""
+    """Tries the harness's upstreams in order, each once per call.
+
+    Attributes
+    ----------
+    refusal : Refusal or None
+        Answers all calls in place of an upstream.
+    admits : bool
+        Whether retries count as admitted by the leader.
+    """
 
     def __init__(self, harness: "Harness") -> None:
         self._harness = harness
         self.ended_count = 0
+        self.refusal: Refusal | None = None
+        self.admits = False
+        self.outcomes: list[AttemptOutcome | None] = []
 
     def choose(self, call: Call, caller: CallerConnection) -> Steps[Choice]:
         yield from ()
+        if self.refusal is not None:
+            return self.refusal
         for name, server in self._harness.upstreams.items():
             if name not in call.tried:
                 return Target(name, server.address)
@@ -60,8 +74,18 @@
     def on_first_event(self, call: Call, target: Target) -> None:
         pass
 
-    def on_attempt_ended(self, call: Call, target: Target, end: RequestOutcome) -> None:
+    def is_admitted_by_leader(self, call: Call) -> bool:
+        return self.admits
+
+    def on_attempt_ended(
+        self,
+        call: Call,
+        target: Target,
+        end: RequestOutcome,
+        outcome: AttemptOutcome | None,
+    ) -> None:
         self.ended_count += 1
+        self.outcomes.append(outcome)
 
 
 class Harness:
--- /dev/null
+++ b/tests/test_admissions.py
@@ -0,0 +1,348 @@
+"""Admission to contended services, between instances and their leader."""
+
+import unittest
+from datetime import timedelta
+from unittest import mock
+
+from ashhoist.codec import FIRST_REVISION
+from ashhoist.control import messages
+from ashhoist.control.admissions import CustomerWeights
+from ashhoist.customers import Customer, Quota, QuotaUnit
+from ashhoist.overload import AttemptOutcome
+from ashhoist.overload.sends import SendGranted, SendRefused
+from ashhoist.routing import ServingConfiguration
+from ashhoist.routing.active_configuration import ActiveConfiguration
+
+from .admission_world import PROPAGATION_S, AdmissionWorld
+from .world_writes import PLAIN_SERVICE, SERVICE
+
+NOTICE_RETENTION_S = 1.2
+ADMISSION_MESSAGES = (
+    messages.AdmissionCancelled,
+    messages.AdmissionEnded,
+    messages.AdmissionGrant,
+    messages.AdmissionQuery,
+    messages.AdmissionQueued,
+    messages.AdmissionRefusal,
+    messages.ContentionNotice,
+    messages.OverloadReport,
+)
+
+
+class ContentionTests(unittest.TestCase):
+    """Which services are contended, as instances learn it."""
+
+    def test_without_contention_no_message_is_sent(self) -> None:
+        # Guards against a cost of admission on calm days.
+        world = AdmissionWorld()
+        world.links.counts_bytes = True
+        world.run(5.0)
+        for kind in ADMISSION_MESSAGES:
+            self.assertEqual(world.links.sent[kind.__name__], 0)
+        self.assertIsNone(world.core(world.leader).admissions.next_step_at())
+
+    def test_a_refusal_by_a_full_upstream_makes_all_instances_ask(self) -> None:
+        # Guards against instances that keep sending to an overloaded service.
+        world = AdmissionWorld()
+        self.assertEqual(world.contended_at(), [])
+        world.overload(world.followers[0])
+        self.assertEqual(world.contended_at(), list(world.machines))
+
+    def test_a_refusal_at_the_leader_itself_counts(self) -> None:
+        # Guards against a report that is lost as there is no link to oneself.
+        world = AdmissionWorld(1)
+        world.overload("instance-0")
+        self.assertEqual(world.contended_at(), ["instance-0"])
+        self.assertTrue(world.is_granted(world.query("instance-0")))
+
+    def test_engines_are_never_contended(self) -> None:
+        # Guards against admission of requests that the leader places anyway.
+        world = AdmissionWorld()
+        leader = world.leader
+        report = messages.OverloadReport(SERVICE)
+        world.core(leader).admissions.overload_reported("instance-1", report)
+        world.run(PROPAGATION_S)
+        self.assertIsNone(world.core(leader).admissions.next_step_at())
+
+    def test_the_end_of_contention_reaches_all_instances(self) -> None:
+        # Guards against instances that ask for ever.
+        world = AdmissionWorld()
+        world.overload(world.followers[0])
+        world.run(2.5)
+        self.assertEqual(world.contended_at(), list(world.machines))
+        self.assertTrue(world.run(2.0, lambda: world.contended_at() == []))
+        self.assertIsNone(world.core(world.leader).admissions.next_step_at())
+
+    def test_a_lost_notice_changes_nothing_and_silence_ends_contention(self) -> None:
+        # Guards against waits for a leader that can't be reached.
+        world = AdmissionWorld()
+        world.overload(world.followers[0])
+        cut = world.followers[-1]
+        world.machines[cut].links_cut = True
+        world.run(0.6)
+        self.assertIn(cut, world.contended_at())
+        world.run(NOTICE_RETENTION_S - 0.6)
+        self.assertNotIn(cut, world.contended_at())
+
+    def test_a_notice_of_another_instance_than_the_leader_is_ignored(self) -> None:
+        # Guards against a former leader that still sends notices.
+        world = AdmissionWorld()
+        other = world.followers[0]
+        client = world.core(world.followers[1]).admission_client
+        client.notice_received(other, messages.ContentionNotice(99, [PLAIN_SERVICE]))
+        self.assertFalse(client.is_contended(PLAIN_SERVICE))
+
+    def test_queries_for_a_service_that_is_not_contended_do_not_wait(self) -> None:
+        # Guards against a time-out for each request after the end of contention.
+        world = AdmissionWorld()
+        query = world.query(world.followers[0])
+        world.run(PROPAGATION_S)
+        self.assertIsNone(world.answer(query))
+
+
+class DecisionTests(unittest.TestCase):
+    """Queries of instances, and the leader's answers."""
+
+    def setUp(self) -> None:
+        self.world = AdmissionWorld(slots=2)
+        self.one, self.other = self.world.followers
+        self.world.overload(self.one)
+
+    def test_a_request_beyond_the_slots_waits_until_one_ends(self) -> None:
+        # Guards against sends to a full upstream, and against lost ends.
+        world = self.world
+        first, _ = world.fill(self.one, 2)
+        query = world.query(self.other)
+        world.run(PROPAGATION_S)
+        self.assertEqual(world.answer(query), "waiting")
+        self.assertTrue(query.acknowledged.done())
+        world.end(self.one, first)
+        world.run(PROPAGATION_S)
+        self.assertEqual(world.answer(query), SendGranted("plain-0"))
+
+    def test_a_request_that_can_not_be_served_is_refused_by_half_its_target(
+        self,
+    ) -> None:
+        # Guards against callers that wait for long and are then refused.
+        world = self.world
+        world.fill(self.one, 2)
+        query = world.query(self.other, target_s=0.4)
+        world.run(0.21)
+        answer = world.answer(query)
+        assert isinstance(answer, SendRefused)
+        self.assertGreater(answer.retry_after, timedelta())
+
+    def test_a_cancelled_request_is_not_granted(self) -> None:
+        # Guards against slots held for callers that have left.
+        world = self.world
+        first, _ = world.fill(self.one, 2)
+        gone = world.query(self.other)
+        world.run(PROPAGATION_S)
+        world.cancel(self.other, gone)
+        kept = world.query(self.other)
+        world.run(PROPAGATION_S)
+        world.end(self.one, first)
+        world.run(PROPAGATION_S)
+        self.assertTrue(world.is_granted(kept))
+
+    def test_a_grant_that_arrives_late_is_given_back(self) -> None:
+        # Guards against slots lost to requests that were sent without an answer.
+        world = self.world
+        late = [world.query(self.one), world.query(self.one)]
+        client = world.core(self.one).admission_client
+        for query in late:
+            query.answer.cancel()
+        world.run(PROPAGATION_S)
+        with mock.patch.object(client, "ask"):
+            world.fill(self.other, 2)
+
+    def test_a_grant_for_an_unknown_upstream_is_given_back(self) -> None:
+        # Guards against a request that waits for an upstream it can't be sent to.
+        world = self.world
+        query = world.query(self.one)
+        client = world.core(self.one).admission_client
+        client.granted(messages.AdmissionGrant(query.number, "unknown"))
+        self.assertIsNone(world.answer(query))
+        world.run(PROPAGATION_S)
+        world.fill(self.other, 2)
+
+    def test_the_ends_of_one_turn_are_sent_together(self) -> None:
+        # Guards against one message for each request under the highest load.
+        world = self.world
+        numbers = world.fill(self.one, 2)
+        world.links.counts_bytes = True
+        client = world.core(self.one).admission_client
+        with mock.patch.object(client, "send_ends"):
+            for number in numbers:
+                world.end(self.one, number)
+        world.core(self.one).settle()
+        world.run(PROPAGATION_S)
+        self.assertEqual(world.links.sent["AdmissionEnded"], 1)
+        world.fill(self.other, 2)
+
+
+class FailureTests(unittest.TestCase):
+    """The failure cases of `docs/overload.md`, between instances."""
+
+    def test_when_the_leader_is_killed_requests_are_sent_without_it(self) -> None:
+        # Guards against requests that wait for a decision of a leader that is gone.
+        world = AdmissionWorld(4)
+        asker = world.followers[0]
+        world.overload(asker)
+        world.fill(asker, 2)
+        waiting = world.query(asker, target_s=20.0)
+        world.run(PROPAGATION_S)
+        killed = world.leader
+        world.kill(killed)
+        self.assertTrue(world.run(5.0, waiting.answer.done))
+        self.assertIsNone(world.answer(waiting))
+        self.assertTrue(world.run(5.0, lambda: len(world.leaders()) == 1))
+        world.run(1.0)
+        self.assertEqual(world.contended_at(), [])
+        world.overload(world.followers[0])
+        self.assertEqual(len(world.contended_at()), 3)
+
+    def test_a_former_leader_decides_nothing(self) -> None:
+        # Guards against two instances that both grant the slots of an upstream.
+        world = AdmissionWorld()
+        world.overload(world.followers[0])
+        former = world.core(world.leader)
+        former.admissions.follow("another")
+        self.assertIsNone(former.admissions.next_step_at())
+        query = world.query(world.followers[0])
+        world.run(PROPAGATION_S)
+        self.assertEqual(world.answer(query), "waiting")
+
+    def test_a_zone_that_is_cut_off_follows_a_leader_of_its_own(self) -> None:
+        # Guards against instances that wait for a leader on the other side of a cut.
+        world = AdmissionWorld(6, upstreams=2, zones=2)
+        world.overload(world.followers[0])
+        world.links.cut_zones = {"zone-1"}
+        self.assertTrue(world.run(10.0, lambda: len(world.leaders()) == 2))
+        inside = [n for n, m in world.machines.items() if m.zone == "zone-1"]
+        world.run(NOTICE_RETENTION_S)
+        for name in inside:
+            self.assertFalse(
+                world.core(name).admission_client.is_contended(PLAIN_SERVICE)
+            )
+        world.overload(inside[0])
+        self.assertTrue(set(inside) <= set(world.contended_at()))
+        query = world.query(inside[-1])
+        world.run(PROPAGATION_S)
+        self.assertTrue(world.is_granted(query))
+
+    def test_the_requests_of_a_lost_instance_are_removed(self) -> None:
+        # Guards against slots that a killed instance holds for ever.
+        world = AdmissionWorld()
+        lost, other = world.followers
+        world.overload(lost)
+        world.fill(lost, 2)
+        query = world.query(other, target_s=8.0)
+        world.run(PROPAGATION_S)
+        self.assertEqual(world.answer(query), "waiting")
+        world.kill(lost)
+        self.assertTrue(world.run(3.0, lambda: world.is_granted(query)))
+
+    def test_a_grant_whose_end_is_never_reported_ends_at_its_deadline(self) -> None:
+        # Guards against slots lost by a lost message.
+        world = AdmissionWorld()
+        one, other = world.followers
+        world.overload(one)
+        world.fill(one, 2, deadline_s=1.5)
+        query = world.query(other, target_s=8.0)
+        world.run(PROPAGATION_S)
+        self.assertEqual(world.answer(query), "waiting")
+        self.assertTrue(world.run(2.0, lambda: world.is_granted(query)))
+
+    def test_after_an_upstream_has_left_only_the_others_are_granted(self) -> None:
+        # Guards against grants for an upstream that is gone.
+        world = AdmissionWorld(upstreams=2, slots=2)
+        asker = world.followers[0]
+        world.overload(asker)
+        world.end_engine("plain-0")
+        world.run(2.0)
+        queries = [world.query(asker) for _ in range(2)]
+        world.run(PROPAGATION_S)
+        for query in queries:
+            self.assertEqual(world.answer(query), SendGranted("plain-1"))
+
+    def test_a_refused_request_is_granted_another_upstream(self) -> None:
+        # Guards against a retry at the upstream that has just refused the request.
+        world = AdmissionWorld(upstreams=2, slots=2)
+        asker = world.followers[0]
+        world.overload(asker)
+        first = world.query(asker)
+        world.run(PROPAGATION_S)
+        answer = world.answer(first)
+        assert isinstance(answer, SendGranted)
+        world.end(asker, first.number, AttemptOutcome.REFUSED)
+        again = world.query(asker, tried=frozenset({answer.upstream_id}))
+        world.run(PROPAGATION_S)
+        second = world.answer(again)
+        assert isinstance(second, SendGranted)
+        self.assertNotEqual(second.upstream_id, answer.upstream_id)
+
+    def test_a_leader_of_the_previous_version_changes_nothing(self) -> None:
+        # Guards against links that an older instance closes over unknown messages.
+        world = AdmissionWorld()
+        world.machines[world.leader].revision = FIRST_REVISION
+        world.overload(world.followers[0])
+        self.assertEqual(world.contended_at(), [])
+
+    def test_an_instance_of_the_previous_version_sends_as_before(self) -> None:
+        # Guards against a rolling upgrade in which nobody asks the leader.
+        world = AdmissionWorld(4)
+        older, *newer = world.followers
+        world.machines[older].revision = FIRST_REVISION
+        world.overload(newer[0])
+        self.assertEqual(set(world.contended_at()), {world.leader, *newer})
+        world.fill(newer[1], 2)
+
+
+class WeightTests(unittest.TestCase):
+    """Customers' weights, from their quotas."""
+
+    def weights(self, *customers: Customer) -> CustomerWeights:
+        active = ActiveConfiguration()
+        active.activate(ServingConfiguration(1, (), customers=customers))
+        return CustomerWeights(active)
+
+    def test_a_weight_is_the_rate_in_plain_requests(self) -> None:
+        # Guards against a customer whose tokens are taken for requests.
+        requests = Customer("requests", frozenset(), 0, Quota(10.0, 1.0))
+        quota = Quota(2000.0, 1.0, QuotaUnit.TOKENS, plain_tokens=200.0)
+        weights = self.weights(requests, Customer("tokens", frozenset(), 0, quota))
+        self.assertEqual(weights.weight("requests"), 10.0)
+        self.assertEqual(weights.weight("tokens"), 10.0)
+
+    def test_a_customer_without_a_quota_has_the_mean(self) -> None:
+        # Guards against a customer without a quota that gets everything or nothing.
+        weights = self.weights(
+            Customer("a", frozenset(), 0, Quota(10.0, 1.0)),
+            Customer("b", frozenset(), 0, Quota(30.0, 1.0)),
+            Customer("c", frozenset()),
+        )
+        self.assertEqual(weights.weight("c"), 20.0)
+
+    def test_without_quotas_and_without_customers_all_are_equal(self) -> None:
+        # Guards against a division by zero.
+        self.assertEqual(self.weights().weight(""), 1.0)
+        self.assertEqual(self.weights(Customer("a", frozenset())).weight("a"), 1.0)
+
+    def test_a_quota_of_nothing_still_has_a_weight(self) -> None:
+        # Guards against a division by zero in the fair queue.
+        none = Customer("none", frozenset(), 0, Quota(0.0, 0.0))
+        self.assertGreater(self.weights(none).weight("none"), 0.0)
+
+    def test_a_new_configuration_counts_at_once(self) -> None:
+        # Guards against weights of a configuration that is no longer in force.
+        active = ActiveConfiguration()
+        weights = CustomerWeights(active)
+        self.assertEqual(weights.weight("a"), 1.0)
+        customer = Customer("a", frozenset(), 0, Quota(10.0, 1.0))
+        active.activate(ServingConfiguration(1, (), customers=(customer,)))
+        self.assertEqual(weights.weight("a"), 10.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -47,6 +47,7 @@
     "routing",
     "placement",
     "orders",
+    "overload",
     "control",
 )
 ROOM_MODULES_WITH_INPUT_OUTPUT = {"task", "engines"}
@@ -62,11 +63,13 @@
     "upstreams": set(),
     "orders": {"store"},
     "placement": {"orders", "routing", "upstreams"},
+    "overload": {"upstreams"},
     "control": {
         "customers",
         "http",
         "instances",
         "orders",
+        "overload",
         "placement",
         "quarantine",
         "rates",
@@ -77,6 +80,7 @@
     "requests": {
         "customers",
         "http",
+        "overload",
         "placement",
         "quarantine",
         "routing",
--- a/tests/world_links.py
+++ b/tests/world_links.py
@@ -85,6 +85,9 @@
         other = self._machines.get(peer)
         if other is None or _pair(machine.name, peer) not in self._linked:
             return False
+        revision = min(machine.revision, other.revision)
+        if revision < codec.revisions_by_type[type(message)]:
+            return False
         if other.core is None:
             return True
         if self._is_interrupted(machine, other):
--- a/tests/world_machine.py
+++ b/tests/world_machine.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ashhoist import codec
 from ashhoist.clock import ManualClock
 from ashhoist.control.core import Core
 from ashhoist.customers import Proof
@@ -30,6 +31,8 @@
         Steps that came due while the process was frozen.
     unanswered_topics : set of Topic
         Topics that the store does not answer this machine's reads of.
+    revision : int
+        The revision of the messages that its process knows.
     """
 
     name: str
@@ -51,6 +54,7 @@
     deferred: list[Step] = field(default_factory=list)
     followers: dict[Topic, WorldFollower] = field(default_factory=dict)
     unanswered_topics: set[Topic] = field(default_factory=set)
+    revision: int = codec.REVISION
 
     def run_step(self, core: Core, step: Step) -> None:
         """Run a step of a process, now or when it thaws.
--- a/tests/world_writes.py
+++ b/tests/world_writes.py
@@ -21,6 +21,7 @@
 from .platform_stand_ins.log_state import LogState
 
 SERVICE = "engines"
+PLAIN_SERVICE = "plain"
 MODEL = "base"
 
 
@@ -49,7 +50,10 @@
         configuration = ServingConfiguration(
             version,
             (),
-            {SERVICE: Service(SERVICE, engine=engine)},
+            {
+                SERVICE: Service(SERVICE, engine=engine),
+                PLAIN_SERVICE: Service(PLAIN_SERVICE),
+            },
             customers=self.customers,
         )
         change = ConfigurationPut(configuration)
@@ -89,6 +93,13 @@
         change = UpstreamPut(upstream)
         self.write(Topic.UPSTREAMS, name, change)
 
+    def write_plain_upstream(
+        self, name: str, zone: str = "zone-0", slots: int = 1
+    ) -> None:
+        """Write the record of a plain upstream."""
+        upstream = Upstream(name, PLAIN_SERVICE, f"{name}:1", zone, slots=slots)
+        self.write(Topic.UPSTREAMS, name, UpstreamPut(upstream))
+
     def restart_engine(self, name: str) -> None:
         """Restart an engine under its id, with a new incarnation and empty state."""
         self.engines[name] = EngineState(name, {MODEL})
