--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -39,6 +39,11 @@
     "permits": ("Sends to limited upstreams that were asked for", ("result",)),
     "charged_alone": ("Charges without an answer of the leader", ("result",)),
     "refused_records": ("Records of the log that are not acceptable", ("key",)),
+    "admissions": (
+        "Decisions on requests to contended services",
+        ("customer", "result"),
+    ),
+    "reservations": ("Reservations for callers told to come back", ("result",)),
     "http_requests": ("HTTP requests of callers and operators", ("status",)),
 }
 HISTOGRAMS = {
@@ -63,6 +68,8 @@
     "ready": ("1 if callers may be sent here", ()),
     "leads": ("1 if this instance schedules", ()),
     "requests_waiting": ("Requests that wait for adapters, where it schedules", ()),
+    "contended_services": ("Services with admission control, where it leads", ()),
+    "admission_queue": ("Requests that wait for admission", ("service",)),
     "upstreams": ("Upstreams that take work", ("service",)),
 }
 FILLS = tuple(part / 10 for part in range(1, 11))
--- a/packages/ashhoist/src/ashhoist/overload/__init__.py
+++ b/packages/ashhoist/src/ashhoist/overload/__init__.py
@@ -1,8 +1,9 @@
 """Admission control for upstreams that get more requests than they can take."""
 
+from .controller import AdmissionController
 from .messages import (
-    Admitted,
     AdmissionRequest,
+    Admitted,
     AttemptOutcome,
     Decision,
     Rejected,
@@ -10,6 +11,7 @@
 )
 
 __all__ = [
+    "AdmissionController",
     "AdmissionRequest",
     "Admitted",
     "AttemptOutcome",
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/overload/concurrency.py
@@ -0,0 +1,80 @@
+"""How many requests an upstream takes at a time, learnt from its answers."""
+
+from datetime import timedelta
+
+from ..clock import ZERO
+
+MIN_LIMIT = 1.0
+MAX_LIMIT_PER_SLOT = 4.0
+DEFAULT_SERVICE_TIME = timedelta(milliseconds=100)
+"""Assumed until an answer shows the service time."""
+SMOOTHING = 0.1
+"""Weight of a new service time in the moving average."""
+BEST_DRIFT = 0.002
+"""Part of the way by which each answer moves the best service time to the usual one.
+Without it, one quick spell would make the upstream look overloaded for good."""
+SLOW = 1.6
+"""The limit falls while the usual service time is above the best times this."""
+GOOD = 1.25
+"""The limit rises only while the usual service time is below the best times this."""
+REFUSAL_FACTOR = 0.8
+SLOW_FACTOR = 0.95
+RAISE_BEYOND_SLOTS = 0.2
+"""Part of the usual raise where the limit is above the slots already."""
+
+
+class ConcurrencyLimit:
+    """The learnt concurrency limit of one upstream.
+
+    It rises by about one with each service time at the limit, and falls at most once in
+    each service time, as the refusals of one moment have one cause.
+
+    Parameters
+    ----------
+    slots : int
+        The slots that the upstream states; the limit starts there.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self._slots = max(float(slots), MIN_LIMIT)
+        self.value = self._slots
+        self.usual: timedelta | None = None
+        """Moving average of the service times; None before the first answer."""
+        self._best = ZERO
+        self._lowered_at: timedelta | None = None
+
+    def succeeded(self, took: timedelta, was_full: bool, now: timedelta) -> None:
+        """Learn from a good answer.
+
+        Parameters
+        ----------
+        was_full : bool
+            Whether the upstream was at its limit when the request was sent.
+        """
+        if self.usual is None:
+            self.usual = self._best = took
+        self.usual += (took - self.usual) * SMOOTHING
+        self._best += (self.usual - self._best) * BEST_DRIFT
+        self._best = min(self._best, self.usual)
+        if self.usual > self._best * SLOW:
+            self._lower(SLOW_FACTOR, now)
+            return
+        if was_full and self.usual <= self._best * GOOD:
+            self._raise()
+
+    def refused(self, in_flight: int, now: timedelta) -> None:
+        """Lower the limit after a refusal with `in_flight` requests granted."""
+        self.value = max(min(self.value, float(in_flight)), MIN_LIMIT)
+        self._lower(REFUSAL_FACTOR, now)
+
+    def _raise(self) -> None:
+        part = 1.0 if self.value < self._slots else RAISE_BEYOND_SLOTS
+        most = self._slots * MAX_LIMIT_PER_SLOT
+        self.value = min(self.value + part / self.value, most)
+
+    def _lower(self, factor: float, now: timedelta) -> None:
+        interval = self.usual or DEFAULT_SERVICE_TIME
+        if self._lowered_at is not None and now - self._lowered_at < interval:
+            return
+        self._lowered_at = now
+        self.value = max(self.value * factor, MIN_LIMIT)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -47,6 +47,7 @@
     "routing",
     "placement",
     "orders",
+    "overload",
     "control",
 )
 ROOM_MODULES_WITH_INPUT_OUTPUT = {"task", "engines"}
@@ -61,12 +62,14 @@
     "routing": {"customers"},
     "upstreams": set(),
     "orders": {"store"},
+    "overload": {"upstreams"},
     "placement": {"orders", "routing", "upstreams"},
     "control": {
         "customers",
         "http",
         "instances",
         "orders",
+        "overload",
         "placement",
         "quarantine",
         "rates",
