--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -62,6 +62,7 @@
     "routing": {"customers"},
     "upstreams": set(),
     "orders": {"store"},
+    "overload": {"upstreams"},
     "placement": {"orders", "routing", "upstreams"},
     "overload": {"upstreams"},
     "control": {
