--- a/packages/ashhoist/src/ashhoist/control/admissions.py
+++ b/packages/ashhoist/src/ashhoist/control/admissions.py
@@ -117,8 +117,8 @@
         """Set the leader; another instance than this one ends all contention here."""
         self._leads = leader == self._own
         if not self._leads and self._by_service:
-            self._by_service = {}
-            self._measure()
+            for service in list(self._by_service):
+                self._remove(service)
 
     def overload_reported(self, peer: str, report: messages.OverloadReport) -> None:
         """Handle the refusal of a request by a full upstream."""
@@ -145,14 +145,18 @@
         return known is not None and known.engine is None
 
     def _end(self, service: str, now: timedelta) -> None:
-        contention = self._by_service.pop(service)
-        lasted = now - contention.began_at
+        lasted = now - self._by_service[service].began_at
+        self._remove(service)
         self._log.info(
             "contention ended", service=service, lasted_ms=lasted // MILLISECOND
         )
-        self._measure()
         self._notify_all(now)
 
+    def _remove(self, service: str) -> None:
+        del self._by_service[service]
+        self._metrics.gauge("admission_queue", 0, service)
+        self._measure()
+
     def _measure(self) -> None:
         self._metrics.gauge("contended_services", len(self._by_service))
 
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -71,7 +71,6 @@
     "quarantined_requests": ("Requests held back as they crash upstreams", ()),
     "ready": ("1 if callers may be sent here", ()),
     "leads": ("1 if this instance schedules", ()),
-    "contended_services": ("Services that this instance admits requests to", ()),
     "requests_waiting": ("Requests that wait for adapters, where it schedules", ()),
     "contended_services": ("Services with admission control, where it leads", ()),
     "admission_queue": ("Requests that wait for admission", ("service",)),
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -64,7 +64,6 @@
     "orders": {"store"},
     "overload": {"upstreams"},
     "placement": {"orders", "routing", "upstreams"},
-    "overload": {"upstreams"},
     "control": {
         "customers",
         "http",
