--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -141,6 +141,7 @@
         self._loop.call_at(now + self._interval(), self._tick)
         was_reading = self.core.is_log_reader
         self.core.tick()
+        self._schedule_admissions()
         if self.core.is_log_reader and not was_reading:
             for topic in SHARED_TOPICS:
                 self._read_now(topic)
--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -83,12 +83,16 @@
         status = getattr(reply, "status", 0)
         return status, getattr(reply, "body", b"")
 
-    def ask(self, path: str, id: str, model: str = "") -> tuple[int, bytes]:
+    def ask(
+        self, path: str, id: str, model: str = "", key: str = ""
+    ) -> tuple[int, bytes]:
         """Ask as a client of the platform does."""
         headers = [("Host", HOST), ("X-Attempt-Id", id)]
         headers.append(("X-Deadline-Ms", str(REQUEST_TIMEOUT_MS)))
         if model:
             headers += [("X-Model", model), ("X-Token-Count", "100,10")]
+        if key:
+            headers.append(("X-Credential", key))
         wait_s = 2 * REQUEST_TIMEOUT_MS / 1000
         with socket.create_connection(_pair(self.callers), wait_s) as peer:
             lines = [f"POST {path} HTTP/1.1"]
--- a/tests/platform_stand_ins/worker.py
+++ b/tests/platform_stand_ins/worker.py
@@ -178,11 +178,36 @@
 
 
 class PlainWorker:
-    """One life of a plain worker that says who it is."""
+    """One life of a plain worker that says who it is.
 
-    def __init__(self, id: str, born: int = BORN) -> None:
+    Parameters
+    ----------
+    slots : int
+        Requests that it runs concurrently.
+    queue : int or None
+        Requests that wait for a slot at most; further ones are refused as not run.
+        None takes all requests at once.
+    work_s : float
+        How long a request runs.
+    """
+
+    def __init__(
+        self,
+        id: str,
+        born: int = BORN,
+        slots: int = 6,
+        queue: int | None = None,
+        work_s: float = 0.0,
+    ) -> None:
         self.id = id
         self.born = born
+        self.slots = slots
+        self.refused = 0
+        self._queue = queue
+        self._work_s = work_s
+        self._present = 0
+        self._lock = threading.Lock()
+        self._free_slots = threading.Semaphore(slots)
         self.ran: list[Call] = []
         self.says = Notices()
         self.server = Server(self._handle)
@@ -196,7 +221,7 @@
             "address": self.server.address,
             "zone": zone,
             "version": "v1",
-            "slots": 6,
+            "slots": self.slots,
             "state": state,
             "sequence": 1,
             "born": self.born,
@@ -208,6 +233,28 @@
             return
         if self.says.turns_away(call):
             return
+        if self._queue is None:
+            self._run(call)
+            return
+        if not self._enter(self._queue):
+            call.respond(503, b"", {"X-Not-Executed": "1"} | self.says.headers())
+            return
+        with self._free_slots:
+            time.sleep(self._work_s)
+        with self._lock:
+            self._present -= 1
+        self._run(call)
+
+    def _enter(self, queue: int) -> bool:
+        """Return whether a request is taken; it is refused if the queue is full."""
+        with self._lock:
+            if self._present >= self.slots + queue:
+                self.refused += 1
+                return False
+            self._present += 1
+            return True
+
+    def _run(self, call: Call) -> None:
         self.ran.append(call)
         headers = sealed(call, self.id) | self.says.headers()
         call.respond(200, f"{self.id} {call.target}".encode(), headers)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -6,10 +6,14 @@
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
+from unittest import mock
+
+from websockets.client import ClientProtocol
+from websockets.uri import WebSocketURI
 
 from ashhoist import logs
-from ashhoist.control.messages import PlacementQueryCancel
-from ashhoist.links import Links, news
+from ashhoist.control.messages import AdmissionCancelled, PlacementQueryCancel
+from ashhoist.links import Links, handshake, news
 from ashhoist.loop import Loop
 from ashhoist.types import Endpoint
 
@@ -107,6 +111,42 @@
             other.received, [PlacementQueryCancel(str(n)) for n in range(1500)]
         )
 
+    def test_both_sides_of_the_newest_revision_send_all_messages(self) -> None:
+        # Guards against new messages that are withheld from instances that know them.
+        one, other = self.linked_pair()
+        self.assertTrue(one.links.send_to("two", AdmissionCancelled(1)))
+        self.assertTrue(other.links.send_to("one", AdmissionCancelled(2)))
+        self.wait(lambda: bool(one.received and other.received))
+
+    def assert_first_revision(self) -> None:
+        """Check that a new pair sends only messages of the first revision."""
+        one, other = self.linked_pair()
+        for instance, peer in ((one, "two"), (other, "one")):
+            self.assertFalse(instance.links.send_to(peer, AdmissionCancelled(1)))
+            self.assertTrue(instance.links.send_to(peer, PlacementQueryCancel("x")))
+        self.wait(lambda: bool(one.received and other.received))
+        self.run_for(SETTLE_TIME)
+        for instance in (one, other):
+            self.assertTrue(instance.linked)
+            self.assertEqual(instance.received, [PlacementQueryCancel("x")])
+
+    def test_a_dialled_instance_of_the_previous_version_gets_no_new_messages(
+        self,
+    ) -> None:
+        # Guards against links that an older instance closes over unknown messages.
+        with mock.patch.object(handshake, "_select_subprotocol", lambda *_: None):
+            self.assert_first_revision()
+
+    def test_a_dialling_instance_of_the_previous_version_gets_no_new_messages(
+        self,
+    ) -> None:
+        # Guards against an upgrade during which older instances can't link.
+        def offer_nothing(uri: WebSocketURI, max_size: int, **_: Any) -> Any:
+            return ClientProtocol(uri, max_size=max_size)
+
+        with mock.patch.object(handshake, "ClientProtocol", offer_nothing):
+            self.assert_first_revision()
+
     def test_messages_of_one_turn_are_sent_in_one_frame(self) -> None:
         one, other = self.linked_pair()
         for number in range(20):
