--- a/packages/ashhoist/src/ashhoist/control/admission_client.py
+++ b/packages/ashhoist/src/ashhoist/control/admission_client.py
@@ -64,7 +64,6 @@
         self._leader = leader
         self._contended = frozenset()
         self._notice_epoch = -1
-        self._unsent_ends = []
         self._leave_undecided(list(self._query_by_number.values()))
 
     def is_contended(self, service: str) -> bool:
--- a/packages/ashhoist/src/ashhoist/requests/admission_gate.py
+++ b/packages/ashhoist/src/ashhoist/requests/admission_gate.py
@@ -25,6 +25,10 @@
 """How long the leader has to acknowledge a query. This covers many round trips between
 zones and is short compared with a request's target latency."""
 
+LATE_DECISION_TIMEOUT = timedelta(milliseconds=250)
+"""How long a request waits for a decision if its target latency ends earlier. The
+leader queues a request that comes back late for up to 150 ms."""
+
 
 class AdmissionGate:
     """Obtains admission to contended services and reports how admitted sends end.
@@ -110,7 +114,8 @@
         )
         if caller_left is not None or not query.acknowledged.done():
             return caller_left
-        until = min(query.on_time_until, query.deadline)
+        decided_by = max(query.on_time_until, began + LATE_DECISION_TIMEOUT)
+        until = min(decided_by, query.deadline)
         return (yield from wait_for(query.answer, until, caller, self._clock))
 
     def give_back(self, call: Call) -> None:
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -25,7 +25,11 @@
     ServiceOverloaded,
 )
 from ashhoist.placement.messages import Refusal, RequestOutcome, Target
-from ashhoist.requests.admission_gate import ADMISSION_TIMEOUT, AdmissionGate
+from ashhoist.requests.admission_gate import (
+    ADMISSION_TIMEOUT,
+    LATE_DECISION_TIMEOUT,
+    AdmissionGate,
+)
 from ashhoist.requests.attempt import CallerLeft
 from ashhoist.requests.authentication import Identity
 from ashhoist.requests.call import Call
@@ -217,6 +221,18 @@
         self.assertIsInstance(self.result, Target)
         self.assertEqual(self.sent[-1], SendCancelled(self.query.number))
 
+    def test_a_late_request_waits_for_its_decision_too(self) -> None:
+        # Guards against reservations of late callers that are sent past the leader.
+        call = self.call()
+        self.clock.advance(2 * SECOND)
+        steps = self.begin(call)
+        self.query.acknowledged.set_result(None)
+        self.clock.advance(LATE_DECISION_TIMEOUT - MILLISECOND)
+        self.assertIsNotNone(self.go_on(steps))
+        self.query.answer.set_result(SendGranted("one"))
+        self.assertIsNone(self.go_on(steps))
+        self.assertEqual(self.result.upstream, "one")
+
     def test_a_request_is_withdrawn_when_its_caller_leaves(self) -> None:
         # Guards against places in the queue for callers that have left.
         steps = self.begin(self.call())
--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -202,6 +202,29 @@
         world.overload(world.followers[0])
         self.assertEqual(len(world.contended_at()), 3)
 
+    def test_without_a_leader_a_query_is_answered_at_once(self) -> None:
+        # Guards against a wait for an answer that nobody will give.
+        world = AdmissionWorld()
+        world.core(world.followers[0]).admission_client.follow(None)
+        query = world.query(world.followers[0])
+        self.assertIsNone(world.answer(query))
+
+    def test_ends_are_kept_while_the_leader_is_not_known(self) -> None:
+        # Guards against slots that stay taken up to the deadlines of their requests.
+        world = AdmissionWorld()
+        one, other = world.followers
+        world.overload(one)
+        numbers = world.fill(one, 2)
+        client = world.core(one).admission_client
+        client.follow(None)
+        with mock.patch.object(client, "send_ends"):
+            for number in numbers:
+                world.end(one, number)
+        client.follow(world.leader)
+        world.core(one).settle()
+        world.run(PROPAGATION_S)
+        world.fill(other, 2)
+
     def test_a_former_leader_decides_nothing(self) -> None:
         # Guards against two instances that both grant the slots of an upstream.
         world = AdmissionWorld()
