--- a/packages/ashhoist/src/ashhoist/control/admission_client.py
+++ b/packages/ashhoist/src/ashhoist/control/admission_client.py
@@ -25,6 +25,10 @@
 NOTICE_RETENTION = timedelta(milliseconds=1200)
 """How long a notice holds. The leader repeats it every 500 ms, so one may be lost."""
 
+ANSWER_TIME = timedelta(milliseconds=10)
+"""Allowance for the way of a refusal back to the caller. The caller judges by the time
+that is left then whether it comes back, so a reservation has to be due that earlier."""
+
 
 class AdmissionClient:
     """Client of the leader for the admission of this instance's requests.
@@ -118,7 +122,7 @@
                 query.customer,
                 query.priority,
                 _left_ms(query.on_time_until, now),
-                _left_ms(query.deadline, now),
+                _left_ms(query.deadline - ANSWER_TIME, now),
                 self._zone,
                 sorted(query.tried),
             )
--- a/tests/admission_world.py
+++ b/tests/admission_world.py
@@ -99,6 +99,7 @@
         target_s: float = 1.0,
         deadline_s: float = 3.0,
         tried: frozenset[str] = frozenset(),
+        fingerprint: str = "",
     ) -> SendQuery:
         """Ask for the admission of a new request of an instance."""
         self._last_number += 1
@@ -106,7 +107,7 @@
         query = SendQuery(
             self._last_number,
             PLAIN_SERVICE,
-            f"fingerprint-{self._last_number}",
+            fingerprint or f"fingerprint-{self._last_number}",
             customer,
             0,
             now + timedelta(seconds=target_s),
@@ -136,10 +137,10 @@
         name: str,
         number: int,
         outcome: AttemptOutcome = AttemptOutcome.SUCCEEDED,
+        took: timedelta = timedelta(milliseconds=60),  # noqa: B008
     ) -> None:
         """Report the end of a granted request."""
         core = self.core(name)
-        took = timedelta(milliseconds=60)
         core.admission_client.record_end(SendEnded(number, outcome, took))
         core.settle()
 
