--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -96,7 +96,7 @@
         self, call: Call, caller: CallerConnection
     ) -> Steps[Upstream | Refusal | CallerLeft]:
         """Return the upstream that the leader grants, or else the least loaded one."""
-        available = self._available(call) if self.is_admitted(call.service) else []
+        available = self._available(call) if self._is_admitted(call.service) else []
         if self._gate is None or not available:
             return self._least_loaded(call)
         known = self._directory.view.of(call.service)
@@ -114,7 +114,7 @@
             self._gate.give_back(call)
         return self._least_loaded(call)
 
-    def is_admitted(self, service: str) -> bool:
+    def _is_admitted(self, service: str) -> bool:
         """Return whether the leader admits the requests to a service now."""
         return self._gate is not None and self._gate.is_contended(service)
 
@@ -123,7 +123,7 @@
 
         It does not if it has left the last attempt undecided.
         """
-        return not call.sent_undecided and self.is_admitted(call.service)
+        return not call.sent_undecided and self._is_admitted(call.service)
 
     def _give_back(self, call: Call) -> None:
         if self._gate is not None:
