--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -132,6 +132,29 @@
         assert isinstance(answer, SendRefused)
         self.assertGreater(answer.retry_after, timedelta())
 
+    def test_only_callers_with_a_reservation_are_asked_back(self) -> None:
+        # Guards against callers that come back in vain, and against reservations that
+        # are due too late for their callers.
+        world = self.world
+        world.fill(self.one, 2)
+        deadline_s, answered_s = 3.0, 0.01
+        queries = [
+            world.query(self.other, target_s=0.4, deadline_s=deadline_s)
+            for _ in range(60)
+        ]
+        world.run(answered_s)
+        answers = [world.answer(query) for query in queries]
+        waits = [
+            answer.retry_after for answer in answers if isinstance(answer, SendRefused)
+        ]
+        honoured = timedelta(seconds=(deadline_s - answered_s) / 3)
+        first_left = timedelta(seconds=deadline_s / 3)
+        reserved = [wait for wait in waits if wait <= honoured]
+        unreserved = [wait for wait in waits if wait > first_left]
+        self.assertGreater(len(reserved), 0)
+        self.assertGreater(len(unreserved), 0)
+        self.assertEqual(len(reserved) + len(unreserved), len(waits))
+
     def test_a_cancelled_request_is_not_granted(self) -> None:
         # Guards against slots held for callers that have left.
         world = self.world
