--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -2,21 +2,32 @@
 
 import unittest
 from datetime import timedelta
+from typing import Any
 from unittest import mock
 
+from ashhoist.clock import ManualClock
 from ashhoist.codec import FIRST_REVISION
 from ashhoist.control import messages
+from ashhoist.control.admission_client import NOTICE_RETENTION, AdmissionClient
 from ashhoist.control.admissions import CustomerWeights
 from ashhoist.customers import Customer, Quota, QuotaUnit
 from ashhoist.overload import AttemptOutcome
-from ashhoist.overload.sends import SendGranted, SendRefused
+from ashhoist.overload.sends import (
+    SendCancelled,
+    SendGranted,
+    SendQuery,
+    SendRefused,
+)
 from ashhoist.routing import ServingConfiguration
 from ashhoist.routing.active_configuration import ActiveConfiguration
+from ashhoist.upstreams import Directory
 
 from .admission_world import PROPAGATION_S, AdmissionWorld
 from .world_writes import PLAIN_SERVICE, SERVICE
 
-NOTICE_RETENTION_S = 1.2
+SECOND = timedelta(seconds=1)
+MILLISECOND = timedelta(milliseconds=1)
+NOTICE_RETENTION_S = NOTICE_RETENTION.total_seconds()
 ADMISSION_MESSAGES = (
     messages.AdmissionCancelled,
     messages.AdmissionEnded,
@@ -70,8 +81,11 @@
         world.overload(world.followers[0])
         world.run(2.5)
         self.assertEqual(world.contended_at(), list(world.machines))
-        self.assertTrue(world.run(2.0, lambda: world.contended_at() == []))
-        self.assertIsNone(world.core(world.leader).admissions.next_step_at())
+        admissions = world.core(world.leader).admissions
+        ended = world.run(2.0, lambda: admissions.next_step_at() is None)
+        self.assertTrue(ended)
+        world.run(PROPAGATION_S)
+        self.assertEqual(world.contended_at(), [])
 
     def test_a_lost_notice_changes_nothing_and_silence_ends_contention(self) -> None:
         # Guards against waits for a leader that can't be reached.
@@ -100,6 +114,67 @@
         self.assertIsNone(world.answer(query))
 
 
+class ClientTests(unittest.TestCase):
+    """What an instance keeps, and what it sends to the leader."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(timedelta(seconds=10))
+        self.sent: list[Any] = []
+        self.client = AdmissionClient("zone", Directory(), self.sent.append, self.clock)
+        self.client.follow("leader")
+        self.notify(5)
+
+    def notify(self, epoch: int, *services: str) -> None:
+        notice = messages.ContentionNotice(epoch, list(services or [PLAIN_SERVICE]))
+        self.client.notice_received("leader", notice)
+
+    def ask(self, deadline: timedelta) -> SendQuery:
+        now = self.clock.monotonic()
+        query = SendQuery(
+            1, PLAIN_SERVICE, "", "", 0, now + SECOND, now + deadline, frozenset("b")
+        )
+        self.client.ask(query)
+        return query
+
+    def test_a_notice_holds_for_its_retention_time(self) -> None:
+        # Guards against waits for a leader that has been silent for long.
+        self.clock.advance(NOTICE_RETENTION - MILLISECOND)
+        self.assertTrue(self.client.is_contended(PLAIN_SERVICE))
+        self.clock.advance(MILLISECOND)
+        self.assertFalse(self.client.is_contended(PLAIN_SERVICE))
+
+    def test_a_repeated_notice_extends_the_time(self) -> None:
+        # Guards against instances that stop asking in the middle of an overload.
+        self.clock.advance(NOTICE_RETENTION - MILLISECOND)
+        self.notify(5)
+        self.clock.advance(NOTICE_RETENTION - MILLISECOND)
+        self.assertTrue(self.client.is_contended(PLAIN_SERVICE))
+
+    def test_a_notice_of_an_earlier_epoch_is_ignored(self) -> None:
+        # Guards against a notice from before the leader was elected again.
+        self.notify(4, "other")
+        self.assertTrue(self.client.is_contended(PLAIN_SERVICE))
+        self.assertFalse(self.client.is_contended("other"))
+
+    def test_a_new_leader_ends_contention(self) -> None:
+        # Guards against queries to a leader that admits nothing.
+        self.client.follow("another")
+        self.assertFalse(self.client.is_contended(PLAIN_SERVICE))
+
+    def test_a_withdrawn_query_is_cancelled_at_the_leader(self) -> None:
+        # Guards against a queue with requests whose callers have left.
+        self.ask(SECOND)
+        self.client.cancel(SendCancelled(1))
+        self.assertEqual(self.sent[-1], messages.AdmissionCancelled(1))
+
+    def test_the_leader_is_told_of_a_deadline_that_its_answer_can_meet(self) -> None:
+        # Guards against reservations that are due just too late for their callers.
+        self.ask(3 * SECOND)
+        [query] = self.sent
+        self.assertEqual((query.target_left_ms, query.deadline_left_ms), (1000, 2990))
+        self.assertEqual((query.zone, query.tried), ("zone", ["b"]))
+
+
 class DecisionTests(unittest.TestCase):
     """Queries of instances, and the leader's answers."""
 
