--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -8,7 +8,7 @@
 from ashhoist.clock import ManualClock
 from ashhoist.codec import FIRST_REVISION
 from ashhoist.control import messages
-from ashhoist.control.admission_client import NOTICE_RETENTION, AdmissionClient
+from ashhoist.control.admission_client import AdmissionClient
 from ashhoist.control.admissions import CustomerWeights
 from ashhoist.customers import Customer, Quota, QuotaUnit
 from ashhoist.overload import AttemptOutcome
@@ -27,6 +27,7 @@
 
 SECOND = timedelta(seconds=1)
 MILLISECOND = timedelta(milliseconds=1)
+NOTICE_RETENTION = timedelta(milliseconds=1200)
 NOTICE_RETENTION_S = NOTICE_RETENTION.total_seconds()
 ADMISSION_MESSAGES = (
     messages.AdmissionCancelled,
