--- a/packages/ashhoist/src/ashhoist/overload/concurrency.py
+++ b/packages/ashhoist/src/ashhoist/overload/concurrency.py
@@ -12,10 +12,11 @@
 """Weight of a new service time in the moving average."""
 BEST_DRIFT = 0.002
 """Part of the way by which each answer moves the best service time to the usual one.
-Without it, one quick spell would make the upstream look overloaded for good."""
+Without it, one quick spell would make the upstream look overloaded for good. Above the
+slots there is none: the limit would follow the queue that it causes itself."""
 SLOW = 1.6
 """The limit falls while the usual service time is above the best times this."""
-GOOD = 1.25
+GOOD = 1.15
 """The limit rises only while the usual service time is below the best times this."""
 REFUSAL_FACTOR = 0.8
 SLOW_FACTOR = 0.95
@@ -54,7 +55,8 @@
         if self.usual is None:
             self.usual = self._best = took
         self.usual += (took - self.usual) * SMOOTHING
-        self._best += (self.usual - self._best) * BEST_DRIFT
+        if self.value <= self._slots:
+            self._best += (self.usual - self._best) * BEST_DRIFT
         self._best = min(self._best, self.usual)
         if self.usual > self._best * SLOW:
             self._lower(SLOW_FACTOR, now)
--- a/packages/ashhoist/src/ashhoist/overload/reservations.py
+++ b/packages/ashhoist/src/ashhoist/overload/reservations.py
@@ -59,7 +59,7 @@
             expires_at, customer, fingerprint = self._expiring[0]
             dues = self._due_by_request.get((customer, fingerprint))
             is_kept = dues is not None and dues[0] + KEPT_FOR == expires_at
-            if is_kept and expires_at >= now:
+            if is_kept and expires_at > now:
                 break
             heapq.heappop(self._expiring)
             if is_kept:
