--- a/packages/ashhoist/src/ashhoist/codec.py
+++ b/packages/ashhoist/src/ashhoist/codec.py
@@ -4,8 +4,9 @@
 fields in order. Every field is checked against its type; anything that does not
 fit makes `decode` raise `FrameError`, and the link that brought it is closed.
 
-Fields with a default were added later. A frame may lack them, and they are left out of
-frames for instances that do not know them: these accept the exact fields only.
+Fields with a default were added in a later revision. A frame may lack them, and they
+are left out of frames for instances of an earlier revision, which accept the exact
+fields only.
 """
 
 from collections.abc import Callable, Sequence
@@ -15,9 +16,10 @@
 import cbor2
 
 PROTOCOL = 1
-FIELD_LEVEL = 1
-"""Raised when a field with a default is added to a message. Each side of a link tells
-its level in the handshake; see `links.handshake`."""
+FIRST_REVISION = 1
+REVISION = 2
+"""Revision of the messages and their fields; both sides of a link agree on the lower
+one. Raised when a message, or a field with a default, is added."""
 MAX_FRAME_BYTES = 4_194_304
 MAX_MESSAGES = 4096
 ARRAY = 0x80
@@ -27,6 +29,7 @@
 
 types_by_code: dict[int, type] = {}
 codes_by_type: dict[type, int] = {}
+revisions_by_type: dict[type, int] = {}
 _checks_by_type: dict[type, tuple[tuple[type, ...], ...]] = {}
 _required_by_type: dict[type, int] = {}
 T = TypeVar("T", bound=type)
@@ -36,12 +39,20 @@
     """A frame that is not what the protocol allows."""
 
 
-def message(code: int) -> Callable[[T], T]:
-    """Register a data class as the message of that code."""
+def message(code: int, revision: int = FIRST_REVISION) -> Callable[[T], T]:
+    """Register a data class as the message of that code.
+
+    Parameters
+    ----------
+    revision : int
+        The first revision that has it; peers of an earlier one close the link if they
+        receive it.
+    """
 
     def decorate(kind: T) -> T:
         types_by_code[code] = kind
         codes_by_type[kind] = code
+        revisions_by_type[kind] = revision
         hints = get_type_hints(kind)
         _checks_by_type[kind] = tuple(
             _accepted(hints[field.name]) for field in fields(kind)
@@ -78,17 +89,17 @@
     return join([encode_one(item) for item in messages])
 
 
-def encode_one(item: Message, level: int = FIELD_LEVEL) -> bytes:
+def encode_one(item: Message, revision: int = REVISION) -> bytes:
     """Return one message as it stands in a frame; see `join`.
 
     Parameters
     ----------
-    level : int
-        The field level of the receiver. Fields with a default are left out if it is
-        lower than that of this instance.
+    revision : int
+        The revision that the receiver knows. Fields with a default are left out if it
+        is lower than that of this instance.
     """
     names = item.__slots__
-    if level < FIELD_LEVEL:
+    if revision < REVISION:
         names = names[: _required_by_type[type(item)]]
     fields_in_order = [getattr(item, name) for name in names]
     return cbor2.dumps([codes_by_type[type(item)], *fields_in_order])
--- a/packages/ashhoist/src/ashhoist/links/handshake.py
+++ b/packages/ashhoist/src/ashhoist/links/handshake.py
@@ -1,7 +1,7 @@
 """How a link begins: the websocket's handshake, then a hello from both sides."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
@@ -12,6 +12,7 @@
 from websockets.http11 import Request, Response
 from websockets.protocol import Protocol
 from websockets.server import ServerProtocol
+from websockets.typing import Subprotocol
 from websockets.uri import parse_uri
 
 from .. import codec
@@ -19,10 +20,9 @@
 from ..loop import Loop, Steps, Wait
 from .link import READ_SIZE
 
-LEVEL_HEADER = "Ashhoist-Field-Level"
-"""Tells the other side the `codec.FIELD_LEVEL`. Instances that do not send it take
-messages without the fields that were added later."""
-MAX_LEVEL_DIGITS = 6
+REVISION_PROTOCOLS = {Subprotocol("ashhoist.2"): codec.REVISION}
+"""Revisions of the messages by websocket subprotocol. Instances of the first revision
+neither offer nor select a subprotocol."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,17 +31,21 @@
 
     Parameters
     ----------
-    level : int
-        The other side's `codec.FIELD_LEVEL`; 0 if it told none.
     frames : list
         What came right behind the hello.
     """
 
     protocol: Protocol
     hello: codec.Hello
-    level: int
     frames: list[Any]
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the messages that both sides know."""
+        if self.protocol.subprotocol is None:
+            return codec.FIRST_REVISION
+        return REVISION_PROTOCOLS[self.protocol.subprotocol]
+
 
 class HandshakeError(Exception):
     """The other side is gone, too slow, or none of ours."""
@@ -54,8 +58,6 @@
     ----------
     until : timedelta
         When it has to be done, on the monotonic clock.
-    level : int
-        The field level that the other side is told.
     """
 
     def __init__(
@@ -64,13 +66,11 @@
         peer: socket.socket,
         own: codec.Hello,
         until: timedelta,
-        level: int = codec.FIELD_LEVEL,
     ) -> None:
         self._loop = loop
         self._peer = peer
         self._own = own
         self._until = until
-        self._level = str(level)
         self._events: list[Any] = []
 
     def accept(self, is_token: Callable[[str], bool]) -> Steps[Greeted]:
@@ -86,7 +86,9 @@
         HandshakeError
             If there will be no link.
         """
-        protocol = ServerProtocol(max_size=codec.MAX_FRAME_BYTES)
+        protocol = ServerProtocol(
+            select_subprotocol=_select_subprotocol, max_size=codec.MAX_FRAME_BYTES
+        )
         request = yield from self._next_event(protocol)
         if not isinstance(request, Request):
             raise HandshakeError("no request")
@@ -96,34 +98,36 @@
             response = protocol.accept(request)
         else:
             response = protocol.reject(HTTPStatus.UNAUTHORIZED, "wrong token\n")
-        response.headers[LEVEL_HEADER] = self._level
         protocol.send_response(response)
         yield from self._send(protocol)
         if not allowed:
             raise HandshakeError("wrong token")
         if response.status_code != HTTPStatus.SWITCHING_PROTOCOLS:
             raise HandshakeError("not a websocket")
-        return (yield from self._greet(protocol, _level(request)))
+        return (yield from self._greet(protocol))
 
     def ask(self, address: str, token: str) -> Steps[Greeted]:
         """Begin a websocket. Raises as `accept` does."""
         uri = parse_uri(f"ws://{address}/")
-        protocol = ClientProtocol(uri, max_size=codec.MAX_FRAME_BYTES)
+        protocol = ClientProtocol(
+            uri,
+            subprotocols=list(REVISION_PROTOCOLS),
+            max_size=codec.MAX_FRAME_BYTES,
+        )
         request = protocol.connect()
         request.headers["Authorization"] = f"Bearer {token}"
-        request.headers[LEVEL_HEADER] = self._level
         protocol.send_request(request)
         yield from self._send(protocol)
         response = yield from self._next_event(protocol)
         if not isinstance(response, Response) or protocol.handshake_exc is not None:
             raise HandshakeError("refused")
-        return (yield from self._greet(protocol, _level(response)))
+        return (yield from self._greet(protocol))
 
-    def _greet(self, protocol: Protocol, level: int) -> Steps[Greeted]:
+    def _greet(self, protocol: Protocol) -> Steps[Greeted]:
         protocol.send_binary(codec.encode([self._own]))
         yield from self._send(protocol)
         frame = yield from self._next_event(protocol)
-        return Greeted(protocol, _hello(frame), level, self._events)
+        return Greeted(protocol, _hello(frame), self._events)
 
     def _next_event(self, protocol: Protocol) -> Steps[Any]:
         while not self._events:
@@ -154,12 +158,14 @@
             raise HandshakeError("too slow")
 
 
-def _level(head: Request | Response) -> int:
-    """Return the other side's field level; 0 if it told none that can be read."""
-    value = ",".join(head.headers.get_all(LEVEL_HEADER))
-    if not (value.isascii() and value.isdigit()) or len(value) > MAX_LEVEL_DIGITS:
-        return 0
-    return int(value)
+def _select_subprotocol(
+    _: ServerProtocol, offered: Sequence[Subprotocol]
+) -> Subprotocol | None:
+    """Return the first known subprotocol; None continues with the first revision."""
+    for subprotocol in offered:
+        if subprotocol in REVISION_PROTOCOLS:
+            return subprotocol
+    return None
 
 
 def _hello(frame: Any) -> codec.Hello:
--- a/packages/ashhoist/src/ashhoist/links/links.py
+++ b/packages/ashhoist/src/ashhoist/links/links.py
@@ -58,7 +58,6 @@
     ) -> None:
         self._loop = loop
         self._hello = codec.Hello(codec.PROTOCOL, own.name, incarnation)
-        self._level = codec.FIELD_LEVEL
         self._tokens = tokens
         self._tell = tell
         self._count = count
@@ -91,14 +90,22 @@
             link.close()
 
     def send_to(self, name: str, message: Any) -> bool:
-        """Send a message to an instance; return False if there is no link."""
+        """Send a message to an instance.
+
+        Returns
+        -------
+        bool
+            False if there is no link, or the instance does not know the message.
+        """
         link = self._by_name.get(name)
-        return link is not None and link.send(self._encode(message, link.level))
+        if link is None or link.revision < codec.revisions_by_type[type(message)]:
+            return False
+        return link.send(self._encode(message, link.revision))
 
-    def _encode(self, message: Any, level: int) -> bytes:
+    def _encode(self, message: Any, revision: int) -> bytes:
         """Return a message encoded; one that goes to many is encoded once."""
-        if level < codec.FIELD_LEVEL:
-            return codec.encode_one(message, level)
+        if revision < codec.REVISION:
+            return codec.encode_one(message, revision)
         last, encoded = self._last_encoded
         if message is not last:
             encoded = codec.encode_one(message)
@@ -178,8 +185,7 @@
         """Return who is there; None if nobody of ours is, and the socket closed."""
         until = self._loop.clock.monotonic() + HELLO_TIME
         try:
-            shake = Handshake(self._loop, peer, self._hello, until, self._level)
-            greeted = yield from begin(shake)
+            greeted = yield from begin(Handshake(self._loop, peer, self._hello, until))
         except HandshakeError as error:
             self._count("bad_frames", "hello")
             self._log.info("no link", why=str(error))
@@ -201,7 +207,7 @@
             hello.name,
             hello.incarnation,
             dialled_by,
-            greeted.level,
+            greeted.revision,
             self._deliver,
             self._closed,
             self._count,
--- a/packages/ashhoist/src/ashhoist/overload/__init__.py
+++ b/packages/ashhoist/src/ashhoist/overload/__init__.py
@@ -1,5 +1,6 @@
 """Admission control for upstreams that get more requests than they can take."""
 
+from .controller import AdmissionController
 from .messages import (
     AdmissionRequest,
     Admitted,
@@ -10,6 +11,7 @@
 )
 
 __all__ = [
+    "AdmissionController",
     "AdmissionRequest",
     "Admitted",
     "AttemptOutcome",
--- a/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
@@ -5,6 +5,7 @@
 from ..clock import Clock
 from ..failures import Reason
 from ..logs import Logger
+from ..overload import AttemptOutcome
 from ..placement.messages import RequestOutcome, Target
 from ..upstreams import Health
 from .attempt import Answered, MayHaveRun, NotRun, OutOfTime, Result
@@ -100,3 +101,19 @@
     if isinstance(result, MayHaveRun | OutOfTime):
         return RequestOutcome.FAILED
     return RequestOutcome.UNKNOWN
+
+
+def attempt_outcome(result: Result | CompletedStream | None) -> AttemptOutcome:
+    """Return how an attempt that was sent has ended, for the leader's admission."""
+    if isinstance(result, NotRun) and result.reason is Reason.UPSTREAM_REFUSED:
+        return AttemptOutcome.REFUSED
+    if isinstance(result, NotRun) and result.reached_upstream:
+        return AttemptOutcome.UNKNOWN
+    end = request_outcome(result)
+    if end is RequestOutcome.SUCCEEDED:
+        return AttemptOutcome.SUCCEEDED
+    return (
+        AttemptOutcome.UNKNOWN
+        if end is RequestOutcome.UNKNOWN
+        else AttemptOutcome.FAILED
+    )
--- a/packages/ashhoist/src/ashhoist/requests/end_recorder.py
+++ b/packages/ashhoist/src/ashhoist/requests/end_recorder.py
@@ -39,6 +39,7 @@
             reason=ending.reason,
             sends=call.sends,
             waited_ms=_milliseconds(call.placement_wait),
+            admission_ms=_milliseconds(call.admission_wait),
             sent_ms=_elapsed_ms(call.received_at, call.sent_at),
             first_ms=_elapsed_ms(call.received_at, call.first_event_at),
             longest_pause_ms=None if pause is None else _milliseconds(pause.length),
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -86,7 +86,7 @@
 
     def test_the_previous_version_is_sent_the_fields_that_it_knows(self) -> None:
         query = PlacementQuery(*self.FIELDS, ["e0"], 300)
-        encoded = codec.encode_one(query, level=0)
+        encoded = codec.encode_one(query, codec.FIRST_REVISION)
         self.assertEqual(cbor2.loads(encoded), [46, *self.FIELDS, ["e0"]])
 
     def test_the_same_version_is_sent_all_fields(self) -> None:
