--- a/packages/ashhoist/src/ashhoist/overload/concurrency.py
+++ b/packages/ashhoist/src/ashhoist/overload/concurrency.py
@@ -61,7 +61,8 @@
         if self.usual > self._best * SLOW:
             self._lower(SLOW_FACTOR, now)
             return
-        if was_full and self.usual <= self._best * GOOD:
+        is_good = self.usual <= self._best * GOOD
+        if was_full and is_good and not self._was_lowered(now):
             self._raise()
 
     def refused(self, in_flight: int, now: timedelta) -> None:
@@ -75,8 +76,13 @@
         self.value = min(self.value + part / self.value, most)
 
     def _lower(self, factor: float, now: timedelta) -> None:
-        interval = self.usual or DEFAULT_SERVICE_TIME
-        if self._lowered_at is not None and now - self._lowered_at < interval:
+        if self._was_lowered(now):
             return
         self._lowered_at = now
         self.value = max(self.value * factor, MIN_LIMIT)
+
+    def _was_lowered(self, now: timedelta) -> bool:
+        """Return whether the answers of now are still those to a higher limit."""
+        if self._lowered_at is None:
+            return False
+        return now - self._lowered_at < (self.usual or DEFAULT_SERVICE_TIME)
--- a/packages/ashhoist/src/ashhoist/overload/controller.py
+++ b/packages/ashhoist/src/ashhoist/overload/controller.py
@@ -28,7 +28,7 @@
 
 MAX_WAIT_SHARE = 0.5
 """The part of its target latency that a request waits in the queue at most."""
-ACCEPTED_SHARE = 0.8
+ACCEPTED_SHARE = 0.5
 """A request is queued if its predicted wait is below this part of the time that it may
 wait. Predictions vary; without this margin, requests would be queued and then
 rejected."""
@@ -42,6 +42,8 @@
 """How long a request waits that returns on a reservation after its target latency."""
 RETURN_MARGIN = timedelta(milliseconds=100)
 """Callers whose reservation was due within this time may still be on their way."""
+FOREVER = timedelta(days=365)
+"""The predicted wait where there is no upstream; it can be added to a time."""
 REVIEW_INTERVAL = timedelta(milliseconds=20)
 """A review looks at each queued request, which would cost too much at each arrival."""
 
@@ -239,7 +241,7 @@
         free, throughput = self._loads.free, self._loads.throughput
         ahead = self._queue.ahead(customer, rank)
         wait = _wait(ahead - free + 1, throughput)
-        if wait == ZERO or wait == timedelta.max:
+        if wait == ZERO or wait == FOREVER:
             return wait
         due = self._reservations.due_between(customer, now - RETURN_MARGIN, now + wait)
         if not due:
@@ -273,5 +275,5 @@
     if missing <= 0:
         return ZERO
     if not throughput:
-        return timedelta.max
+        return FOREVER
     return timedelta(seconds=missing / throughput)
--- a/packages/ashhoist/src/ashhoist/overload/fair_queue.py
+++ b/packages/ashhoist/src/ashhoist/overload/fair_queue.py
@@ -172,18 +172,19 @@
     def in_order(self) -> Iterator[QueuedRequest]:
         """Yield all requests in the order in which they would be taken."""
         turns = [
-            (flow.tag, number, flow, 0)
-            for number, flow in enumerate(self._flows.values())
+            (flow.tag, flow.turn, flow, 0)
+            for flow in self._flows.values()
             if flow.queued
         ]
         heapq.heapify(turns)
         while turns:
-            tag, number, flow, index = turns[0]
+            tag, _, flow, index = turns[0]
             yield flow.queued[index]
             if index + 1 == len(flow.queued):
                 heapq.heappop(turns)
                 continue
-            following = (tag + 1 / flow.weight, number, flow, index + 1)
+            turn = next(self._numbers)
+            following = (tag + 1 / flow.weight, turn, flow, index + 1)
             heapq.heapreplace(turns, following)
 
     def of_instance(self, instance: str) -> list[RequestKey]:
