--- a/packages/ashhoist/src/ashhoist/overload/controller.py
+++ b/packages/ashhoist/src/ashhoist/overload/controller.py
@@ -105,7 +105,8 @@
         start_by = self._start_by(request, returned)
         if returned:
             self._metrics.count("reservations", "kept")
-        elif self._wait(request, rank) > (start_by - now) * ACCEPTED_SHARE:
+        is_too_late = self._wait(request, rank) > (start_by - now) * ACCEPTED_SHARE
+        if request.deadline <= now or (is_too_late and not returned):
             self._reject(request, rank)
             return
         self._queue.push(QueuedRequest(request, start_by, rank))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -170,6 +170,21 @@
         rejected = self.rejected(self.submit(1))
         self.assertEqual([one.retry_after for one in rejected], [DEADLINE / 3])
 
+    def test_a_request_after_its_deadline_is_not_granted(self) -> None:
+        # Its grant would take a place for an answer without value.
+        request = self.request(1)
+        self.clock.advance(DEADLINE)
+        self.controller.submit(request)
+        rejected = self.rejected(self.controller.step())
+        self.assertEqual([one.retry_after for one in rejected], [ZERO])
+
+    def test_late_work_is_served_where_a_place_is_free(self) -> None:
+        # A late answer is worth less, but more than an idle place.
+        request = self.request(1)
+        self.clock.advance(2 * TARGET)
+        self.controller.submit(request)
+        self.assertEqual(self.admitted(self.controller.step()), [1])
+
     def test_queued_requests_are_rejected_when_all_upstreams_leave(self) -> None:
         # They would wait for an upstream that is not there.
         self.submit(1, 2, 3)
