--- a/packages/ashhoist/src/ashhoist/overload/fair_queue.py
+++ b/packages/ashhoist/src/ashhoist/overload/fair_queue.py
@@ -15,6 +15,9 @@
 from .messages import AdmissionRequest, RequestKey
 
 MIN_WEIGHT = 1e-6
+BURST = 2
+"""Requests that a customer which took less than its share may have taken at once. With
+none, the second request of a moment waits for a turn of all other customers."""
 MAX_SCANNED = 16
 """Requests of a customer that are looked through for one that can be sent now."""
 
@@ -94,10 +97,10 @@
         customer = queued.request.customer
         flow = self._flows.get(customer)
         if flow is None:
-            flow = self._flows[customer] = _Flow(MIN_WEIGHT)
+            flow = self._flows[customer] = _Flow(MIN_WEIGHT, self._virtual)
         if not flow.queued:
             flow.weight = max(self._weight(customer), MIN_WEIGHT)
-            flow.tag = max(flow.tag, self._virtual)
+            flow.tag = self._first_tag(flow)
             self._add_turn(customer, flow)
         insort(flow.queued, queued, key=_rank_of)
         self._by_key[queued.request.key] = queued
@@ -159,7 +162,7 @@
         own, tag = reserved, self._virtual
         weight = max(self._weight(customer), MIN_WEIGHT)
         if flow is not None:
-            tag = max(flow.tag, tag)
+            tag = flow.tag if flow.queued else self._first_tag(flow)
             own += bisect_left(flow.queued, rank, key=_rank_of)
         tag += own / weight
         total = own
@@ -191,6 +194,10 @@
         """Return the keys of an instance's requests."""
         return [key for key in self._by_key if key[0] == instance]
 
+    def _first_tag(self, flow: _Flow) -> float:
+        """Return the tag of a customer's request that is queued alone."""
+        return max(flow.tag, self._virtual - BURST / flow.weight)
+
     def _add_turn(self, customer: str, flow: _Flow) -> None:
         flow.turn = next(self._numbers)
         heapq.heappush(self._turns, (flow.tag, flow.turn, customer))
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -63,6 +63,19 @@
         self.assertEqual(found.key[1], 1)
         self.assertEqual([r.key[1] for r in pop_all(queue)], [0, 2])
 
+    def test_a_customer_below_its_share_may_send_two_at_once(self) -> None:
+        # The second would wait for a turn of all others, and be rejected for that.
+        queue = FairQueue(lambda customer: 1.0)
+        push(queue, 0, "calm")
+        for number in range(1, 20):
+            push(queue, number, "flood")
+        for _ in range(10):
+            queue.pop(lambda request: True)
+        push(queue, 30, "calm")
+        push(queue, 31, "calm")
+        order = [request.key[1] for request in pop_all(queue)]
+        self.assertEqual(order[:2], [30, 31])
+
     @given(st.lists(st.tuples(st.sampled_from("abc"), st.integers(0, 2)), max_size=30))
     def test_the_predicted_order_is_the_real_one(
         self, rows: list[tuple[str, int]]
