--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -22,7 +22,7 @@
 from ashhoist.routing.active_configuration import ActiveConfiguration
 from ashhoist.upstreams import Directory
 
-from .admission_world import PROPAGATION_S, AdmissionWorld
+from .admission_instances import PROPAGATION_S, AdmissionInstances
 from .world_writes import PLAIN_SERVICE, SERVICE
 
 SECOND = timedelta(seconds=1)
@@ -46,7 +46,7 @@
 
     def test_without_contention_no_message_is_sent(self) -> None:
         # Guards against a cost of admission on calm days.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         world.links.counts_bytes = True
         world.run(5.0)
         for kind in ADMISSION_MESSAGES:
@@ -55,21 +55,21 @@
 
     def test_a_refusal_by_a_full_upstream_makes_all_instances_ask(self) -> None:
         # Guards against instances that keep sending to an overloaded service.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         self.assertEqual(world.contended_at(), [])
         world.overload(world.followers[0])
         self.assertEqual(world.contended_at(), list(world.machines))
 
     def test_a_refusal_at_the_leader_itself_counts(self) -> None:
         # Guards against a report that is lost as there is no link to oneself.
-        world = AdmissionWorld(1)
+        world = AdmissionInstances(1)
         world.overload("instance-0")
         self.assertEqual(world.contended_at(), ["instance-0"])
         self.assertTrue(world.is_granted(world.query("instance-0")))
 
     def test_engines_are_never_contended(self) -> None:
         # Guards against admission of requests that the leader places anyway.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         leader = world.leader
         report = messages.OverloadReport(SERVICE)
         world.core(leader).admissions.overload_reported("instance-1", report)
@@ -78,7 +78,7 @@
 
     def test_the_end_of_contention_reaches_all_instances(self) -> None:
         # Guards against instances that ask for ever.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         world.overload(world.followers[0])
         world.run(2.5)
         self.assertEqual(world.contended_at(), list(world.machines))
@@ -90,7 +90,7 @@
 
     def test_a_lost_notice_changes_nothing_and_silence_ends_contention(self) -> None:
         # Guards against waits for a leader that can't be reached.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         world.overload(world.followers[0])
         cut = world.followers[-1]
         world.machines[cut].links_cut = True
@@ -101,7 +101,7 @@
 
     def test_a_notice_of_another_instance_than_the_leader_is_ignored(self) -> None:
         # Guards against a former leader that still sends notices.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         other = world.followers[0]
         client = world.core(world.followers[1]).admission_client
         client.notice_received(other, messages.ContentionNotice(99, [PLAIN_SERVICE]))
@@ -109,7 +109,7 @@
 
     def test_queries_for_a_service_that_is_not_contended_do_not_wait(self) -> None:
         # Guards against a time-out for each request after the end of contention.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         query = world.query(world.followers[0])
         world.run(PROPAGATION_S)
         self.assertIsNone(world.answer(query))
@@ -180,7 +180,7 @@
     """Queries of instances, and the leader's answers."""
 
     def setUp(self) -> None:
-        self.world = AdmissionWorld(slots=2)
+        self.world = AdmissionInstances(slots=2)
         self.one, self.other = self.world.followers
         self.world.overload(self.one)
 
@@ -283,7 +283,7 @@
 
     def test_when_the_leader_is_killed_requests_are_sent_without_it(self) -> None:
         # Guards against requests that wait for a decision of a leader that is gone.
-        world = AdmissionWorld(4)
+        world = AdmissionInstances(4)
         asker = world.followers[0]
         world.overload(asker)
         world.fill(asker, 2)
@@ -301,14 +301,14 @@
 
     def test_without_a_leader_a_query_is_answered_at_once(self) -> None:
         # Guards against a wait for an answer that nobody will give.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         world.core(world.followers[0]).admission_client.follow(None)
         query = world.query(world.followers[0])
         self.assertIsNone(world.answer(query))
 
     def test_ends_are_kept_while_the_leader_is_not_known(self) -> None:
         # Guards against slots that stay taken up to the deadlines of their requests.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         one, other = world.followers
         world.overload(one)
         numbers = world.fill(one, 2)
@@ -324,7 +324,7 @@
 
     def test_a_former_leader_decides_nothing(self) -> None:
         # Guards against two instances that both grant the slots of an upstream.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         world.overload(world.followers[0])
         former = world.core(world.leader)
         former.admissions.follow("another")
@@ -335,7 +335,7 @@
 
     def test_a_zone_that_is_cut_off_follows_a_leader_of_its_own(self) -> None:
         # Guards against instances that wait for a leader on the other side of a cut.
-        world = AdmissionWorld(6, upstreams=2, zones=2)
+        world = AdmissionInstances(6, upstreams=2, zones=2)
         world.overload(world.followers[0])
         world.links.cut_zones = {"zone-1"}
         self.assertTrue(world.run(10.0, lambda: len(world.leaders()) == 2))
@@ -353,7 +353,7 @@
 
     def test_the_requests_of_a_lost_instance_are_removed(self) -> None:
         # Guards against slots that a killed instance holds for ever.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         lost, other = world.followers
         world.overload(lost)
         world.fill(lost, 2)
@@ -365,7 +365,7 @@
 
     def test_a_grant_whose_end_is_never_reported_ends_at_its_deadline(self) -> None:
         # Guards against slots lost by a lost message.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         one, other = world.followers
         world.overload(one)
         world.fill(one, 2, deadline_s=1.5)
@@ -376,7 +376,7 @@
 
     def test_after_an_upstream_has_left_only_the_others_are_granted(self) -> None:
         # Guards against grants for an upstream that is gone.
-        world = AdmissionWorld(upstreams=2, slots=2)
+        world = AdmissionInstances(upstreams=2, slots=2)
         asker = world.followers[0]
         world.overload(asker)
         world.end_engine("plain-0")
@@ -388,7 +388,7 @@
 
     def test_a_refused_request_is_granted_another_upstream(self) -> None:
         # Guards against a retry at the upstream that has just refused the request.
-        world = AdmissionWorld(upstreams=2, slots=2)
+        world = AdmissionInstances(upstreams=2, slots=2)
         asker = world.followers[0]
         world.overload(asker)
         first = world.query(asker)
@@ -404,14 +404,14 @@
 
     def test_a_leader_of_the_previous_version_changes_nothing(self) -> None:
         # Guards against links that an older instance closes over unknown messages.
-        world = AdmissionWorld()
+        world = AdmissionInstances()
         world.machines[world.leader].revision = FIRST_REVISION
         world.overload(world.followers[0])
         self.assertEqual(world.contended_at(), [])
 
     def test_an_instance_of_the_previous_version_sends_as_before(self) -> None:
         # Guards against a rolling upgrade in which nobody asks the leader.
-        world = AdmissionWorld(4)
+        world = AdmissionInstances(4)
         older, *newer = world.followers
         world.machines[older].revision = FIRST_REVISION
         world.overload(newer[0])
