--- a/tests/admission_load.py
+++ b/tests/admission_load.py
@@ -10,7 +10,7 @@
 from ashhoist.overload import AttemptOutcome
 from ashhoist.overload.sends import SendAnswer, SendGranted, SendQuery, SendRefused
 
-from .admission_world import AdmissionWorld
+from .admission_instances import AdmissionInstances
 
 SLOTS, QUEUE = 6, 24
 WORK_S = 0.06
@@ -63,7 +63,7 @@
         Requests per second, by customer.
     """
 
-    def __init__(self, world: AdmissionWorld, rates: dict[str, float], seed: int):
+    def __init__(self, world: AdmissionInstances, rates: dict[str, float], seed: int):
         self.results = Results()
         self._world = world
         self._random = random.Random(seed)
--- a/tests/test_admission_load.py
+++ b/tests/test_admission_load.py
@@ -2,8 +2,8 @@
 
 import unittest
 
+from .admission_instances import AdmissionInstances
 from .admission_load import QUEUE, SLOTS, WORK_S, AdmissionLoad
-from .admission_world import AdmissionWorld
 
 UPSTREAMS = 3
 SECONDS = 5.0
@@ -27,7 +27,7 @@
         }
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                world = AdmissionWorld(4, UPSTREAMS, SLOTS)
+                world = AdmissionInstances(4, UPSTREAMS, SLOTS)
                 world.overload(world.followers[0])
                 load = AdmissionLoad(world, rates, seed)
                 load.run(SECONDS)
