Placement: no learnt limit of concurrent cold loads

The leader of a zone that was cut off did not know the copies that engines keep, took a load that ended after 3 ms for the fastest cold one, set the limit to 4 and held back 291 loads. Requests there waited 1.2 to 2.4 s and were refused with no_place.

--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -34,7 +34,6 @@
     "transfer_bytes": ("Bytes of HTTP to the outside", ("kind",)),
     "loads": ("Adapter loads that ended", ("result",)),
     "copies": ("Further copies of busy adapters", ("result",)),
-    "loads_held_back": ("Adapters whose load would have slowed down others", ()),
     "appends": ("Appends to the log", ("stream", "result")),
     "customer_requests": ("Requests of a customer that ended", ("customer", "end")),
     "customer_tokens": ("Charged to a customer's quota", ("customer", "end")),
--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -61,8 +61,6 @@
         Whether the adapter is loaded from the weight store.
     unload_accepted : bool
         True once the engine has accepted the order to unload it.
-    loading_at : timedelta or None
-        When the engine last answered that it is still loading.
     """
 
     adapter: Adapter
@@ -73,7 +71,6 @@
     cold: bool = True
     unload_accepted: bool = False
     used_at: timedelta = timedelta()
-    loading_at: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,9 +82,7 @@
     loaded : Adapter or None
         The adapter whose load has ended.
     duration : timedelta
-        How long that load took, up to the answer that it has ended.
-    min_duration : timedelta
-        How long it took at least: up to the last answer that it had not ended.
+        How long that load took.
     cold : bool
         Whether it was loaded from the weight store.
     serving_changed : bool
@@ -98,7 +93,6 @@
     duration: timedelta = timedelta()
     cold: bool = False
     serving_changed: bool = False
-    min_duration: timedelta = timedelta()
 
 
 class Engine:
@@ -377,7 +371,6 @@
             self.order_count = order.expected + 1
         if answer is OrderAnswer.ACCEPTED:
             slot.poll_at = max(slot.poll_at, now + LOAD_POLL_INTERVAL)
-            slot.loading_at = now
             return EngineUpdate()
         return self._finish_load(slot, now)
 
@@ -406,8 +399,7 @@
         slot.used_at = now
         self._update_load_time(duration, slot.cold)
         self._record_copy(slot.adapter, slot.version)
-        min_duration = (slot.loading_at or slot.since) - slot.since
-        return EngineUpdate(slot.adapter, duration, slot.cold, True, min_duration)
+        return EngineUpdate(slot.adapter, duration, slot.cold, True)
 
     def _update_load_time(self, duration: timedelta, cold: bool) -> None:
         duration = min(duration, MAX_LOAD_TIME)
--- a/packages/ashhoist/src/ashhoist/placement/planning_round.py
+++ b/packages/ashhoist/src/ashhoist/placement/planning_round.py
@@ -157,10 +157,6 @@
         """Return whether an engine was loading the adapter when the round began."""
         return id(demand) in self._being_loaded
 
-    def loading_demands(self) -> Iterable[AdapterDemand]:
-        """Return the demands whose adapter was being loaded when the round began."""
-        return self._being_loaded.values()
-
     def _engines_loading(self, demand: AdapterDemand) -> Iterator[Engine]:
         holding = self._index.holding(demand.adapter)
         ordered = self._load_orders.get(demand.adapter, ())
--- a/packages/ashhoist/src/ashhoist/placement/replication.py
+++ b/packages/ashhoist/src/ashhoist/placement/replication.py
@@ -163,17 +163,13 @@
         self._under_way: dict[tuple[str, Adapter], AdapterCopy] = {}
         self._next_plan_at = timedelta()
 
-    def plan(
-        self, open_zones: set[str], may_load_cold: bool, now: timedelta
-    ) -> ReplicationPlan:
+    def plan(self, open_zones: set[str], now: timedelta) -> ReplicationPlan:
         """Return the orders that are due for copies.
 
         Parameters
         ----------
         open_zones : set of str
             The availability zones to whose engines orders may be sent now.
-        may_load_cold : bool
-            Whether a further load from the weight store runs at full speed.
         """
         plan = ReplicationPlan()
         if now < self._next_plan_at:
@@ -186,7 +182,7 @@
         }
         self._continue_copies(plan, busy, open_zones, now)
         if busy and len(self._under_way) < MAX_COPIES_UNDER_WAY and self._has_room():
-            self._start_copies(plan, busy, open_zones, may_load_cold, now)
+            self._start_copies(plan, busy, open_zones, now)
         return plan
 
     def _start_copies(
@@ -194,7 +190,6 @@
         plan: ReplicationPlan,
         busy: dict[str, Engine],
         open_zones: set[str],
-        may_load_cold: bool,
         now: timedelta,
     ) -> None:
         """Start copies of the adapters in most demand; one for each busy engine."""
@@ -206,7 +201,7 @@
                 break
             if relieved.intersection(engine.id for engine in found.serving):
                 continue
-            order = self._start(found, open_zones, may_load_cold, now)
+            order = self._start(found, open_zones, now)
             if order is None:
                 continue
             plan.orders.append(order)
@@ -357,12 +352,11 @@
         self,
         found: _BusyAdapter,
         open_zones: set[str],
-        may_load_cold: bool,
         now: timedelta,
     ) -> CopyOrder | None:
         """Return the order that begins a copy, if a copy pays for itself somewhere."""
         candidates = self._engines_for_copy(found, open_zones, now)
-        best = self._cheapest(candidates, found, may_load_cold, now)
+        best = self._cheapest(candidates, found, now)
         if best is None:
             return None
         engine, slot = best
@@ -400,14 +394,13 @@
         self,
         candidates: Iterable[Engine],
         found: _BusyAdapter,
-        may_load_cold: bool,
         now: timedelta,
     ) -> tuple[Engine, AvailableSlot] | None:
         best: tuple[Engine, AvailableSlot] | None = None
         min_cost = (math.inf, "")
         for engine in candidates:
             cold = not engine.has_copy(found.adapter, found.version)
-            if cold and (not may_load_cold or found.gain < COLD_LOAD_PRICE):
+            if cold and found.gain < COLD_LOAD_PRICE:
                 continue
             slot = self._slot_for_copy(engine, found, now)
             if slot is None:
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -28,7 +28,6 @@
 from .engine import Engine, EngineUpdate, SlotState
 from .engine_orders import EngineOrders
 from .limited_engines import LimitedEngines
-from .load_concurrency import LoadConcurrency
 from .messages import RequestOutcome
 from .model_loads import ModelLoads
 from .pending_requests import AdapterDemand, PendingRequest, PendingRequests
@@ -110,8 +109,6 @@
         )
         self.popularity = Popularity(clock)
         self._batch_load = BatchLoad(self.popularity, self._index)
-        self._cold_loads = LoadConcurrency()
-        self._held_back: set[Adapter] = set()
         self._replication = Replication(
             self.engines,
             self._index,
@@ -290,21 +287,8 @@
             # anew for the others.
             engine.clear_reservations()
             self._metrics.count("loads", "cold" if update.cold else "warm")
-            self._record_load_time(update)
         self._send_pending(engine, update)
 
-    def _record_load_time(self, update: EngineUpdate) -> None:
-        now = self._clock.monotonic()
-        if not self._cold_loads.record(update, self.engines.values(), now):
-            return
-        assert self._cold_loads.limit is not None
-        self._log.info(
-            "loads slow down",
-            limit=round(self._cold_loads.limit),
-            fastest_ms=round(self._cold_loads.fastest / MILLISECOND),
-            took_ms=round(update.duration / MILLISECOND),
-        )
-
     def _send_pending(self, engine: Engine, update: EngineUpdate) -> None:
         """Send the queued requests for the adapters that an engine serves now."""
         load_began = self._clock.monotonic() - update.duration
@@ -496,11 +480,8 @@
             self._time_out_order(engine, now)
             self._orders.follow_up(engine, open_zones, now)
         self._load_models(open_zones)
-        self._cold_loads.begin_round(self.engines.values(), now)
         if len(self.pending_requests):
             self._load_for_requests(open_zones, now)
-        else:
-            self._held_back.clear()
         self._replicate(open_zones, now)
 
     def _load_for_requests(self, open_zones: set[str], now: timedelta) -> None:
@@ -521,17 +502,12 @@
         demands = [
             demand for demand in self.pending_requests.demands() if demand.adapter.name
         ]
-        if self._cold_loads.is_reached:
-            for demand in round_.loading_demands():
-                self._cold_loads.record_value(round_.value_per_second(demand))
-        self._held_back &= {demand.adapter for demand in demands}
         for demand in sorted(demands, key=round_.value_per_second, reverse=True):
             self._load_adapter(round_, demand, now)
 
     def _replicate(self, open_zones: set[str], now: timedelta) -> None:
         """Send the orders for further copies of busy adapters."""
-        may_load_cold = not self._cold_loads.is_reached
-        plan = self._replication.plan(open_zones, may_load_cold, now)
+        plan = self._replication.plan(open_zones, now)
         for copy, result in plan.changes:
             self._metrics.count("copies", result)
             self._log.info(
@@ -602,14 +578,6 @@
             return
         if not engine.can_order(now):
             return
-        cold = not engine.has_copy(demand.adapter, demand.oldest_version)
-        value = round_.value_per_second(demand) if cold else 0.0
-        if cold and self._cold_loads.holds_back(value, now):
-            self._hold_back(demand)
-            self._send_to_serving(demand, now)
-            return
-        if cold:
-            self._cold_loads.record_start(value)
         slot = round_.slot_for(engine, demand.adapter)
         assert slot is not None
         if slot.evict is not None:
@@ -618,20 +586,6 @@
             self._orders.load(engine, demand.adapter, demand.oldest_version)
         round_.record_order(engine, demand)
 
-    def _hold_back(self, demand: AdapterDemand) -> None:
-        """Report, once for each adapter, that its load would slow down others."""
-        if demand.adapter in self._held_back:
-            return
-        self._held_back.add(demand.adapter)
-        self._metrics.count("loads_held_back")
-        self._log.info(
-            "load held back",
-            adapter=str(demand.adapter),
-            requests=len(demand.by_id),
-            in_progress=self._cold_loads.in_progress,
-            limit=round(self._cold_loads.limit or 0),
-        )
-
     def _could_load(self, engine: Engine, adapter: Adapter, now: timedelta) -> bool:
         if not engine.accepts_orders(now) or not self._may_order(engine.upstream.zone):
             return False
