Overload: service times lower the limit only above an upstream's slots

Requests of uneven length made the usual service time look slow, a lower limit made the best one better, and the next one looked slower still. The two new tests failed before.

--- a/packages/ashhoist/src/ashhoist/overload/concurrency.py
+++ b/packages/ashhoist/src/ashhoist/overload/concurrency.py
@@ -15,9 +15,12 @@
 Without it, one quick spell would make the upstream look overloaded for good. Above the
 slots there is none: the limit would follow the queue that it causes itself."""
 SLOW = 1.6
-"""The limit falls while the usual service time is above the best times this."""
+"""Above the slots, the limit falls while the usual service time is above the best times
+this. Up to the slots, requests do not wait for each other: a low limit would only make
+the next one look slow."""
 GOOD = 1.15
-"""The limit rises only while the usual service time is below the best times this."""
+"""Above the slots, the limit rises only while the usual service time is below the best
+times this."""
 REFUSAL_FACTOR = 0.8
 SLOW_FACTOR = 0.95
 RAISE_BEYOND_SLOTS = 0.2
@@ -58,28 +61,30 @@
         if self.value <= self._slots:
             self._best += (self.usual - self._best) * BEST_DRIFT
         self._best = min(self._best, self.usual)
-        if self.usual > self._best * SLOW:
-            self._lower(SLOW_FACTOR, now)
+        is_above_slots = self.value > self._slots
+        if is_above_slots and self.usual > self._best * SLOW:
+            self._lower(max(self.value * SLOW_FACTOR, self._slots), now)
             return
-        is_good = self.usual <= self._best * GOOD
-        if was_full and is_good and not self._was_lowered(now):
+        if not was_full or self._was_lowered(now):
+            return
+        if not is_above_slots or self.usual <= self._best * GOOD:
             self._raise()
 
     def refused(self, in_flight: int, now: timedelta) -> None:
-        """Lower the limit after a refusal with `in_flight` requests granted."""
-        self.value = max(min(self.value, float(in_flight)), MIN_LIMIT)
-        self._lower(REFUSAL_FACTOR, now)
+        """Lower the limit after the refusal of one of `in_flight` requests."""
+        taken = min(self.value * REFUSAL_FACTOR, in_flight - 1)
+        self._lower(max(taken, MIN_LIMIT), now)
 
     def _raise(self) -> None:
         part = 1.0 if self.value < self._slots else RAISE_BEYOND_SLOTS
         most = self._slots * MAX_LIMIT_PER_SLOT
         self.value = min(self.value + part / self.value, most)
 
-    def _lower(self, factor: float, now: timedelta) -> None:
+    def _lower(self, value: float, now: timedelta) -> None:
         if self._was_lowered(now):
             return
         self._lowered_at = now
-        self.value = max(self.value * factor, MIN_LIMIT)
+        self.value = value
 
     def _was_lowered(self, now: timedelta) -> bool:
         """Return whether the answers of now are still those to a higher limit."""
--- a/packages/ashhoist/src/ashhoist/overload/upstream_load.py
+++ b/packages/ashhoist/src/ashhoist/overload/upstream_load.py
@@ -40,7 +40,7 @@
     @property
     def places(self) -> int:
         """Return how many requests it gets at a time: fewer if it fails, never none."""
-        return max(int(self.limit.value * (1 - self.failure_share)), 1)
+        return max(round(self.limit.value * (1 - self.failure_share)), 1)
 
     @property
     def free(self) -> int:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -19,6 +19,7 @@
     Rejected,
     RequestKey,
 )
+from ashhoist.overload.concurrency import ConcurrencyLimit
 
 from .admission_world import (
     DEADLINE,
@@ -226,6 +227,29 @@
         self.assertEqual(len(self.admitted(self.end(2))), 0)
         self.assertEqual(len(self.admitted(self.after(100 * MILLISECOND))), 1)
 
+    def test_uneven_service_times_do_not_lower_the_limit_below_the_slots(self) -> None:
+        # A lower limit makes answers faster, so that the next one looks slow again: the
+        # limit fell to one request at a time and stayed there.
+        source = random.Random(1)
+        now = ZERO
+        limit = ConcurrencyLimit(SLOTS)
+        for _ in range(2000):
+            now += 10 * MILLISECOND
+            took = WORK * source.lognormvariate(0, 0.7)
+            limit.succeeded(took, source.random() < 0.5, now)
+            self.assertGreaterEqual(limit.value, SLOTS)
+
+    def test_the_limit_rises_to_the_slots_again_after_refusals(self) -> None:
+        # Slow answers kept a limit low that a short overload had lowered.
+        limit, now = ConcurrencyLimit(SLOTS), SECOND
+        limit.succeeded(WORK, True, now)
+        limit.refused(1, now)
+        self.assertEqual(limit.value, 1)
+        for _ in range(60):
+            now += WORK
+            limit.succeeded(2 * WORK, True, now)
+        self.assertGreaterEqual(limit.value, SLOTS)
+
     def test_a_grant_without_an_end_ends_at_its_deadline(self) -> None:
         # Its place would be lost for good.
         self.submit(1, 2)
