Placement: learn load times only from loads whose beginning was seen

A load that a report contained counted from the report on. Its short rest became the fastest load, all others looked slow, and a new leader limited cold loads to four.

--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -63,6 +63,8 @@
         True once the engine has accepted the order to unload it.
     loading_at : timedelta or None
         When the engine last answered that it is still loading.
+    start_known : bool
+        Whether `since` is when the load began; False for one that a report contained.
     """
 
     adapter: Adapter
@@ -74,6 +76,7 @@
     unload_accepted: bool = False
     used_at: timedelta = timedelta()
     loading_at: timedelta | None = None
+    start_known: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +95,8 @@
         Whether it was loaded from the weight store.
     serving_changed : bool
         Whether the set of adapters that the engine serves may have changed.
+    timed : bool
+        Whether the beginning of the load was seen, so that `duration` is all of it.
     """
 
     loaded: Adapter | None = None
@@ -99,6 +104,7 @@
     cold: bool = False
     serving_changed: bool = False
     min_duration: timedelta = timedelta()
+    timed: bool = True
 
 
 class Engine:
@@ -407,7 +413,9 @@
         self._update_load_time(duration, slot.cold)
         self._record_copy(slot.adapter, slot.version)
         min_duration = (slot.loading_at or slot.since) - slot.since
-        return EngineUpdate(slot.adapter, duration, slot.cold, True, min_duration)
+        return EngineUpdate(
+            slot.adapter, duration, slot.cold, True, min_duration, slot.start_known
+        )
 
     def _update_load_time(self, duration: timedelta, cold: bool) -> None:
         duration = min(duration, MAX_LOAD_TIME)
@@ -511,7 +519,9 @@
     ) -> None:
         """Add a reported slot; keep when its adapter was last used, if known."""
         before = previous.get(adapter)
-        slot = AdapterSlot(adapter, version, state, now, now, used_at=now)
+        slot = AdapterSlot(
+            adapter, version, state, now, now, used_at=now, start_known=False
+        )
         if before is not None:
             slot.used_at = before.used_at
         self._add_slot(slot)
--- a/packages/ashhoist/src/ashhoist/placement/load_concurrency.py
+++ b/packages/ashhoist/src/ashhoist/placement/load_concurrency.py
@@ -60,6 +60,8 @@
         """
         if update.loaded is None or not update.cold or not update.loaded.name:
             return False
+        if not update.timed:
+            return False
         self._record_fastest(update.duration, now)
         self._recent.append(update.min_duration)
         if len(self._recent) < RECENT_LOADS:
--- a/tests/test_load_times.py
+++ b/tests/test_load_times.py
@@ -3,7 +3,7 @@
 import unittest
 from datetime import timedelta
 
-from ashhoist.orders import Order, OrderAnswer, OrderKind
+from ashhoist.orders import EngineReport, Order, OrderAnswer, OrderKind
 from ashhoist.placement.engine import Engine, EngineUpdate
 from ashhoist.placement.load_concurrency import (
     LIMIT_LIFETIME,
@@ -12,7 +12,7 @@
     LoadConcurrency,
 )
 
-from .scheduler_world import SECOND, SchedulerWorld, adapter
+from .scheduler_world import MODEL, SECOND, SchedulerWorld, adapter
 
 MILLISECOND = timedelta(milliseconds=1)
 FAST = 288 * MILLISECOND
@@ -92,6 +92,20 @@
             loads.record(ended(FAST), loading_engines(20), SECOND)
         self.assertIsNone(loads.limit)
 
+    def test_a_load_that_a_report_contains_is_not_learnt_from(self) -> None:
+        # Guards against a new leader that takes the rest of a load for a fast load, and
+        # then all others for slow ones.
+        world = SchedulerWorld({"one": []})
+        report = EngineReport(0, (MODEL,), (), {}, {adapter(1): 1}, False, 0, 0)
+        world.scheduler.engine_reported("one", report)
+        [order] = world.plan()
+        world.answer_order(order, OrderAnswer.ALREADY_DONE)
+        loads = world.scheduler._cold_loads
+        for _ in range(RECENT_LOADS):
+            loads.record(ended(FAST), loading_engines(20), world.clock.monotonic())
+        self.assertEqual(loads.fastest, FAST)
+        self.assertIsNone(loads.limit)
+
     def test_the_limit_never_falls_below_a_minimum(self) -> None:
         # Guards against a store that is slow for another reason and gets no loads.
         loads = LoadConcurrency()
