Placement: queue no request for a load because of costs to others

The cost to running streams and of the last places counted as a wait of the request. A long prompt was queued for a load although the engine that serves its adapter had free places.

--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -352,7 +352,7 @@
         best = self._best_serving(request)
         if best is None:
             return None
-        wait = self._first_token_wait(best, request.tokens)
+        wait = self._expected_wait(best, request.tokens)
         if wait <= ACCEPTABLE_WAIT:
             return best
         wait_with_load = self._first_token_wait_with_load(request)
@@ -398,14 +398,20 @@
         ]
 
     def _first_token_wait(self, engine: Engine, tokens: int) -> timedelta:
+        """Return the expected wait for a first token, and the cost to other requests.
+
+        Engines are compared by it; see `_expected_wait` for what is included.
+        """
+        cost = engine.inflight.cost_to_others(tokens, engine.reserved_tokens)
+        return self._expected_wait(engine, tokens) + cost
+
+    def _expected_wait(self, engine: Engine, tokens: int) -> timedelta:
         """Return the expected wait for a first token.
 
-        Includes the wait for a permit, the cost to other requests, and penalties for an
-        engine that fails.
+        Includes the wait for a permit and penalties for an engine that fails.
         """
         now = self._clock.monotonic()
         wait = engine.inflight.time_to_first_token(tokens + engine.reserved_tokens, now)
-        wait += engine.inflight.cost_to_others(tokens, engine.reserved_tokens)
         wait += self._limited.permit_wait(engine)
         wait += FAILURE_COST * self._health.share_failing(engine.id)
         if not self._health.usable(engine.id):
@@ -436,7 +442,7 @@
                 )
             else:
                 continue
-            wait = load_time + self._first_token_wait(engine, request.tokens)
+            wait = load_time + self._expected_wait(engine, request.tokens)
             if shortest is None or wait < shortest:
                 shortest = wait
         return shortest
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -206,6 +206,13 @@
         # Streams with an allowed pause of 300 ms were late by one long prompt.
         self.assertEqual(self.choose(gap_ms=300), "two")
 
+    def test_a_prompt_is_not_queued_for_a_load_to_spare_running_streams(self) -> None:
+        # The cost to the streams was taken for a wait: the prompt waited for a load
+        # although the engine that served its adapter had free places.
+        world = SchedulerWorld({"one": [1], "two": []}, batch=BATCH)
+        fill(world, "one", 6, gap_ms=300)
+        self.assertEqual(world.place_request(1, tokens=9000)[1], "one")
+
     def test_streams_that_may_pause_for_longer_are_no_reason(self) -> None:
         # Routes with long pauses are served as before.
         self.assertEqual(self.choose(gap_ms=1000), "one")
