Placement: at its give-up time, send a queued request to a serving engine

A request that was queued for a load on an engine that did not answer waited until its deadline and was refused, also if an engine that serves its adapter was idle.

--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -566,18 +566,24 @@
     def _refuse_overdue(self, round_: PlanningRound, now: timedelta) -> None:
         """Refuse requests past their deadline or their give-up time.
 
-        The give-up time does not apply while the adapter is being loaded.
+        At its give-up time, a request is sent to an engine that serves its adapter if
+        there is one. Otherwise the time does not apply while the adapter is being
+        loaded.
         """
         for request in self.pending_requests.remove_expired(now):
             self._execute(Refused(request, Reason.NO_PLACE, RETRY_AFTER))
         for demand in self.pending_requests.demands():
-            if round_.is_being_loaded(demand):
-                continue
             for request in list(demand.by_id.values()):
                 if now < request.give_up_at:
                     continue
+                best = self._best_serving(request)
+                if best is None and round_.is_being_loaded(demand):
+                    continue
                 self.pending_requests.remove(request.id)
-                self._execute(Refused(request, Reason.NO_PLACE, RETRY_AFTER))
+                if best is not None:
+                    self._send_to(best, request)
+                else:
+                    self._execute(Refused(request, Reason.NO_PLACE, RETRY_AFTER))
 
     def _time_out_order(self, engine: Engine, now: timedelta) -> None:
         """Treat an order without an answer after the timeout as unresolved."""
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -143,6 +143,24 @@
         fill(world, "one", BATCH)
         self.assertEqual(world.place_request(1)[1], "one")
 
+    def test_a_request_does_not_wait_for_an_engine_that_does_not_answer(self) -> None:
+        # A request that was queued for a load was refused at its deadline, although
+        # the engine that serves its adapter had been idle for seconds.
+        world = SchedulerWorld({"one": [1], "two": []}, batch=BATCH)
+        streams = [world.place_request(1, 10)[0] for _ in range(BATCH)]
+        world.clock.advance(FIRST_EVENT)
+        for request_id in streams:
+            world.scheduler.record_first_token("one", request_id)
+        queued = world.submit(1, 10)
+        self.assertNotIn(queued, world.placed())
+        [order] = world.plan()
+        self.assertEqual(order.upstream, "two")
+        for request_id in streams:
+            world.scheduler.record_end("one", request_id, RequestOutcome.SUCCEEDED)
+        for _ in range(210):
+            world.plan()
+        self.assertEqual(world.placed().get(queued), "one")
+
     def test_the_batch_follows_the_settings(self) -> None:
         # A changed batch took effect only for engines that were added later.
         world = SchedulerWorld({"one": [1]}, batch=BATCH)
