--- a/packages/ashhoist/src/ashhoist/placement/batch.py
+++ b/packages/ashhoist/src/ashhoist/placement/batch.py
@@ -22,6 +22,8 @@
 NEARLY_FULL_PLACES = 8
 """A batch with fewer free places is nearly full. A busy adapter gets about as many
 requests while another copy of it is loaded."""
+LARGE_BATCH = 64
+"""Batches of this size or more count as unloaded until they are nearly full."""
 MAX_DELAY_COST = 1.0
 """Seconds. Lower than the cost of a failing engine, so that none is chosen to avoid
 making streams late."""
@@ -56,9 +58,14 @@
         """Return the expected time from the first event of a stream to its end."""
         return self._run_time
 
-    @property
-    def has_streams(self) -> bool:
-        """Return whether streams run whose allowed pause is known."""
+    def has_streams_to_delay(self, inflight: int) -> bool:
+        """Return whether a prefill costs the streams that run.
+
+        Their allowed pause must be known. In a large batch, they do not count until it
+        is nearly full.
+        """
+        if self.size >= LARGE_BATCH and inflight <= self._uncrowded:
+            return False
         return bool(self._streams_by_gap)
 
     # Running streams
--- a/packages/ashhoist/src/ashhoist/placement/batch_load.py
+++ b/packages/ashhoist/src/ashhoist/placement/batch_load.py
@@ -5,14 +5,13 @@
 
 from ..adapter import Adapter
 from .adapter_index import AdapterIndex
+from .batch import LARGE_BATCH
 from .engine import Engine
 from .popularity import HALF_LIFE, Popularity
 
 NEARLY_FULL = 0.75
 """At 16 streams and one second each, the last quarter fills in a quarter of a second:
 about the time that a load from the weight store takes."""
-LARGE_BATCH = 64
-"""Batches of this size or more count as unloaded until they are nearly full."""
 DEMAND_CACHE_TIME = timedelta(milliseconds=250)
 """Short compared to the half-life of `Popularity`."""
 
--- a/packages/ashhoist/src/ashhoist/placement/inflight_requests.py
+++ b/packages/ashhoist/src/ashhoist/placement/inflight_requests.py
@@ -125,8 +125,9 @@
         reserved_tokens : int
             Length of the prompts that are going to be sent before it.
         """
-        cost = self.batch.crowding_cost(len(self._by_id))
-        if not self.batch.has_streams:
+        inflight = len(self._by_id)
+        cost = self.batch.crowding_cost(inflight)
+        if not self.batch.has_streams_to_delay(inflight):
             return cost
         prefill = tokens * self.seconds_per_token
         queued = (self._queued_tokens + reserved_tokens) * self.seconds_per_token
--- a/packages/ashhoist/src/ashhoist/placement/replication.py
+++ b/packages/ashhoist/src/ashhoist/placement/replication.py
@@ -13,8 +13,8 @@
 from ..adapter import Adapter
 from ..orders.order import OrderKind
 from .adapter_index import AdapterIndex
+from .batch import LARGE_BATCH
 from .batch_load import (
-    LARGE_BATCH,
     NEARLY_FULL,
     BatchLoad,
     has_batch,
