Placement: streams reported to a new leader free their places one by one

They seemed to have begun together when they were reported. For up to 1.5 s after a change of the leader, requests for full engines were queued for loads.

--- a/packages/ashhoist/src/ashhoist/placement/batch.py
+++ b/packages/ashhoist/src/ashhoist/placement/batch.py
@@ -70,7 +70,7 @@
 
     # Running streams
 
-    def start(self, request_id: str, gap_ms: int, now: timedelta) -> None:
+    def start(self, request_id: str, gap_ms: int, started_at: timedelta) -> None:
         """Record the first event of a request.
 
         Parameters
@@ -78,7 +78,7 @@
         gap_ms : int
             The longest pause between two events that is still on time; 0 if unknown.
         """
-        self._started_at[request_id] = now
+        self._started_at[request_id] = started_at
         if gap_ms > 0:
             self._streams_by_gap[gap_ms] += 1
 
--- a/packages/ashhoist/src/ashhoist/placement/inflight_requests.py
+++ b/packages/ashhoist/src/ashhoist/placement/inflight_requests.py
@@ -185,7 +185,9 @@
         request.started = True
         del self._awaiting_first_token[request_id]
         self._queued_tokens -= request.tokens
-        self.batch.start(request_id, request.gap_ms, now)
+        # Of streams that began at unknown times, some are about to end.
+        started_at = now if observed else now - self.batch.run_time
+        self.batch.start(request_id, request.gap_ms, started_at)
         request.run_time_known = observed
         # With a full batch, the wait for a place says nothing about the prefill speed.
         if not observed or request.waited_for_place:
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -298,6 +298,17 @@
         self.assertEqual(engine.inflight.latency_factor, 1.0)
         self.assertEqual(engine.inflight.batch.run_time, DEFAULT_RUN_TIME)
 
+    def test_reported_uses_do_not_all_end_late(self) -> None:
+        # Streams that were reported to a new leader seemed to have begun together, so
+        # the next request for each adapter of a full engine was queued for a load.
+        world = SchedulerWorld({"one": [1], "two": []}, batch=BATCH)
+        scheduling = self.scheduling(world)
+        ids = [f"u{number}" for number in range(BATCH)]
+        began = [[use_id, "one", MODEL, "a1", 10] for use_id in ids]
+        started = [[use_id, "one"] for use_id in ids]
+        scheduling.used("instance", EngineUses(began, started, []))
+        self.assertEqual(world.place_request(1, TOKENS)[1], "one")
+
     def test_a_new_leader_learns_from_later_requests(self) -> None:
         # What was learnt is not handed over, so the first ends must count.
         world = SchedulerWorld({"one": [1]}, batch=BATCH)
