Placement: load a copy into the slot that was emptied for it

Loads for queued requests were planned first and took the slot, so that the adapter was evicted for nothing and the copy began anew elsewhere.

--- a/packages/ashhoist/src/ashhoist/placement/replication.py
+++ b/packages/ashhoist/src/ashhoist/placement/replication.py
@@ -163,10 +163,20 @@
         self._under_way: dict[tuple[str, Adapter], AdapterCopy] = {}
         self._next_plan_at = timedelta()
 
+    def continue_copies(self, open_zones: set[str], now: timedelta) -> ReplicationPlan:
+        """Load the copies whose slot is free now, and drop those that have ended.
+
+        Called before loads for queued requests are planned. Otherwise these would take
+        the slots that were emptied for copies.
+        """
+        plan = ReplicationPlan()
+        self._continue_copies(plan, open_zones, now)
+        return plan
+
     def plan(
         self, open_zones: set[str], may_load_cold: bool, now: timedelta
     ) -> ReplicationPlan:
-        """Return the orders that are due for copies.
+        """Return the orders that begin further copies.
 
         Parameters
         ----------
@@ -184,7 +194,6 @@
             for engine in self._engines.values()
             if self._is_busy(engine, now)
         }
-        self._continue_copies(plan, busy, open_zones, now)
         if busy and len(self._under_way) < MAX_COPIES_UNDER_WAY and self._has_room():
             self._start_copies(plan, busy, open_zones, may_load_cold, now)
         return plan
@@ -251,13 +260,8 @@
     # Copies under way
 
     def _continue_copies(
-        self,
-        plan: ReplicationPlan,
-        busy: dict[str, Engine],
-        open_zones: set[str],
-        now: timedelta,
+        self, plan: ReplicationPlan, open_zones: set[str], now: timedelta
     ) -> None:
-        """Load the copies whose slot is free now, and drop those that have ended."""
         for key, copy in list(self._under_way.items()):
             engine = copy.engine
             if self._engines.get(engine.id) is not engine:
@@ -272,7 +276,7 @@
                 result = CopyResult.ABANDONED
             elif not engine.can_order(now) or engine.upstream.zone not in open_zones:
                 continue
-            elif engine.free_slots > 0 and self._is_needed(copy, busy):
+            elif engine.free_slots > 0 and self._is_needed(copy, now):
                 plan.orders.append(CopyOrder(copy))
                 continue
             else:
@@ -288,9 +292,9 @@
             slot.state is SlotState.UNLOADING for slot in engine.adapter_slots.values()
         )
 
-    def _is_needed(self, copy: AdapterCopy, busy: dict[str, Engine]) -> bool:
+    def _is_needed(self, copy: AdapterCopy, now: timedelta) -> bool:
         serving = self._serving(copy.service, copy.adapter)
-        return all(engine.id in busy for engine in serving)
+        return all(self._is_busy(engine, now) for engine in serving)
 
     def _relieved_engines(self) -> set[str]:
         """Return the busy engines that get less work once a copy is loaded."""
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -35,7 +35,7 @@
 from .permits import EnginePermits
 from .planning_round import PlanningRound, find_slot
 from .popularity import Popularity
-from .replication import CopyOrder, Replication
+from .replication import CopyOrder, Replication, ReplicationPlan
 from .residency import Residency
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -504,11 +504,14 @@
             self._orders.follow_up(engine, open_zones, now)
         self._load_models(open_zones)
         self._cold_loads.begin_round(self.engines.values(), now)
+        self._order_copies(self._replication.continue_copies(open_zones, now), now)
         if len(self.pending_requests):
             self._load_for_requests(open_zones, now)
         else:
             self._held_back.clear()
-        self._replicate(open_zones, now)
+        may_load_cold = not self._cold_loads.is_reached
+        plan = self._replication.plan(open_zones, may_load_cold, now)
+        self._order_copies(plan, now)
 
     def _load_for_requests(self, open_zones: set[str], now: timedelta) -> None:
         """Load the adapters that requests wait for, the most valuable first."""
@@ -535,10 +538,8 @@
         for demand in sorted(demands, key=round_.value_per_second, reverse=True):
             self._load_adapter(round_, demand, now)
 
-    def _replicate(self, open_zones: set[str], now: timedelta) -> None:
+    def _order_copies(self, plan: ReplicationPlan, now: timedelta) -> None:
         """Send the orders for further copies of busy adapters."""
-        may_load_cold = not self._cold_loads.is_reached
-        plan = self._replication.plan(open_zones, may_load_cold, now)
         for copy, result in plan.changes:
             self._metrics.count("copies", result)
             self._log.info(
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -181,6 +181,17 @@
         world.answer_order(unload, OrderAnswer.ALREADY_DONE)
         self.assertEqual(loads(plan_for(world, 0.2), 1), ["two"])
 
+    def test_the_slot_is_kept_for_the_copy_that_it_was_emptied_for(self) -> None:
+        # Guards against evictions for copies whose slot a queued request then takes.
+        world = self.world([2, 3])
+        run_streams(world, 3, 1)
+        run_streams(world, 1, NEARLY_FULL)
+        [unload] = plan_for(world, 0.2)
+        world.submit(5, SHORT)
+        world.answer_order(unload, OrderAnswer.ALREADY_DONE)
+        orders = [order for order in world.plan() if order.upstream == "two"]
+        self.assertEqual(loads(orders, 1), ["two"])
+
     def test_a_copy_never_evicts_an_adapter_in_use(self) -> None:
         # Guards against an unload under running streams.
         world = self.world([2, 3])
