--- a/packages/ashhoist/src/ashhoist/placement/replication.py
+++ b/packages/ashhoist/src/ashhoist/placement/replication.py
@@ -53,6 +53,10 @@
 MAX_COPIES_UNDER_WAY = 2
 """Leaves most of the loads that the weight store allows to requests that have no engine
 at all."""
+MAX_ADAPTERS_TRIED = 32
+"""For so many adapters, those in most demand, an engine is looked for at a time. The
+others would have to evict adapters in even less demand, and hundreds of busy engines
+serve thousands of adapters."""
 MAX_COPY_TIME = timedelta(seconds=3)
 """After this time a copy counts as abandoned, and another engine may get one."""
 
@@ -127,8 +131,28 @@
     @property
     def gain(self) -> float:
         """Return the value that one more copy brings."""
-        requests = requests_per_second(self.share) * COPY_LIFETIME.total_seconds()
-        return requests * REQUEST_BENEFIT
+        return _gain(self.share)
+
+
+@dataclass(frozen=True, slots=True)
+class _SpareEngine:
+    """An engine with spare capacity, and what does not depend on the adapter.
+
+    Parameters
+    ----------
+    evicted_count : float
+        The request count of the adapter that the slot evicts; 0 if it is free.
+    streams : float
+        Streams that the adapters already there bring on average.
+    cost : float
+        The cost of a copy there, without that of a load from the weight store.
+    """
+
+    engine: Engine
+    slot: AvailableSlot
+    evicted_count: float
+    streams: float
+    cost: float
 
 
 class Replication:
@@ -207,17 +231,32 @@
         now: timedelta,
     ) -> None:
         """Start copies of the adapters in most demand; one for each busy engine."""
+        spare = list(self._spare_engines(open_zones, now))
+        if not spare:
+            return
+        models = {
+            (entry.engine.upstream.service, model)
+            for entry in spare
+            for model in entry.engine.models
+        }
         relieved = self._relieved_engines()
         adapters = list(self._busy_adapters(busy, now))
         adapters.sort(key=lambda found: (-found.share, found.service, found.adapter))
+        tried = 0
         for found in adapters:
             if len(self._under_way) >= MAX_COPIES_UNDER_WAY:
                 break
+            if tried >= MAX_ADAPTERS_TRIED:
+                break
+            if (found.service, found.adapter.model) not in models:
+                continue
             if relieved.intersection(engine.id for engine in found.serving):
                 continue
-            order = self._start(found, open_zones, may_load_cold, now)
+            tried += 1
+            order = self._start(found, spare, may_load_cold, now)
             if order is None:
                 continue
+            spare = [entry for entry in spare if entry.engine is not order.copy.engine]
             plan.orders.append(order)
             plan.changes.append((order.copy, CopyResult.STARTED))
             relieved.update(engine.id for engine in found.serving)
@@ -244,17 +283,11 @@
     def _has_room(self) -> bool:
         return any(_has_spare_places(engine) for engine in self._engines.values())
 
-    def _has_spare_capacity(
-        self, engine: Engine, found: _BusyAdapter, now: timedelta
-    ) -> bool:
+    def _has_spare_capacity(self, engine: Engine, now: timedelta) -> bool:
         if not _has_spare_places(engine):
             return False
         if self._queued_prefill(engine, now) > self._allowed_pause / 2:
             return False
-        streams = self._load.demanded_streams(engine, now)
-        streams += self._load.streams_of_count(engine, found.share)
-        if streams > engine.batch * NEARLY_FULL:
-            return False
         return self._first_token_wait(engine, 0) <= MAX_SPARE_WAIT
 
     # Copies under way
@@ -325,6 +358,10 @@
                 if slot.state is not SlotState.SERVING or key in seen:
                     continue
                 seen.add(key)
+                count = self._popularity.rate(slot.adapter)
+                # At least one engine serves it, so that a copy takes half at most.
+                if _gain(count / 2) < MIN_GAIN:
+                    continue
                 if key in loading or key in self._under_way:
                     continue
                 serving = self._serving(*key)
@@ -333,7 +370,7 @@
                 version = max(
                     other.adapter_slots[slot.adapter].version for other in serving
                 )
-                share = self._popularity.rate(slot.adapter) / (len(serving) + 1)
+                share = count / (len(serving) + 1)
                 found = _BusyAdapter(*key, version, tuple(serving), share)
                 if found.gain >= MIN_GAIN:
                     yield found
@@ -360,16 +397,15 @@
     def _start(
         self,
         found: _BusyAdapter,
-        open_zones: set[str],
+        spare: Iterable[_SpareEngine],
         may_load_cold: bool,
         now: timedelta,
     ) -> CopyOrder | None:
         """Return the order that begins a copy, if a copy pays for itself somewhere."""
-        candidates = self._engines_for_copy(found, open_zones, now)
-        best = self._cheapest(candidates, found, may_load_cold, now)
+        best = self._cheapest(spare, found, may_load_cold)
         if best is None:
             return None
-        engine, slot = best
+        engine = best.engine
         copy = AdapterCopy(
             found.service,
             found.adapter,
@@ -380,60 +416,68 @@
             len(found.serving),
         )
         self._under_way[found.service, found.adapter] = copy
-        return CopyOrder(copy, slot.evict)
+        return CopyOrder(copy, best.slot.evict)
 
-    def _engines_for_copy(
-        self, found: _BusyAdapter, open_zones: set[str], now: timedelta
-    ) -> Iterator[Engine]:
+    def _spare_engines(
+        self, open_zones: set[str], now: timedelta
+    ) -> Iterator[_SpareEngine]:
+        """Yield the engines that can take a copy of some adapter."""
         targets = {copy.engine.id for copy in self._under_way.values()}
         for engine in self._engines.values():
-            if engine.upstream.service != found.service:
-                continue
-            if found.adapter in engine.adapter_slots or engine.id in targets:
+            if engine.id in targets or not self._has_spare_capacity(engine, now):
                 continue
             if engine.upstream.zone not in open_zones or not engine.can_order(now):
                 continue
-            if found.adapter.model not in engine.models:
-                continue
             if engine.loading_count >= MAX_CONCURRENT_LOADS:
                 continue
-            if self._has_spare_capacity(engine, found, now):
-                yield engine
-
-    def _cheapest(
-        self,
-        candidates: Iterable[Engine],
-        found: _BusyAdapter,
-        may_load_cold: bool,
-        now: timedelta,
-    ) -> tuple[Engine, AvailableSlot] | None:
-        best: tuple[Engine, AvailableSlot] | None = None
-        min_cost = (math.inf, "")
-        for engine in candidates:
-            cold = not engine.has_copy(found.adapter, found.version)
-            if cold and (not may_load_cold or found.gain < COLD_LOAD_PRICE):
-                continue
-            slot = self._slot_for_copy(engine, found, now)
+            slot = find_spare_slot(engine, self._popularity, now)
             if slot is None:
                 continue
+            evicted = 0.0 if slot.evict is None else self._popularity.rate(slot.evict)
             cost = self._first_token_wait(engine, 0).total_seconds()
             cost += self._load.fill(engine, now) * BATCH_COST
-            if cold:
+            streams = self._load.demanded_streams(engine, now)
+            yield _SpareEngine(engine, slot, evicted, streams, cost)
+
+    def _cheapest(
+        self, spare: Iterable[_SpareEngine], found: _BusyAdapter, may_load_cold: bool
+    ) -> _SpareEngine | None:
+        best: _SpareEngine | None = None
+        min_cost = (math.inf, "")
+        for entry in spare:
+            engine = entry.engine
+            if not self._is_suitable(entry, found):
+                continue
+            cost = entry.cost
+            if not engine.has_copy(found.adapter, found.version):
+                if not may_load_cold or found.gain < COLD_LOAD_PRICE:
+                    continue
                 cost += COLD_COST
             if (cost, engine.id) < min_cost:
-                best, min_cost = (engine, slot), (cost, engine.id)
+                best, min_cost = entry, (cost, engine.id)
         return best
 
-    def _slot_for_copy(
-        self, engine: Engine, found: _BusyAdapter, now: timedelta
-    ) -> AvailableSlot | None:
-        """Return a free slot, or that of an unused adapter in much less demand."""
-        slot = find_spare_slot(engine, self._popularity, now)
-        if slot is None or slot.evict is None:
-            return slot
-        if self._popularity.rate(slot.evict) * EVICTION_MARGIN > found.share:
-            return None
-        return slot
+    def _is_suitable(self, entry: _SpareEngine, found: _BusyAdapter) -> bool:
+        """Return whether an engine can take a copy without becoming busy itself.
+
+        The adapter that it evicts must be in much less demand.
+        """
+        engine = entry.engine
+        if engine.upstream.service != found.service:
+            return False
+        if found.adapter in engine.adapter_slots:
+            return False
+        if found.adapter.model not in engine.models:
+            return False
+        if entry.evicted_count * EVICTION_MARGIN > found.share:
+            return False
+        streams = entry.streams + self._load.streams_of_count(engine, found.share)
+        return streams <= engine.batch * NEARLY_FULL
+
+
+def _gain(share: float) -> float:
+    """Return the value of a copy that takes this part of a request count."""
+    return requests_per_second(share) * COPY_LIFETIME.total_seconds() * REQUEST_BENEFIT
 
 
 def _has_spare_places(engine: Engine) -> bool:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -2,14 +2,17 @@
 
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from ashhoist import logs
 from ashhoist.metrics import Metrics
 from ashhoist.orders import EngineReport, Order, OrderAnswer, OrderKind
+from ashhoist.placement import replication
 from ashhoist.placement.actions import FetchReport
 from ashhoist.placement.inflight_requests import BASE_LATENCY
 from ashhoist.placement.messages import RequestOutcome
 from ashhoist.placement.permits import NoLimits
+from ashhoist.placement.planning_round import find_spare_slot
 from ashhoist.placement.replication import MAX_COPIES_UNDER_WAY, MAX_COPY_TIME
 from ashhoist.placement.scheduler import Scheduler
 
@@ -342,6 +345,23 @@
             chosen.add(tuple((item.upstream, item.adapter) for item in orders))
         self.assertEqual(len(chosen), 1)
 
+    def test_engines_are_examined_once_for_all_busy_adapters(self) -> None:
+        # Guards against a leader that visits each engine for each of thousands of busy
+        # adapters, which took seconds with 610 engines.
+        served = {f"busy{number}": [number] for number in range(20)}
+        served.update({f"spare{number}": [100 + number] for number in range(5)})
+        world = SchedulerWorld(served, capacity=1, batch=BATCH)
+        for number in range(100, 105):
+            end_streams(world, run_streams(world, number, 8))
+        for number in range(20):
+            run_streams(world, number, NEARLY_FULL)
+        with mock.patch.object(
+            replication, "find_spare_slot", wraps=find_spare_slot
+        ) as examined:
+            orders = world.plan()
+        self.assertEqual(orders, [])
+        self.assertEqual(examined.call_count, 5)
+
     def test_copies_are_planned_seldom(self) -> None:
         # Guards against a leader that visits 610 engines in each round.
         world = SchedulerWorld({"one": [1], "two": []}, batch=BATCH)
