--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -399,7 +399,7 @@
         slot.used_at = now
         self._update_load_time(duration, slot.cold)
         self._record_copy(slot.adapter, slot.version)
-        return EngineUpdate(slot.adapter, duration, slot.cold, True)
+        return EngineUpdate(slot.adapter, duration, slot.cold, serving_changed=True)
 
     def _update_load_time(self, duration: timedelta, cold: bool) -> None:
         duration = min(duration, MAX_LOAD_TIME)
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -34,7 +34,7 @@
 from .permits import EnginePermits
 from .planning_round import PlanningRound, find_slot
 from .popularity import Popularity
-from .replication import CopyOrder, Replication
+from .replication import CopyOrder, Replication, ReplicationPlan
 from .residency import Residency
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -336,11 +336,10 @@
         best = self._best_serving(request)
         if best is None:
             return None
-        wait = self._first_token_wait(best, request.tokens)
+        wait = self._expected_wait(best, request.tokens)
         if wait <= ACCEPTABLE_WAIT:
             return best
-        wait_with_load = self._first_token_wait_with_load(request)
-        if wait_with_load is not None and wait_with_load + MIN_LOAD_BENEFIT < wait:
+        if self._is_sooner_with_load(request, wait - MIN_LOAD_BENEFIT):
             return None
         return best
 
@@ -382,14 +381,20 @@
         ]
 
     def _first_token_wait(self, engine: Engine, tokens: int) -> timedelta:
+        """Return the expected wait for a first token, and the cost to other requests.
+
+        Engines are compared by it; see `_expected_wait` for what is included.
+        """
+        cost = engine.inflight.cost_to_others(tokens, engine.reserved_tokens)
+        return self._expected_wait(engine, tokens) + cost
+
+    def _expected_wait(self, engine: Engine, tokens: int) -> timedelta:
         """Return the expected wait for a first token.
 
-        Includes the wait for a permit, the cost to other requests, and penalties for an
-        engine that fails.
+        Includes the wait for a permit and penalties for an engine that fails.
         """
         now = self._clock.monotonic()
         wait = engine.inflight.time_to_first_token(tokens + engine.reserved_tokens, now)
-        wait += engine.inflight.cost_to_others(tokens, engine.reserved_tokens)
         wait += self._limited.permit_wait(engine)
         wait += FAILURE_COST * self._health.share_failing(engine.id)
         if not self._health.usable(engine.id):
@@ -404,10 +409,13 @@
             and engine.id not in request.tried
         ]
 
-    def _first_token_wait_with_load(self, request: PendingRequest) -> timedelta | None:
-        """Return the shortest wait at an engine that does not serve the adapter yet."""
+    def _is_sooner_with_load(self, request: PendingRequest, wait: timedelta) -> bool:
+        """Return whether the wait is shorter where the adapter is not served yet.
+
+        Stops at the first such engine: with hundreds of engines, a visit of all of them
+        takes milliseconds for each request.
+        """
         now = self._clock.monotonic()
-        shortest: timedelta | None = None
         for engine in self._engines_for(request):
             if engine.serves(request.adapter, request.oldest_version):
                 continue
@@ -420,10 +428,9 @@
                 )
             else:
                 continue
-            wait = load_time + self._first_token_wait(engine, request.tokens)
-            if shortest is None or wait < shortest:
-                shortest = wait
-        return shortest
+            if load_time + self._expected_wait(engine, request.tokens) < wait:
+                return True
+        return False
 
     def log_state(self) -> None:
         """Log the state of the engines and the number of queued requests."""
@@ -480,9 +487,11 @@
             self._time_out_order(engine, now)
             self._orders.follow_up(engine, open_zones, now)
         self._load_models(open_zones)
+        self._order_copies(self._replication.continue_copies(open_zones, now), now)
         if len(self.pending_requests):
             self._load_for_requests(open_zones, now)
-        self._replicate(open_zones, now)
+        plan = self._replication.plan(open_zones, now)
+        self._order_copies(plan, now)
 
     def _load_for_requests(self, open_zones: set[str], now: timedelta) -> None:
         """Load the adapters that requests wait for, the most valuable first."""
@@ -505,9 +514,8 @@
         for demand in sorted(demands, key=round_.value_per_second, reverse=True):
             self._load_adapter(round_, demand, now)
 
-    def _replicate(self, open_zones: set[str], now: timedelta) -> None:
+    def _order_copies(self, plan: ReplicationPlan, now: timedelta) -> None:
         """Send the orders for further copies of busy adapters."""
-        plan = self._replication.plan(open_zones, now)
         for copy, result in plan.changes:
             self._metrics.count("copies", result)
             self._log.info(
@@ -536,18 +544,24 @@
     def _refuse_overdue(self, round_: PlanningRound, now: timedelta) -> None:
         """Refuse requests past their deadline or their give-up time.
 
-        The give-up time does not apply while the adapter is being loaded.
+        At its give-up time, a request is sent to an engine that serves its adapter if
+        there is one. Otherwise the time does not apply while the adapter is being
+        loaded.
         """
         for request in self.pending_requests.remove_expired(now):
             self._execute(Refused(request, Reason.NO_PLACE, RETRY_AFTER))
         for demand in self.pending_requests.demands():
-            if round_.is_being_loaded(demand):
-                continue
             for request in list(demand.by_id.values()):
                 if now < request.give_up_at:
                     continue
+                best = self._best_serving(request)
+                if best is None and round_.is_being_loaded(demand):
+                    continue
                 self.pending_requests.remove(request.id)
-                self._execute(Refused(request, Reason.NO_PLACE, RETRY_AFTER))
+                if best is not None:
+                    self._send_to(best, request)
+                else:
+                    self._execute(Refused(request, Reason.NO_PLACE, RETRY_AFTER))
 
     def _time_out_order(self, engine: Engine, now: timedelta) -> None:
         """Treat an order without an answer after the timeout as unresolved."""
