--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -24,6 +24,7 @@
     ServedAdaptersChanged,
 )
 from .adapter_index import AdapterIndex
+from .batch_load import BatchLoad
 from .engine import Engine, EngineUpdate, SlotState
 from .engine_orders import EngineOrders
 from .limited_engines import LimitedEngines
@@ -33,6 +34,7 @@
 from .permits import EnginePermits
 from .planning_round import PlanningRound, find_slot
 from .popularity import Popularity
+from .replication import CopyOrder, Replication, ReplicationPlan
 from .residency import Residency
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -106,6 +108,14 @@
             self._send_to,
         )
         self.popularity = Popularity(clock)
+        self._batch_load = BatchLoad(self.popularity, self._index)
+        self._replication = Replication(
+            self.engines,
+            self._index,
+            self.popularity,
+            self._batch_load,
+            self._first_token_wait,
+        )
 
     @property
     def busy(self) -> bool:
@@ -142,18 +152,21 @@
             del self.engines[engine.id]
             self._index.remove_engine(engine)
             self._health.forget(engine.id)
+            self._batch_load.forget(engine.id)
             if engine.id in incarnation_by_id:
                 # It was restarted: it holds nothing until it reports.
                 self._residency.forget(engine.id)
                 self._execute(ServedAdaptersChanged(engine.id, {}))
         for upstream in found:
             known = self.engines.get(upstream.id)
+            batch = settings[upstream.service].batch
             if known is not None:
                 known.upstream = upstream
+                known.batch = batch
             else:
                 capacity = settings[upstream.service].adapter_slot_count
                 copies = self._residency.copies(upstream.id)
-                engine = Engine(upstream, capacity, copies, self._index)
+                engine = Engine(upstream, capacity, copies, self._index, batch=batch)
                 served = self._residency.served_by(upstream.id)
                 engine.assume_serving(served, self._clock.monotonic())
                 self.engines[upstream.id] = engine
@@ -185,11 +198,20 @@
         engine.inflight.add(request_id, instance, send.adapter, send.tokens, now)
         engine.touch(send.adapter, now)
 
-    def record_first_token(self, upstream: str, request_id: str) -> None:
-        """Record that a request has received its first token."""
+    def record_first_token(
+        self, upstream: str, request_id: str, observed: bool = True
+    ) -> None:
+        """Record that a request has received its first token.
+
+        Parameters
+        ----------
+        observed : bool
+            False if it was received at an unknown time before.
+        """
         engine = self.engines.get(upstream)
         if engine is not None:
-            engine.inflight.record_first_token(request_id, self._clock.monotonic())
+            now = self._clock.monotonic()
+            engine.inflight.record_first_token(request_id, now, observed)
 
     def record_end(
         self, upstream: str, request_id: str, outcome: RequestOutcome
@@ -202,9 +224,13 @@
             self._health.answered(upstream)
         elif outcome is not RequestOutcome.UNKNOWN:
             self._health.failed(upstream, outcome is RequestOutcome.UNREACHABLE)
-        adapter = engine.inflight.remove(request_id)
+        now = self._clock.monotonic()
+        if outcome is RequestOutcome.SUCCEEDED:
+            adapter = engine.inflight.complete(request_id, now)
+        else:
+            adapter = engine.inflight.remove(request_id)
         if adapter is not None:
-            engine.touch(adapter, self._clock.monotonic())
+            engine.touch(adapter, now)
 
     def remove_instance(self, instance: str) -> None:
         """Remove the queued and running requests of an unreachable instance."""
@@ -253,6 +279,7 @@
 
     def _apply(self, engine: Engine, update: EngineUpdate) -> None:
         self._has_changes = True
+        self._batch_load.forget(engine.id)
         if update.serving_changed:
             self._execute(ServedAdaptersChanged(engine.id, engine.served_adapters()))
         if update.loaded is not None:
@@ -288,13 +315,16 @@
             engine.id
         )
         version = engine.served_adapters()[request.adapter]
-        expected = engine.inflight.time_to_first_token(request.tokens, now)
-        engine.inflight.add(
-            request.id, request.instance, request.adapter, request.tokens, now
+        expected = engine.inflight.add(
+            request.id,
+            request.instance,
+            request.adapter,
+            request.tokens,
+            now,
+            request.gap_ms,
         )
         engine.touch(request.adapter, now)
-        batch = self._settings[engine.upstream.service].batch
-        self._metrics.observe("batch_fill", len(engine.inflight) / max(batch, 1))
+        self._metrics.observe("batch_fill", len(engine.inflight) / max(engine.batch, 1))
         self._execute(Placed(request, engine.id, version, expected, permitted))
 
     def _engine_to_send_to(self, request: PendingRequest) -> Engine | None:
@@ -306,17 +336,17 @@
         best = self._best_serving(request)
         if best is None:
             return None
-        wait = self._first_token_wait(best, request.tokens)
+        wait = self._expected_wait(best, request.tokens)
         if wait <= ACCEPTABLE_WAIT:
             return best
-        wait_with_load = self._first_token_wait_with_load(request)
-        if wait_with_load is not None and wait_with_load + MIN_LOAD_BENEFIT < wait:
+        if self._is_sooner_with_load(request, wait - MIN_LOAD_BENEFIT):
             return None
         return best
 
     def _best_serving(self, request: PendingRequest) -> Engine | None:
         """Return the engine with the earliest first token that serves the adapter.
 
+        Of equal ones, it is the one with the smallest share of its batch in use.
         Engines whose rate limit permits no request now are left out.
         """
         permitted = [
@@ -324,9 +354,14 @@
             for engine in self._engines_serving(request)
             if not self._permits.wait(engine.id)
         ]
+        if len(permitted) == 1:
+            return permitted[0]
         return min(
             permitted,
-            key=lambda engine: self._first_token_wait(engine, request.tokens),
+            key=lambda engine: (
+                self._first_token_wait(engine, request.tokens),
+                engine.batch_share,
+            ),
             default=None,
         )
 
@@ -346,6 +381,14 @@
         ]
 
     def _first_token_wait(self, engine: Engine, tokens: int) -> timedelta:
+        """Return the expected wait for a first token, and the cost to other requests.
+
+        Engines are compared by it; see `_expected_wait` for what is included.
+        """
+        cost = engine.inflight.cost_to_others(tokens, engine.reserved_tokens)
+        return self._expected_wait(engine, tokens) + cost
+
+    def _expected_wait(self, engine: Engine, tokens: int) -> timedelta:
         """Return the expected wait for a first token.
 
         Includes the wait for a permit and penalties for an engine that fails.
@@ -366,10 +409,13 @@
             and engine.id not in request.tried
         ]
 
-    def _first_token_wait_with_load(self, request: PendingRequest) -> timedelta | None:
-        """Return the shortest wait at an engine that does not serve the adapter yet."""
+    def _is_sooner_with_load(self, request: PendingRequest, wait: timedelta) -> bool:
+        """Return whether the wait is shorter where the adapter is not served yet.
+
+        Stops at the first such engine: with hundreds of engines, a visit of all of them
+        takes milliseconds for each request.
+        """
         now = self._clock.monotonic()
-        shortest: timedelta | None = None
         for engine in self._engines_for(request):
             if engine.serves(request.adapter, request.oldest_version):
                 continue
@@ -382,13 +428,13 @@
                 )
             else:
                 continue
-            wait = load_time + self._first_token_wait(engine, request.tokens)
-            if shortest is None or wait < shortest:
-                shortest = wait
-        return shortest
+            if load_time + self._expected_wait(engine, request.tokens) < wait:
+                return True
+        return False
 
     def log_state(self) -> None:
         """Log the state of the engines and the number of queued requests."""
+        now = self._clock.monotonic()
         for engine in self.engines.values():
             slots = engine.adapter_slots.values()
             self._log.info(
@@ -403,6 +449,9 @@
                 running=len(engine.inflight),
                 permit_ms=round(self._permits.wait(engine.id) / MILLISECOND),
                 pace=round(engine.inflight.latency_factor, 2),
+                batch=engine.batch,
+                run_ms=round(engine.inflight.batch.run_time / MILLISECOND),
+                place_ms=round(engine.inflight.wait_for_place(now) / MILLISECOND),
                 copies=len(engine.copies),
             )
         self._log.info(
@@ -434,11 +483,18 @@
         open_zones = self._find_open_zones()
         for engine in self.engines.values():
             engine.clear_reservations()
+            engine.inflight.remove_expired(now)
             self._time_out_order(engine, now)
             self._orders.follow_up(engine, open_zones, now)
         self._load_models(open_zones)
-        if not len(self.pending_requests):
-            return
+        self._order_copies(self._replication.continue_copies(open_zones, now), now)
+        if len(self.pending_requests):
+            self._load_for_requests(open_zones, now)
+        plan = self._replication.plan(open_zones, now)
+        self._order_copies(plan, now)
+
+    def _load_for_requests(self, open_zones: set[str], now: timedelta) -> None:
+        """Load the adapters that requests wait for, the most valuable first."""
         self._limited.begin_round(self.engines.values())
         round_ = PlanningRound(
             self.engines.values(),
@@ -449,6 +505,7 @@
             self._first_token_wait,
             self._limited.permit_wait,
             now,
+            self._batch_load,
         )
         self._refuse_overdue(round_, now)
         demands = [
@@ -457,6 +514,29 @@
         for demand in sorted(demands, key=round_.value_per_second, reverse=True):
             self._load_adapter(round_, demand, now)
 
+    def _order_copies(self, plan: ReplicationPlan, now: timedelta) -> None:
+        """Send the orders for further copies of busy adapters."""
+        for copy, result in plan.changes:
+            self._metrics.count("copies", result)
+            self._log.info(
+                "adapter copy",
+                result=result,
+                upstream=copy.engine.id,
+                adapter=str(copy.adapter),
+                cold=copy.cold,
+                served_by=copy.served_by,
+                took_ms=round((now - copy.started_at) / MILLISECOND),
+            )
+        for order in plan.orders:
+            self._order_copy(order)
+
+    def _order_copy(self, order: CopyOrder) -> None:
+        copy = order.copy
+        if order.evict is not None:
+            self._orders.unload(copy.engine, order.evict)
+        else:
+            self._orders.load(copy.engine, copy.adapter, copy.version)
+
     def _find_open_zones(self) -> set[str]:
         zones = {engine.upstream.zone for engine in self.engines.values()}
         return {zone for zone in zones if self._may_order(zone)}
@@ -464,18 +544,24 @@
     def _refuse_overdue(self, round_: PlanningRound, now: timedelta) -> None:
         """Refuse requests past their deadline or their give-up time.
 
-        The give-up time does not apply while the adapter is being loaded.
+        At its give-up time, a request is sent to an engine that serves its adapter if
+        there is one. Otherwise the time does not apply while the adapter is being
+        loaded.
         """
         for request in self.pending_requests.remove_expired(now):
             self._execute(Refused(request, Reason.NO_PLACE, RETRY_AFTER))
         for demand in self.pending_requests.demands():
-            if round_.is_being_loaded(demand):
-                continue
             for request in list(demand.by_id.values()):
                 if now < request.give_up_at:
                     continue
+                best = self._best_serving(request)
+                if best is None and round_.is_being_loaded(demand):
+                    continue
                 self.pending_requests.remove(request.id)
-                self._execute(Refused(request, Reason.NO_PLACE, RETRY_AFTER))
+                if best is not None:
+                    self._send_to(best, request)
+                else:
+                    self._execute(Refused(request, Reason.NO_PLACE, RETRY_AFTER))
 
     def _time_out_order(self, engine: Engine, now: timedelta) -> None:
         """Treat an order without an answer after the timeout as unresolved."""
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -14,6 +14,7 @@
 from ..failures import Reason
 from ..http import CallerConnection
 from ..loop import Steps, Wait
+from ..overload import AttemptOutcome
 from ..placement.messages import (
     FirstEventReceived,
     Lookup,
@@ -34,6 +35,7 @@
 from .waiting import wait_for
 from .worth import LATE_WORTH_SHARE, WorthEstimator
 
+MILLISECOND = timedelta(milliseconds=1)
 MAX_WAIT_SHARE = 0.42
 """Share of its remaining time that a request waits at most unless its adapter is being
 loaded already."""
@@ -110,7 +112,17 @@
         if call.adapter is not None:
             self._send(FirstEventReceived(call.use_id, target.upstream))
 
-    def on_attempt_ended(self, call: Call, target: Target, end: RequestOutcome) -> None:
+    def is_admitted_by_leader(self, call: Call) -> bool:
+        """Return False: requests to engines are placed, not admitted."""
+        return False
+
+    def on_attempt_ended(
+        self,
+        call: Call,
+        target: Target,
+        end: RequestOutcome,
+        outcome: AttemptOutcome | None,
+    ) -> None:
         """Record that an attempt has ended."""
         self._balancer.end(target.upstream)
         if call.adapter is not None:
@@ -241,4 +253,12 @@
             call.first_try and not call.sends,
             (*call.tried, *self._backoffs.backing_off()),
             answer,
+            gap_ms=_gap_ms(call),
         )
+
+
+def _gap_ms(call: Call) -> int:
+    """Return the longest pause that is on time; 0 if the answer is not a stream."""
+    if not call.route.streams:
+        return 0
+    return int(call.route.target_event_gap / MILLISECOND)
