Overload: do not count unknown ends as failures of an upstream

Callers that left made a contended upstream look failing, so that it got fewer requests. Its place stays taken for the usual service time, as it may still run the request.

--- a/packages/ashhoist/src/ashhoist/overload/upstream_loads.py
+++ b/packages/ashhoist/src/ashhoist/overload/upstream_loads.py
@@ -129,7 +129,10 @@
             load.limit.refused(load.in_flight, now)
             self._hold(grant)
         else:
-            self._health.failed(load.upstream.id)
+            # After an unknown end, such as that of a caller that left, the upstream may
+            # still run the request, but it has not failed.
+            if outcome is AttemptOutcome.FAILED:
+                self._health.failed(load.upstream.id)
             self._hold(grant)
         load.in_flight -= 1
         return grant.request
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -19,7 +19,7 @@
     Rejected,
     RequestKey,
 )
-from ashhoist.overload.concurrency import ConcurrencyLimit
+from ashhoist.overload.concurrency import DEFAULT_SERVICE_TIME, ConcurrencyLimit
 
 from .admission_world import (
     DEADLINE,
@@ -217,6 +217,14 @@
         counts = Counter(self.metrics._counts["reservations"])
         self.assertEqual(counts[("missed",)], counts[("made",)])
 
+    def test_callers_that_leave_do_not_make_an_upstream_look_failing(self) -> None:
+        # A contended upstream got fewer requests after impatient callers had left.
+        self.submit(1, 2)
+        for number in (1, 2):
+            self.end(number, AttemptOutcome.UNKNOWN)
+        self.clock.advance(DEFAULT_SERVICE_TIME)
+        self.assertEqual(self.admitted(self.submit(3, 4)), [3, 4])
+
     def test_a_refusal_after_a_grant_lowers_the_limit(self) -> None:
         # The refused place would be granted again at once, and refused again.
         self.submit(1, 2, 3)
