Overload: say in a rejection whether it has a reservation

The leader compared times to find out; a reservation due at the longest time that callers honour was taken for none, and its caller was told a later time.

--- a/packages/ashhoist/src/ashhoist/control/admissions.py
+++ b/packages/ashhoist/src/ashhoist/control/admissions.py
@@ -33,11 +33,9 @@
 NOTICE_INTERVAL = timedelta(milliseconds=500)
 MIN_STEP_INTERVAL = timedelta(milliseconds=1)
 """Shortest time between two steps on a timer, so that they don't take up a core."""
-RETURN_SHARE = 1 / 3
-"""The part of its time left up to which a caller honours `Retry-After`."""
 NO_RETURN_MARGIN = timedelta(milliseconds=20)
-"""Added to the longest such time for callers without a reservation. At twice the
-capacity, three in four of those that came back were refused again."""
+"""Added to the longest time that callers honour where there is no reservation. Those
+that came back without one would mostly be refused again."""
 DEFAULT_WEIGHT = 1.0
 MIN_WEIGHT = 0.001
 """Weight of a customer whose quota allows nothing: a fair queue divides by it."""
@@ -286,18 +284,18 @@
             grant = messages.AdmissionGrant(number, decision.upstream_id)
             self._send(instance, grant)
             return
-        wait_ms = math.ceil(self._retry_after(decision) / MILLISECOND)
+        wait_ms = math.ceil(_retry_after(decision) / MILLISECOND)
         self._send(instance, messages.AdmissionRefusal(number, max(wait_ms, 0)))
 
-    def _retry_after(self, rejected: Rejected) -> timedelta:
-        """Return when a caller is told to come back.
 
-        Without a reservation, it is told so late that it does not come back in vain.
-        """
-        left = rejected.request.deadline - self._clock.monotonic()
-        if rejected.retry_after < left * RETURN_SHARE:
-            return rejected.retry_after
-        return rejected.retry_after + NO_RETURN_MARGIN
+def _retry_after(rejected: Rejected) -> timedelta:
+    """Return when a caller is told to come back.
+
+    Without a reservation, it is told so late that it does not come back in vain.
+    """
+    if rejected.reserved:
+        return rejected.retry_after
+    return rejected.retry_after + NO_RETURN_MARGIN
 
 
 def _outcome(name: str) -> AttemptOutcome:
--- a/packages/ashhoist/src/ashhoist/overload/controller.py
+++ b/packages/ashhoist/src/ashhoist/overload/controller.py
@@ -219,8 +219,11 @@
 
     def _reject(self, request: AdmissionRequest, rank: Rank) -> None:
         self._contention.happened()
-        retry_after = self._retry_after(request, rank)
-        self._decisions.append(Rejected(request, retry_after))
+        now = self._clock.monotonic()
+        longest = max((request.deadline - now) * RETRY_SHARE, ZERO)
+        due = self._reserve(request, rank, now + longest)
+        retry_after = longest if due is None else due - now
+        self._decisions.append(Rejected(request, retry_after, due is not None))
         self._metrics.count("admissions", request.customer, "rejected")
 
     # Times
@@ -250,25 +253,25 @@
         ahead = self._queue.ahead(customer, rank, due)
         return _wait(ahead - free + 1, throughput)
 
-    def _retry_after(self, request: AdmissionRequest, rank: Rank) -> timedelta:
-        """Return when the caller should come back, with a reservation if possible."""
+    def _reserve(
+        self, request: AdmissionRequest, rank: Rank, latest: timedelta
+    ) -> timedelta | None:
+        """Reserve a time for the caller to come back; None if there is none."""
         now, throughput = self._clock.monotonic(), self._loads.throughput
-        longest = max((request.deadline - now) * RETRY_SHARE, ZERO)
         wait = self._wait(request, rank)
-        if not throughput or wait > longest:
-            return longest
+        if not throughput or now + wait > latest:
+            return None
         rate = self._rates.rate(request.customer, throughput) * RESERVED_SHARE
         due = self._reservations.reserve(
             request.customer,
             request.fingerprint,
             now + max(wait, MIN_RETRY_AFTER),
             timedelta(seconds=1 / rate),
-            now + longest,
+            latest,
         )
-        if due is None:
-            return longest
-        self._metrics.count("reservations", "made")
-        return due - now
+        if due is not None:
+            self._metrics.count("reservations", "made")
+        return due
 
 
 def _wait(missing: int, throughput: float) -> timedelta:
--- a/packages/ashhoist/src/ashhoist/overload/messages.py
+++ b/packages/ashhoist/src/ashhoist/overload/messages.py
@@ -56,10 +56,14 @@
     ----------
     retry_after : timedelta
         After what time its caller should come back.
+    reserved : bool
+        Whether capacity is reserved for the caller then. If not, `retry_after` is the
+        longest time that callers honour.
     """
 
     request: AdmissionRequest
     retry_after: timedelta
+    reserved: bool
 
 
 Decision = Admitted | Rejected
--- a/tests/admission_world.py
+++ b/tests/admission_world.py
@@ -190,7 +190,7 @@
         longest = (caller.deadline - now) / 3
         if decision.retry_after > longest or caller.returns == MAX_RETURNS:
             return
-        caller.promises += decision.retry_after < longest - MILLISECOND
+        caller.promises += decision.reserved
         caller.returns += 1
         self.after(decision.retry_after + NETWORK, lambda: self._submit(caller))
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -217,6 +217,14 @@
         counts = Counter(self.metrics._counts["reservations"])
         self.assertEqual(counts[("missed",)], counts[("made",)])
 
+    def test_rejections_say_whether_there_is_a_reservation(self) -> None:
+        # Callers with a reservation would be told a later time, and lose it.
+        rejected = self.rejected(self.submit(*range(60)))
+        made = Counter(self.metrics._counts["reservations"])[("made",)]
+        self.assertGreater(made, 0)
+        self.assertGreater(len(rejected), made)
+        self.assertEqual(sum(one.reserved for one in rejected), made)
+
     def test_callers_that_leave_do_not_make_an_upstream_look_failing(self) -> None:
         # A contended upstream got fewer requests after impatient callers had left.
         self.submit(1, 2)
