--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -99,6 +99,7 @@
             return self._responses.caller_left(caller)
         if charged is not None:
             return (yield from self._responses.refuse(call, caller, relay, charged))
+        answered: Answered | None = None
         while True:
             target = yield from chooser.choose(call, caller)
             if isinstance(target, CallerLeft):
@@ -106,6 +107,11 @@
             if isinstance(target, OutOfTime):
                 return (yield from self._responses.out_of_time(call, caller, relay))
             if isinstance(target, Refusal):
+                if answered is not None and target.reason is Reason.OVERLOADED:
+                    # The leader refuses the retry only; the request has run.
+                    return (
+                        yield from self._responses.finish(call, caller, relay, answered)
+                    )
                 self._log_overload(call, target)
                 return (yield from self._responses.refuse(call, caller, relay, target))
             refusal = self._send_refusal(call)
@@ -127,6 +133,8 @@
                 self._attempt_recorder.stream_completed(call, target)
                 return Ending(result.status, WHOLE)
             self._attempt_recorder.record(call, target, result)
+            if isinstance(result, Answered):
+                answered = result
             if self._should_retry(call, result, chooser):
                 continue
             return (yield from self._responses.finish(call, caller, relay, result))
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -381,6 +381,18 @@
         self.assertEqual(line["request"], "refused-one")
         self.assertEqual((line["customer"], line["retry_after_ms"]), ("", 420))
 
+    def test_the_answer_of_an_upstream_remains_if_its_retry_is_refused(self) -> None:
+        # Guards against a caller that is told to come back as its request has not run,
+        # though an upstream has run it and answered.
+        def fail(call: UpstreamCall) -> None:
+            harness.chooser.refusal = Refusal(Reason.OVERLOADED, SECOND)
+            call.respond(500, b"broken", response_headers(call))
+
+        harness = self.start(fail)
+        answer = harness.ask("/safe/")
+        self.assertEqual((answer.status, answer.body), (500, b"broken"))
+        self.assertNotIn("retry-after", answer.headers)
+
     def test_a_request_that_may_have_run_is_not_refused_as_not_run(self) -> None:
         # Guards against a second run by a caller that was told it has not run.
         def lose(call: UpstreamCall) -> None:
