Requests: give back grants in all cases, and send nothing after the deadline

A grant was kept until the deadline of a request that was broken off between its grant and its send. A request whose deadline passed while it waited for admission was still sent. A grant for an upstream that the request had been sent to, or that this instance must not send to, was used or asked for again at once.

--- a/packages/ashhoist/src/ashhoist/requests/admission_gate.py
+++ b/packages/ashhoist/src/ashhoist/requests/admission_gate.py
@@ -17,7 +17,7 @@
     SendQuery,
     ServiceOverloaded,
 )
-from .attempt import CallerLeft
+from .attempt import CallerLeft, OutOfTime
 from .call import Call
 from .waiting import wait_for
 
@@ -56,7 +56,7 @@
 
     def admit(
         self, call: Call, tried: frozenset[str], caller: CallerConnection
-    ) -> Steps[SendAnswer | CallerLeft]:
+    ) -> Steps[SendAnswer | CallerLeft | OutOfTime]:
         """Ask the leader about the next send of a call, and wait for its decision.
 
         Parameters
@@ -66,27 +66,33 @@
 
         Returns
         -------
-        SendAnswer or CallerLeft
+        SendAnswer, CallerLeft or OutOfTime
             None if there is no decision in time.
         """
         began = self._clock.monotonic()
         query = self._query(call, tried)
         call.sent_undecided = False
         self._send(query)
-        caller_left: CallerLeft | None = None
+        answer: SendAnswer = None
+        is_waiting = False
         try:
             caller_left = yield from self._wait(query, began, caller)
+            is_waiting = caller_left is None
         finally:
             call.admission_wait += self._clock.monotonic() - began
             if query.answer.cancel():
                 self._send(SendCancelled(query.number))
-        answer = None if query.answer.cancelled() else query.answer.result()
-        if isinstance(answer, SendGranted):
-            call.grant_number = query.number
+            else:
+                answer = query.answer.result()
+            if isinstance(answer, SendGranted):
+                call.grant_number = query.number
+            if not is_waiting:
+                self.give_back(call)
         if caller_left is not None:
-            self.give_back(call)
             return caller_left
         if answer is None:
+            if self._clock.monotonic() >= call.deadline:
+                return OutOfTime()
             call.sent_undecided = True
             self._metrics.count("undecided_sends", call.service)
         return answer
--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -8,7 +8,7 @@
 from ..overload import AttemptOutcome
 from ..overload.sends import SendGranted, SendRefused
 from ..placement.messages import Refusal, RequestOutcome, Target
-from ..upstreams import Balancer, Directory, Upstream
+from ..upstreams import NOT_GRANTED, Balancer, Directory, Permit, Upstream
 from .admission_gate import AdmissionGate
 from .attempt import CallerLeft, OutOfTime
 from .call import Call
@@ -82,19 +82,22 @@
                 return chosen
             limited = self._permits.is_limited(chosen.id)
             if limited:
-                permit = yield from self._permits.request_permit(chosen.id, caller)
+                permit: Permit | CallerLeft = NOT_GRANTED
+                try:
+                    permit = yield from self._permits.request_permit(chosen.id, caller)
+                finally:
+                    if isinstance(permit, CallerLeft) or not permit.granted:
+                        self._give_back(call)
                 if isinstance(permit, CallerLeft):
-                    self._give_back(call)
                     return permit
                 if not permit.granted:
-                    self._give_back(call)
                     continue
             self._balancer.begin(chosen.id)
             return Target(chosen.id, chosen.address, permitted=limited)
 
     def _next_upstream(
         self, call: Call, caller: CallerConnection
-    ) -> Steps[Upstream | Refusal | CallerLeft]:
+    ) -> Steps[Upstream | Refusal | CallerLeft | OutOfTime]:
         """Return the upstream that the leader grants, or else the least loaded one."""
         available = self._available(call) if self._is_admitted(call.service) else []
         if self._gate is None or not available:
@@ -103,15 +106,17 @@
         excluded = {one.id for one in known if one not in available}
         tried = frozenset(excluded | call.tried)
         answer = yield from self._gate.admit(call, tried, caller)
-        if isinstance(answer, CallerLeft):
+        if isinstance(answer, CallerLeft | OutOfTime):
             return answer
         if isinstance(answer, SendRefused):
             return Refusal(Reason.OVERLOADED, answer.retry_after)
         if isinstance(answer, SendGranted):
             granted = self._directory.view.by_id.get(answer.upstream_id)
-            if granted is not None:
+            if granted is not None and granted.id not in tried:
                 return granted
+            # The leader knows other upstreams than this instance.
             self._gate.give_back(call)
+            call.sent_undecided = True
         return self._least_loaded(call)
 
     def _is_admitted(self, service: str) -> bool:
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -30,7 +30,7 @@
     LATE_DECISION_TIMEOUT,
     AdmissionGate,
 )
-from ashhoist.requests.attempt import CallerLeft
+from ashhoist.requests.attempt import CallerLeft, OutOfTime
 from ashhoist.requests.authentication import Identity
 from ashhoist.requests.call import Call
 from ashhoist.requests.call_runner import MAX_REFUSED_SENDS
@@ -87,7 +87,7 @@
         )
         self.contended = True
         self.sent: list[Any] = []
-        self.permit = Permit(True)
+        self.permit: Permit | None = Permit(True)
         self.metrics = Metrics()
         self.gate = AdmissionGate(
             lambda service: self.contended and service == SERVICE,
@@ -102,7 +102,8 @@
 
     def _grant_permit(self, message: Any) -> None:
         assert isinstance(message, PermitRequest)
-        message.answer.set_result(self.permit)
+        if self.permit is not None:
+            message.answer.set_result(self.permit)
 
     def call(self, service: str = SERVICE) -> Call:
         now = self.clock.monotonic()
@@ -258,6 +259,50 @@
         steps.close()
         self.assertEqual(self.sent[-1], SendCancelled(self.query.number))
 
+    def test_a_grant_is_given_back_if_the_request_is_broken_off(self) -> None:
+        # Guards against a slot that is held until the deadline of a request that ended
+        # between its grant and its send.
+        steps = self.begin(self.call())
+        self.query.answer.set_result(SendGranted("one"))
+        steps.close()
+        self.assertEqual(self.sent[-1], SendCancelled(self.query.number))
+
+    def test_a_grant_is_given_back_if_the_wait_for_a_permit_is_broken_off(self) -> None:
+        # Guards against a slot that is held while nobody waits for its permit.
+        self.limits.take(StatedLimit("one", 1.0, SECOND, SECOND))
+        self.permit = None
+        steps = self.begin(self.call())
+        self.query.answer.set_result(SendGranted("one"))
+        self.assertIsNotNone(self.go_on(steps))
+        steps.close()
+        self.assertEqual(self.sent[-1], SendCancelled(self.query.number))
+
+    def test_a_request_is_not_sent_after_its_deadline(self) -> None:
+        # Guards against a request that runs after its caller has given up, and against
+        # an upstream that counts as unreachable as there is no time left to connect.
+        call = self.call()
+        steps = self.begin(call)
+        self.query.acknowledged.set_result(None)
+        self.clock.advance(ADMISSION_TIMEOUT)
+        self.assertIsNotNone(self.go_on(steps))
+        self.clock.advance(call.deadline - self.clock.monotonic())
+        self.assertIsNone(self.go_on(steps))
+        self.assertIsInstance(self.result, OutOfTime)
+        self.assertEqual(self.sent[-1], SendCancelled(self.query.number))
+        self.assertEqual(self.balancer.in_flight("one"), 0)
+        self.assertEqual(self.balancer.in_flight("two"), 0)
+
+    def test_a_grant_for_an_upstream_that_was_excluded_is_given_back(self) -> None:
+        # Guards against a request that is granted the same upstream again and again,
+        # and against a second send to an upstream that has refused it: the leader
+        # grants one that was tried if it knows no other.
+        call = self.call()
+        call.tried.add("one")
+        target = self.answered(call, SendGranted("one"))
+        self.assertEqual(target.upstream, "two")
+        self.assertIn(SendCancelled(self.query.number), self.sent)
+        self.assertFalse(self.chooser.is_admitted_by_leader(call))
+
     def test_a_grant_that_is_not_used_is_given_back(self) -> None:
         # Guards against slots lost to requests that are refused before the send.
         call = self.call()
