--- a/packages/ashhoist/src/ashhoist/control/admission_client.py
+++ b/packages/ashhoist/src/ashhoist/control/admission_client.py
@@ -70,6 +70,11 @@
         self._notice_epoch = -1
         self._leave_undecided(list(self._query_by_number.values()))
 
+    def instance_gone(self, instance: str) -> None:
+        """Handle the loss of a link; a leader removes what was asked over it."""
+        if instance == self._leader:
+            self._leave_undecided(list(self._query_by_number.values()))
+
     def is_contended(self, service: str) -> bool:
         """Return whether the leader has to be asked before a send to a service."""
         if not self._contended:
--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -384,6 +384,7 @@
         self._log.info("instance lost", peer=peer)
         self.scheduling.instance_gone(peer)
         self.admissions.instance_gone(peer)
+        self.admission_client.instance_gone(peer)
         self._heartbeats.forget(peer)
         self.quotas.forget(peer)
         self._elect()
--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -299,6 +299,23 @@
         world.overload(world.followers[0])
         self.assertEqual(len(world.contended_at()), 3)
 
+    def test_requests_do_not_wait_for_a_leader_whose_link_is_lost(self) -> None:
+        # Guards against requests that wait to the end of their target latency: the
+        # leader has removed them, and does not decide about them any more.
+        world = AdmissionInstances()
+        asker, other = world.followers
+        world.overload(asker)
+        world.fill(other, 2)
+        waiting = world.query(asker)
+        world.run(PROPAGATION_S)
+        self.assertEqual(world.answer(waiting), "waiting")
+        core = world.core(asker)
+        with mock.patch.object(core, "_elect"):
+            core.peer_down(other)
+            self.assertEqual(world.answer(waiting), "waiting")
+            core.peer_down(world.leader)
+        self.assertIsNone(world.answer(waiting))
+
     def test_without_a_leader_a_query_is_answered_at_once(self) -> None:
         # Guards against a wait for an answer that nobody will give.
         world = AdmissionInstances()
