--- a/packages/ashhoist/src/ashhoist/control/admissions.py
+++ b/packages/ashhoist/src/ashhoist/control/admissions.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(slots=True)
-class _Contention:
+class _ContendedService:
     """A contended service."""
 
     controller: AdmissionController
@@ -116,7 +116,7 @@
         self._log = log
         self._weights = CustomerWeights(active_configuration)
         self._leads = False
-        self._by_service: dict[str, _Contention] = {}
+        self._by_service: dict[str, _ContendedService] = {}
         self._view: object = None
         self._notice_at = ZERO
 
@@ -141,7 +141,7 @@
         )
         controller.set_upstreams(self._directory.view.of(service))
         now = self._clock.monotonic()
-        self._by_service[service] = _Contention(controller, now)
+        self._by_service[service] = _ContendedService(controller, now)
         self._log.info("contention began", service=service, reporter=peer)
         self._measure()
         self._notify_all(now)
--- a/packages/ashhoist/src/ashhoist/overload/controller.py
+++ b/packages/ashhoist/src/ashhoist/overload/controller.py
@@ -38,7 +38,7 @@
 RETRY_SHARE = 1 / 3
 """The part of its time left for which a caller honours `Retry-After`."""
 MIN_RETRY_AFTER = timedelta(milliseconds=20)
-LATE_PATIENCE = timedelta(milliseconds=150)
+MAX_LATE_WAIT = timedelta(milliseconds=150)
 """How long a request waits that returns on a reservation after its target latency."""
 RETURN_MARGIN = timedelta(milliseconds=100)
 """Callers whose reservation was due within this time may still be on their way."""
@@ -234,7 +234,7 @@
         target_left = request.on_time_until - now
         if returned:
             return now + (
-                target_left * MAX_WAIT_SHARE if target_left > ZERO else LATE_PATIENCE
+                target_left * MAX_WAIT_SHARE if target_left > ZERO else MAX_LATE_WAIT
             )
         latest = request.on_time_until - self._loads.service_time
         return max(min(latest, now + target_left * MAX_WAIT_SHARE), now)
--- a/packages/ashhoist/src/ashhoist/overload/customer_rates.py
+++ b/packages/ashhoist/src/ashhoist/overload/customer_rates.py
@@ -6,12 +6,12 @@
 from datetime import timedelta
 
 from ..clock import Clock
+from .fair_queue import MIN_WEIGHT
 
 ACTIVE_FOR = timedelta(seconds=1)
 """A customer without requests for this time has no share."""
 TIME_CONSTANT = timedelta(seconds=1)
 """Of the moving average of the granted requests per second."""
-MIN_WEIGHT = 1e-6
 
 
 @dataclass(slots=True)
--- a/packages/ashhoist/src/ashhoist/overload/fair_queue.py
+++ b/packages/ashhoist/src/ashhoist/overload/fair_queue.py
@@ -15,6 +15,7 @@
 from .messages import AdmissionRequest, RequestKey
 
 MIN_WEIGHT = 1e-6
+"""Weights are divided by, so none is 0."""
 BURST = 2
 """Requests that a customer which took less than its share may have taken at once. With
 none, the second request of a moment waits for a turn of all other customers."""
--- a/packages/ashhoist/src/ashhoist/requests/admission_gate.py
+++ b/packages/ashhoist/src/ashhoist/requests/admission_gate.py
@@ -9,6 +9,7 @@
 from ..loop import Steps
 from ..metrics import Metrics
 from ..overload import AttemptOutcome
+from ..overload.controller import MAX_LATE_WAIT
 from ..overload.sends import (
     SendAnswer,
     SendCancelled,
@@ -25,9 +26,9 @@
 """How long the leader has to acknowledge a query. This covers many round trips between
 zones and is short compared with a request's target latency."""
 
-LATE_DECISION_TIMEOUT = timedelta(milliseconds=250)
+LATE_DECISION_TIMEOUT = MAX_LATE_WAIT + timedelta(milliseconds=100)
 """How long a request waits for a decision if its target latency ends earlier. The
-leader queues a request that comes back late for up to 150 ms."""
+leader queues one that comes back late for `MAX_LATE_WAIT`; the rest is for messages."""
 
 
 class AdmissionGate:
