Requests: ask for no grant at an upstream that is unreachable here

While a service was contended, the leader granted upstreams that this instance had just failed to connect to, so each request waited for the connection first.

--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -103,7 +103,8 @@
         if self._gate is None or not available:
             return self._least_loaded(call)
         known = self._directory.view.of(call.service)
-        excluded = {one.id for one in known if one not in available}
+        preferred = self._balancer.reachable(available)
+        excluded = {one.id for one in known if one not in preferred}
         tried = frozenset(excluded | call.tried)
         answer = yield from self._gate.admit(call, tried, caller)
         if isinstance(answer, CallerLeft | OutOfTime):
--- a/packages/ashhoist/src/ashhoist/upstreams/balance.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/balance.py
@@ -47,10 +47,7 @@
         available = self.available(untried)
         if not available:
             return Reason.UPSTREAMS_REST if untried else Reason.NO_UPSTREAM
-        usable = [
-            upstream for upstream in available if self._health.usable(upstream.id)
-        ]
-        return min(usable or available, key=self._cost)
+        return min(self.reachable(available), key=self._cost)
 
     def available(
         self, upstreams: Iterable[Upstream], tried: Collection[str] = ()
@@ -63,6 +60,13 @@
             and not self._backoffs.is_backing_off(upstream.id)
         ]
 
+    def reachable(self, available: list[Upstream]) -> list[Upstream]:
+        """Return the upstreams that are not excluded as unreachable, or else all."""
+        usable = [
+            upstream for upstream in available if self._health.usable(upstream.id)
+        ]
+        return usable or available
+
     def _cost(self, upstream: Upstream) -> float:
         cost = self._in_flight[upstream.id] / max(upstream.slots, 1)
         failure_share = self._health.share_failing(upstream.id)
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -82,9 +82,8 @@
             self.directory.put(upstream)
         self.limits = RateLimits(self.directory.incarnation_of)
         self.backoffs = Backoffs(self.directory.incarnation_of, self.clock)
-        self.balancer = Balancer(
-            "zone", Health(self.clock), self.backoffs, random.Random(1)
-        )
+        self.health = Health(self.clock)
+        self.balancer = Balancer("zone", self.health, self.backoffs, random.Random(1))
         self.contended = True
         self.sent: list[Any] = []
         self.permit: Permit | None = Permit(True)
@@ -346,6 +345,18 @@
         self.begin(self.call())
         self.assertEqual(self.query.tried, {"one"})
 
+    def test_the_leader_does_not_grant_an_upstream_that_is_unreachable_here(
+        self,
+    ) -> None:
+        # Guards against requests that wait for connections to an upstream that only
+        # other instances reach.
+        self.health.failed("one", unreachable=True)
+        self.begin(self.call())
+        self.assertEqual(self.query.tried, {"one"})
+        self.health.failed("two", unreachable=True)
+        self.begin(self.call())
+        self.assertEqual(self.query.tried, frozenset())
+
     def test_a_granted_upstream_with_a_limit_needs_a_permit_too(self) -> None:
         # Guards against sends beyond a limit that an upstream has stated.
         self.limits.take(StatedLimit("one", 1.0, SECOND, SECOND))
