Requests: keep an upstream's answer if there is no other upstream for a retry

A safe request that its only upstream answered with 500 was answered 503 no_upstream, with a time to come back, as if it had not run. Any refusal of a retry now leaves the upstream's answer in place. The new test got 503 before.

--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -107,8 +107,8 @@
             if isinstance(target, OutOfTime):
                 return (yield from self._responses.out_of_time(call, caller, relay))
             if isinstance(target, Refusal):
-                if answered is not None and target.reason is Reason.OVERLOADED:
-                    # The leader refuses the retry only; the request has run.
+                if answered is not None:
+                    # Only the retry is refused; the request has run.
                     return (
                         yield from self._responses.finish(call, caller, relay, answered)
                     )
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -438,8 +438,8 @@
         self.assertEqual((line["customer"], line["retry_after_ms"]), ("", 420))
 
     def test_the_answer_of_an_upstream_remains_if_its_retry_is_refused(self) -> None:
-        # Guards against a caller that is told to come back as its request has not run,
-        # though an upstream has run it and answered.
+        # Guards against a caller that is told to come back, as if its request had not
+        # run, though an upstream has run it and answered.
         def fail(call: UpstreamCall) -> None:
             harness.chooser.refusal = Refusal(Reason.OVERLOADED, SECOND)
             call.respond(500, b"broken", response_headers(call))
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -90,6 +90,15 @@
         self.assertEqual((answer.status, answer.body), (500, b"why"))
         self.assertEqual(answer.headers["seal"], "seal")
 
+    def test_the_only_upstream_keeps_its_answer_if_there_is_no_other(self) -> None:
+        # A caller was told with 503 that its request had not run, though the upstream
+        # had run it and answered: the retry found no other upstream.
+        harness = self.start(
+            lambda call: call.respond(500, b"why", response_headers(call)), attempts=2
+        )
+        answer = harness.ask("/safe/")
+        self.assertEqual((answer.status, answer.body), (500, b"why"))
+
     def test_many_requests_share_connections(self) -> None:
         harness = self.start(good)
         with harness.connect() as caller:
