--- a/packages/ashhoist/src/ashhoist/requests/admission_gate.py
+++ b/packages/ashhoist/src/ashhoist/requests/admission_gate.py
@@ -9,6 +9,7 @@
 from ..loop import Steps
 from ..metrics import Metrics
 from ..overload import AttemptOutcome
+from ..overload.controller import MAX_LATE_WAIT
 from ..overload.sends import (
     SendAnswer,
     SendCancelled,
@@ -17,7 +18,7 @@
     SendQuery,
     ServiceOverloaded,
 )
-from .attempt import CallerLeft
+from .attempt import CallerLeft, OutOfTime
 from .call import Call
 from .waiting import wait_for
 
@@ -25,9 +26,9 @@
 """How long the leader has to acknowledge a query. This covers many round trips between
 zones and is short compared with a request's target latency."""
 
-LATE_DECISION_TIMEOUT = timedelta(milliseconds=250)
+LATE_DECISION_TIMEOUT = MAX_LATE_WAIT + timedelta(milliseconds=100)
 """How long a request waits for a decision if its target latency ends earlier. The
-leader queues a request that comes back late for up to 150 ms."""
+leader queues one that comes back late for `MAX_LATE_WAIT`; the rest is for messages."""
 
 
 class AdmissionGate:
@@ -56,7 +57,7 @@
 
     def admit(
         self, call: Call, tried: frozenset[str], caller: CallerConnection
-    ) -> Steps[SendAnswer | CallerLeft]:
+    ) -> Steps[SendAnswer | CallerLeft | OutOfTime]:
         """Ask the leader about the next send of a call, and wait for its decision.
 
         Parameters
@@ -66,27 +67,33 @@
 
         Returns
         -------
-        SendAnswer or CallerLeft
+        SendAnswer, CallerLeft or OutOfTime
             None if there is no decision in time.
         """
         began = self._clock.monotonic()
         query = self._query(call, tried)
         call.sent_undecided = False
         self._send(query)
-        caller_left: CallerLeft | None = None
+        answer: SendAnswer = None
+        is_waiting = False
         try:
             caller_left = yield from self._wait(query, began, caller)
+            is_waiting = caller_left is None
         finally:
             call.admission_wait += self._clock.monotonic() - began
             if query.answer.cancel():
                 self._send(SendCancelled(query.number))
-        answer = None if query.answer.cancelled() else query.answer.result()
-        if isinstance(answer, SendGranted):
-            call.grant_number = query.number
+            else:
+                answer = query.answer.result()
+            if isinstance(answer, SendGranted):
+                call.grant_number = query.number
+            if not is_waiting:
+                self.give_back(call)
         if caller_left is not None:
-            self.give_back(call)
             return caller_left
         if answer is None:
+            if self._clock.monotonic() >= call.deadline:
+                return OutOfTime()
             call.sent_undecided = True
             self._metrics.count("undecided_sends", call.service)
         return answer
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -30,7 +30,7 @@
     LATE_DECISION_TIMEOUT,
     AdmissionGate,
 )
-from ashhoist.requests.attempt import CallerLeft
+from ashhoist.requests.attempt import CallerLeft, OutOfTime
 from ashhoist.requests.authentication import Identity
 from ashhoist.requests.call import Call
 from ashhoist.requests.call_runner import MAX_REFUSED_SENDS
@@ -82,12 +82,11 @@
             self.directory.put(upstream)
         self.limits = RateLimits(self.directory.incarnation_of)
         self.backoffs = Backoffs(self.directory.incarnation_of, self.clock)
-        self.balancer = Balancer(
-            "zone", Health(self.clock), self.backoffs, random.Random(1)
-        )
+        self.health = Health(self.clock)
+        self.balancer = Balancer("zone", self.health, self.backoffs, random.Random(1))
         self.contended = True
         self.sent: list[Any] = []
-        self.permit = Permit(True)
+        self.permit: Permit | None = Permit(True)
         self.metrics = Metrics()
         self.gate = AdmissionGate(
             lambda service: self.contended and service == SERVICE,
@@ -102,7 +101,8 @@
 
     def _grant_permit(self, message: Any) -> None:
         assert isinstance(message, PermitRequest)
-        message.answer.set_result(self.permit)
+        if self.permit is not None:
+            message.answer.set_result(self.permit)
 
     def call(self, service: str = SERVICE) -> Call:
         now = self.clock.monotonic()
@@ -258,6 +258,50 @@
         steps.close()
         self.assertEqual(self.sent[-1], SendCancelled(self.query.number))
 
+    def test_a_grant_is_given_back_if_the_request_is_broken_off(self) -> None:
+        # Guards against a slot that is held until the deadline of a request that ended
+        # between its grant and its send.
+        steps = self.begin(self.call())
+        self.query.answer.set_result(SendGranted("one"))
+        steps.close()
+        self.assertEqual(self.sent[-1], SendCancelled(self.query.number))
+
+    def test_a_grant_is_given_back_if_the_wait_for_a_permit_is_broken_off(self) -> None:
+        # Guards against a slot that is held while nobody waits for its permit.
+        self.limits.take(StatedLimit("one", 1.0, SECOND, SECOND))
+        self.permit = None
+        steps = self.begin(self.call())
+        self.query.answer.set_result(SendGranted("one"))
+        self.assertIsNotNone(self.go_on(steps))
+        steps.close()
+        self.assertEqual(self.sent[-1], SendCancelled(self.query.number))
+
+    def test_a_request_is_not_sent_after_its_deadline(self) -> None:
+        # Guards against a request that runs after its caller has given up, and against
+        # an upstream that counts as unreachable as there is no time left to connect.
+        call = self.call()
+        steps = self.begin(call)
+        self.query.acknowledged.set_result(None)
+        self.clock.advance(ADMISSION_TIMEOUT)
+        self.assertIsNotNone(self.go_on(steps))
+        self.clock.advance(call.deadline - self.clock.monotonic())
+        self.assertIsNone(self.go_on(steps))
+        self.assertIsInstance(self.result, OutOfTime)
+        self.assertEqual(self.sent[-1], SendCancelled(self.query.number))
+        self.assertEqual(self.balancer.in_flight("one"), 0)
+        self.assertEqual(self.balancer.in_flight("two"), 0)
+
+    def test_a_grant_for_an_upstream_that_was_excluded_is_given_back(self) -> None:
+        # Guards against a request that is granted the same upstream again and again,
+        # and against a second send to an upstream that has refused it: the leader
+        # grants one that was tried if it knows no other.
+        call = self.call()
+        call.tried.add("one")
+        target = self.answered(call, SendGranted("one"))
+        self.assertEqual(target.upstream, "two")
+        self.assertIn(SendCancelled(self.query.number), self.sent)
+        self.assertFalse(self.chooser.is_admitted_by_leader(call))
+
     def test_a_grant_that_is_not_used_is_given_back(self) -> None:
         # Guards against slots lost to requests that are refused before the send.
         call = self.call()
@@ -301,6 +345,18 @@
         self.begin(self.call())
         self.assertEqual(self.query.tried, {"one"})
 
+    def test_the_leader_does_not_grant_an_upstream_that_is_unreachable_here(
+        self,
+    ) -> None:
+        # Guards against requests that wait for connections to an upstream that only
+        # other instances reach.
+        self.health.failed("one", unreachable=True)
+        self.begin(self.call())
+        self.assertEqual(self.query.tried, {"one"})
+        self.health.failed("two", unreachable=True)
+        self.begin(self.call())
+        self.assertEqual(self.query.tried, frozenset())
+
     def test_a_granted_upstream_with_a_limit_needs_a_permit_too(self) -> None:
         # Guards against sends beyond a limit that an upstream has stated.
         self.limits.take(StatedLimit("one", 1.0, SECOND, SECOND))
@@ -381,6 +437,18 @@
         self.assertEqual(line["request"], "refused-one")
         self.assertEqual((line["customer"], line["retry_after_ms"]), ("", 420))
 
+    def test_the_answer_of_an_upstream_remains_if_its_retry_is_refused(self) -> None:
+        # Guards against a caller that is told to come back, as if its request had not
+        # run, though an upstream has run it and answered.
+        def fail(call: UpstreamCall) -> None:
+            harness.chooser.refusal = Refusal(Reason.OVERLOADED, SECOND)
+            call.respond(500, b"broken", response_headers(call))
+
+        harness = self.start(fail)
+        answer = harness.ask("/safe/")
+        self.assertEqual((answer.status, answer.body), (500, b"broken"))
+        self.assertNotIn("retry-after", answer.headers)
+
     def test_a_request_that_may_have_run_is_not_refused_as_not_run(self) -> None:
         # Guards against a second run by a caller that was told it has not run.
         def lose(call: UpstreamCall) -> None:
