Overload: clearer names and reasons of constants

The ids in an admission query are those of excluded upstreams, not only of tried ones, so the field is named excluded; messages are encoded by position and do not change. Customer weights have their own module. NOTICE_RETENTION is derived from NOTICE_INTERVAL.

--- a/packages/ashhoist/src/ashhoist/control/admission_client.py
+++ b/packages/ashhoist/src/ashhoist/control/admission_client.py
@@ -20,14 +20,14 @@
 )
 from ..upstreams import Directory
 from . import messages
+from .admissions import NOTICE_INTERVAL
 
 MILLISECOND = timedelta(milliseconds=1)
-NOTICE_RETENTION = timedelta(milliseconds=1200)
-"""How long a notice holds. The leader repeats it every 500 ms, so one may be lost."""
-
-ANSWER_TIME = timedelta(milliseconds=10)
-"""Allowance for the way of a refusal back to the caller. The caller judges by the time
-that is left then whether it comes back, so a reservation has to be due that earlier."""
+NOTICE_RETENTION = 2 * NOTICE_INTERVAL + timedelta(milliseconds=200)
+"""How long a notice is valid. One notice may be lost, and the next one may be late."""
+REFUSAL_DELIVERY_TIME = timedelta(milliseconds=10)
+"""Allowance for the delivery of a refusal to the caller. A caller compares the wait
+with the time left on receipt, so the leader is told an earlier deadline."""
 
 
 class AdmissionClient:
@@ -62,7 +62,7 @@
     # Contention
 
     def follow(self, leader: str | None) -> None:
-        """Set the leader; what its predecessor said and was asked counts no more."""
+        """Set the leader; drop the notice and the queries of the previous one."""
         if leader == self._leader:
             return
         self._leader = leader
@@ -127,9 +127,9 @@
                 query.customer,
                 query.priority,
                 _left_ms(query.on_time_until, now),
-                _left_ms(query.deadline - ANSWER_TIME, now),
+                _left_ms(query.deadline - REFUSAL_DELIVERY_TIME, now),
                 self._zone,
-                sorted(query.tried),
+                sorted(query.excluded),
             )
         )
 
--- a/packages/ashhoist/src/ashhoist/control/admissions.py
+++ b/packages/ashhoist/src/ashhoist/control/admissions.py
@@ -6,13 +6,12 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
 from ..clock import ZERO, Clock
-from ..customers import Customer
 from ..logs import Logger
 from ..metrics import Metrics
 from ..overload import (
@@ -23,22 +22,21 @@
     Rejected,
 )
 from ..overload.controller import AdmissionController
-from ..routing import RouteTable
 from ..routing.active_configuration import ActiveConfiguration
 from ..upstreams import Directory
 from . import messages
+from .customer_weights import CustomerWeights
 from .peers import Peers
 
 MILLISECOND = timedelta(milliseconds=1)
 NOTICE_INTERVAL = timedelta(milliseconds=500)
+"""Time between two notices of the contended services. They are repeated since one may
+be lost, and instances that have just linked have none."""
 MIN_STEP_INTERVAL = timedelta(milliseconds=1)
 """Shortest time between two steps on a timer, so that they don't take up a core."""
 NO_RETURN_MARGIN = timedelta(milliseconds=20)
 """Added to the longest time that callers honour where there is no reservation. Those
 that came back without one would mostly be refused again."""
-DEFAULT_WEIGHT = 1.0
-MIN_WEIGHT = 0.001
-"""Weight of a customer whose quota allows nothing: a fair queue divides by it."""
 
 
 @dataclass(slots=True)
@@ -49,39 +47,6 @@
     began_at: timedelta
 
 
-class CustomerWeights:
-    """The weights of customers in the queue of a service, from the configuration."""
-
-    def __init__(self, active_configuration: ActiveConfiguration) -> None:
-        self._active_configuration = active_configuration
-        self._table: RouteTable | None = None
-        self._weight_by_name: dict[str, float] = {}
-        self._mean = DEFAULT_WEIGHT
-
-    def weight(self, customer: str) -> float:
-        """Return a customer's weight: its quota's rate in plain requests per second.
-
-        It is the mean of the others for a customer without a quota.
-        """
-        table = self._active_configuration.table
-        if table is not self._table and table is not None:
-            self._table = table
-            self._update(table.customers.by_name.values())
-        return self._weight_by_name.get(customer, self._mean)
-
-    def _update(self, customers: Iterable[Customer]) -> None:
-        self._weight_by_name = {}
-        for customer in customers:
-            if customer.quota is None:
-                continue
-            # Rates in tokens and in requests are made comparable.
-            charge = customer.quota.charge(0) or 1.0
-            weight = max(customer.quota.rate / charge, MIN_WEIGHT)
-            self._weight_by_name[customer.name] = weight
-        weights = self._weight_by_name.values()
-        self._mean = sum(weights) / len(weights) if weights else DEFAULT_WEIGHT
-
-
 class Admissions:
     """Decides about the requests to contended services while this instance leads.
 
@@ -200,7 +165,7 @@
                 now + query.target_left_ms * MILLISECOND,
                 now + query.deadline_left_ms * MILLISECOND,
                 query.zone,
-                frozenset(query.tried),
+                frozenset(query.excluded),
             )
         )
         decisions = self._decide()
--- a/packages/ashhoist/src/ashhoist/control/messages/admissions.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/admissions.py
@@ -24,7 +24,7 @@
         The priority of the route.
     target_left_ms, deadline_left_ms : int
         Milliseconds until the end of the target latency and until the deadline.
-    tried : list
+    excluded : list
         Ids of the upstreams that the request can't be sent to.
     """
 
@@ -36,7 +36,7 @@
     target_left_ms: int
     deadline_left_ms: int
     zone: str
-    tried: list
+    excluded: list
 
 
 @message(78, ADMISSION_REVISION)
--- a/packages/ashhoist/src/ashhoist/overload/concurrency.py
+++ b/packages/ashhoist/src/ashhoist/overload/concurrency.py
@@ -5,15 +5,18 @@
 from ..clock import ZERO
 
 MIN_LIMIT = 1.0
+"""With no request at all, a recovery of the upstream would not be noticed."""
 MAX_LIMIT_PER_SLOT = 4.0
+"""Bounds the limit where slow answers do not show that it is too high."""
 DEFAULT_SERVICE_TIME = timedelta(milliseconds=100)
 """Assumed until an answer shows the service time."""
 SMOOTHING = 0.1
 """Weight of a new service time in the moving average."""
 BEST_DRIFT = 0.002
-"""Part of the way by which each answer moves the best service time to the usual one.
-Without it, one quick spell would make the upstream look overloaded for good. Above the
-slots there is none: the limit would follow the queue that it causes itself."""
+"""Share of its difference to the usual service time by which each answer raises the
+best one. Without it, a few very fast answers would remain the standard, and the
+upstream would look overloaded permanently. It does not apply above the slots: requests
+queue there, and the limit would rise with the delay that it causes itself."""
 SLOW = 1.6
 """Above the slots, the limit falls while the usual service time is above the best times
 this. Up to the slots, requests do not wait for each other: a low limit would only make
@@ -22,9 +25,12 @@
 """Above the slots, the limit rises only while the usual service time is below the best
 times this."""
 REFUSAL_FACTOR = 0.8
+"""Lowers the limit by more than `SLOW_FACTOR`: a refusal shows for certain that the
+upstream is full, while service times also vary for other reasons."""
 SLOW_FACTOR = 0.95
 RAISE_BEYOND_SLOTS = 0.2
-"""Part of the usual raise where the limit is above the slots already."""
+"""Factor for raises above the slots, where a limit that is too high makes requests wait
+for each other."""
 
 
 class ConcurrencyLimit:
@@ -42,9 +48,9 @@
     def __init__(self, slots: int) -> None:
         self._slots = max(float(slots), MIN_LIMIT)
         self.value = self._slots
-        self.usual: timedelta | None = None
+        self.usual_time: timedelta | None = None
         """Moving average of the service times; None before the first answer."""
-        self._best = ZERO
+        self._best_time = ZERO
         self._lowered_at: timedelta | None = None
 
     def succeeded(self, took: timedelta, was_full: bool, now: timedelta) -> None:
@@ -55,30 +61,30 @@
         was_full : bool
             Whether the upstream was at its limit when the request was sent.
         """
-        if self.usual is None:
-            self.usual = self._best = took
-        self.usual += (took - self.usual) * SMOOTHING
+        if self.usual_time is None:
+            self.usual_time = self._best_time = took
+        self.usual_time += (took - self.usual_time) * SMOOTHING
         if self.value <= self._slots:
-            self._best += (self.usual - self._best) * BEST_DRIFT
-        self._best = min(self._best, self.usual)
+            self._best_time += (self.usual_time - self._best_time) * BEST_DRIFT
+        self._best_time = min(self._best_time, self.usual_time)
         is_above_slots = self.value > self._slots
-        if is_above_slots and self.usual > self._best * SLOW:
+        if is_above_slots and self.usual_time > self._best_time * SLOW:
             self._lower(max(self.value * SLOW_FACTOR, self._slots), now)
             return
         if not was_full or self._was_lowered(now):
             return
-        if not is_above_slots or self.usual <= self._best * GOOD:
+        if not is_above_slots or self.usual_time <= self._best_time * GOOD:
             self._raise()
 
     def refused(self, in_flight: int, now: timedelta) -> None:
         """Lower the limit after the refusal of one of `in_flight` requests."""
-        taken = min(self.value * REFUSAL_FACTOR, in_flight - 1)
-        self._lower(max(taken, MIN_LIMIT), now)
+        lowered = min(self.value * REFUSAL_FACTOR, in_flight - 1)
+        self._lower(max(lowered, MIN_LIMIT), now)
 
     def _raise(self) -> None:
-        part = 1.0 if self.value < self._slots else RAISE_BEYOND_SLOTS
-        most = self._slots * MAX_LIMIT_PER_SLOT
-        self.value = min(self.value + part / self.value, most)
+        step = 1.0 if self.value < self._slots else RAISE_BEYOND_SLOTS
+        max_limit = self._slots * MAX_LIMIT_PER_SLOT
+        self.value = min(self.value + step / self.value, max_limit)
 
     def _lower(self, value: float, now: timedelta) -> None:
         if self._was_lowered(now):
@@ -90,4 +96,4 @@
         """Return whether the answers of now are still those to a higher limit."""
         if self._lowered_at is None:
             return False
-        return now - self._lowered_at < (self.usual or DEFAULT_SERVICE_TIME)
+        return now - self._lowered_at < (self.usual_time or DEFAULT_SERVICE_TIME)
--- a/packages/ashhoist/src/ashhoist/overload/controller.py
+++ b/packages/ashhoist/src/ashhoist/overload/controller.py
@@ -27,7 +27,8 @@
 from .upstream_loads import UpstreamLoads
 
 MAX_WAIT_SHARE = 0.5
-"""The part of its target latency that a request waits in the queue at most."""
+"""The share of its target latency that a request waits in the queue at most. The rest
+is left for the service."""
 ACCEPTED_SHARE = 0.5
 """A request is queued if its predicted wait is below this part of the time that it may
 wait. Predictions vary; without this margin, requests would be queued and then
@@ -38,14 +39,20 @@
 RETRY_SHARE = 1 / 3
 """The part of its time left for which a caller honours `Retry-After`."""
 MIN_RETRY_AFTER = timedelta(milliseconds=20)
+"""Earliest time of a reservation. The caller has to receive the answer and to connect
+again by then."""
 MAX_LATE_WAIT = timedelta(milliseconds=150)
-"""How long a request waits that returns on a reservation after its target latency."""
+"""Longest wait of a request that returns on a reservation when its target latency has
+already passed."""
 RETURN_MARGIN = timedelta(milliseconds=100)
-"""Callers whose reservation was due within this time may still be on their way."""
+"""Reservations that have been due for less than this time count as requests ahead:
+their callers are probably connecting again."""
 FOREVER = timedelta(days=365)
-"""The predicted wait where there is no upstream; it can be added to a time."""
+"""The predicted wait where there is no upstream. Unlike `timedelta.max`, it can be
+added to a time without an overflow."""
 REVIEW_INTERVAL = timedelta(milliseconds=20)
-"""A review looks at each queued request, which would cost too much at each arrival."""
+"""Time between two searches for displaced requests. A search examines each queued
+request, which would take too long at each arrival."""
 
 
 class AdmissionController:
@@ -75,10 +82,10 @@
         self._loads = UpstreamLoads(clock)
         self._contention = Contention(clock)
         self._decisions: list[Decision] = []
-        self._giving_up: list[tuple[timedelta, RequestKey]] = []
+        self._start_limits: list[tuple[timedelta, RequestKey]] = []
         self._reviewed_at = clock.monotonic()
 
-    # What comes in
+    # Requests and ends
 
     def set_upstreams(self, upstreams: Iterable[Upstream]) -> None:
         """Replace the upstreams of the service.
@@ -105,12 +112,13 @@
         start_by = self._start_by(request, returned)
         if returned:
             self._metrics.count("reservations", "kept")
-        is_too_late = self._wait(request, rank) > (start_by - now) * ACCEPTED_SHARE
+        wait = self._predicted_wait(request, rank)
+        is_too_late = wait > (start_by - now) * ACCEPTED_SHARE
         if request.deadline <= now or (is_too_late and not returned):
             self._reject(request, rank)
             return
         self._queue.push(QueuedRequest(request, start_by, rank))
-        heapq.heappush(self._giving_up, (start_by, request.key))
+        heapq.heappush(self._start_limits, (start_by, request.key))
 
     def cancel(self, key: RequestKey) -> None:
         """Forget a request, whether it is queued or in flight."""
@@ -121,7 +129,7 @@
         """Take the end of an attempt."""
         request = self._loads.ended(key, outcome, took)
         if request is not None and outcome is AttemptOutcome.REFUSED:
-            self._contention.happened()
+            self._contention.record_congestion()
 
     def remove_instance(self, instance: str) -> None:
         """Forget the requests of an instance that is lost."""
@@ -139,14 +147,14 @@
         if missed:
             self._metrics.count("reservations", "missed", amount=missed)
         self._grant_free_places()
-        self._give_up()
+        self._reject_expired()
         if now - self._reviewed_at >= REVIEW_INTERVAL:
             self._reviewed_at = now
             self._rates.forget_inactive()
             self._reject_displaced()
         if self._queue:
-            self._contention.happened()
-        self._contention.used(self._loads.usage)
+            self._contention.record_congestion()
+        self._contention.record_usage(self._loads.usage)
         self._metrics.gauge("admission_queue", len(self._queue), self._service)
         decisions, self._decisions = self._decisions, []
         return decisions
@@ -158,7 +166,7 @@
         times = []
         if self._queue:
             times.append(self._reviewed_at + REVIEW_INTERVAL)
-            times.append(self._giving_up[0][0])
+            times.append(self._start_limits[0][0])
         for time in (self._loads.next_change_at, self._reservations.next_expiry):
             if time is not None:
                 times.append(time)
@@ -189,11 +197,11 @@
         self._decisions.append(Admitted(request, load.upstream.id))
         self._metrics.count("admissions", request.customer, "admitted")
 
-    def _give_up(self) -> None:
+    def _reject_expired(self) -> None:
         """Reject the requests that have waited for as long as they may."""
         now = self._clock.monotonic()
-        while self._giving_up and self._giving_up[0][0] <= now:
-            start_by, key = heapq.heappop(self._giving_up)
+        while self._start_limits and self._start_limits[0][0] <= now:
+            start_by, key = heapq.heappop(self._start_limits)
             self._reject_queued(key, start_by)
 
     def _reject_queued(self, key: RequestKey, start_by: timedelta) -> None:
@@ -210,7 +218,7 @@
         ahead = 0
         displaced: list[QueuedRequest] = []
         for queued in self._queue.in_order():
-            if now + _wait(ahead - free + 1, throughput) <= queued.start_by:
+            if now + _time_until_free(ahead - free + 1, throughput) <= queued.start_by:
                 ahead += 1
                 continue
             displaced.append(queued)
@@ -218,7 +226,7 @@
             self._reject_queued(queued.request.key, queued.start_by)
 
     def _reject(self, request: AdmissionRequest, rank: Rank) -> None:
-        self._contention.happened()
+        self._contention.record_congestion()
         now = self._clock.monotonic()
         longest = max((request.deadline - now) * RETRY_SHARE, ZERO)
         due = self._reserve(request, rank, now + longest)
@@ -239,26 +247,26 @@
         latest = request.on_time_until - self._loads.service_time
         return max(min(latest, now + target_left * MAX_WAIT_SHARE), now)
 
-    def _wait(self, request: AdmissionRequest, rank: Rank) -> timedelta:
+    def _predicted_wait(self, request: AdmissionRequest, rank: Rank) -> timedelta:
         """Return the predicted wait for a grant."""
         now, customer = self._clock.monotonic(), request.customer
         free, throughput = self._loads.free, self._loads.throughput
         ahead = self._queue.ahead(customer, rank)
-        wait = _wait(ahead - free + 1, throughput)
+        wait = _time_until_free(ahead - free + 1, throughput)
         if wait == ZERO or wait == FOREVER:
             return wait
         due = self._reservations.due_between(customer, now - RETURN_MARGIN, now + wait)
         if not due:
             return wait
         ahead = self._queue.ahead(customer, rank, due)
-        return _wait(ahead - free + 1, throughput)
+        return _time_until_free(ahead - free + 1, throughput)
 
     def _reserve(
         self, request: AdmissionRequest, rank: Rank, latest: timedelta
     ) -> timedelta | None:
         """Reserve a time for the caller to come back; None if there is none."""
         now, throughput = self._clock.monotonic(), self._loads.throughput
-        wait = self._wait(request, rank)
+        wait = self._predicted_wait(request, rank)
         if not throughput or now + wait > latest:
             return None
         rate = self._rates.rate(request.customer, throughput) * RESERVED_SHARE
@@ -274,10 +282,10 @@
         return due
 
 
-def _wait(missing: int, throughput: float) -> timedelta:
-    """Return how long until a number of places that are missing become free."""
-    if missing <= 0:
+def _time_until_free(places: int, throughput: float) -> timedelta:
+    """Return the expected time until so many more places become free."""
+    if places <= 0:
         return ZERO
     if not throughput:
         return FOREVER
-    return timedelta(seconds=missing / throughput)
+    return timedelta(seconds=places / throughput)
--- a/packages/ashhoist/src/ashhoist/overload/customer_rates.py
+++ b/packages/ashhoist/src/ashhoist/overload/customer_rates.py
@@ -16,7 +16,13 @@
 
 @dataclass(slots=True)
 class _Activity:
-    """What one customer did lately."""
+    """Recent requests and grants of one customer.
+
+    Parameters
+    ----------
+    granted : float
+        Moving average of the granted requests per second, as of `updated_at`.
+    """
 
     weight: float
     seen_at: timedelta
@@ -40,7 +46,7 @@
         self._total_weight = 0.0
 
     def seen(self, customer: str) -> None:
-        """Note that a customer has sent a request."""
+        """Record that a customer has sent a request."""
         now = self._clock.monotonic()
         known = self._by_customer.get(customer)
         if known is not None:
--- a/packages/ashhoist/src/ashhoist/overload/fair_queue.py
+++ b/packages/ashhoist/src/ashhoist/overload/fair_queue.py
@@ -15,14 +15,16 @@
 from .messages import AdmissionRequest, RequestKey
 
 MIN_WEIGHT = 1e-6
-"""Weights are divided by, so none is 0."""
+"""Smallest weight; tags grow by one over it."""
 BURST = 2
-"""Requests that a customer which took less than its share may have taken at once. With
-none, the second request of a moment waits for a turn of all other customers."""
+"""Requests that a customer below its share may have granted in succession. Otherwise,
+the second of two simultaneous requests would wait for a turn of all other customers."""
 MAX_SCANNED = 16
-"""Requests of a customer that are looked through for one that can be sent now."""
+"""Requests of a customer that are examined for one that can be sent now; bounds the
+time that a decision takes."""
 
 Rank = tuple[bool, int, timedelta, int]
+"""Sort key of the requests of one customer; see `QueuedRequest`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +54,7 @@
     tag : float
         The start tag of the first of them.
     turn : int
-        Number of its valid entry in the order of customers.
+        Number of its current entry in the heap of customers; earlier entries are stale.
     """
 
     weight: float
@@ -73,7 +75,7 @@
     def __init__(self, weight: Callable[[str], float]) -> None:
         self._weight = weight
         self._numbers = count()
-        self._virtual = 0.0
+        self._virtual_time = 0.0
         self._flows: dict[str, _Flow] = {}
         self._turns: list[tuple[float, int, str]] = []
         self._by_key: dict[RequestKey, QueuedRequest] = {}
@@ -98,7 +100,7 @@
         customer = queued.request.customer
         flow = self._flows.get(customer)
         if flow is None:
-            flow = self._flows[customer] = _Flow(MIN_WEIGHT, self._virtual)
+            flow = self._flows[customer] = _Flow(MIN_WEIGHT, self._virtual_time)
         if not flow.queued:
             flow.weight = max(self._weight(customer), MIN_WEIGHT)
             flow.tag = self._first_tag(flow)
@@ -113,7 +115,7 @@
             return None
         flow = self._flows[queued.request.customer]
         del flow.queued[bisect_left(flow.queued, queued.rank, key=_rank_of)]
-        self._forget_if_empty()
+        self._reset_if_empty()
         return queued
 
     def pop(
@@ -131,13 +133,13 @@
             if found is None:
                 passed_over.append(customer)
                 continue
-            self._virtual = max(self._virtual, tag)
+            self._virtual_time = max(self._virtual_time, tag)
             flow.tag += 1 / flow.weight
             if flow.queued:
                 self._add_turn(customer, flow)
         for customer in passed_over:
             self._add_turn(customer, self._flows[customer])
-        self._forget_if_empty()
+        self._reset_if_empty()
         return found
 
     def _take_from(
@@ -160,7 +162,7 @@
             Reservations of the customer that are due before it.
         """
         flow = self._flows.get(customer)
-        own, tag = reserved, self._virtual
+        own, tag = reserved, self._virtual_time
         weight = max(self._weight(customer), MIN_WEIGHT)
         if flow is not None:
             tag = flow.tag if flow.queued else self._first_tag(flow)
@@ -197,19 +199,19 @@
 
     def _first_tag(self, flow: _Flow) -> float:
         """Return the tag of a customer's request that is queued alone."""
-        return max(flow.tag, self._virtual - BURST / flow.weight)
+        return max(flow.tag, self._virtual_time - BURST / flow.weight)
 
     def _add_turn(self, customer: str, flow: _Flow) -> None:
         flow.turn = next(self._numbers)
         heapq.heappush(self._turns, (flow.tag, flow.turn, customer))
 
-    def _forget_if_empty(self) -> None:
-        """Begin anew where nothing is queued: nobody was held back by anybody then."""
+    def _reset_if_empty(self) -> None:
+        """Reset the tags if nothing is queued: no customer waits for another then."""
         if self._by_key:
             return
         self._flows.clear()
         self._turns.clear()
-        self._virtual = 0.0
+        self._virtual_time = 0.0
 
 
 def _rank_of(queued: QueuedRequest) -> Rank:
--- a/packages/ashhoist/src/ashhoist/overload/messages.py
+++ b/packages/ashhoist/src/ashhoist/overload/messages.py
@@ -26,8 +26,8 @@
         The deadline, after which an answer has no value.
     zone : str
         The availability zone of the instance.
-    tried : frozenset of str
-        Ids of the upstreams that the request has already been sent to.
+    excluded : frozenset of str
+        Ids of the upstreams that the request can't be sent to.
     """
 
     key: RequestKey
@@ -37,7 +37,7 @@
     on_time_until: timedelta
     deadline: timedelta
     zone: str = ""
-    tried: frozenset[str] = frozenset()
+    excluded: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ashhoist/src/ashhoist/overload/sends.py
+++ b/packages/ashhoist/src/ashhoist/overload/sends.py
@@ -35,7 +35,7 @@
         Identifies the query and the grant; unique within this instance.
     on_time_until, deadline : timedelta
         As in `AdmissionRequest`.
-    tried : frozenset of str
+    excluded : frozenset of str
         Ids of the upstreams that the request can't be sent to.
     acknowledged : Future
         Done once the leader has acknowledged that the request is queued there.
@@ -48,7 +48,7 @@
     priority: int
     on_time_until: timedelta
     deadline: timedelta
-    tried: frozenset[str]
+    excluded: frozenset[str]
     answer: "Future[SendAnswer]" = field(default_factory=Future)
     acknowledged: "Future[None]" = field(default_factory=Future)
 
--- a/packages/ashhoist/src/ashhoist/overload/upstream_load.py
+++ b/packages/ashhoist/src/ashhoist/overload/upstream_load.py
@@ -8,8 +8,11 @@
 
 FAILURE_COST = 6.0
 """Cost of an upstream whose recent requests have all failed; like `OTHER_ZONE_COST`, in
-requests in flight over the limit."""
+requests in flight divided by the limit. Well above 1, the cost of a full upstream that
+works, as `FAILURE_COST_FACTOR` of `upstreams.balance`."""
 OTHER_ZONE_COST = 0.25
+"""Lower than in `upstreams.balance`, where an instance knows its own requests only. The
+leader knows all of them, so a difference in cost shows real spare capacity."""
 
 
 @dataclass(slots=True)
@@ -50,7 +53,7 @@
     @property
     def service_time(self) -> timedelta:
         """Return the usual service time, or a default before the first answer."""
-        return self.limit.usual or DEFAULT_SERVICE_TIME
+        return self.limit.usual_time or DEFAULT_SERVICE_TIME
 
     @property
     def throughput(self) -> float:
--- a/packages/ashhoist/src/ashhoist/overload/upstream_loads.py
+++ b/packages/ashhoist/src/ashhoist/overload/upstream_loads.py
@@ -92,11 +92,12 @@
     def choose(self, request: AdmissionRequest) -> UpstreamLoad | None:
         """Return the upstream that a request is sent to now, or None.
 
-        One that it was sent to before is chosen only if there is no other.
+        An excluded one is chosen only if there is no other; the instance then decides
+        whether to use the grant.
         """
         loads = self._by_id.values()
-        untried = [load for load in loads if load.upstream.id not in request.tried]
-        free = [load for load in untried or loads if load.free]
+        allowed = [load for load in loads if load.upstream.id not in request.excluded]
+        free = [load for load in allowed or loads if load.free]
         if not free:
             return None
         return min(free, key=lambda load: load.cost(request.zone))
--- a/packages/ashhoist/src/ashhoist/requests/admission_gate.py
+++ b/packages/ashhoist/src/ashhoist/requests/admission_gate.py
@@ -56,13 +56,13 @@
         self._last_number = 0
 
     def admit(
-        self, call: Call, tried: frozenset[str], caller: CallerConnection
+        self, call: Call, excluded: frozenset[str], caller: CallerConnection
     ) -> Steps[SendAnswer | CallerLeft | OutOfTime]:
         """Ask the leader about the next send of a call, and wait for its decision.
 
         Parameters
         ----------
-        tried : frozenset of str
+        excluded : frozenset of str
             Ids of the upstreams that the call can't be sent to.
 
         Returns
@@ -71,7 +71,7 @@
             None if there is no decision in time.
         """
         began = self._clock.monotonic()
-        query = self._query(call, tried)
+        query = self._query(call, excluded)
         call.sent_undecided = False
         self._send(query)
         answer: SendAnswer = None
@@ -98,7 +98,7 @@
             self._metrics.count("undecided_sends", call.service)
         return answer
 
-    def _query(self, call: Call, tried: frozenset[str]) -> SendQuery:
+    def _query(self, call: Call, excluded: frozenset[str]) -> SendQuery:
         self._last_number += 1
         return SendQuery(
             self._last_number,
@@ -108,7 +108,7 @@
             call.route.priority,
             call.received_at + call.route.target_latency,
             call.deadline,
-            tried,
+            excluded,
         )
 
     def _wait(
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -64,7 +64,7 @@
     grant_number : int
         Identifies the leader's grant for the current attempt; 0 if there is none.
     sent_undecided : bool
-        Whether the last attempt was sent as the leader did not decide in time.
+        Whether the last attempt was sent because the leader did not decide in time.
     sent_at : timedelta or None
         When the last attempt began.
     longest_pause : EventPause or None
--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -104,16 +104,16 @@
             return self._least_loaded(call)
         known = self._directory.view.of(call.service)
         preferred = self._balancer.reachable(available)
-        excluded = {one.id for one in known if one not in preferred}
-        tried = frozenset(excluded | call.tried)
-        answer = yield from self._gate.admit(call, tried, caller)
+        avoided = {one.id for one in known if one not in preferred}
+        excluded = frozenset(avoided | call.tried)
+        answer = yield from self._gate.admit(call, excluded, caller)
         if isinstance(answer, CallerLeft | OutOfTime):
             return answer
         if isinstance(answer, SendRefused):
             return Refusal(Reason.OVERLOADED, answer.retry_after)
         if isinstance(answer, SendGranted):
             granted = self._directory.view.by_id.get(answer.upstream_id)
-            if granted is not None and granted.id not in tried:
+            if granted is not None and granted.id not in excluded:
                 return granted
             # The leader knows other upstreams than this instance.
             self._gate.give_back(call)
--- a/tests/admission_instances.py
+++ b/tests/admission_instances.py
@@ -98,7 +98,7 @@
         customer: str = "",
         target_s: float = 1.0,
         deadline_s: float = 3.0,
-        tried: frozenset[str] = frozenset(),
+        excluded: frozenset[str] = frozenset(),
         fingerprint: str = "",
     ) -> SendQuery:
         """Ask for the admission of a new request of an instance."""
@@ -112,7 +112,7 @@
             0,
             now + timedelta(seconds=target_s),
             now + timedelta(seconds=deadline_s),
-            tried,
+            excluded,
         )
         self.core(name).admission_client.ask(query)
         return query
--- a/tests/admission_world.py
+++ b/tests/admission_world.py
@@ -206,11 +206,11 @@
             if outcome is AttemptOutcome.SUCCEEDED:
                 caller.served_at = now
                 return
-            tried = request.tried | {upstream_id}
-            if len(tried) < MAX_REFUSED_SENDS:
+            excluded = request.excluded | {upstream_id}
+            if len(excluded) < MAX_REFUSED_SENDS:
                 key = ("node-1", next(self._numbers))
                 self._open[key] = caller
-                self.controller.submit(replace(request, key=key, tried=tried))
+                self.controller.submit(replace(request, key=key, excluded=excluded))
 
         self.simulated[upstream_id].send(ended)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -57,7 +57,7 @@
         return world
 
     def test_twice_the_capacity_meets_the_acceptance_criteria(self) -> None:
-        # One customer at nine times its usual load had requests of all refused.
+        # Guards against an overload by one customer that has requests of all refused.
         for seed in (1, 2):
             with self.subTest(seed=seed):
                 world = self.run_overload(seed)
@@ -127,7 +127,7 @@
         number: int,
         fingerprint: str = "",
         instance: str = "node-1",
-        tried: frozenset[str] = frozenset(),
+        excluded: frozenset[str] = frozenset(),
         zone: str = "zone-a",
     ) -> AdmissionRequest:
         now = self.clock.monotonic()
@@ -139,7 +139,7 @@
             now + TARGET,
             now + DEADLINE,
             zone,
-            tried,
+            excluded,
         )
 
     def submit(self, *numbers: int) -> list[Decision]:
@@ -226,7 +226,7 @@
         self.assertEqual(sum(one.reserved for one in rejected), made)
 
     def test_callers_that_leave_do_not_make_an_upstream_look_failing(self) -> None:
-        # A contended upstream got fewer requests after impatient callers had left.
+        # Guards against fewer requests to an upstream whose callers have left early.
         self.submit(1, 2)
         for number in (1, 2):
             self.end(number, AttemptOutcome.UNKNOWN)
@@ -237,15 +237,15 @@
         # The refused place would be granted again at once, and refused again.
         self.submit(1, 2, 3)
         self.assertEqual(self.admitted(self.end(1, AttemptOutcome.REFUSED)), [])
-        again = self.request(9, "f1", tried=frozenset({"u1"}))
+        again = self.request(9, "f1", excluded=frozenset({"u1"}))
         self.controller.submit(again)
         self.controller.step()
         self.assertEqual(len(self.admitted(self.end(2))), 0)
         self.assertEqual(len(self.admitted(self.after(100 * MILLISECOND))), 1)
 
     def test_uneven_service_times_do_not_lower_the_limit_below_the_slots(self) -> None:
-        # A lower limit makes answers faster, so that the next one looks slow again: the
-        # limit fell to one request at a time and stayed there.
+        # Guards against a limit that falls to 1: a lower limit makes answers faster, so
+        # that the next usual one looks slow again.
         source = random.Random(1)
         now = ZERO
         limit = ConcurrencyLimit(SLOTS)
@@ -256,7 +256,7 @@
             self.assertGreaterEqual(limit.value, SLOTS)
 
     def test_the_limit_rises_to_the_slots_again_after_refusals(self) -> None:
-        # Slow answers kept a limit low that a short overload had lowered.
+        # Guards against slow answers that keep a limit low after a short overload.
         limit, now = ConcurrencyLimit(SLOTS), SECOND
         limit.succeeded(WORK, True, now)
         limit.refused(1, now)
@@ -300,13 +300,13 @@
         self.assertEqual(self.controller.step(), [])
         self.assertEqual(self.end(1, AttemptOutcome.UNKNOWN), [])
 
-    def test_tried_upstreams_are_avoided_and_the_own_zone_preferred(self) -> None:
+    def test_excluded_upstreams_are_avoided_and_the_own_zone_preferred(self) -> None:
         # A retry would go to the upstream that has just refused it.
         near, far = upstream("u1", "zone-a"), upstream("u2", "zone-b")
         self.controller.set_upstreams([far, near])
         self.controller.submit(self.request(1))
-        self.controller.submit(self.request(2, tried=frozenset({"u1"})))
-        self.controller.submit(self.request(3, tried=frozenset({"u1", "u2"})))
+        self.controller.submit(self.request(2, excluded=frozenset({"u1"})))
+        self.controller.submit(self.request(3, excluded=frozenset({"u1", "u2"})))
         chosen = {
             decision.request.key[1]: decision.upstream_id
             for decision in self.controller.step()
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -174,7 +174,7 @@
         self.assertEqual((query.customer, query.priority), ("customer", 2))
         self.assertEqual(query.on_time_until, now + SECOND)
         self.assertEqual(query.deadline, now + 3 * SECOND)
-        self.assertEqual(query.tried, {"two"})
+        self.assertEqual(query.excluded, {"two"})
 
     def test_a_request_is_sent_to_the_granted_upstream(self) -> None:
         # Guards against a choice of the instance's own beside the leader's.
@@ -294,7 +294,7 @@
     def test_a_grant_for_an_upstream_that_was_excluded_is_given_back(self) -> None:
         # Guards against a request that is granted the same upstream again and again,
         # and against a second send to an upstream that has refused it: the leader
-        # grants one that was tried if it knows no other.
+        # grants an excluded one if it knows no other.
         call = self.call()
         call.tried.add("one")
         target = self.answered(call, SendGranted("one"))
@@ -343,7 +343,7 @@
         # Guards against grants that are given back again and again.
         self.backoffs.begin("one", self.directory.incarnation_of("one"), SECOND)
         self.begin(self.call())
-        self.assertEqual(self.query.tried, {"one"})
+        self.assertEqual(self.query.excluded, {"one"})
 
     def test_the_leader_does_not_grant_an_upstream_that_is_unreachable_here(
         self,
@@ -352,10 +352,10 @@
         # other instances reach.
         self.health.failed("one", unreachable=True)
         self.begin(self.call())
-        self.assertEqual(self.query.tried, {"one"})
+        self.assertEqual(self.query.excluded, {"one"})
         self.health.failed("two", unreachable=True)
         self.begin(self.call())
-        self.assertEqual(self.query.tried, frozenset())
+        self.assertEqual(self.query.excluded, frozenset())
 
     def test_a_granted_upstream_with_a_limit_needs_a_permit_too(self) -> None:
         # Guards against sends beyond a limit that an upstream has stated.
@@ -372,7 +372,7 @@
         first.answer.set_result(SendGranted("one"))
         self.assertIsNotNone(self.go_on(steps))
         self.assertIn(SendCancelled(first.number), self.sent)
-        self.assertEqual(self.query.tried, {"one"})
+        self.assertEqual(self.query.excluded, {"one"})
         self.query.answer.set_result(SendGranted("two"))
         self.assertIsNone(self.go_on(steps))
         self.assertEqual(self.result.upstream, "two")
--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -9,7 +9,7 @@
 from ashhoist.codec import FIRST_REVISION
 from ashhoist.control import messages
 from ashhoist.control.admission_client import AdmissionClient
-from ashhoist.control.admissions import CustomerWeights
+from ashhoist.control.customer_weights import CustomerWeights
 from ashhoist.customers import Customer, Quota, QuotaUnit
 from ashhoist.overload import AttemptOutcome
 from ashhoist.overload.sends import (
@@ -173,7 +173,7 @@
         self.ask(3 * SECOND)
         [query] = self.sent
         self.assertEqual((query.target_left_ms, query.deadline_left_ms), (1000, 2990))
-        self.assertEqual((query.zone, query.tried), ("zone", ["b"]))
+        self.assertEqual((query.zone, query.excluded), ("zone", ["b"]))
 
 
 class DecisionTests(unittest.TestCase):
@@ -413,7 +413,7 @@
         answer = world.answer(first)
         assert isinstance(answer, SendGranted)
         world.end(asker, first.number, AttemptOutcome.REFUSED)
-        again = world.query(asker, tried=frozenset({answer.upstream_id}))
+        again = world.query(asker, excluded=frozenset({answer.upstream_id}))
         world.run(PROPAGATION_S)
         second = world.answer(again)
         assert isinstance(second, SendGranted)
