Placement: distinct names for crowded and nearly full batches

CROWDED_FREE_PLACES (batch) and NEARLY_FULL_SHARE (batch_load) are different limits. Constants say their reason without figures of one deployment. The data classes of copies move from replication to adapter_copies. Comments of tests name the failure that they guard against.

--- a/packages/ashhoist/src/ashhoist/placement/batch.py
+++ b/packages/ashhoist/src/ashhoist/placement/batch.py
@@ -17,13 +17,16 @@
 SMOOTHING = 0.15
 """Weight of a new run time in the moving average."""
 MIN_RUN_TIME = timedelta(milliseconds=50)
+"""Keeps the average above zero: `MAX_RUN_TIME_RATIO` would prevent it from rising
+again."""
 MAX_RUN_TIME_RATIO = 4
 """A longer run counts as this many times the average, as its caller may read slowly."""
-NEARLY_FULL_PLACES = 8
-"""A batch with fewer free places is nearly full. A busy adapter gets about as many
-requests while another copy of it is loaded."""
+CROWDED_FREE_PLACES = 8
+"""A batch with fewer free places is crowded: the last places are kept for bursts, for
+urgent requests, and for the time in which another copy of a busy adapter is loaded."""
 LARGE_BATCH = 64
-"""Batches of this size or more count as unloaded until they are nearly full."""
+"""Batches of this size or more count as unloaded until they are crowded or nearly full,
+so that engines with such batches are chosen by the time to first token alone."""
 MAX_DELAY_COST = 1.0
 """Seconds. Lower than the cost of a failing engine, so that none is chosen to avoid
 making streams late."""
@@ -49,9 +52,9 @@
     def resize(self, size: int) -> None:
         """Set the number of requests that the engine runs concurrently."""
         self.size = size
-        # A small batch is not nearly full while half of it is free.
-        self._last_places = min(NEARLY_FULL_PLACES, size // 2)
-        self._uncrowded = size - self._last_places if size > 1 else sys.maxsize
+        # A small batch is not crowded while half of it is free.
+        self._crowded_places = min(CROWDED_FREE_PLACES, size // 2)
+        self._max_uncrowded = size - self._crowded_places if size > 1 else sys.maxsize
 
     @property
     def run_time(self) -> timedelta:
@@ -62,9 +65,9 @@
         """Return whether a prefill costs the streams that run.
 
         Their allowed pause must be known. In a large batch, they do not count until it
-        is nearly full.
+        is crowded.
         """
-        if self.size >= LARGE_BATCH and inflight <= self._uncrowded:
+        if self.size >= LARGE_BATCH and inflight <= self._max_uncrowded:
             return False
         return bool(self._streams_by_gap)
 
@@ -129,14 +132,14 @@
     def crowding_cost(self, inflight: int) -> timedelta:
         """Return the cost of taking one of the last free places.
 
-        It rises from nothing, with `NEARLY_FULL_PLACES` free places, to the expected
+        It rises from nothing, with `CROWDED_FREE_PLACES` free places, to the expected
         time between two ends. Otherwise a batch would be full before another engine
         is chosen, and bursts and urgent requests would find no place.
         """
-        if inflight <= self._uncrowded:
+        if inflight <= self._max_uncrowded:
             return ZERO
-        used = min(inflight - self._uncrowded, self._last_places)
-        return self._run_time * used / (self._last_places * self.size)
+        used = min(inflight - self._max_uncrowded, self._crowded_places)
+        return self._run_time * used / (self._crowded_places * self.size)
 
     def delay_cost(self, prefill: float, queued: float) -> timedelta:
         """Return the cost of a prompt's prefill to the streams that run.
--- a/packages/ashhoist/src/ashhoist/placement/batch_load.py
+++ b/packages/ashhoist/src/ashhoist/placement/batch_load.py
@@ -9,9 +9,9 @@
 from .engine import Engine
 from .popularity import HALF_LIFE, Popularity
 
-NEARLY_FULL = 0.75
-"""At 16 streams and one second each, the last quarter fills in a quarter of a second:
-about the time that a load from the weight store takes."""
+NEARLY_FULL_SHARE = 0.75
+"""Share of the places in use from which on a batch is nearly full. The other places
+take the requests that arrive while a copy is loaded from the weight store."""
 DEMAND_CACHE_TIME = timedelta(milliseconds=250)
 """Short compared to the half-life of `Popularity`."""
 
@@ -25,7 +25,7 @@
     """Return whether few places are left in the engine's batch."""
     if not has_batch(engine):
         return False
-    return len(engine.inflight) >= engine.batch * NEARLY_FULL
+    return len(engine.inflight) >= engine.batch * NEARLY_FULL_SHARE
 
 
 def requests_per_second(count: float) -> float:
@@ -57,7 +57,7 @@
         if batch < 2:
             return 0.0
         running = len(engine.inflight)
-        if batch >= LARGE_BATCH and running < batch * NEARLY_FULL:
+        if batch >= LARGE_BATCH and running < batch * NEARLY_FULL_SHARE:
             return 0.0
         running += engine.reserved_requests
         return max(running, self.demanded_streams(engine, now)) / batch
--- a/packages/ashhoist/src/ashhoist/placement/inflight_requests.py
+++ b/packages/ashhoist/src/ashhoist/placement/inflight_requests.py
@@ -47,7 +47,7 @@
         The longest pause between two events that is on time; 0 if unknown.
     waited_for_place : bool
         Whether the batch was full when the request was sent.
-    run_time_known : bool
+    start_observed : bool
         Whether the time of its first event was observed.
     """
 
@@ -59,7 +59,7 @@
     gap_ms: int = 0
     waited_for_place: bool = False
     started: bool = False
-    run_time_known: bool = False
+    start_observed: bool = False
 
 
 class InflightRequests:
@@ -188,7 +188,7 @@
         # Of streams that began at unknown times, some are about to end.
         started_at = now if observed else now - self.batch.run_time
         self.batch.start(request_id, request.gap_ms, started_at)
-        request.run_time_known = observed
+        request.start_observed = observed
         # With a full batch, the wait for a place says nothing about the prefill speed.
         if not observed or request.waited_for_place:
             return
@@ -202,7 +202,7 @@
     def complete(self, request_id: str, now: timedelta) -> Adapter | None:
         """Remove a request that has run to its end, and learn its run time."""
         request = self._by_id.get(request_id)
-        if request is not None and request.run_time_known:
+        if request is not None and request.start_observed:
             self.batch.observe_run_time(request_id, now)
         return self.remove(request_id)
 
--- a/packages/ashhoist/src/ashhoist/placement/limited_engines.py
+++ b/packages/ashhoist/src/ashhoist/placement/limited_engines.py
@@ -17,7 +17,7 @@
         Returns the engines that serve the adapter of a request.
     first_token_wait : callable
         Takes an engine and the length of a prompt; returns the expected time to its
-        first token, including the wait for a permit.
+        first token, including the wait for a permit, plus the cost to other requests.
     send : callable
         Sends a request to an engine.
     """
--- a/packages/ashhoist/src/ashhoist/placement/planning_round.py
+++ b/packages/ashhoist/src/ashhoist/placement/planning_round.py
@@ -96,7 +96,7 @@
         The queued requests, grouped by adapter.
     first_token_wait : callable
         Takes an engine and the length of a prompt; returns the expected time to its
-        first token.
+        first token, plus the cost to other requests.
     permit_wait : callable
         Takes an engine; returns how long until one more request can be sent there: no
         time unless it has a rate limit.
--- a/packages/ashhoist/src/ashhoist/placement/replication.py
+++ b/packages/ashhoist/src/ashhoist/placement/replication.py
@@ -6,16 +6,16 @@
 
 import math
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
-from enum import StrEnum
 
 from ..adapter import Adapter
 from ..orders.order import OrderKind
+from .adapter_copies import AdapterCopy, CopyOrder, CopyResult, ReplicationPlan
 from .adapter_index import AdapterIndex
 from .batch import LARGE_BATCH
 from .batch_load import (
-    NEARLY_FULL,
+    NEARLY_FULL_SHARE,
     BatchLoad,
     has_batch,
     is_nearly_full,
@@ -33,83 +33,37 @@
 from .popularity import Popularity
 
 ALLOWED_PAUSE = timedelta(milliseconds=300)
-"""Longer pauses between the events of a stream are late on the most urgent routes."""
+"""A prefill that delays the events of streams for longer makes an engine busy. Routes
+have their own limits (`target_event_gap`), which are known for each request only."""
 REPLICATION_INTERVAL = timedelta(milliseconds=50)
-"""Short compared to a load, which takes 250 ms or more from the weight store."""
+"""Short compared to a load from the weight store."""
 SPARE_FILL = 0.5
-"""An engine has spare capacity while less of its batch than this is in use."""
+"""An engine has spare capacity while less of its batch than this is in use. Well below
+`NEARLY_FULL_SHARE`, so that a copy does not make it busy as well."""
 MAX_SPARE_WAIT = timedelta(milliseconds=500)
 """Above this, an engine is failing, limited or slow, and gets no copy."""
 COPY_LIFETIME = timedelta(seconds=10)
 """For how long a copy is expected to be used; demand changes within about this time."""
 REQUEST_BENEFIT = 0.2
-"""Value that is gained for each request which a copy takes from a busy engine. A late
-answer loses about 0.7 of its value, and only some of the requests would be late."""
+"""Value that is gained for each request which a copy takes from a busy engine, in the
+unit of `COLD_LOAD_PRICE`. Less than the value that a late answer loses, as only some of
+the requests would be late."""
 MIN_GAIN = 0.2
-"""A load from a kept copy has no price, but takes a slot and two orders."""
+"""Value that a copy must bring. A load from a kept copy has no price, but takes a slot
+and two orders."""
 EVICTION_MARGIN = 2.0
 """A copy must bring this many times the demand of the adapter that it evicts. Otherwise
 two adapters in similar demand would evict each other in turn."""
 MAX_COPIES_UNDER_WAY = 2
 """Leaves most of the loads that the weight store allows to requests that have no engine
 at all."""
-MAX_ADAPTERS_TRIED = 32
-"""For so many adapters, those in most demand, an engine is looked for at a time. The
-others would have to evict adapters in even less demand, and hundreds of busy engines
-serve thousands of adapters."""
+MAX_ADAPTERS_EXAMINED = 32
+"""Adapters in most demand for which each round looks for an engine. Each of them is
+compared with each spare engine, so this bounds the time of a round. The others would
+have to evict adapters in even less demand."""
 MAX_COPY_TIME = timedelta(seconds=3)
-"""After this time a copy counts as abandoned, and another engine may get one."""
-
-
-class CopyResult(StrEnum):
-    """What has become of a copy."""
-
-    STARTED = "started"
-    SERVED = "served"
-    ABANDONED = "abandoned"
-
-
-@dataclass(frozen=True, slots=True)
-class AdapterCopy:
-    """A copy of an adapter that is under way.
-
-    Parameters
-    ----------
-    served_by : int
-        The number of engines that served the adapter when the copy was decided on.
-    """
-
-    service: str
-    adapter: Adapter
-    version: int
-    engine: Engine
-    started_at: timedelta
-    cold: bool
-    served_by: int
-
-
-@dataclass(frozen=True, slots=True)
-class CopyOrder:
-    """An order to send for a copy: to unload `evict`, or else to load the adapter."""
-
-    copy: AdapterCopy
-    evict: Adapter | None = None
-
-
-@dataclass(slots=True)
-class ReplicationPlan:
-    """What to do for the copies of busy adapters now.
-
-    Parameters
-    ----------
-    orders : list of CopyOrder
-        Orders to send; at most one for each engine.
-    changes : list of tuple
-        Copies that were started or have ended, with the result.
-    """
-
-    orders: list[CopyOrder] = field(default_factory=list)
-    changes: list[tuple[AdapterCopy, CopyResult]] = field(default_factory=list)
+"""After this time, much longer than a load usually takes, a copy counts as abandoned,
+and another engine may get one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,7 +118,7 @@
         All engines, by id; changed by the scheduler.
     first_token_wait : callable
         Takes an engine and the length of a prompt; returns the expected time to its
-        first token.
+        first token, plus the cost to other requests.
     allowed_pause : timedelta
         The longest pause between the events of a stream that is on time.
     """
@@ -214,7 +168,11 @@
             for engine in self._engines.values()
             if self._is_busy(engine, now)
         }
-        if busy and len(self._under_way) < MAX_COPIES_UNDER_WAY and self._has_room():
+        if (
+            busy
+            and len(self._under_way) < MAX_COPIES_UNDER_WAY
+            and self._any_has_spare_places()
+        ):
             self._start_copies(plan, busy, open_zones, now)
         return plan
 
@@ -237,17 +195,17 @@
         relieved = self._relieved_engines()
         adapters = list(self._busy_adapters(busy, now))
         adapters.sort(key=lambda found: (-found.share, found.service, found.adapter))
-        tried = 0
+        examined = 0
         for found in adapters:
             if len(self._under_way) >= MAX_COPIES_UNDER_WAY:
                 break
-            if tried >= MAX_ADAPTERS_TRIED:
+            if examined >= MAX_ADAPTERS_EXAMINED:
                 break
             if (found.service, found.adapter.model) not in models:
                 continue
             if relieved.intersection(engine.id for engine in found.serving):
                 continue
-            tried += 1
+            examined += 1
             order = self._start(found, spare, now)
             if order is None:
                 continue
@@ -275,7 +233,7 @@
         idle_wait = BASE_LATENCY * engine.inflight.latency_factor
         return engine.inflight.time_to_first_token(0, now) - idle_wait
 
-    def _has_room(self) -> bool:
+    def _any_has_spare_places(self) -> bool:
         return any(_has_spare_places(engine) for engine in self._engines.values())
 
     def _has_spare_capacity(self, engine: Engine, now: timedelta) -> bool:
@@ -466,7 +424,7 @@
         if entry.evicted_count * EVICTION_MARGIN > found.share:
             return False
         streams = entry.streams + self._load.streams_of_count(engine, found.share)
-        return streams <= engine.batch * NEARLY_FULL
+        return streams <= engine.batch * NEARLY_FULL_SHARE
 
 
 def _gain(share: float) -> float:
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -23,6 +23,7 @@
     SchedulerAction,
     ServedAdaptersChanged,
 )
+from .adapter_copies import CopyOrder, ReplicationPlan
 from .adapter_index import AdapterIndex
 from .batch_load import BatchLoad
 from .engine import Engine, EngineUpdate, SlotState
@@ -34,7 +35,7 @@
 from .permits import EnginePermits
 from .planning_round import PlanningRound, find_slot
 from .popularity import Popularity
-from .replication import CopyOrder, Replication, ReplicationPlan
+from .replication import Replication
 from .residency import Residency
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -507,7 +508,7 @@
             now,
             self._batch_load,
         )
-        self._refuse_overdue(round_, now)
+        self._end_overdue_waits(round_, now)
         demands = [
             demand for demand in self.pending_requests.demands() if demand.adapter.name
         ]
@@ -541,8 +542,8 @@
         zones = {engine.upstream.zone for engine in self.engines.values()}
         return {zone for zone in zones if self._may_order(zone)}
 
-    def _refuse_overdue(self, round_: PlanningRound, now: timedelta) -> None:
-        """Refuse requests past their deadline or their give-up time.
+    def _end_overdue_waits(self, round_: PlanningRound, now: timedelta) -> None:
+        """End the waits of requests past their deadline or their give-up time.
 
         At its give-up time, a request is sent to an engine that serves its adapter if
         there is one. Otherwise the time does not apply while the adapter is being
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -20,6 +20,7 @@
 
 BATCH = 16
 NEARLY_FULL = 12
+"""Streams from which on the batch is nearly full."""
 SHORT = 10
 """Tokens of a prompt whose prefill does not matter."""
 
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -96,8 +96,8 @@
 
 class SpreadTests(unittest.TestCase):
     def test_requests_spread_over_copies_before_a_batch_is_full(self) -> None:
-        # A few engines ran 20 to 28 requests with a batch of 16, and others 2 or 3.
-        # One copy has a slightly earlier first token, so that it was always chosen.
+        # Guards against an overfull batch at the engine with a slightly earlier first
+        # token, while other copies have free places.
         world = SchedulerWorld({"one": [1], "two": [1], "three": [1]}, batch=BATCH)
         run_times = dict.fromkeys(world.scheduler.engines, 3 * SECOND)
         traffic = Traffic(world, run_times, {"one": 0.9})
@@ -106,14 +106,14 @@
         self.assertLess(max(traffic.most_in_flight.values()), BATCH)
 
     def test_of_equal_engines_the_one_with_the_emptier_batch_is_chosen(self) -> None:
-        # The first engine of the list got all requests of a quiet time.
+        # Guards against sending all requests of a quiet time to the first engine found.
         world = SchedulerWorld({"one": [1], "two": [1]}, batch=BATCH)
         fill(world, "one", 2)
         _, chosen = world.place_request(1)
         self.assertEqual(chosen, "two")
 
     def test_a_large_batch_is_no_reason_until_it_is_nearly_full(self) -> None:
-        # Deployments with a batch of 96 are served as before.
+        # Guards against another choice of engines while a batch of 96 has room.
         for running, expected in ((80, "one"), (95, "two")):
             with self.subTest(running=running):
                 world = SchedulerWorld({"one": [1], "two": [1]}, batch=96)
@@ -127,7 +127,7 @@
 
 class FullBatchTests(unittest.TestCase):
     def test_a_full_engine_is_avoided_also_for_urgent_requests(self) -> None:
-        # Urgent requests preempted streams that were then late.
+        # Guards against urgent requests that preempt streams and make them late.
         for worth in (0.5, 1000.0):
             world = SchedulerWorld({"one": [1], "two": [1]}, batch=BATCH)
             fill(world, "one", BATCH)
@@ -139,14 +139,14 @@
             self.assertEqual(world.placed()[request_id], "two")
 
     def test_a_full_engine_is_used_if_it_is_the_only_one(self) -> None:
-        # The wait for a place is short compared with a load.
+        # Guards against waiting for a load, which takes longer than a place.
         world = SchedulerWorld({"one": [1]}, batch=BATCH)
         fill(world, "one", BATCH)
         self.assertEqual(world.place_request(1)[1], "one")
 
     def test_a_request_does_not_wait_for_an_engine_that_does_not_answer(self) -> None:
-        # A request that was queued for a load was refused at its deadline, although
-        # the engine that serves its adapter had been idle for seconds.
+        # Guards against a queued request that is refused at its deadline although the
+        # engine that serves its adapter is idle.
         world = SchedulerWorld({"one": [1], "two": []}, batch=BATCH)
         streams = [world.place_request(1, 10)[0] for _ in range(BATCH)]
         world.clock.advance(FIRST_EVENT)
@@ -163,7 +163,7 @@
         self.assertEqual(world.placed().get(queued), "one")
 
     def test_few_engines_are_visited_for_a_request_that_is_queued(self) -> None:
-        # With 610 engines, each request for a full one took the leader milliseconds.
+        # Guards against visiting all engines of a large deployment for each request.
         served: dict[str, list[int]] = {f"e{number}": [] for number in range(100)}
         served["e0"] = [1]
         world = SchedulerWorld(served, batch=BATCH)
@@ -178,7 +178,7 @@
         self.assertLess(could_load.call_count, 10)
 
     def test_the_batch_follows_the_settings(self) -> None:
-        # A changed batch took effect only for engines that were added later.
+        # Guards against a changed batch that has no effect on known engines.
         world = SchedulerWorld({"one": [1]}, batch=BATCH)
         settings = dataclasses.replace(world.settings, batch=32)
         world.scheduler.set_upstreams({SERVICE: settings}, world.upstreams)
@@ -186,7 +186,7 @@
         self.assertEqual(Engine(world.upstreams[0], 4).batch, 0)
 
     def test_an_unknown_batch_is_never_full(self) -> None:
-        # Without a declared batch, requests go where the first token comes first.
+        # Guards against a cost of places where no batch is declared.
         for batch in (0, 1):
             world = SchedulerWorld({"one": [1], "two": [1]}, batch=batch)
             fill(world, "one", 40)
@@ -196,7 +196,7 @@
             self.assertEqual(world.place_request(1)[1], "one")
 
     def test_requests_without_a_reported_end_are_removed(self) -> None:
-        # An engine stayed full in the leader's model for ever.
+        # Guards against an engine that counts as full for ever.
         world = SchedulerWorld({"one": [1], "two": [1]}, batch=BATCH)
         fill(world, "one", BATCH)
         one = world.scheduler.engines["one"]
@@ -210,7 +210,7 @@
 
 class SlowEngineTests(unittest.TestCase):
     def test_slow_engines_get_proportionally_less_but_not_none(self) -> None:
-        # Half of the requests were sent to an engine with 2.4 times the run time.
+        # Guards against as many requests for an engine with longer run times.
         world = SchedulerWorld({"slow": [1], "fast": [1]}, batch=12)
         run_times = {"slow": 2.4 * SECOND, "fast": SECOND}
         traffic = Traffic(world, run_times)
@@ -237,27 +237,27 @@
         return world.place_request(1, tokens=9000)[1]
 
     def test_a_long_prompt_is_kept_from_running_streams(self) -> None:
-        # Streams with an allowed pause of 300 ms were late by one long prompt.
+        # Guards against one long prompt that makes many streams late.
         self.assertEqual(self.choose(gap_ms=300), "two")
 
     def test_a_prompt_is_not_queued_for_a_load_to_spare_running_streams(self) -> None:
-        # The cost to the streams was taken for a wait: the prompt waited for a load
-        # although the engine that served its adapter had free places.
+        # Guards against taking the cost to streams for a wait: the prompt would wait
+        # for a load although the engine that serves its adapter has free places.
         world = SchedulerWorld({"one": [1], "two": []}, batch=BATCH)
         fill(world, "one", 6, gap_ms=300)
         self.assertEqual(world.place_request(1, tokens=9000)[1], "one")
 
     def test_streams_that_may_pause_for_longer_are_no_reason(self) -> None:
-        # Routes with long pauses are served as before.
+        # Guards against a cost to streams whose routes allow long pauses.
         self.assertEqual(self.choose(gap_ms=1000), "one")
 
     def test_streams_are_no_reason_while_a_large_batch_has_room(self) -> None:
-        # Deployments with large batches are served as before until these are full.
+        # Guards against a cost to streams while a large batch has room.
         for batch in (64, 96):
             self.assertEqual(self.choose(gap_ms=300, batch=batch), "one")
 
     def test_the_allowed_pause_is_kept_with_the_request(self) -> None:
-        # The pause of the query got lost when its request was sent to an engine.
+        # Guards against an allowed pause that is lost when the request is sent.
         world = SchedulerWorld({"one": [1]}, batch=BATCH)
         request_id = world.submit(1, gap_ms=300)
         inflight = world.scheduler.engines["one"].inflight
@@ -297,8 +297,8 @@
         return scheduling
 
     def test_reported_uses_teach_a_new_leader_nothing(self) -> None:
-        # Requests that were reported as begun and started at once made each engine
-        # look 2.5 times as fast, and their ends made run times look short.
+        # Guards against learning from requests that are reported as begun and started
+        # at once: engines would look too fast, and run times too short.
         world = SchedulerWorld({"one": [1]}, batch=BATCH)
         scheduling = self.scheduling(world)
         ids = [f"u{number}" for number in range(10)]
@@ -315,8 +315,8 @@
         self.assertEqual(engine.inflight.batch.run_time, DEFAULT_RUN_TIME)
 
     def test_reported_uses_do_not_all_end_late(self) -> None:
-        # Streams that were reported to a new leader seemed to have begun together, so
-        # the next request for each adapter of a full engine was queued for a load.
+        # Guards against reported streams that seem to have begun together: the next
+        # request for each adapter of a full engine would be queued for a load.
         world = SchedulerWorld({"one": [1], "two": []}, batch=BATCH)
         scheduling = self.scheduling(world)
         ids = [f"u{number}" for number in range(BATCH)]
@@ -326,7 +326,7 @@
         self.assertEqual(world.place_request(1, TOKENS)[1], "one")
 
     def test_a_new_leader_learns_from_later_requests(self) -> None:
-        # What was learnt is not handed over, so the first ends must count.
+        # Guards against a new leader that never learns: it starts without run times.
         world = SchedulerWorld({"one": [1]}, batch=BATCH)
         scheduling = self.scheduling(world)
         uses = EngineUses([["u", "one", MODEL, "a1", 800]], [], [])
@@ -340,7 +340,7 @@
         self.assertLess(batch.run_time, DEFAULT_RUN_TIME)
 
     def test_the_state_of_an_engine_is_logged(self) -> None:
-        # Operators could not see why an engine was avoided.
+        # Guards against a log that does not show why an engine is avoided.
         world = SchedulerWorld({"one": [1]}, batch=BATCH)
         fill(world, "one", BATCH)
         recorder = _Recorder()
