--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -107,13 +107,7 @@
             if isinstance(target, OutOfTime):
                 return (yield from self._responses.out_of_time(call, caller, relay))
             if isinstance(target, Refusal):
-                if answered is not None:
-                    # Only the retry is refused; the request has run.
-                    return (
-                        yield from self._responses.finish(call, caller, relay, answered)
-                    )
-                self._log_overload(call, target)
-                return (yield from self._responses.refuse(call, caller, relay, target))
+                return (yield from self._refuse(call, caller, relay, target, answered))
             refusal = self._send_refusal(call)
             if refusal is not None:
                 chooser.on_attempt_ended(call, target, RequestOutcome.UNKNOWN, None)
@@ -139,6 +133,27 @@
                 continue
             return (yield from self._responses.finish(call, caller, relay, result))
 
+    def _refuse(
+        self,
+        call: Call,
+        caller: CallerConnection,
+        relay: StreamRelay,
+        refusal: Refusal,
+        answered: Answered | None,
+    ) -> Steps[Ending]:
+        """Answer a call for which no upstream was chosen.
+
+        Parameters
+        ----------
+        answered : Answered or None
+            The last answer of an upstream. If there is one, the request has run and
+            only its retry is refused.
+        """
+        if answered is not None:
+            return (yield from self._responses.finish(call, caller, relay, answered))
+        self._log_overload(call, refusal)
+        return (yield from self._responses.refuse(call, caller, relay, refusal))
+
     def _log_overload(self, call: Call, refusal: Refusal) -> None:
         """Log a refusal by the leader, which admits the requests to the service."""
         if refusal.reason is not Reason.OVERLOADED:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -51,6 +51,7 @@
             pass
 
     def test_extra_fields_are_rejected(self) -> None:
+        # Guards against fields that are dropped silently.
         frame = cbor2.dumps([[5, "r", 1, 2]])
         with self.assertRaises(messages.FrameError):
             messages.decode(frame)
@@ -80,26 +81,31 @@
     )
 
     def test_a_query_of_the_previous_version_is_decoded(self) -> None:
+        # Guards against closed links to instances that send no allowed pause.
         frame = cbor2.dumps([[46, *self.FIELDS, ["e0"]]])
         [query] = codec.decode(frame)
         self.assertEqual(query, PlacementQuery(*self.FIELDS, ["e0"], gap_ms=0))
 
     def test_the_previous_version_is_sent_the_fields_that_it_knows(self) -> None:
+        # Guards against a link that the other side closes over an unknown field.
         query = PlacementQuery(*self.FIELDS, ["e0"], 300)
         encoded = codec.encode_one(query, codec.FIRST_REVISION)
         self.assertEqual(cbor2.loads(encoded), [46, *self.FIELDS, ["e0"]])
 
     def test_the_same_version_is_sent_all_fields(self) -> None:
+        # Guards against an allowed pause that is left out for instances that know it.
         query = PlacementQuery(*self.FIELDS, ["e0"], 300)
         self.assertEqual(codec.decode(codec.encode([query])), [query])
 
     def test_added_fields_are_checked(self) -> None:
+        # Guards against values of a wrong type in fields that may be missing.
         for wrong in ("300", True, 0.3, None):
             frame = cbor2.dumps([[46, *self.FIELDS, [], wrong]])
             with self.assertRaises(messages.FrameError):
                 codec.decode(frame)
 
     def test_required_fields_may_not_be_missing(self) -> None:
+        # Guards against a query that is placed without all of its fields.
         frame = cbor2.dumps([[46, *self.FIELDS]])
         with self.assertRaises(messages.FrameError):
             codec.decode(frame)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -91,8 +91,8 @@
         self.assertEqual(answer.headers["seal"], "seal")
 
     def test_the_only_upstream_keeps_its_answer_if_there_is_no_other(self) -> None:
-        # A caller was told with 503 that its request had not run, though the upstream
-        # had run it and answered: the retry found no other upstream.
+        # Guards against a 503 that says the request has not run, although an upstream
+        # has run it and answered, and only the retry found no other upstream.
         harness = self.start(
             lambda call: call.respond(500, b"why", response_headers(call)), attempts=2
         )
