--- a/packages/ashhoist/src/ashhoist/control/customer_weights.py
+++ b/packages/ashhoist/src/ashhoist/control/customer_weights.py
@@ -19,16 +19,21 @@
         self._table: RouteTable | None = None
         self._weight_by_name: dict[str, float] = {}
         self._mean = DEFAULT_WEIGHT
+        self._largest = DEFAULT_WEIGHT
 
     def weight(self, customer: str) -> float:
         """Return a customer's weight: its quota's rate in plain requests per second.
 
-        It is the mean of the others for a customer without a quota.
+        It is the mean of the others for a customer without a quota. Requests without a
+        customer come from any number of callers of public routes. Together, they have
+        the weight of the largest customer.
         """
         table = self._active_configuration.table
         if table is not self._table and table is not None:
             self._table = table
             self._update(table.customers.by_name.values())
+        if not customer:
+            return self._largest
         return self._weight_by_name.get(customer, self._mean)
 
     def _update(self, customers: Iterable[Customer]) -> None:
@@ -42,3 +47,4 @@
             self._weight_by_name[customer.name] = weight
         weights = self._weight_by_name.values()
         self._mean = sum(weights) / len(weights) if weights else DEFAULT_WEIGHT
+        self._largest = max(weights, default=DEFAULT_WEIGHT)
--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -466,6 +466,12 @@
         self.assertEqual(self.weights().weight(""), 1.0)
         self.assertEqual(self.weights(Customer("a", frozenset())).weight("a"), 1.0)
 
+    def test_requests_without_a_customer_weigh_as_much_as_the_largest(self) -> None:
+        # Guards against public routes that are hardly served while customers' are.
+        small = Customer("small", frozenset(), quota=Quota(10.0, 10.0))
+        large = Customer("large", frozenset(), quota=Quota(90.0, 90.0))
+        self.assertEqual(self.weights(small, large).weight(""), 90.0)
+
     def test_a_quota_of_nothing_still_has_a_weight(self) -> None:
         # Guards against a division by zero in the fair queue.
         none = Customer("none", frozenset(), 0, Quota(0.0, 0.0))
