Remove repeated work and unused state from admission and copies

Cause: a read-through of the change found code without a use. A rejected request's wait was predicted twice. is_contended() cleared state that it could derive. The allowed pause of Replication was a parameter that nobody set, and continue_copies() only wrapped a second method. BatchLoad.fill() repeated has_batch().

Change: _reject() and _reserve() take the predicted wait, is_contended() compares the age of the notice, ALLOWED_PAUSE is used directly, the two methods are one, and fill() calls has_batch(). Behaviour and tests are as before.

--- a/packages/ashhoist/src/ashhoist/control/admission_client.py
+++ b/packages/ashhoist/src/ashhoist/control/admission_client.py
@@ -77,11 +77,9 @@
 
     def is_contended(self, service: str) -> bool:
         """Return whether the leader has to be asked before a send to a service."""
-        if not self._contended:
+        if service not in self._contended:
             return False
-        if self._clock.monotonic() - self._noticed_at >= NOTICE_RETENTION:
-            self._contended = frozenset()
-        return service in self._contended
+        return self._clock.monotonic() - self._noticed_at < NOTICE_RETENTION
 
     def notice_received(self, peer: str, notice: messages.ContentionNotice) -> None:
         """Handle the leader's list of contended services."""
--- a/packages/ashhoist/src/ashhoist/overload/controller.py
+++ b/packages/ashhoist/src/ashhoist/overload/controller.py
@@ -115,7 +115,7 @@
         wait = self._predicted_wait(request, rank)
         is_too_late = wait > (start_by - now) * ACCEPTED_SHARE
         if request.deadline <= now or (is_too_late and not returned):
-            self._reject(request, rank)
+            self._reject(request, wait)
             return
         self._queue.push(QueuedRequest(request, start_by, rank))
         heapq.heappush(self._start_limits, (start_by, request.key))
@@ -209,7 +209,8 @@
         if queued is None or queued.start_by != start_by:
             return
         self._queue.remove(key)
-        self._reject(queued.request, queued.rank)
+        wait = self._predicted_wait(queued.request, queued.rank)
+        self._reject(queued.request, wait)
 
     def _reject_displaced(self) -> None:
         """Reject the requests that fairness has put behind too many others."""
@@ -225,11 +226,11 @@
         for queued in displaced:
             self._reject_queued(queued.request.key, queued.start_by)
 
-    def _reject(self, request: AdmissionRequest, rank: Rank) -> None:
+    def _reject(self, request: AdmissionRequest, wait: timedelta) -> None:
         self._contention.record_congestion()
         now = self._clock.monotonic()
         longest = max((request.deadline - now) * RETRY_SHARE, ZERO)
-        due = self._reserve(request, rank, now + longest)
+        due = self._reserve(request, wait, now + longest)
         retry_after = longest if due is None else due - now
         self._decisions.append(Rejected(request, retry_after, due is not None))
         self._metrics.count("admissions", request.customer, "rejected")
@@ -262,11 +263,10 @@
         return _time_until_free(ahead - free + 1, throughput)
 
     def _reserve(
-        self, request: AdmissionRequest, rank: Rank, latest: timedelta
+        self, request: AdmissionRequest, wait: timedelta, latest: timedelta
     ) -> timedelta | None:
         """Reserve a time for the caller to come back; None if there is none."""
         now, throughput = self._clock.monotonic(), self._loads.throughput
-        wait = self._predicted_wait(request, rank)
         if not throughput or now + wait > latest:
             return None
         rate = self._rates.rate(request.customer, throughput) * RESERVED_SHARE
--- a/packages/ashhoist/src/ashhoist/placement/batch_load.py
+++ b/packages/ashhoist/src/ashhoist/placement/batch_load.py
@@ -53,9 +53,9 @@
         It is 0 for an engine without a batch, and for a large batch that is not nearly
         full.
         """
-        batch = engine.batch
-        if batch < 2:
+        if not has_batch(engine):
             return 0.0
+        batch = engine.batch
         running = len(engine.inflight)
         if batch >= LARGE_BATCH and running < batch * NEARLY_FULL_SHARE:
             return 0.0
--- a/packages/ashhoist/src/ashhoist/placement/replication.py
+++ b/packages/ashhoist/src/ashhoist/placement/replication.py
@@ -119,8 +119,6 @@
     first_token_wait : callable
         Takes an engine and the length of a prompt; returns the expected time to its
         first token, plus the cost to other requests.
-    allowed_pause : timedelta
-        The longest pause between the events of a stream that is on time.
     """
 
     def __init__(
@@ -130,14 +128,12 @@
         popularity: Popularity,
         load: BatchLoad,
         first_token_wait: Callable[[Engine, int], timedelta],
-        allowed_pause: timedelta = ALLOWED_PAUSE,
     ) -> None:
         self._engines = engines
         self._index = index
         self._popularity = popularity
         self._load = load
         self._first_token_wait = first_token_wait
-        self._allowed_pause = allowed_pause
         self._under_way: dict[tuple[str, Adapter], AdapterCopy] = {}
         self._next_plan_at = timedelta()
 
@@ -148,7 +144,27 @@
         the slots that were emptied for copies.
         """
         plan = ReplicationPlan()
-        self._continue_copies(plan, open_zones, now)
+        for key, copy in list(self._under_way.items()):
+            engine = copy.engine
+            if self._engines.get(engine.id) is not engine:
+                result = CopyResult.ABANDONED
+            elif engine.serves(copy.adapter, copy.version):
+                result = CopyResult.SERVED
+            elif now - copy.started_at > MAX_COPY_TIME:
+                result = CopyResult.ABANDONED
+            elif self._is_under_way(engine, copy, now):
+                continue
+            elif _has_refused(engine, now):
+                result = CopyResult.ABANDONED
+            elif not engine.can_order(now) or engine.upstream.zone not in open_zones:
+                continue
+            elif engine.free_slots > 0 and self._is_needed(copy, now):
+                plan.orders.append(CopyOrder(copy))
+                continue
+            else:
+                result = CopyResult.ABANDONED
+            del self._under_way[key]
+            plan.changes.append((copy, result))
         return plan
 
     def plan(self, open_zones: set[str], now: timedelta) -> ReplicationPlan:
@@ -227,7 +243,7 @@
             return True
         if engine.batch >= LARGE_BATCH or not len(engine.inflight):
             return False
-        return self._queued_prefill(engine, now) > self._allowed_pause
+        return self._queued_prefill(engine, now) > ALLOWED_PAUSE
 
     def _queued_prefill(self, engine: Engine, now: timedelta) -> timedelta:
         idle_wait = BASE_LATENCY * engine.inflight.latency_factor
@@ -239,37 +255,12 @@
     def _has_spare_capacity(self, engine: Engine, now: timedelta) -> bool:
         if not _has_spare_places(engine):
             return False
-        if self._queued_prefill(engine, now) > self._allowed_pause / 2:
+        if self._queued_prefill(engine, now) > ALLOWED_PAUSE / 2:
             return False
         return self._first_token_wait(engine, 0) <= MAX_SPARE_WAIT
 
     # Copies under way
 
-    def _continue_copies(
-        self, plan: ReplicationPlan, open_zones: set[str], now: timedelta
-    ) -> None:
-        for key, copy in list(self._under_way.items()):
-            engine = copy.engine
-            if self._engines.get(engine.id) is not engine:
-                result = CopyResult.ABANDONED
-            elif engine.serves(copy.adapter, copy.version):
-                result = CopyResult.SERVED
-            elif now - copy.started_at > MAX_COPY_TIME:
-                result = CopyResult.ABANDONED
-            elif self._is_under_way(engine, copy, now):
-                continue
-            elif _has_refused(engine, now):
-                result = CopyResult.ABANDONED
-            elif not engine.can_order(now) or engine.upstream.zone not in open_zones:
-                continue
-            elif engine.free_slots > 0 and self._is_needed(copy, now):
-                plan.orders.append(CopyOrder(copy))
-                continue
-            else:
-                result = CopyResult.ABANDONED
-            del self._under_way[key]
-            plan.changes.append((copy, result))
-
     def _is_under_way(self, engine: Engine, copy: AdapterCopy, now: timedelta) -> bool:
         """Return whether the copy is loading, or the slot for it is being emptied."""
         if engine.is_loading(copy.adapter, copy.version, now):
