--- a/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
@@ -72,6 +72,7 @@
             fingerprint=call.fingerprint,
             upstream=target.upstream,
             address=target.address,
+            software_version=call.last_software_version,
             send=call.sends,
             result=type(result).__name__,
             reason=reason_of(result),
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -46,6 +46,11 @@
         Names the incarnation of the upstream that the current attempt goes to.
     last_upstream : str
         The id of the upstream that the last attempt was sent to.
+    last_software_version : str
+        The software version of that upstream; empty if not known.
+    resumes : str
+        Names the request that brought the first event of the stream that the caller
+        takes up; empty if it names none.
     sends : int
         Attempts that were started.
     runs : int
@@ -103,6 +108,8 @@
     fingerprint: str = ""
     upstream_incarnation: str = ""
     last_upstream: str = ""
+    last_software_version: str = ""
+    resumes: str = ""
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -276,6 +276,7 @@
             call.retry_reserved = False
             self._budget.record_sent(call.service)
         call.last_upstream = target.upstream
+        call.last_software_version = self._software_version(target)
         call.sent_at = self._clock.monotonic()
         call.tried.add(target.upstream)
         call.attempt_unresolved = True
@@ -300,6 +301,11 @@
                 result.connection.close()
         return segment_end
 
+    def _software_version(self, target: Target) -> str:
+        """Return the software version of an upstream; empty if not known."""
+        known = self._directory.view.by_id.get(target.upstream)
+        return "" if known is None else known.software_version
+
     def _silence_limit(
         self, call: Call, target: Target, chooser: Chooser
     ) -> SilenceLimit | None:
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -21,6 +21,7 @@
 from .end_recorder import EndRecorder
 from .fingerprint import fingerprint
 from .header_names import HeaderNames
+from .resumption import resumed_request
 
 RESPONSE_WRITE_TIMEOUT = timedelta(seconds=2)
 FIRST_TRY_SHARE = 0.9
@@ -196,6 +197,7 @@
             ),
             identity=admitted.identity,
             fingerprint=fingerprint(request, adapter),
+            resumes=resumed_request(request, header_names.resumes.lower()),
             is_forwarded=bool(runs_elsewhere),
             runs=int(runs_elsewhere) if runs_elsewhere.isdecimal() else 0,
         )
--- a/packages/ashhoist/src/ashhoist/requests/header_names.py
+++ b/packages/ashhoist/src/ashhoist/requests/header_names.py
@@ -40,6 +40,9 @@
         Prompt tokens and maximum output tokens, separated by a comma.
     prompt_parts : str
         ``ID:TOKENS`` pairs in order, separated by commas.
+    resumes : str
+        In a request that takes up a stream: the id of the request that brought its
+        first event.
     not_run : str
         Set by an upstream that refuses a request without running it.
     key : str
@@ -77,6 +80,7 @@
     prompt_parts: str = "Ashhoist-Prompt-Parts"
     length_guess: str = "Ashhoist-Length-Guess"
     last_event_id: str = "Last-Event-ID"
+    resumes: str = "Ashhoist-Resumes"
     not_run: str = "Ashhoist-Not-Run"
     retry_after: str = "Retry-After"
     leaving: str = "Ashhoist-Leaving"
--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -45,6 +45,8 @@
         Position of its newest record on the log.
     born : int
         Start time in Unix milliseconds by its own clock; 0 if it does not report it.
+    software_version : str
+        The version of its software, without an order; empty if it does not report it.
     """
 
     id: str
@@ -56,6 +58,7 @@
     models: tuple[str, ...] = ()
     offset: Position = NO_POSITION
     born: int = 0
+    software_version: str = ""
 
     @property
     def incarnation(self) -> str:
@@ -262,6 +265,7 @@
         and one.slots == other.slots
         and one.models == other.models
         and one.incarnation == other.incarnation
+        and one.software_version == other.software_version
     )
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -151,6 +151,7 @@
             "prompt_parts",
             "length_guess",
             "last_event_id",
+            "resumes",
             "expect_instance",
             "expect_version",
             "urgency",
