--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -37,8 +37,14 @@
     """One instance as the platform starts it, or by another program."""
 
     def __init__(
-        self, folder: Path, store: str, name: str, program: Path = START
+        self,
+        folder: Path,
+        store: str,
+        name: str,
+        program: Path = START,
+        retries: str = "",
     ) -> None:
+        self._retries = retries
         self._reserved = [reserve_port() for _ in range(4)]
         self.callers, self.readiness, self.instances, self.metrics = [
             f"127.0.0.1:{held.getsockname()[1]}" for held in self._reserved
@@ -68,6 +74,8 @@
             seeds = {seeds}
             [store]
             address = {store}
+            [retries]
+            {self._retries}
             [logs]
             format = json
         """.replace("            ", "")
@@ -151,9 +159,12 @@
     ----------
     configuration : dict
         What is in force when the processes start.
+    retries : str
+        Their settings of the retry budget.
     """
 
     configuration = with_route_timeout(CONFIGURATION, REQUEST_TIMEOUT_MS)
+    retries = ""
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -164,7 +175,9 @@
         self.store.put("keyed.op", "config", self.configuration)
 
     def start(self, name: str = "node-1", program: Path = START) -> PlatformProcess:
-        process = PlatformProcess(self.folder, self.store.address, name, program)
+        process = PlatformProcess(
+            self.folder, self.store.address, name, program, self.retries
+        )
         self.addCleanup(self._end, process)
         try:
             self.wait(lambda: process.get(process.readiness, "/api/ready")[0] == 200)
--- a/tests/platform_stand_ins/server.py
+++ b/tests/platform_stand_ins/server.py
@@ -1,5 +1,6 @@
 """A small HTTP server whose answers are under full control, byte by byte."""
 
+import contextlib
 import socket
 import struct
 import threading
@@ -146,3 +147,15 @@
         self._listening.close()
         for peer in self._peers:
             peer.close()
+
+    def crash(self) -> None:
+        """Stop listening and reset all connections, those in use included."""
+        linger = struct.pack("ii", 1, 0)
+        with contextlib.suppress(OSError):
+            self._listening.shutdown(socket.SHUT_RDWR)
+        self._listening.close()
+        for peer in self._peers:
+            with contextlib.suppress(OSError):
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                peer.shutdown(socket.SHUT_RDWR)
+            peer.close()
--- a/tests/platform_stand_ins/worker.py
+++ b/tests/platform_stand_ins/worker.py
@@ -91,13 +91,24 @@
     room : int or None
         Requests that it runs at a time; it rejects further ones. None runs all.
     run_s : float
-        How long a stream takes.
+        How long a stream waits for its first event.
+    event_s : float
+        The pause between two events.
+    software : str
+        The version of its software; if set, its events tell it, too.
     """
 
     def __init__(
-        self, id: str, model: str, models: bool = True, born: int = BORN
+        self,
+        id: str,
+        model: str,
+        models: bool = True,
+        born: int = BORN,
+        software: str = "",
     ) -> None:
         self.born = born
+        self.software = software
+        self.event_s = 0.0
         self.state = EngineState(id, {model} if models else set(), model_s=0.1)
         self.model = model
         self.events = 3
@@ -120,7 +131,7 @@
             "service": service,
             "address": self.server.address,
             "zone": zone,
-            "version": "v1",
+            "version": self.software or "v1",
             "slots": 96,
             "state": state,
             "sequence": 1,
@@ -204,15 +215,29 @@
     def _stream(self, call: Call, adapter: str, version: int | None) -> None:
         self.ran.append(call)
         call.start_stream(sealed(call, self.state.id) | self.says.headers())
-        for number in range(1, self.events + 1):
-            if number == self.events:
-                self.hold.wait(10)
-            data = f"{adapter}.{version}.{call.headers[ID.lower()]}.{number}"
-            call.chunk(f"id: {number}\ndata: {data}\n\n".encode())
-        with self._lock:
-            self._running -= 1
+        first = int(call.headers.get("last-event-id", 0)) + 1
+        told = f".{self.software}" if self.software else ""
+        try:
+            for number in range(first, self.events + 1):
+                if number == self.events:
+                    self.hold.wait(10)
+                data = f"{adapter}.{version}.{call.headers[ID.lower()]}.{number}{told}"
+                call.chunk(f"id: {number}\ndata: {data}\n\n".encode())
+                time.sleep(self.event_s)
+        finally:
+            with self._lock:
+                self._running -= 1
         call.end_stream()
 
+    @property
+    def running(self) -> int:
+        """Return how many streams it runs."""
+        return self._running
+
+    def crash(self) -> None:
+        """Break all connections, and accept no new one."""
+        self.server.crash()
+
     def close(self) -> None:
         self.server.close()
 
