A stream goes on inside one answer at its software version only

Callers got streams whose events came from two software versions of an engine. Cause: the retry after a broken answer chose among all upstreams of the service. Class: what began at one upstream was continued as if all upstreams of a service were alike. Change: the version of the upstream whose event is about to be forwarded becomes a condition of the call; choosers, the leader's queue, loads and rate limits respect it, and it is compared once more before the send. If no untried upstream of that version is left, the answer is broken off at once. PlacementQuery gains a field, left out for instances of earlier revisions (4 now); fields of messages state the revision that added them.

--- a/packages/ashhoist/src/ashhoist/codec.py
+++ b/packages/ashhoist/src/ashhoist/codec.py
@@ -4,24 +4,25 @@
 fields in order. Every field is checked against its type; anything that does not
 fit makes `decode` raise `FrameError`, and the link that brought it is closed.
 
-Fields with a default were added in the second revision. A frame may lack them, and they
-are left out of frames for instances of the first revision, which accept the exact
-fields only.
+Fields with a default were added in the second revision, or in the one that `added_in`
+states. A frame may lack them, and they are left out of frames for instances of an
+earlier revision, which accept the fields that they know only.
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import MISSING, dataclass, fields
+from dataclasses import MISSING, Field, dataclass, field, fields
 from typing import Any, TypeVar, get_type_hints
 
 import cbor2
 
 PROTOCOL = 1
 FIRST_REVISION = 1
-REVISION = 3
+REVISION = 4
 """Revision of the messages and their fields; both sides of a link agree on the lower
 one. Raised when a message is added."""
 DEFAULTS_REVISION = 2
-"""The revision that added the fields with a default."""
+"""The revision that added the fields with a default which state no other one."""
+ADDED_IN = "added_in"
 MAX_FRAME_BYTES = 4_194_304
 MAX_MESSAGES = 4096
 ARRAY = 0x80
@@ -34,6 +35,7 @@
 revisions_by_type: dict[type, int] = {}
 _checks_by_type: dict[type, tuple[tuple[type, ...], ...]] = {}
 _required_by_type: dict[type, int] = {}
+_field_revisions_by_type: dict[type, tuple[int, ...]] = {}
 T = TypeVar("T", bound=type)
 
 
@@ -59,15 +61,32 @@
         _checks_by_type[kind] = tuple(
             _accepted(hints[field.name]) for field in fields(kind)
         )
-        _required_by_type[kind] = sum(
-            field.default is MISSING and field.default_factory is MISSING
-            for field in fields(kind)
-        )
+        _required_by_type[kind] = sum(_is_required(one) for one in fields(kind))
+        _field_revisions_by_type[kind] = tuple(map(_field_revision, fields(kind)))
         return kind
 
     return decorate
 
 
+def added_in(revision: int, default: Any) -> Any:
+    """Return the definition of a message's field that a later revision has added.
+
+    Fields that are added later stand behind those of earlier revisions.
+    """
+    return field(default=default, metadata={ADDED_IN: revision})
+
+
+def _is_required(one: Field[Any]) -> bool:
+    return one.default is MISSING and one.default_factory is MISSING
+
+
+def _field_revision(one: Field[Any]) -> int:
+    """Return the first revision that has a field."""
+    if _is_required(one):
+        return FIRST_REVISION
+    return int(one.metadata.get(ADDED_IN, DEFAULTS_REVISION))
+
+
 def _accepted(hint: Any) -> tuple[type, ...]:
     plain = getattr(hint, "__origin__", hint)
     return (float, int) if plain is float else (plain,)
@@ -97,12 +116,14 @@
     Parameters
     ----------
     revision : int
-        The revision that the receiver knows. Fields with a default are left out if it
-        is lower than `DEFAULTS_REVISION`.
+        The revision that the receiver knows. Fields that were added later are left out.
     """
     names = item.__slots__
-    if revision < DEFAULTS_REVISION:
-        names = names[: _required_by_type[type(item)]]
+    if revision < REVISION:
+        added = _field_revisions_by_type[type(item)]
+        names = [
+            name for name, since in zip(names, added, strict=True) if since <= revision
+        ]
     fields_in_order = [getattr(item, name) for name in names]
     return cbor2.dumps([codes_by_type[type(item)], *fields_in_order])
 
--- a/packages/ashhoist/src/ashhoist/control/messages/requests.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/requests.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
-from ...codec import message
+from ...codec import added_in, message
+
+SOFTWARE_VERSION_REVISION = 4
 
 
 @message(46)
@@ -20,6 +22,8 @@
         Upstreams that have already refused or failed the request.
     gap_ms : int
         Longest pause between two events of the response that is on time; 0 if unknown.
+    software_version : str
+        Software version that the engine must have; empty if any will do.
     """
 
     id: str
@@ -37,6 +41,7 @@
     may_retry: bool
     tried: list
     gap_ms: int = 0
+    software_version: str = added_in(SOFTWARE_VERSION_REVISION, "")
 
 
 @message(47)
--- a/packages/ashhoist/src/ashhoist/control/placement_client.py
+++ b/packages/ashhoist/src/ashhoist/control/placement_client.py
@@ -103,6 +103,7 @@
             wanted.may_retry,
             list(wanted.tried),
             wanted.gap_ms,
+            wanted.software_version,
         )
 
     # Responses of the leader
--- a/packages/ashhoist/src/ashhoist/control/scheduling.py
+++ b/packages/ashhoist/src/ashhoist/control/scheduling.py
@@ -178,6 +178,7 @@
                 ask.may_retry,
                 frozenset(ask.tried),
                 ask.gap_ms,
+                ask.software_version,
             )
         )
 
--- a/packages/ashhoist/src/ashhoist/failures.py
+++ b/packages/ashhoist/src/ashhoist/failures.py
@@ -53,6 +53,8 @@
     UNKNOWN_VERSION = "unknown_version"
     UNKNOWN_SERVICE = "unknown_service"
     NO_UPSTREAM = "no_upstream"
+    NO_UPSTREAM_OF_VERSION = "no_upstream_of_version"
+    STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     NO_HOME = "no_home"
     NO_ORDERS = "no_orders"
     QUEUE_FULL = "queue_full"
--- a/packages/ashhoist/src/ashhoist/placement/limited_engines.py
+++ b/packages/ashhoist/src/ashhoist/placement/limited_engines.py
@@ -63,13 +63,11 @@
         """Return the queued requests that an engine can serve, most valuable first."""
         found: list[PendingRequest] = []
         for adapter in engine.served_adapters():
-            demand = self._pending.demand_for(engine.upstream.service, adapter)
-            if demand is None:
-                continue
-            for request in demand.by_id.values():
-                is_served = engine.serves(adapter, request.oldest_version)
-                if is_served and engine.id not in request.tried:
-                    found.append(request)
+            for demand in self._pending.demands_for(engine.upstream, adapter):
+                for request in demand.by_id.values():
+                    is_served = engine.serves(adapter, request.oldest_version)
+                    if is_served and request.accepts(engine.upstream):
+                        found.append(request)
         return sorted(found, key=lambda request: request.worth, reverse=True)
 
     def _reserve_permits(self) -> None:
--- a/packages/ashhoist/src/ashhoist/placement/messages.py
+++ b/packages/ashhoist/src/ashhoist/placement/messages.py
@@ -79,6 +79,8 @@
         Done once the leader has acknowledged that the request is queued there.
     gap_ms : int
         The longest pause between two events that is on time; 0 if it is not a stream.
+    software_version : str
+        The software version that the engine must have; empty if any will do.
     """
 
     id: str
@@ -96,6 +98,7 @@
     answer: "Future[Target | Refusal]"
     acknowledged: "Future[None]" = field(default_factory=Future)
     gap_ms: int = 0
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ashhoist/src/ashhoist/placement/pending_requests.py
+++ b/packages/ashhoist/src/ashhoist/placement/pending_requests.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from ..adapter import Adapter
+from ..upstreams import Upstream
 
 
 @dataclass(slots=True)
@@ -37,6 +38,8 @@
         Upstreams that it was sent to before, and those that are in a back-off period.
     gap_ms : int
         The longest pause between two events that is on time; 0 if unknown.
+    software_version : str
+        The software version that the engine must have; empty if any will do.
     """
 
     id: str
@@ -55,6 +58,15 @@
     may_retry: bool = False
     tried: frozenset[str] = frozenset()
     gap_ms: int = 0
+    software_version: str = ""
+
+    def accepts(self, upstream: Upstream) -> bool:
+        """Return whether an upstream may run it."""
+        return (
+            upstream.service == self.service
+            and upstream.id not in self.tried
+            and upstream.has_software(self.software_version)
+        )
 
 
 @dataclass(slots=True)
@@ -63,6 +75,8 @@
 
     Parameters
     ----------
+    software_version : str
+        The software version that the engines must have; empty if any will do.
     oldest_version : int
         The oldest version that all of them accept.
     tried : frozenset of str
@@ -73,6 +87,7 @@
 
     service: str
     adapter: Adapter
+    software_version: str = ""
     by_id: dict[str, PendingRequest] = field(default_factory=dict)
     oldest_version: int = 0
     tried: frozenset[str] = frozenset()
@@ -85,6 +100,14 @@
         self.oldest_version = max(request.oldest_version for request in requests)
         self.tried = frozenset.intersection(*(request.tried for request in requests))
 
+    def accepts(self, upstream: Upstream) -> bool:
+        """Return whether an upstream may run at least one of them."""
+        return (
+            upstream.service == self.service
+            and upstream.id not in self.tried
+            and upstream.has_software(self.software_version)
+        )
+
     def value(self, now: timedelta, delay: timedelta) -> float:
         """Return the value of answering all of them after a delay from now."""
         total = 0.0
@@ -114,18 +137,33 @@
         return {request.zone for request in self.by_id.values()}
 
 
+@dataclass(frozen=True, slots=True)
+class _DemandKey:
+    """What the requests of one demand have in common."""
+
+    service: str
+    adapter: Adapter
+    software_version: str
+
+
 class PendingRequests:
-    """All queued requests, by adapter."""
+    """All queued requests, by adapter and by the software version that they need."""
 
     def __init__(self) -> None:
-        self._by_key: dict[tuple[str, Adapter], AdapterDemand] = {}
-        self._keys: dict[str, tuple[str, Adapter]] = {}
+        self._by_key: dict[_DemandKey, AdapterDemand] = {}
+        self._keys: dict[str, _DemandKey] = {}
+        self._versions: dict[tuple[str, Adapter], set[str]] = {}
 
     def add(self, request: PendingRequest) -> None:
         """Add a request, in place of one with the same id."""
         self.remove(request.id)
-        key = (request.service, request.adapter)
-        demand = self._by_key.setdefault(key, AdapterDemand(*key))
+        key = _DemandKey(request.service, request.adapter, request.software_version)
+        demand = self._by_key.get(key)
+        if demand is None:
+            demand = AdapterDemand(key.service, key.adapter, key.software_version)
+            self._by_key[key] = demand
+            versions = self._versions.setdefault((key.service, key.adapter), set())
+            versions.add(key.software_version)
         demand.by_id[request.id] = request
         demand.refresh()
         self._keys[request.id] = key
@@ -140,12 +178,24 @@
         if demand.by_id:
             demand.refresh()
         else:
-            del self._by_key[key]
+            self._remove_demand(key)
         return request
 
-    def demand_for(self, service: str, adapter: Adapter) -> AdapterDemand | None:
-        """Return the queued requests for an adapter of a service, or None."""
-        return self._by_key.get((service, adapter))
+    def _remove_demand(self, key: _DemandKey) -> None:
+        del self._by_key[key]
+        versions = self._versions[key.service, key.adapter]
+        versions.remove(key.software_version)
+        if not versions:
+            del self._versions[key.service, key.adapter]
+
+    def demands_for(self, upstream: Upstream, adapter: Adapter) -> list[AdapterDemand]:
+        """Return the queued requests for an adapter that an upstream may run."""
+        found = []
+        for version in self._versions.get((upstream.service, adapter), ()):
+            if upstream.has_software(version):
+                key = _DemandKey(upstream.service, adapter, version)
+                found.append(self._by_key[key])
+        return found
 
     def demands(self) -> Iterable[AdapterDemand]:
         """Return the queued requests, grouped by adapter."""
--- a/packages/ashhoist/src/ashhoist/placement/planning_round.py
+++ b/packages/ashhoist/src/ashhoist/placement/planning_round.py
@@ -162,7 +162,7 @@
         ordered = self._load_orders.get(demand.adapter, ())
         others = (engine for engine in ordered if engine.id not in holding)
         for engine in itertools.chain(holding.values(), others):
-            if engine.id in demand.tried or engine.upstream.service != demand.service:
+            if not demand.accepts(engine.upstream):
                 continue
             if engine.is_loading(demand.adapter, demand.oldest_version, self._now):
                 yield engine
@@ -219,7 +219,7 @@
 
     def _can_load(self, engine: Engine, demand: AdapterDemand) -> bool:
         """Return whether an engine can be ordered to load an adapter."""
-        if engine.upstream.service != demand.service or engine.id in demand.tried:
+        if not demand.accepts(engine.upstream):
             return False
         if demand.adapter.model not in engine.models:
             return False
--- a/packages/ashhoist/src/ashhoist/placement/scheduler.py
+++ b/packages/ashhoist/src/ashhoist/placement/scheduler.py
@@ -299,10 +299,7 @@
         """Send the queued requests for the adapters that an engine serves now."""
         load_began = self._clock.monotonic() - update.duration
         for adapter in engine.served_adapters():
-            demand = self.pending_requests.demand_for(engine.upstream.service, adapter)
-            if demand is None:
-                continue
-            for request in list(demand.by_id.values()):
+            for request in self._pending_for(engine, adapter):
                 # A request waits for one load only: that load was made for it, and the
                 # next one would end even later.
                 loaded_for_it = (
@@ -315,6 +312,14 @@
                     self.pending_requests.remove(request.id)
                     self._send_to(chosen, request)
 
+    def _pending_for(self, engine: Engine, adapter: Adapter) -> list[PendingRequest]:
+        """Return the queued requests for an adapter that an engine may run."""
+        return [
+            request
+            for demand in self.pending_requests.demands_for(engine.upstream, adapter)
+            for request in demand.by_id.values()
+        ]
+
     def _send_to(self, engine: Engine, request: PendingRequest) -> None:
         now = self._clock.monotonic()
         permitted = self._permits.is_limited(engine.id) and self._permits.take(
@@ -387,8 +392,7 @@
         return [
             engine
             for engine in holding.values()
-            if engine.upstream.service == request.service
-            and engine.id not in request.tried
+            if request.accepts(engine.upstream)
             and engine.serves(request.adapter, request.oldest_version)
         ]
 
@@ -417,8 +421,7 @@
         return [
             engine
             for engine in self.engines.values()
-            if engine.upstream.service == request.service
-            and engine.id not in request.tried
+            if request.accepts(engine.upstream)
         ]
 
     def _is_sooner_with_load(self, request: PendingRequest, wait: timedelta) -> bool:
@@ -562,6 +565,7 @@
         """
         for request in self.pending_requests.remove_expired(now):
             self._execute(Refused(request, Reason.NO_PLACE, RETRY_AFTER))
+        self._refuse_versions_gone()
         for demand in self.pending_requests.demands():
             for request in list(demand.by_id.values()):
                 if now < request.give_up_at:
@@ -575,6 +579,18 @@
                 else:
                     self._execute(Refused(request, Reason.NO_PLACE, RETRY_AFTER))
 
+    def _refuse_versions_gone(self) -> None:
+        """Refuse the requests that need a software version which no engine has left."""
+        for demand in self.pending_requests.demands():
+            if not demand.software_version:
+                continue
+            for request in list(demand.by_id.values()):
+                if self._engines_for(request):
+                    continue
+                self.pending_requests.remove(request.id)
+                reason = Reason.NO_UPSTREAM_OF_VERSION
+                self._execute(Refused(request, reason, RETRY_AFTER))
+
     def _time_out_order(self, engine: Engine, now: timedelta) -> None:
         """Treat an order without an answer after the timeout as unresolved."""
         order = engine.order_in_flight
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -48,6 +48,9 @@
         The id of the upstream that the last attempt was sent to.
     last_software_version : str
         The software version of that upstream; empty if not known.
+    software_version : str
+        The software version at which its stream began, the only one at which it may go
+        on; empty if any will do.
     resumes : str
         Names the request that brought the first event of the stream that the caller
         takes up; empty if it names none.
@@ -109,6 +112,7 @@
     upstream_incarnation: str = ""
     last_upstream: str = ""
     last_software_version: str = ""
+    software_version: str = ""
     resumes: str = ""
     sends: int = 0
     runs: int = 0
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -118,6 +118,9 @@
                 return self._responses.caller_left(caller)
             if refused is not None:
                 return (yield from self._refuse(call, caller, relay, refused, answered))
+            gone = self._version_refusal(call)
+            if gone is not None:
+                return (yield from self._refuse(call, caller, relay, gone, answered))
             target = yield from chooser.choose(call, caller)
             if isinstance(target, CallerLeft):
                 return self._responses.caller_left(caller)
@@ -226,6 +229,24 @@
             return Refusal(invalid)
         return self._quarantine_gate.refusal(call)
 
+    def _version_refusal(self, call: Call) -> Refusal | None:
+        """Return why a stream can't go on at its software version, or None."""
+        if not call.software_version or self._forwarding.applies(call):
+            return None
+        view = self._directory.view
+        acceptable = view.of(call.service, call.software_version)
+        if any(one.id not in call.tried for one in acceptable):
+            return None
+        self._log.info(
+            "stream can't go on",
+            request=call.id,
+            resumes=call.resumes,
+            last_event=call.last_event_id,
+            software_version=call.software_version,
+            tried=len(call.tried),
+        )
+        return Refusal(Reason.NO_UPSTREAM_OF_VERSION)
+
     def _rejects_placement(self, call: Call, target: Target) -> bool:
         """Return whether a call must not be sent to the upstream chosen for it.
 
@@ -254,6 +275,8 @@
             return Reason.NO_UPSTREAM
         if not known.accepts_requests:
             return Reason.UPSTREAM_LEAVING
+        if not known.has_software(call.software_version):
+            return Reason.NO_UPSTREAM_OF_VERSION
         if self._backoffs.is_backing_off(target.upstream):
             return Reason.UPSTREAMS_REST
         if self._permits.is_limited(target.upstream) and not target.permitted:
@@ -292,6 +315,7 @@
             segment_end = yield from relay.run(
                 result,
                 self._responses.caller_head(result.head),
+                lambda: self._stream_begins(call, target),
                 lambda: chooser.on_first_event(call, target),
             )
         finally:
@@ -301,6 +325,12 @@
                 result.connection.close()
         return segment_end
 
+    def _stream_begins(self, call: Call, target: Target) -> None:
+        """Record at which software version a stream begins, before its first event."""
+        if target.is_instance or call.software_version:
+            return
+        call.software_version = call.last_software_version
+
     def _software_version(self, target: Target) -> str:
         """Return the software version of an upstream; empty if not known."""
         known = self._directory.view.by_id.get(target.upstream)
--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -146,20 +146,24 @@
 
     def _available(self, call: Call) -> list[Upstream]:
         """Return the upstreams that `call` may be sent to now."""
-        return self._balancer.available(self._sendable(call.service), call.tried)
+        return self._balancer.available(self._sendable(call), call.tried)
 
-    def _sendable(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that no rate limit closes now."""
+    def _acceptable(self, call: Call) -> tuple[Upstream, ...]:
+        """Return the upstreams at which `call` may run."""
+        return self._directory.view.of(call.service, call.software_version)
+
+    def _sendable(self, call: Call) -> list[Upstream]:
+        """Return the upstreams of a call that no rate limit closes now."""
         return [
             upstream
-            for upstream in self._directory.view.of(service)
+            for upstream in self._acceptable(call)
             if not self._permits.retry_in(upstream.id)
         ]
 
     def _least_loaded(self, call: Call) -> Upstream | Refusal:
         """Return the least loaded upstream among those that accept requests now."""
-        known = self._directory.view.of(call.service)
-        sendable = self._sendable(call.service)
+        known = self._acceptable(call)
+        sendable = self._sendable(call)
         if self._is_admitted(call.service):
             # The leader has not decided in time.
             with_room = [one for one in sendable if self._room_check.has_room(one)]
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -94,7 +94,7 @@
         """Return the engine for `call`; waits until its adapter is available."""
         if call.adapter is None:
             return (yield from self._any_engine.choose(call, caller))
-        if self._all_backing_off(call.service):
+        if self._all_backing_off(call):
             wait = self._room_check.retry_after(call.service)
             return Refusal(Reason.UPSTREAMS_REST, wait)
         call.use_id = f"{call.id}/{len(call.tried)}"
@@ -132,9 +132,9 @@
         if call.adapter is not None:
             self._send(RequestEnded(call.use_id, target.upstream, end))
 
-    def _all_backing_off(self, service: str) -> bool:
-        """Return whether every engine of a service asked this instance to back off."""
-        found = self._directory.view.of(service)
+    def _all_backing_off(self, call: Call) -> bool:
+        """Return whether every engine of a call asked this instance to back off."""
+        found = self._directory.view.of(call.service, call.software_version)
         return bool(found) and all(
             self._backoffs.is_backing_off(engine.id) for engine in found
         )
@@ -172,6 +172,8 @@
             upstream = self._directory.view.by_id.get(location.upstream)
             if upstream is None or not upstream.accepts_requests:
                 continue
+            if not upstream.has_software(call.software_version):
+                continue
             if location.version < minimum_version or upstream.id in call.tried:
                 continue
             if self._backoffs.is_backing_off(upstream.id) or self._permits.is_limited(
@@ -260,6 +262,7 @@
             (*call.tried, *self._backoffs.backing_off()),
             answer,
             gap_ms=_gap_ms(call),
+            software_version=call.software_version,
         )
 
 
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -55,11 +55,16 @@
         self._clock = clock
         self._last_event_number: int | None = None
         self._events_sent = 0
+        self._before_forwarding: Callable[[], None] | None = None
         self.started = False
         self.events_relayed = 0
 
     def run(
-        self, stream: Streaming, head: Head, on_first_event: Callable[[], None]
+        self,
+        stream: Streaming,
+        head: Head,
+        before_forwarding: Callable[[], None],
+        on_first_event: Callable[[], None],
     ) -> Steps[SegmentEnd]:
         """Forward the events of one upstream until its part of the stream ends.
 
@@ -67,10 +72,13 @@
         ----------
         head : Head
             The head for the caller; sent before the first event only.
+        before_forwarding : callable
+            Called once, before anything of this upstream is sent to the caller.
         on_first_event : callable
             Called once this upstream's first new event with a numeric id has been
             forwarded.
         """
+        self._before_forwarding = before_forwarding
         splitter = EventSplitter()
         events_before: int | None = self.events_relayed
         while True:
@@ -142,6 +150,9 @@
 
     def _send(self, events: list[StreamEvent], head: Head) -> Steps[CallerLeft | None]:
         data = b"".join(event.data for event in events)
+        if self._before_forwarding is not None:
+            self._before_forwarding()
+            self._before_forwarding = None
         try:
             if not self.started:
                 yield from self._start(head)
--- a/packages/ashhoist/src/ashhoist/upstreams/directory.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/directory.py
@@ -73,6 +73,10 @@
         """Return whether new requests may be sent to it."""
         return self.state is UpstreamState.READY
 
+    def has_software(self, version: str) -> bool:
+        """Return whether its software has a version; any will do if that is empty."""
+        return not version or self.software_version == version
+
 
 @dataclass(frozen=True, slots=True)
 class DirectoryView:
@@ -81,9 +85,18 @@
     by_id: MappingProxyType[str, Upstream]
     by_service: MappingProxyType[str, tuple[Upstream, ...]]
 
-    def of(self, service: str) -> tuple[Upstream, ...]:
-        """Return the upstreams of a service that accept new requests."""
-        return self.by_service.get(service, ())
+    def of(self, service: str, software_version: str = "") -> tuple[Upstream, ...]:
+        """Return the upstreams of a service that accept new requests.
+
+        Parameters
+        ----------
+        software_version : str
+            The version that their software must have; empty if any will do.
+        """
+        ready = self.by_service.get(service, ())
+        if not software_version:
+            return ready
+        return tuple(one for one in ready if one.has_software(software_version))
 
 
 class Directory:
--- a/tests/scheduler_world.py
+++ b/tests/scheduler_world.py
@@ -35,6 +35,8 @@
         Permits of engines with a rate limit; None if no engine has one.
     batch : int
         Number of requests that each engine runs concurrently.
+    software : dict of str to str
+        The software version of each engine, where it matters.
     """
 
     def __init__(
@@ -43,7 +45,9 @@
         capacity: int = 6,
         permits: EnginePermits | None = None,
         batch: int = 96,
+        software: dict[str, str] | None = None,
     ) -> None:
+        software = software or {}
         self.clock = ManualClock()
         self.clock.advance(10 * SECOND)
         self.actions: list[SchedulerAction] = []
@@ -61,7 +65,15 @@
         model = EngineModel(MODEL, 16000, SECOND, 100, 14)
         self.settings = EngineSettings({MODEL: model}, batch, 16500, capacity, 2.0)
         self.upstreams = [
-            Upstream(name, SERVICE, f"{name}:1", "zone", slots=96, models=(MODEL,))
+            Upstream(
+                name,
+                SERVICE,
+                f"{name}:1",
+                "zone",
+                slots=96,
+                models=(MODEL,),
+                software_version=software.get(name, ""),
+            )
             for name in served
         ]
         self.scheduler.set_upstreams({SERVICE: self.settings}, self.upstreams)
@@ -90,6 +102,7 @@
         worth: float = 1.0,
         aim_s: float = 1.0,
         gap_ms: int = 0,
+        software_version: str = "",
     ) -> str:
         """Submit a request for an adapter; return its id."""
         self._request_count += 1
@@ -108,6 +121,7 @@
             now + 5 * SECOND,
             now + 2 * SECOND,
             gap_ms=gap_ms,
+            software_version=software_version,
         )
         self.scheduler.submit(request)
         return request.id
@@ -122,6 +136,11 @@
         ]
         return request_id, upstream
 
+    def remove_engine(self, name: str) -> None:
+        """Remove an engine."""
+        self.upstreams = [one for one in self.upstreams if one.id != name]
+        self.scheduler.set_upstreams({SERVICE: self.settings}, self.upstreams)
+
     def plan(self) -> list[Order]:
         """Plan a round 10 ms later; return the orders that it emits."""
         before = len(self.actions)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -7,6 +7,7 @@
 
 from ashhoist import codec, messages
 from ashhoist.control.messages import PlacementQuery
+from ashhoist.control.messages.requests import SOFTWARE_VERSION_REVISION
 
 JUNK = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text() | st.binary(),
@@ -92,6 +93,13 @@
         encoded = codec.encode_one(query, codec.FIRST_REVISION)
         self.assertEqual(cbor2.loads(encoded), [46, *self.FIELDS, ["e0"]])
 
+    def test_the_third_revision_is_not_sent_the_software_version(self) -> None:
+        # Guards against a link that the other side closes over an unknown field.
+        query = PlacementQuery(*self.FIELDS, ["e0"], 300, "v1")
+        encoded = codec.encode_one(query, SOFTWARE_VERSION_REVISION - 1)
+        self.assertEqual(cbor2.loads(encoded), [46, *self.FIELDS, ["e0"], 300])
+        self.assertEqual(codec.decode(codec.encode([query])), [query])
+
     def test_the_same_version_is_sent_all_fields(self) -> None:
         # Guards against an allowed pause that is left out for instances that know it.
         query = PlacementQuery(*self.FIELDS, ["e0"], 300)
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -135,7 +135,9 @@
         for script in scripts:
             upstream = ScriptedUpstream(self.clock, script)
             connection = cast(UpstreamConnection, upstream)
-            end = finish(relay.run(Streaming(HEAD, connection), HEAD, lambda: None))
+            end = finish(
+                relay.run(Streaming(HEAD, connection), HEAD, lambda: None, lambda: None)
+            )
         return end
 
     def record(self, ending: Ending = WHOLE) -> dict[str, Any]:
