A stream that a client takes up goes on at the software version that began it

Callers that came back for the rest of a stream got it from an upstream of another software version, also at another instance and after their instance was killed. Cause: Resumes was read nowhere, a stream with Last-Event-Id was placed as any other request. Class: what began at one upstream was continued as if all upstreams of a service were alike; and what a later try needs was known only where it began. Change: instances remember at which version streams began, and tell two others, chosen by the stream's id, unless only one version has served for as long as a stream may go on; who is asked to go on looks it up there (150 ms at most). Where nobody knows, or no upstream of the version is left, the request is refused at once.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -27,6 +27,7 @@
 from ..routing.active_configuration import ActiveConfiguration
 from ..store import AppendResult, Newest, Position, ReadPacing, Topic, Unavailable
 from ..store.follower import FollowedRecords
+from ..streams import BegunStreams, SoftwareVersions, StreamLifetime
 from ..upstreams import (
     Backoffs,
     Directory,
@@ -64,6 +65,9 @@
 from .rejection_notices import RejectionNotices
 from .replica import INCOMPLETE, SHARED_TOPICS
 from .scheduling import Scheduling
+from .stream_lookups import StreamLookups
+from .stream_notices import StreamNotices
+from .stream_replicas import StreamReplicas
 
 PEER_CHECK_INTERVAL = timedelta(milliseconds=500)
 """How often silent and surplus links are detected and dropped."""
@@ -254,6 +258,7 @@
         self.forwarding = ForwardingNotices(
             settings.callers, self.peers, self._send, clock, log
         )
+        self._make_streams()
         self.lookups = Lookups(settings.name, residency, self._hubs, self._send)
         self._gauges = Gauges(
             directory, self.peers, self.records, self.scheduling, metrics, clock
@@ -284,6 +289,30 @@
         )
         self._peers_checked_at = ZERO
 
+    def _make_streams(self) -> None:
+        """Make the parts that know at which software versions streams have begun."""
+        lifetime = StreamLifetime(lambda: self._in_force.table)
+        begun = BegunStreams(lifetime, self._clock)
+        versions = SoftwareVersions(lifetime, self._clock)
+        replicas = StreamReplicas(self.peers, self._hubs)
+        self.stream_notices = StreamNotices(
+            begun, versions, replicas, self._directory, self._send
+        )
+        self.stream_lookups = StreamLookups(
+            begun,
+            versions,
+            replicas,
+            self.peers,
+            self._has_current_upstreams,
+            self.effects.send_to,
+            self._clock,
+        )
+
+    def _has_current_upstreams(self) -> bool:
+        """Return whether the log answers here, or at a linked instance."""
+        now = self._clock.monotonic()
+        return self.records.reads_log or self.peers.has_recent_reader(now)
+
     @property
     def ready(self) -> bool:
         """Return whether this instance can serve requests."""
@@ -401,6 +430,7 @@
         self.limit_notices.greet(peer)
         self.crash_notices.greet(peer)
         self.forwarding.greet(peer)
+        self.stream_notices.greet(peer)
         # The heartbeat must come last: the peer takes the first one as the sign that
         # it has received everything above.
         self._heartbeats.greet(peer, self.leader)
@@ -413,6 +443,7 @@
         self.scheduling.instance_gone(peer)
         self.admissions.instance_gone(peer)
         self.admission_client.instance_gone(peer)
+        self.stream_lookups.instance_gone(peer)
         self._heartbeats.forget(peer)
         self.quotas.forget(peer)
         self.forwarding.forget(peer)
@@ -569,6 +600,8 @@
             self.membership.register_if_due()
         self._read_log_at_start()
         self.records.tick()
+        if self.records.knows_all:
+            self.stream_notices.tick()
         self._lease_handover.step()
         self._elect()
         self._update_log_reading()
--- a/packages/ashhoist/src/ashhoist/control/message_handlers.py
+++ b/packages/ashhoist/src/ashhoist/control/message_handlers.py
@@ -266,6 +266,35 @@
     core.handle_forwarding_notice(peer, notice)
 
 
+# Streams that go on at their software version
+
+
+@_handles(messages.StreamsBegan)
+def _on_streams_began(core: "Core", peer: str, message: messages.StreamsBegan) -> None:
+    core.stream_notices.notices_received(message)
+
+
+@_handles(messages.RecentVersions)
+def _on_recent_versions(
+    core: "Core", peer: str, message: messages.RecentVersions
+) -> None:
+    core.stream_notices.versions_received(message)
+
+
+@_handles(messages.StreamVersionQuery)
+def _on_stream_version_query(
+    core: "Core", peer: str, message: messages.StreamVersionQuery
+) -> None:
+    core.stream_lookups.asked(peer, message)
+
+
+@_handles(messages.StreamVersionResponse)
+def _on_stream_version_response(
+    core: "Core", peer: str, message: messages.StreamVersionResponse
+) -> None:
+    core.stream_lookups.answered(peer, message)
+
+
 # Requests that crash upstreams
 
 
--- a/packages/ashhoist/src/ashhoist/control/messages/__init__.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/__init__.py
@@ -50,6 +50,12 @@
     EngineAdapters,
     EngineAdaptersChanged,
 )
+from .streams import (
+    RecentVersions,
+    StreamsBegan,
+    StreamVersionQuery,
+    StreamVersionResponse,
+)
 
 __all__ = [
     "AdmissionCancelled",
@@ -97,4 +103,8 @@
     "PlacementQueued",
     "PlacementQueryCancel",
     "CrashWriteRequest",
+    "RecentVersions",
+    "StreamVersionQuery",
+    "StreamVersionResponse",
+    "StreamsBegan",
 ]
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/control/stream_lookups.py
@@ -0,0 +1,179 @@
+"""Lookups of the software versions at which streams have begun.
+
+A caller may take its stream up at any instance, also after the one that began it has
+ended. Whoever is asked answers from what it knows; see `stream_notices`.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+
+from ..clock import Clock
+from ..streams import (
+    BegunStreams,
+    FoundVersion,
+    SoftwareVersions,
+    VersionLookup,
+    VersionSource,
+)
+from . import messages
+from .peers import Peers
+from .stream_replicas import StreamReplicas
+
+MILLISECOND = timedelta(milliseconds=1)
+MAX_PENDING = 4096
+"""Pending lookups; beyond that the oldest is answered from the responses so far."""
+UNKNOWN = FoundVersion(VersionSource.UNKNOWN)
+
+
+@dataclass(slots=True)
+class _PendingLookup:
+    """A lookup that other instances were asked about.
+
+    Parameters
+    ----------
+    unanswered : set of str
+        The instances that have not responded.
+    recent : set of str
+        Versions of the service that have served lately, as far as anybody has said.
+    has_watched_lifetime : bool
+        Whether somebody would have seen every other version.
+    responses : int
+        Number of instances that have responded.
+    """
+
+    lookup: VersionLookup
+    unanswered: set[str]
+    recent: set[str]
+    has_watched_lifetime: bool
+    responses: int = 0
+
+
+@dataclass(slots=True)
+class StreamLookups:
+    """Resolves lookups of this instance's requests, and answers those of others.
+
+    Parameters
+    ----------
+    is_list_current : callable
+        Returns whether the list of upstreams is current here.
+    send : callable
+        Takes the name of an instance and a message for it; returns whether it was sent.
+    """
+
+    begun: BegunStreams
+    versions: SoftwareVersions
+    replicas: StreamReplicas
+    peers: Peers
+    is_list_current: Callable[[], bool]
+    send: Callable[[str, Any], bool]
+    clock: Clock
+    _last_number: int = 0
+    _pending: dict[int, _PendingLookup] = field(default_factory=dict)
+
+    # Lookups of this instance
+
+    def ask(self, lookup: VersionLookup) -> None:
+        """Resolve a lookup from what is known here, or ask other instances."""
+        known = self.begun.find(lookup.stream_id)
+        if known is not None:
+            age = self.clock.monotonic() - known.recorded_at
+            found = FoundVersion(
+                VersionSource.HERE, known.service, known.software_version, age
+            )
+            lookup.settle(found)
+            return
+        self._last_number += 1
+        number = self._last_number
+        query = messages.StreamVersionQuery(number, lookup.stream_id, lookup.service)
+        asked = {
+            instance
+            for instance in self.replicas.to_ask(lookup.stream_id)
+            if self.send(instance, query)
+        }
+        pending = _PendingLookup(
+            lookup,
+            asked,
+            self.versions.recent(lookup.service),
+            self.versions.has_watched_lifetime,
+        )
+        if not asked:
+            self._conclude(pending)
+            return
+        self._pending[number] = pending
+        if len(self._pending) > MAX_PENDING:
+            self._conclude(self._pending.pop(next(iter(self._pending))))
+
+    def answered(self, peer: str, response: messages.StreamVersionResponse) -> None:
+        """Handle the response of another instance."""
+        pending = self._pending.get(response.number)
+        if pending is None or peer not in pending.unanswered:
+            return
+        pending.unanswered.discard(peer)
+        pending.responses += 1
+        pending.recent.update(response.recent)
+        pending.has_watched_lifetime |= response.has_watched_lifetime
+        if response.software_version:
+            del self._pending[response.number]
+            found = FoundVersion(
+                VersionSource.INSTANCE,
+                response.service,
+                response.software_version,
+                response.age_ms * MILLISECOND,
+            )
+            pending.lookup.settle(found)
+        elif not pending.unanswered:
+            del self._pending[response.number]
+            self._conclude(pending)
+
+    def timed_out(self, lookup: VersionLookup) -> None:
+        """Answer a lookup from the responses that have arrived."""
+        for number, pending in list(self._pending.items()):
+            if pending.lookup is lookup:
+                del self._pending[number]
+                self._conclude(pending)
+                return
+
+    def instance_gone(self, peer: str) -> None:
+        """Expect no response of an instance that is no longer linked."""
+        for number, pending in list(self._pending.items()):
+            pending.unanswered.discard(peer)
+            if not pending.unanswered:
+                del self._pending[number]
+                self._conclude(pending)
+
+    def _conclude(self, pending: _PendingLookup) -> None:
+        """Answer a lookup of a stream that nobody knows."""
+        lookup = pending.lookup
+        if not self._is_only_version(pending):
+            lookup.settle(UNKNOWN)
+            return
+        [version] = pending.recent
+        found = FoundVersion(VersionSource.ONLY_VERSION, lookup.service, version)
+        lookup.settle(found)
+
+    def _is_only_version(self, pending: _PendingLookup) -> bool:
+        """Return whether the stream must have begun at the one version there is."""
+        if not pending.has_watched_lifetime or len(pending.recent) != 1:
+            return False
+        if not pending.responses and self.peers.by_name:
+            # Another instance may have used a version that is not known here.
+            return False
+        return self.is_list_current()
+
+    # Lookups of other instances
+
+    def asked(self, instance: str, query: messages.StreamVersionQuery) -> None:
+        """Answer a lookup of another instance."""
+        known = self.begun.find(query.stream_id)
+        now = self.clock.monotonic()
+        response = messages.StreamVersionResponse(
+            query.number,
+            "" if known is None else known.service,
+            "" if known is None else known.software_version,
+            0 if known is None else (now - known.recorded_at) // MILLISECOND,
+            sorted(self.versions.recent(query.service)),
+            self.versions.has_watched_lifetime,
+        )
+        self.send(instance, response)
--- /dev/null
+++ b/packages/ashhoist/src/ashhoist/control/stream_notices.py
@@ -0,0 +1,102 @@
+"""Tells other instances at which software versions streams have begun.
+
+Nobody is told while only one version has served for as long as a stream may go on: then
+a stream that nobody knows has begun at that one.
+"""
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import Any
+
+from ..streams import (
+    BegunStream,
+    BegunStreams,
+    SeenVersion,
+    SoftwareVersions,
+    StreamBegan,
+)
+from ..upstreams import Directory
+from . import messages
+from .stream_replicas import StreamReplicas
+
+MILLISECOND = timedelta(milliseconds=1)
+Row = list[Any]
+"""A stream as it stands in a message; see `messages.StreamsBegan`."""
+
+
+class StreamNotices:
+    """Records the streams that begin, here and elsewhere, and sends notices of them.
+
+    Parameters
+    ----------
+    send : callable
+        Takes the name of an instance and a message for it.
+    """
+
+    def __init__(
+        self,
+        begun: BegunStreams,
+        versions: SoftwareVersions,
+        replicas: StreamReplicas,
+        directory: Directory,
+        send: Callable[[str, Any], None],
+    ) -> None:
+        self._begun = begun
+        self._versions = versions
+        self._replicas = replicas
+        self._directory = directory
+        self._send = send
+
+    def began(self, message: StreamBegan) -> None:
+        """Record a stream of this instance, and tell others if they need to know."""
+        service, version = message.service, message.software_version
+        stream = self._begun.put(message.stream_id, service, version, is_own=True)
+        if self._versions.see(service, version):
+            self._tell_own({service})
+        elif not self._versions.is_only_one(service):
+            self._tell([stream])
+
+    def notices_received(self, message: messages.StreamsBegan) -> None:
+        """Record the streams of another instance."""
+        for stream_id, service, version in message.rows:
+            self._begun.put(stream_id, service, version, is_own=False)
+            if self._versions.see(service, version):
+                self._tell_own({service})
+
+    def greet(self, peer: str) -> None:
+        """Send a newly linked instance the versions that have served lately."""
+        rows = [
+            [seen.service, seen.version, seen.age // MILLISECOND]
+            for seen in self._versions.all()
+        ]
+        watched_ms = self._versions.watched // MILLISECOND
+        self._send(peer, messages.RecentVersions(rows, watched_ms))
+
+    def versions_received(self, message: messages.RecentVersions) -> None:
+        """Add the versions that another instance has seen."""
+        seen = [
+            SeenVersion(service, version, age_ms * MILLISECOND)
+            for service, version, age_ms in message.rows
+        ]
+        watched = message.watched_ms * MILLISECOND
+        self._tell_own(self._versions.merge(seen, watched))
+
+    def tick(self) -> None:
+        """Record the versions of the upstreams that are listed now."""
+        upstreams = self._directory.view.by_id.values()
+        self._tell_own(self._versions.listed(upstreams))
+
+    def _tell_own(self, services: Iterable[str]) -> None:
+        """Tell others of this instance's streams at services with a new version."""
+        for service in services:
+            if not self._versions.is_only_one(service):
+                self._tell(self._begun.own(service))
+
+    def _tell(self, streams: Iterable[BegunStream]) -> None:
+        rows_by_instance: dict[str, list[Row]] = {}
+        for stream in streams:
+            row = [stream.id, stream.service, stream.software_version]
+            for instance in self._replicas.to_tell(stream.id):
+                rows_by_instance.setdefault(instance, []).append(row)
+        for instance, rows in rows_by_instance.items():
+            self._send(instance, messages.StreamsBegan(rows))
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -24,6 +24,7 @@
 from ..quarantine import RequestCompleted, RequestInterrupted
 from ..store import Topic
 from ..store.follower import FollowedRecords, LogAvailability
+from ..streams import StreamBegan, VersionLookup, VersionLookupTimedOut
 from ..types import Endpoint
 from ..upstreams import PermitRequest, StatedLimit, UpstreamFull, UpstreamLeaving
 from .core import Core
@@ -331,6 +332,18 @@
     def _service_overloaded(self, message: ServiceOverloaded) -> None:
         self.core.admission_client.report_overload(message)
 
+    @_handles(StreamBegan)
+    def _stream_began(self, message: StreamBegan) -> None:
+        self.core.stream_notices.began(message)
+
+    @_handles(VersionLookup)
+    def _version_lookup(self, message: VersionLookup) -> None:
+        self.core.stream_lookups.ask(message)
+
+    @_handles(VersionLookupTimedOut)
+    def _version_lookup_timed_out(self, message: VersionLookupTimedOut) -> None:
+        self.core.stream_lookups.timed_out(message.lookup)
+
     @_handles(OrderDone)
     def _order_done(self, message: OrderDone) -> None:
         upstream, reply = message.order.upstream, message.reply
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -43,6 +43,10 @@
     ),
     "permits": ("Sends to limited upstreams that were asked for", ("result",)),
     "forwarded": ("Requests sent through another instance that ended", ("end",)),
+    "resumed_streams": (
+        "Streams that callers took up, by how their software version was known",
+        ("known_by",),
+    ),
     "undecided_sends": (
         "Sends to contended services without a decision of the leader",
         ("service",),
--- a/packages/ashhoist/src/ashhoist/request_wiring.py
+++ b/packages/ashhoist/src/ashhoist/request_wiring.py
@@ -22,6 +22,7 @@
 from .requests.forwarding_chooser import Forwarding, ForwardingChooser
 from .requests.notices import UpstreamNotices
 from .requests.quarantine_gate import QuarantineGate
+from .requests.resumption import Resumptions
 from .requests.room_check import RoomCheck
 from .requests.send_permits import SendPermits
 from .upstreams import Balancer
@@ -142,6 +143,7 @@
             self._permits,
             state.rejections,
             self._forwarding,
+            Resumptions(state.directory, send, self._clock, self._metrics, self._log),
             self._clock,
             self._metrics,
             self._log,
--- a/packages/ashhoist/src/ashhoist/requests/attempt.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt.py
@@ -220,6 +220,8 @@
         headers.append((header_names.deadline_ms, str(max(int(left_ms), 1))))
         if target.is_instance:
             headers.append((header_names.forwarded, str(call.runs)))
+            if call.first_event_at is not None and not call.takes_up_stream:
+                headers.append((header_names.resumes, call.id))
         else:
             headers += self._upstream_headers(call, target)
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -38,6 +38,8 @@
     deadline : timedelta
         When the request ends: by the route's timeout or the caller's own, whichever
         comes first.
+    takes_up_stream : bool
+        Whether the caller has got events of the response from an earlier request.
     first_try : bool
         False if the caller has probably sent the request before.
     fingerprint : str
@@ -114,6 +116,7 @@
     last_software_version: str = ""
     software_version: str = ""
     resumes: str = ""
+    takes_up_stream: bool = False
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
@@ -142,6 +145,19 @@
         """Return when the first byte of the request was received."""
         return self.request.received_at
 
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the request that brought the first event of the stream.
+
+        Empty if the caller takes up a stream without saying which.
+        """
+        return self.resumes if self.takes_up_stream else self.id
+
+    @property
+    def has_begun_stream(self) -> bool:
+        """Return whether the caller has got an event of the stream."""
+        return self.takes_up_stream or self.first_event_at is not None
+
     @property
     def has_run(self) -> bool:
         """Return whether an upstream has started on the request, or may have."""
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -36,6 +36,7 @@
 from .header_names import HeaderNames
 from .quarantine_gate import QuarantineGate
 from .relay import CompletedStream, SegmentEnd, StreamRelay
+from .resumption import Resumptions
 from .send_permits import SendPermits
 from .silence import SilenceLimit, response_timeout
 
@@ -73,6 +74,7 @@
         permits: SendPermits,
         rejections: RejectionLimits,
         forwarding: Forwarding,
+        resumptions: Resumptions,
         clock: Clock,
         metrics: Metrics,
         log: Logger,
@@ -85,6 +87,7 @@
         self._permits = permits
         self._rejections = rejections
         self._forwarding = forwarding
+        self._resumptions = resumptions
         self._responses = CallerResponses(header_names, clock, metrics)
         self._attempts = attempts
         self._budget = budget
@@ -113,7 +116,9 @@
             return (yield from self._responses.refuse(call, caller, relay, quarantined))
         answered: Answered | None = None
         while True:
-            refused = yield from self._take_over(call, caller)
+            refused = yield from self._resolve_version(call, caller)
+            if refused is None:
+                refused = yield from self._take_over(call, caller)
             if isinstance(refused, CallerLeft):
                 return self._responses.caller_left(caller)
             if refused is not None:
@@ -158,6 +163,14 @@
                 continue
             return (yield from self._responses.finish(call, caller, relay, result))
 
+    def _resolve_version(
+        self, call: Call, caller: CallerConnection
+    ) -> Steps[Refusal | CallerLeft | None]:
+        """Find the software version at which a call goes on, unless it is forwarded."""
+        if self._forwarding.applies(call) or not self._resumptions.is_due(call):
+            return None
+        return (yield from self._resumptions.resolve(call, caller))
+
     def _take_over(
         self, call: Call, caller: CallerConnection
     ) -> Steps[Refusal | CallerLeft | None]:
@@ -326,10 +339,12 @@
         return segment_end
 
     def _stream_begins(self, call: Call, target: Target) -> None:
-        """Record at which software version a stream begins, before its first event."""
-        if target.is_instance or call.software_version:
-            return
-        call.software_version = call.last_software_version
+        """Record at which software version a stream begins, before its first event.
+
+        Another instance that a call was forwarded to has done so itself.
+        """
+        if not target.is_instance:
+            self._resumptions.stream_begins(call)
 
     def _software_version(self, target: Target) -> str:
         """Return the software version of an upstream; empty if not known."""
--- a/packages/ashhoist/src/ashhoist/requests/caller_responses.py
+++ b/packages/ashhoist/src/ashhoist/requests/caller_responses.py
@@ -31,6 +31,10 @@
     Reason.KEY_REMOVED: UNAUTHORIZED_STATUS,
 }
 """Statuses of requests that have not run; 503 for other reasons."""
+FINAL_REASONS = frozenset(
+    {Reason.UNAUTHORIZED, Reason.KEY_REMOVED, Reason.NO_UPSTREAM_OF_VERSION}
+)
+"""Why a request is refused that has no better chance later."""
 BAD_GATEWAY_STATUS = 502
 TIMEOUT_STATUS = 504
 DEFAULT_RETRY_AFTER = timedelta(milliseconds=250)
@@ -141,7 +145,7 @@
             wait = DEFAULT_RETRY_AFTER
         headers = [self._retry_after(wait)]
         status = STATUS_BY_REASON.get(refusal.reason, NOT_RUN_STATUS)
-        if status == UNAUTHORIZED_STATUS:
+        if refusal.reason in FINAL_REASONS:
             headers = []
         return (
             yield from self._respond(
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -21,7 +21,7 @@
 from .end_recorder import EndRecorder
 from .fingerprint import fingerprint
 from .header_names import HeaderNames
-from .resumption import resumed_request
+from .resumption import named_request, resumed_requests
 
 RESPONSE_WRITE_TIMEOUT = timedelta(seconds=2)
 FIRST_TRY_SHARE = 0.9
@@ -181,6 +181,8 @@
         service = self._service(route)
         runs_elsewhere = request.value(header_names.forwarded.lower())
         adapter = request.value(header_names.adapter.lower())
+        resumed = resumed_requests(request, header_names.resumes.lower())
+        last_event = request.value(header_names.last_event_id.lower())
         return Call(
             id=request.value(header_names.request_id.lower()),
             request=request,
@@ -197,7 +199,10 @@
             ),
             identity=admitted.identity,
             fingerprint=fingerprint(request, adapter),
-            resumes=resumed_request(request, header_names.resumes.lower()),
+            resumes=named_request(resumed),
+            takes_up_stream=route.streams
+            and route.resumable
+            and bool(resumed or last_event),
             is_forwarded=bool(runs_elsewhere),
             runs=int(runs_elsewhere) if runs_elsewhere.isdecimal() else 0,
         )
--- a/packages/ashhoist/src/ashhoist/requests/resumption.py
+++ b/packages/ashhoist/src/ashhoist/requests/resumption.py
@@ -1,25 +1,138 @@
-"""Streams that callers take up after a failure."""
+"""Streams that callers take up after a failure, and the version that they go on at."""
 
-from ..http import Request
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from ..clock import Clock
+from ..failures import Reason
+from ..http import CallerConnection, Request
+from ..logs import Logger
+from ..loop import Steps
+from ..metrics import Metrics
+from ..placement.messages import Refusal
+from ..streams import (
+    FoundVersion,
+    StreamBegan,
+    VersionLookup,
+    VersionLookupTimedOut,
+    VersionSource,
+)
+from ..upstreams import Directory
+from .attempt import CallerLeft
+from .call import Call
+from .elapsed import elapsed_ms, milliseconds
+from .waiting import wait_for
 
 MAX_REQUEST_ID_LENGTH = 128
+LOOKUP_TIMEOUT = timedelta(milliseconds=150)
+"""How long other instances have to say at which version a stream began. This covers
+several round trips between zones and is short compared with a stream's target latency.
+"""
 
 
-def resumed_request(request: Request, header: str) -> str:
-    """Return the id of the request whose stream a request takes up.
+class Resumptions:
+    """Finds out at which software version a stream may go on.
 
     Parameters
     ----------
-    header : str
-        The name of the header that names it, in lower case.
+    send : callable
+        Sends messages to the control task.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        send: Callable[[Any], None],
+        clock: Clock,
+        metrics: Metrics,
+        log: Logger,
+    ) -> None:
+        self._directory = directory
+        self._send = send
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+
+    def stream_begins(self, call: Call) -> None:
+        """Record that the first event of an upstream is about to be forwarded."""
+        if not call.software_version:
+            call.software_version = call.last_software_version
+        if not call.route.resumable or not call.stream_id:
+            return
+        began = StreamBegan(call.stream_id, call.service, call.software_version)
+        self._send(began)
+
+    def is_due(self, call: Call) -> bool:
+        """Return whether a call continues a stream whose version is not known yet."""
+        if call.software_version or not call.has_begun_stream:
+            return False
+        upstreams = self._directory.view.by_id.values()
+        return any(
+            one.software_version for one in upstreams if one.service == call.service
+        )
+
+    def resolve(
+        self, call: Call, caller: CallerConnection
+    ) -> Steps[Refusal | CallerLeft | None]:
+        """Find the software version of a call's stream; return None once it is known.
+
+        The call then goes to the service that the stream began at.
+        """
+        began = self._clock.monotonic()
+        services = [part.service for part in call.route.services]
+        only_service = call.service if len(services) == 1 else ""
+        lookup = VersionLookup(call.stream_id, only_service)
+        self._send(lookup)
+        until = min(began + LOOKUP_TIMEOUT, call.deadline)
+        caller_left = yield from wait_for(lookup.answer, until, caller, self._clock)
+        if not lookup.answer.done():
+            self._send(VersionLookupTimedOut(lookup))
+        if caller_left is not None:
+            return caller_left
+        found = lookup.answer.result()
+        self._record(call, found, began)
+        if found.source is VersionSource.UNKNOWN:
+            return Refusal(Reason.STREAM_VERSION_UNKNOWN)
+        if found.service not in services:
+            return Refusal(Reason.NO_UPSTREAM_OF_VERSION)
+        call.service = found.service
+        call.software_version = found.software_version
+        return None
+
+    def _record(self, call: Call, found: FoundVersion, began: timedelta) -> None:
+        self._metrics.count("resumed_streams", found.source)
+        self._log.info(
+            "stream taken up",
+            request=call.id,
+            resumes=call.resumes,
+            last_event=call.request.value("last-event-id"),
+            service=found.service,
+            software_version=found.software_version,
+            known_by=found.source,
+            age_ms=milliseconds(found.age),
+            lookup_ms=elapsed_ms(began, self._clock.monotonic()),
+        )
 
-    Returns
-    -------
-    str
-        Empty if the request names none, several, or one that is too long.
+
+def resumed_requests(request: Request, header: str) -> frozenset[str]:
+    """Return the ids of the requests whose stream a request takes up.
+
+    Parameters
+    ----------
+    header : str
+        The name of the header that names them, in lower case.
     """
     named = {value.strip() for name, value in request.headers if name.lower() == header}
-    if len(named) != 1:
+    return frozenset(named - {""})
+
+
+def named_request(resumed: frozenset[str]) -> str:
+    """Return the id of the request whose stream is taken up.
+
+    Empty if several are named, or one that is too long: then it is not known which.
+    """
+    if len(resumed) != 1:
         return ""
-    [resumed] = named
-    return resumed if len(resumed) <= MAX_REQUEST_ID_LENGTH else ""
+    [found] = resumed
+    return found if len(found) <= MAX_REQUEST_ID_LENGTH else ""
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -30,6 +30,7 @@
 from ashhoist.requests.forwarding_chooser import Forwarding, ForwardingChooser
 from ashhoist.requests.notices import UpstreamNotices
 from ashhoist.requests.quarantine_gate import QuarantineGate
+from ashhoist.requests.resumption import Resumptions
 from ashhoist.requests.send_permits import SendPermits
 from ashhoist.routing import (
     Limits,
@@ -232,6 +233,13 @@
             SendPermits(self.limits, self._receive_control_message, clock),
             self.rejections,
             self.forwarding,
+            Resumptions(
+                self.directory,
+                self._receive_control_message,
+                clock,
+                self.metrics,
+                logs.get("requests"),
+            ),
             clock,
             self.metrics,
             logs.get("requests"),
