--- a/packages/ashhoist/src/ashhoist/control/stream_replicas.py
+++ b/packages/ashhoist/src/ashhoist/control/stream_replicas.py
@@ -10,8 +10,8 @@
 from .hubs import Hubs
 from .peers import Peers
 
-TOLD = 2
-ASKED = 4
+TOLD = 3
+ASKED = 5
 """More than are told: the instances that each one is linked to may differ."""
 
 
--- a/tests/world_writes.py
+++ b/tests/world_writes.py
@@ -32,6 +32,7 @@
         self.log = log
         self.engine_zones: dict[str, str] = {}
         self.born_by_engine: dict[str, int] = {}
+        self.software_by_engine: dict[str, str] = {}
         self.engines: dict[str, EngineState] = {}
         self.customers: tuple[Customer, ...] = ()
         self._changes_by_value: dict[bytes, Change] = {}
@@ -89,6 +90,7 @@
             96,
             (MODEL,),
             born=self.born_by_engine.get(name, 0),
+            software_version=self.software_by_engine.get(name, ""),
         )
         change = UpstreamPut(upstream)
         self.write(Topic.UPSTREAMS, name, change)
