--- a/packages/ashhoist/src/ashhoist/control/stream_notices.py
+++ b/packages/ashhoist/src/ashhoist/control/stream_notices.py
@@ -12,10 +12,11 @@
     BegunStream,
     BegunStreams,
     SeenVersion,
+    ServiceVersion,
     SoftwareVersions,
     StreamBegan,
 )
-from ..upstreams import Directory
+from ..upstreams import Directory, DirectoryView
 from . import messages
 from .stream_replicas import StreamReplicas
 
@@ -46,6 +47,8 @@
         self._replicas = replicas
         self._directory = directory
         self._send = send
+        self._view: DirectoryView | None = None
+        self._listed: frozenset[ServiceVersion] = frozenset()
 
     def began(self, message: StreamBegan) -> None:
         """Record a stream of this instance, and tell others if they need to know."""
@@ -83,8 +86,13 @@
 
     def tick(self) -> None:
         """Record the versions of the upstreams that are listed now."""
-        upstreams = self._directory.view.by_id.values()
-        self._tell_own(self._versions.listed(upstreams))
+        view = self._directory.view
+        if view is not self._view:
+            self._view = view
+            self._listed = frozenset(
+                (one.service, one.software_version) for one in view.by_id.values()
+            )
+        self._tell_own(self._versions.listed(self._listed))
 
     def _tell_own(self, services: Iterable[str]) -> None:
         """Tell others of this instance's streams at services with a new version."""
--- a/packages/ashhoist/src/ashhoist/streams/__init__.py
+++ b/packages/ashhoist/src/ashhoist/streams/__init__.py
@@ -9,13 +9,14 @@
     VersionLookupTimedOut,
     VersionSource,
 )
-from .software_versions import SeenVersion, SoftwareVersions
+from .software_versions import SeenVersion, ServiceVersion, SoftwareVersions
 
 __all__ = [
     "BegunStream",
     "BegunStreams",
     "FoundVersion",
     "SeenVersion",
+    "ServiceVersion",
     "SoftwareVersions",
     "StreamBegan",
     "StreamLifetime",
--- a/packages/ashhoist/src/ashhoist/streams/software_versions.py
+++ b/packages/ashhoist/src/ashhoist/streams/software_versions.py
@@ -9,7 +9,9 @@
 from datetime import timedelta
 
 from ..clock import Clock
-from ..upstreams import Upstream
+
+ServiceVersion = tuple[str, str]
+"""The name of a service and a version of its upstreams' software."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +50,7 @@
         seen_at[version] = max(at, seen_at.get(version, at))
         return is_new
 
-    def listed(self, upstreams: Iterable[Upstream]) -> set[str]:
+    def listed(self, found: Iterable[ServiceVersion]) -> set[str]:
         """Record the versions of all listed upstreams, leaving ones included.
 
         Returns
@@ -59,7 +61,6 @@
         now = self._clock.monotonic()
         if self._watching_since is None:
             self._watching_since = now
-        found = {(one.service, one.software_version) for one in upstreams}
         return {
             service for service, version in found if self._see(service, version, now)
         }
--- a/packages/ashhoist/src/ashhoist/upstreams/__init__.py
+++ b/packages/ashhoist/src/ashhoist/upstreams/__init__.py
@@ -3,7 +3,7 @@
 from .backoffs import Backoffs
 from .balance import Balancer
 from .departures import UpstreamLeaving
-from .directory import Directory, Upstream, UpstreamState
+from .directory import Directory, DirectoryView, Upstream, UpstreamState
 from .health import Health
 from .lapses import LapsedEnds
 from .limits import RateLimits, StatedLimit
@@ -14,6 +14,7 @@
     "NOT_GRANTED",
     "Balancer",
     "Directory",
+    "DirectoryView",
     "Health",
     "LapsedEnds",
     "StatedLimit",
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -19,6 +19,7 @@
 from ashhoist.metrics import Metrics
 from ashhoist.overload import AttemptOutcome
 from ashhoist.placement.messages import Refusal, RequestOutcome, Target
+from ashhoist.position import Position
 from ashhoist.quarantine import Quarantine
 from ashhoist.requests import Handler, RetryBudget
 from ashhoist.requests.attempt import Attempts
@@ -41,6 +42,12 @@
     ServingConfiguration,
     WeightedService,
 )
+from ashhoist.streams import (
+    FoundVersion,
+    VersionLookup,
+    VersionLookupTimedOut,
+    VersionSource,
+)
 from ashhoist.upstreams import (
     Backoffs,
     Directory,
@@ -61,6 +68,8 @@
 class ListChooser:
     """Tries the harness's upstreams in order, each once per call.
 
+    Like a leader of an earlier release, it knows no software versions.
+
     Attributes
     ----------
     refusal : Refusal or None
@@ -128,6 +137,7 @@
     ) -> None:
         self.proof = proof or Proof()
         self.control_messages: list[Any] = []
+        self.found_version: FoundVersion | None = None
         self.charge_result = ChargeResult(True)
         self._thread = ThreadLoop()
         self.loop = self._thread.loop
@@ -258,10 +268,28 @@
             Random(1),
         )
 
-    def list_upstreams(self) -> None:
-        """Register the current upstreams in the directory."""
-        for name, server in self.upstreams.items():
-            self.directory.put(Upstream(name, "service", server.address, "zone"))
+    def list_upstreams(self, *software_versions: str) -> None:
+        """Register the current upstreams, in the directory.
+
+        Parameters
+        ----------
+        software_versions : str
+            The version of each upstream; without any, they tell none.
+        """
+        versions = software_versions or ("",) * len(self.upstreams)
+        listed = zip(self.upstreams.items(), versions, strict=True)
+        for (name, server), version in listed:
+            offset = Position(self.directory.offset + 1)
+            self.directory.put(
+                Upstream(
+                    name,
+                    "service",
+                    server.address,
+                    "zone",
+                    offset=offset,
+                    software_version=version,
+                )
+            )
 
     def _notices(self) -> UpstreamNotices:
         log = logs.get("requests")
@@ -281,6 +309,10 @@
         self.control_messages.append(message)
         if isinstance(message, Charge):
             message.settle(self.charge_result)
+        if isinstance(message, VersionLookup) and self.found_version is not None:
+            message.settle(self.found_version)
+        if isinstance(message, VersionLookupTimedOut):
+            message.lookup.settle(FoundVersion(VersionSource.UNKNOWN))
 
     def calls(self, index: int = 0) -> list[UpstreamCall]:
         """Return the requests that an upstream has received."""
