Tests: who is told of a stream, who knows it after kills, and what may be claimed

Cause: the knowledge of a stream's version must outlast its instance. Change: tests in virtual time of notices, lookups and the ranking.

--- /dev/null
+++ b/tests/test_stream_notices.py
@@ -0,0 +1,306 @@
+"""Who is told at which software version a stream began, and who knows it later."""
+
+import unittest
+from unittest import mock
+
+from ashhoist.control.messages.streams import STREAMS_REVISION
+from ashhoist.control.stream_replicas import TOLD, ranked
+from ashhoist.streams import (
+    FoundVersion,
+    StreamBegan,
+    VersionLookup,
+    VersionSource,
+    begun,
+)
+
+from .control_world import World
+from .world_writes import PLAIN_SERVICE, SERVICE
+
+OLD, NEW = "v1", "v2"
+SETTLED_S = 5.0
+LIFETIME_S = 10.0
+"""Of a stream, in a world without routes."""
+LOOKUP_S = 0.15
+STREAM = "7869f99eb3b15c4f"
+
+
+class StreamNoticesTestCase(unittest.TestCase):
+    def start(self, instances: int = 7, *versions: str) -> World:
+        """Start instances before one engine of each software version."""
+        world = World(instances, 0, zones=3)
+        for number, version in enumerate(versions or (OLD,)):
+            self.add(world, number, version)
+        world.start()
+        world.run(SETTLED_S)
+        return world
+
+    def add(self, world: World, number: int, version: str) -> None:
+        name = f"engine-{number}"
+        world.software_by_engine[name] = version
+        world.add_engine(name)
+
+    def begin(
+        self, world: World, name: str, version: str = OLD, stream: str = STREAM
+    ) -> None:
+        core = world.machines[name].core
+        assert core is not None
+        core.stream_notices.began(StreamBegan(stream, SERVICE, version))
+
+    def look_up(
+        self, world: World, name: str, stream: str = STREAM, service: str = SERVICE
+    ) -> FoundVersion:
+        core = world.machines[name].core
+        assert core is not None
+        lookup = VersionLookup(stream, service)
+        core.stream_lookups.ask(lookup)
+        world.run(LOOKUP_S, lookup.answer.done)
+        core.stream_lookups.timed_out(lookup)
+        return lookup.answer.result()
+
+    def told(self, world: World) -> set[str]:
+        """Return the instances that know the stream."""
+        return {
+            name
+            for name, machine in world.machines.items()
+            if machine.core is not None
+            and machine.core.stream_lookups.begun.find(STREAM) is not None
+        }
+
+
+class NoticeTests(StreamNoticesTestCase):
+    def test_nobody_is_told_while_one_version_has_served(self) -> None:
+        world = self.start()
+        world.run(LIFETIME_S)
+        self.begin(world, "instance-0")
+        world.run(1.0)
+        self.assertEqual(self.told(world), {"instance-0"})
+
+    def test_some_are_told_while_several_versions_serve(self) -> None:
+        world = self.start(7, OLD, NEW)
+        world.run(LIFETIME_S)
+        self.begin(world, "instance-0")
+        world.run(1.0)
+        told = self.told(world)
+        self.assertEqual(len(told), 1 + TOLD)
+        zones = {world.machines[name].zone for name in told - {"instance-0"}}
+        self.assertEqual(len(zones), 3)
+
+    def test_streams_from_before_a_new_version_are_told_when_it_appears(self) -> None:
+        # Guards against streams that are lost with their instance right after a release
+        # has begun.
+        world = self.start()
+        world.run(LIFETIME_S)
+        self.begin(world, "instance-0")
+        self.add(world, 1, NEW)
+        world.run(2.0)
+        self.assertEqual(len(self.told(world)), 1 + TOLD)
+
+    def test_a_version_that_one_instance_has_used_is_known_to_those_it_tells(
+        self,
+    ) -> None:
+        world = self.start()
+        world.run(LIFETIME_S)
+        self.begin(world, "instance-0", NEW)
+        world.run(1.0)
+        world.kill("instance-0")
+        world.run(1.0)
+        found = self.look_up(world, "instance-1")
+        self.assertEqual(found.software_version, NEW)
+        found = self.look_up(world, "instance-1", "another-stream")
+        self.assertIs(found.source, VersionSource.UNKNOWN)
+
+    def test_only_hubs_are_told_where_instances_are_many(self) -> None:
+        world = self.start(24, OLD, NEW)
+        self.begin(world, "instance-20")
+        world.run(1.0)
+        core = world.machines["instance-20"].core
+        assert core is not None
+        for name in self.told(world) - {"instance-20"}:
+            self.assertTrue(core._hubs.is_hub(name))
+        self.assertEqual(len(self.told(world)), 1 + TOLD)
+
+    def test_old_streams_are_forgotten(self) -> None:
+        world = self.start(7, OLD, NEW)
+        self.begin(world, "instance-0")
+        world.run(LIFETIME_S + 1.0)
+        self.begin(world, "instance-0", OLD, "later-stream")
+        core = world.machines["instance-0"].core
+        assert core is not None
+        self.assertEqual(len(core.stream_lookups.begun), 1)
+
+    def test_memory_is_bounded(self) -> None:
+        world = self.start(1)
+        with mock.patch.object(begun, "MAX_STREAMS", 10):
+            for number in range(25):
+                self.begin(world, "instance-0", OLD, f"stream-{number}")
+        core = world.machines["instance-0"].core
+        assert core is not None
+        self.assertEqual(len(core.stream_lookups.begun), 10)
+        self.assertIsNotNone(core.stream_lookups.begun.find("stream-24"))
+
+    def test_instances_of_earlier_releases_get_no_unknown_messages(self) -> None:
+        # Guards against links that the other side closes.
+        world = World(3, 0, zones=3)
+        self.add(world, 0, OLD)
+        self.add(world, 1, NEW)
+        for name in ("instance-1", "instance-2"):
+            world.machines[name].revision = STREAMS_REVISION - 1
+        world.start()
+        world.run(SETTLED_S)
+        self.begin(world, "instance-0")
+        world.run(1.0)
+        self.assertEqual(self.told(world), {"instance-0"})
+        found = self.look_up(world, "instance-0", "another-stream")
+        self.assertIs(found.source, VersionSource.UNKNOWN)
+
+
+class LookupTests(StreamNoticesTestCase):
+    def test_the_instance_that_began_a_stream_knows_it(self) -> None:
+        world = self.start(7, OLD, NEW)
+        self.begin(world, "instance-0")
+        found = self.look_up(world, "instance-0")
+        self.assertEqual((found.source, found.software_version), ("here", OLD))
+
+    def test_any_other_instance_finds_it_after_a_kill(self) -> None:
+        world = self.start(7, OLD, NEW)
+        self.begin(world, "instance-0")
+        world.run(0.1)
+        world.kill("instance-0")
+        world.run(1.0)
+        others = [name for name in world.machines if name != "instance-0"]
+        for name in others:
+            self.assertEqual(self.look_up(world, name).software_version, OLD, name)
+
+    def test_a_new_process_under_the_same_name_finds_it(self) -> None:
+        world = self.start(7, OLD, NEW)
+        self.begin(world, "instance-0")
+        world.run(0.1)
+        world.kill("instance-0")
+        world.run(0.5)
+        world.start("instance-0")
+        world.run(2.0)
+        found = self.look_up(world, "instance-0")
+        self.assertEqual((found.source, found.software_version), ("instance", OLD))
+
+    def test_while_one_version_has_served_an_unknown_stream_is_of_that_one(
+        self,
+    ) -> None:
+        world = self.start()
+        world.run(LIFETIME_S)
+        found = self.look_up(world, "instance-1")
+        self.assertEqual((found.source, found.software_version), ("only_version", OLD))
+
+    def test_a_process_that_starts_knows_what_the_others_have_watched(self) -> None:
+        world = self.start()
+        world.run(LIFETIME_S)
+        world.kill("instance-0")
+        world.run(0.5)
+        world.start("instance-0")
+        world.run(2.0)
+        found = self.look_up(world, "instance-0")
+        self.assertIs(found.source, VersionSource.ONLY_VERSION)
+
+    def test_a_version_that_has_ended_lately_is_remembered(self) -> None:
+        # Guards against the claim that the version left is the only one there was.
+        world = self.start(7, OLD, NEW)
+        world.run(LIFETIME_S)
+        world.end_engine("engine-0")
+        world.run(3.0)
+        self.assertIs(self.look_up(world, "instance-1").source, VersionSource.UNKNOWN)
+        world.kill("instance-1")
+        world.run(0.5)
+        world.start("instance-1")
+        world.run(2.0)
+        self.assertIs(self.look_up(world, "instance-1").source, VersionSource.UNKNOWN)
+        world.run(LIFETIME_S)
+        found = self.look_up(world, "instance-1")
+        self.assertEqual((found.source, found.software_version), ("only_version", NEW))
+
+    def test_after_a_restart_of_all_nothing_is_claimed_for_a_lifetime(self) -> None:
+        world = self.start()
+        world.run(LIFETIME_S)
+        for name in world.machines:
+            world.kill(name)
+        world.run(0.5)
+        world.start()
+        world.run(SETTLED_S)
+        self.assertIs(self.look_up(world, "instance-1").source, VersionSource.UNKNOWN)
+        world.run(LIFETIME_S)
+        found = self.look_up(world, "instance-1")
+        self.assertIs(found.source, VersionSource.ONLY_VERSION)
+
+    def test_nothing_is_claimed_from_an_old_list_of_upstreams(self) -> None:
+        world = self.start()
+        world.run(LIFETIME_S)
+        world.store.is_down = True
+        world.run(SETTLED_S)
+        self.assertIs(self.look_up(world, "instance-1").source, VersionSource.UNKNOWN)
+
+    def test_an_instance_without_links_claims_nothing(self) -> None:
+        world = self.start()
+        world.run(LIFETIME_S)
+        world.machines["instance-1"].links_cut = True
+        world.run(SETTLED_S)
+        self.assertIs(self.look_up(world, "instance-1").source, VersionSource.UNKNOWN)
+
+    def test_the_only_instance_of_a_deployment_claims_from_its_own_watch(self) -> None:
+        world = self.start(1)
+        world.run(LIFETIME_S)
+        found = self.look_up(world, "instance-0")
+        self.assertIs(found.source, VersionSource.ONLY_VERSION)
+
+    def test_several_services_are_told_apart(self) -> None:
+        # Versions are texts of one service; two services may use the same ones.
+        world = self.start(7, OLD, NEW)
+        world.write_plain_upstream("plain-0")
+        world.run(LIFETIME_S)
+        found = self.look_up(world, "instance-1", service=PLAIN_SERVICE)
+        self.assertIs(found.source, VersionSource.ONLY_VERSION)
+        self.assertIs(self.look_up(world, "instance-1").source, VersionSource.UNKNOWN)
+
+    def test_a_route_to_several_services_claims_nothing(self) -> None:
+        world = self.start()
+        world.run(LIFETIME_S)
+        found = self.look_up(world, "instance-1", service="")
+        self.assertIs(found.source, VersionSource.UNKNOWN)
+
+    def test_a_frozen_instance_holds_a_lookup_up_for_its_limit_only(self) -> None:
+        world = self.start(7, OLD, NEW)
+        for name in ("instance-2", "instance-3", "instance-4", "instance-5"):
+            world.freeze(name, 2.0)
+        began = world.now
+        self.assertIs(self.look_up(world, "instance-1").source, VersionSource.UNKNOWN)
+        self.assertLessEqual(world.now - began, LOOKUP_S + 0.01)
+
+
+class RankingTests(unittest.TestCase):
+    ZONES = {f"instance-{number}": f"zone-{number % 3}" for number in range(12)}
+
+    def test_the_first_are_of_different_zones(self) -> None:
+        for number in range(50):
+            first = ranked(f"stream-{number}", self.ZONES)[:3]
+            self.assertEqual(len({self.ZONES[name] for name in first}), 3)
+
+    def test_the_loss_of_others_moves_an_instance_up_only(self) -> None:
+        # Guards against a survivor that is not asked.
+        for number in range(50):
+            stream = f"stream-{number}"
+            told = ranked(stream, self.ZONES)[:TOLD]
+            survivor = told[-1]
+            left = {
+                name: zone
+                for name, zone in self.ZONES.items()
+                if name == survivor or name not in told
+            }
+            self.assertLess(ranked(stream, left).index(survivor), TOLD)
+
+    def test_streams_are_spread_over_instances(self) -> None:
+        counts = dict.fromkeys(self.ZONES, 0)
+        for number in range(1200):
+            for name in ranked(f"stream-{number}", self.ZONES)[:TOLD]:
+                counts[name] += 1
+        self.assertLess(max(counts.values()), 2 * min(counts.values()))
+
+
+if __name__ == "__main__":
+    unittest.main()
