--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -4,13 +4,16 @@
 versions whose events tell the version.
 """
 
+import os
 import re
 import socket
+import threading
 import time
 import unittest
 from collections import Counter
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, field
+from random import Random
 
 from .platform_process import PlatformProcess, ProcessTestCase, with_route_timeout
 from .platform_stand_ins.worker import ModelWorker
@@ -31,6 +34,19 @@
 """Of the streams that are taken up while two upstreams of their version serve, the
 share that goes on at least, against that of new streams."""
 REFUSED_WITHIN_S = 1.0
+SEEDS = int(os.environ.get("SEEDS", "1"))
+FIRST_SEED = int(os.environ.get("FIRST_SEED", "0"))
+CLIENTS = 12
+TRIES = 4
+CHANGES = 14
+PAUSE_S = (0.2, 0.9)
+KILL_SHARE = 0.3
+LEAVE_SHARE = 0.3
+"""Of first tries, whose client closes its connection and comes back."""
+LISTED_FOR_S = (0.0, 0.5)
+"""How long the record of a crashed engine stays."""
+CONTACT_S = 3.0
+LEAST_TAKEN_UP = 12
 EVENT = re.compile(rb"id: (\d+)\ndata: \S*\.(v\d)\n")
 ADAPTER = f"{MODEL}/a1"
 
@@ -52,11 +68,17 @@
     events: list[tuple[int, str]] = field(default_factory=list)
     whole: bool = False
     took_s: float = 0.0
+    tries: int = 0
 
     @property
     def versions(self) -> set[str]:
         return {version for _, version in self.events}
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Return whether the client came back for the rest of it."""
+        return self.tries > 1
+
     @property
     def last_event(self) -> int:
         return self.events[-1][0] if self.events else 0
@@ -70,17 +92,11 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.engines = [
-            ModelWorker(f"i-{software}-{number}", MODEL, software=software)
-            for software in (OLD, NEW)
-            for number in range(ENGINES_PER_VERSION)
-        ]
-        for engine in self.engines:
-            self.addCleanup(engine.close)
-            engine.events = EVENTS
-            engine.event_s = EVENT_S
-            record = engine.record("engines", "zone-1")
-            self.store.put("keyed.servers", engine.state.id, record)
+        self.engines: list[ModelWorker] = []
+        self.engine_count = 0
+        for _ in range(ENGINES_PER_VERSION):
+            self.add_engine(OLD)
+            self.add_engine(NEW)
         self.instances = [self.start(f"node-{number}") for number in range(INSTANCES)]
         for instance in self.instances:
             self.wait(lambda instance=instance: self._is_linked(instance))
@@ -117,6 +133,7 @@
             headers.append(("Resumes", stream.id))
         lines = [f"{name}: {value}" for name, value in headers]
         request = "\r\n".join(["POST /review/x HTTP/1.1", *lines, "", "ab"])
+        stream.tries += 1
         began = time.monotonic()
         data = _exchange(instance.callers, request.encode(), events)
         stream.took_s = time.monotonic() - began
@@ -160,6 +177,19 @@
 
     # Troubles
 
+    def add_engine(self, software: str) -> None:
+        """Start an engine and list it."""
+        self.engine_count += 1
+        engine = ModelWorker(
+            f"i-{software}-{self.engine_count}", MODEL, software=software
+        )
+        self.addCleanup(engine.close)
+        engine.events = EVENTS
+        engine.event_s = EVENT_S
+        self.engines.append(engine)
+        record = engine.record("engines", "zone-1")
+        self.store.put("keyed.servers", engine.state.id, record)
+
     def crash_busiest(self) -> None:
         """Crash the busiest engine of each software version; two of each are left."""
         for software in (OLD, NEW):
@@ -297,6 +327,85 @@
         self.assertTrue(stream.whole)
 
 
+class SeriesTests(StreamVersionsTestCase):
+    """Crashes of engines and kills of instances in series, while clients come back."""
+
+    def test_streams_keep_their_version_and_go_on(self) -> None:
+        for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
+            with self.subTest(seed=seed):
+                self.run_series(Random(seed), f"series-{seed}")
+
+    def run_series(self, source: Random, label: str) -> None:
+        stop = threading.Event()
+        self.started_at = dict.fromkeys(self.instances, 0.0)
+        clients = [
+            self.pool.submit(self.run_client, stop, f"{label}-{number}", number)
+            for number in range(CLIENTS)
+        ]
+        for _ in range(CHANGES):
+            time.sleep(source.uniform(*PAUSE_S))
+            if source.random() < KILL_SHARE:
+                self.restart_instance(source)
+            else:
+                self.replace_engine(source)
+        stop.set()
+        streams = [stream for client in clients for stream in client.result()]
+        self.check_versions(streams)
+        self.check_pieces(streams)
+        taken_up = [stream for stream in streams if stream.is_taken_up]
+        self.assertGreaterEqual(len(taken_up), LEAST_TAKEN_UP)
+        self.check_continued(taken_up)
+
+    def run_client(
+        self, stop: threading.Event, label: str, number: int
+    ) -> list[Received]:
+        """Begin streams one after the other, and take up those that break off."""
+        source = Random(number)
+        streams: list[Received] = []
+        while not stop.is_set():
+            stream = Received(f"{label}-{len(streams)}")
+            streams.append(stream)
+            for attempt in range(TRIES):
+                instance = source.choice(self.in_touch())
+                leaves = attempt == 0 and source.random() < LEAVE_SHARE
+                events = TAKEN_UP_AFTER if leaves else EVENTS
+                self.ask(instance, stream, events, f"{stream.id}-{attempt}")
+                if attempt == 0:
+                    stream.id = f"{stream.id}-0"
+                if stream.whole or not stream.events:
+                    break
+        return streams
+
+    def in_touch(self) -> list[PlatformProcess]:
+        """Return the instances that have run for long enough to count."""
+        latest = time.monotonic() - CONTACT_S
+        return [one for one in self.instances if self.started_at[one] < latest]
+
+    def restart_instance(self, source: Random) -> None:
+        """Kill an instance and start another one under its name."""
+        in_touch = self.in_touch()
+        if len(in_touch) < INSTANCES:
+            return
+        killed = source.choice(in_touch)
+        place = self.instances.index(killed)
+        self.instances = [one for one in self.instances if one is not killed]
+        killed.process.kill()
+        started = self.start(f"node-{place}")
+        self.started_at[started] = time.monotonic()
+        self.instances.insert(place, started)
+
+    def replace_engine(self, source: Random) -> None:
+        """Crash an engine; another one of either version is started first."""
+        self.add_engine(source.choice((OLD, NEW)))
+        counts = Counter(engine.software for engine in self.engines)
+        spare = [one for one in self.engines if counts[one.software] > 2]
+        crashed = source.choice(spare)
+        self.engines = [one for one in self.engines if one is not crashed]
+        crashed.crash()
+        time.sleep(source.uniform(*LISTED_FOR_S))
+        self.store.put("keyed.servers", crashed.state.id, None)
+
+
 def _exchange(address: str, request: bytes, events: int) -> bytes:
     """Send a request; return what came until its end, or that many events."""
     host, _, port = address.rpartition(":")
