--- a/packages/ashhoist/src/ashhoist/placement/pending_requests.py
+++ b/packages/ashhoist/src/ashhoist/placement/pending_requests.py
@@ -62,11 +62,7 @@
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether an upstream may run it."""
-        return (
-            upstream.service == self.service
-            and upstream.id not in self.tried
-            and upstream.has_software(self.software_version)
-        )
+        return _accepts(self, upstream)
 
 
 @dataclass(slots=True)
@@ -102,11 +98,7 @@
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether an upstream may run at least one of them."""
-        return (
-            upstream.service == self.service
-            and upstream.id not in self.tried
-            and upstream.has_software(self.software_version)
-        )
+        return _accepts(self, upstream)
 
     def value(self, now: timedelta, delay: timedelta) -> float:
         """Return the value of answering all of them after a delay from now."""
@@ -224,3 +216,11 @@
 
     def __len__(self) -> int:
         return len(self._keys)
+
+
+def _accepts(wanted: PendingRequest | AdapterDemand, upstream: Upstream) -> bool:
+    return (
+        upstream.service == wanted.service
+        and upstream.id not in wanted.tried
+        and upstream.has_software(wanted.software_version)
+    )
--- a/packages/ashhoist/src/ashhoist/request_wiring.py
+++ b/packages/ashhoist/src/ashhoist/request_wiring.py
@@ -24,6 +24,7 @@
 from .requests.quarantine_gate import QuarantineGate
 from .requests.resumption import Resumptions
 from .requests.room_check import RoomCheck
+from .requests.send_checks import SendChecks
 from .requests.send_permits import SendPermits
 from .upstreams import Balancer
 
@@ -125,22 +126,21 @@
 
     def _call_runner(self) -> CallRunner:
         state, send = self._state, self._control.send
+        quarantine_gate = QuarantineGate(
+            state.quarantine,
+            state.connectivity,
+            state.directory.incarnation_of,
+            send,
+        )
         return CallRunner(
             self._header_names,
             self._attempts(),
             self.budget,
             state.health,
-            self._authenticator,
             Charging(send, self._clock, self._metrics, self._random),
-            QuarantineGate(
-                state.quarantine,
-                state.connectivity,
-                state.directory.incarnation_of,
-                send,
-            ),
+            quarantine_gate,
+            self._send_checks(quarantine_gate),
             state.directory,
-            state.backoffs,
-            self._permits,
             state.rejections,
             self._forwarding,
             Resumptions(state.directory, send, self._clock, self._metrics, self._log),
@@ -149,6 +149,18 @@
             self._log,
         )
 
+    def _send_checks(self, quarantine_gate: QuarantineGate) -> SendChecks:
+        return SendChecks(
+            self._authenticator,
+            quarantine_gate,
+            self._state.directory,
+            self._state.backoffs,
+            self._permits,
+            self._forwarding,
+            self._metrics,
+            self._log,
+        )
+
     def _attempts(self) -> Attempts:
         state = self._state
         notices = UpstreamNotices(
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -9,7 +9,7 @@
 from ..loop import Steps, Wait
 from ..metrics import Metrics
 from ..placement.messages import Refusal, RequestOutcome, Target
-from ..upstreams import Backoffs, Directory, Health, RejectionLimits
+from ..upstreams import Directory, Health, RejectionLimits
 from .attempt import (
     Answered,
     Attempts,
@@ -20,7 +20,6 @@
     Streaming,
 )
 from .attempt_recorder import AttemptRecorder, attempt_outcome, request_outcome
-from .authentication import Authenticator
 from .budget import RetryBudget
 from .call import Call
 from .caller_responses import (
@@ -37,7 +36,7 @@
 from .quarantine_gate import QuarantineGate
 from .relay import CompletedStream, SegmentEnd, StreamRelay
 from .resumption import Resumptions
-from .send_permits import SendPermits
+from .send_checks import SendChecks
 from .silence import SilenceLimit, response_timeout
 
 MAX_REFUSED_SENDS = 3
@@ -66,12 +65,10 @@
         attempts: Attempts,
         budget: RetryBudget,
         health: Health,
-        authenticator: Authenticator,
         charging: Charging,
         quarantine_gate: QuarantineGate,
+        send_checks: SendChecks,
         directory: Directory,
-        backoffs: Backoffs,
-        permits: SendPermits,
         rejections: RejectionLimits,
         forwarding: Forwarding,
         resumptions: Resumptions,
@@ -79,12 +76,10 @@
         metrics: Metrics,
         log: Logger,
     ) -> None:
-        self._authenticator = authenticator
         self._charging = charging
         self._quarantine_gate = quarantine_gate
+        self._send_checks = send_checks
         self._directory = directory
-        self._backoffs = backoffs
-        self._permits = permits
         self._rejections = rejections
         self._forwarding = forwarding
         self._resumptions = resumptions
@@ -123,7 +118,7 @@
                 return self._responses.caller_left(caller)
             if refused is not None:
                 return (yield from self._refuse(call, caller, relay, refused, answered))
-            gone = self._version_refusal(call)
+            gone = self._send_checks.version_refusal(call)
             if gone is not None:
                 return (yield from self._refuse(call, caller, relay, gone, answered))
             target = yield from chooser.choose(call, caller)
@@ -135,11 +130,11 @@
                 return (yield from self._refuse(call, caller, relay, target, answered))
             if target.is_instance:
                 self._hand_over(call)
-            refusal = self._send_refusal(call)
+            refusal = self._send_checks.refusal(call)
             if refusal is not None:
                 chooser.on_attempt_ended(call, target, RequestOutcome.UNKNOWN, None)
                 return (yield from self._responses.refuse(call, caller, relay, refusal))
-            if self._rejects_placement(call, target):
+            if self._send_checks.rejects(call, target):
                 chooser.on_attempt_ended(call, target, RequestOutcome.UNKNOWN, None)
                 call.tried.add(target.upstream)
                 continue
@@ -235,67 +230,6 @@
             retry_after_ms=retry_after // MILLISECOND,
         )
 
-    def _send_refusal(self, call: Call) -> Refusal | None:
-        """Return why a call that had to wait must not be sent any more, or None."""
-        invalid = self._authenticator.refusal_reason(call.identity)
-        if invalid is not None:
-            return Refusal(invalid)
-        return self._quarantine_gate.refusal(call)
-
-    def _version_refusal(self, call: Call) -> Refusal | None:
-        """Return why a stream can't go on at its software version, or None."""
-        if not call.software_version or self._forwarding.applies(call):
-            return None
-        view = self._directory.view
-        acceptable = view.of(call.service, call.software_version)
-        if any(one.id not in call.tried for one in acceptable):
-            return None
-        self._log.info(
-            "stream can't go on",
-            request=call.id,
-            resumes=call.resumes,
-            last_event=call.last_event_id,
-            software_version=call.software_version,
-            tried=len(call.tried),
-        )
-        return Refusal(Reason.NO_UPSTREAM_OF_VERSION)
-
-    def _rejects_placement(self, call: Call, target: Target) -> bool:
-        """Return whether a call must not be sent to the upstream chosen for it.
-
-        The choice may be out of date: the leader made it, or the call has waited since.
-        """
-        reason = self._rejection_reason(call, target)
-        if reason is None:
-            return False
-        self._metrics.count("retries", reason)
-        self._log.info(
-            "placement rejected",
-            request=call.id,
-            upstream=target.upstream,
-            reason=reason,
-        )
-        return True
-
-    def _rejection_reason(self, call: Call, target: Target) -> Reason | None:
-        """Return why an upstream must not be sent to; None if it may be."""
-        if target.is_instance:
-            return None
-        if self._forwarding.applies(call):
-            return Reason.UPSTREAMS_CUT_OFF
-        known = self._directory.view.by_id.get(target.upstream)
-        if known is None:
-            return Reason.NO_UPSTREAM
-        if not known.accepts_requests:
-            return Reason.UPSTREAM_LEAVING
-        if not known.has_software(call.software_version):
-            return Reason.NO_UPSTREAM_OF_VERSION
-        if self._backoffs.is_backing_off(target.upstream):
-            return Reason.UPSTREAMS_REST
-        if self._permits.is_limited(target.upstream) and not target.permitted:
-            return Reason.UPSTREAMS_LIMITED
-        return None
-
     # One attempt
 
     def _attempt(
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -32,6 +32,7 @@
 from ashhoist.requests.notices import UpstreamNotices
 from ashhoist.requests.quarantine_gate import QuarantineGate
 from ashhoist.requests.resumption import Resumptions
+from ashhoist.requests.send_checks import SendChecks
 from ashhoist.requests.send_permits import SendPermits
 from ashhoist.routing import (
     Limits,
@@ -219,6 +220,13 @@
             clock,
             clock.monotonic() - LONG_AGO,
         )
+        quarantine_gate = QuarantineGate(
+            self.quarantine,
+            self.connectivity,
+            lambda upstream: upstream,
+            self._receive_control_message,
+        )
+        log = logs.get("requests")
         serving = CallRunner(
             HEADER_NAMES,
             Attempts(
@@ -230,17 +238,19 @@
             ),
             budget,
             Health(clock),
-            keys,
             charging,
-            QuarantineGate(
-                self.quarantine,
-                self.connectivity,
-                lambda upstream: upstream,
-                self._receive_control_message,
+            quarantine_gate,
+            SendChecks(
+                keys,
+                quarantine_gate,
+                self.directory,
+                self.backoffs,
+                SendPermits(self.limits, self._receive_control_message, clock),
+                self.forwarding,
+                self.metrics,
+                log,
             ),
             self.directory,
-            self.backoffs,
-            SendPermits(self.limits, self._receive_control_message, clock),
             self.rejections,
             self.forwarding,
             Resumptions(
@@ -248,11 +258,11 @@
                 self._receive_control_message,
                 clock,
                 self.metrics,
-                logs.get("requests"),
+                log,
             ),
             clock,
             self.metrics,
-            logs.get("requests"),
+            log,
         )
         chooser = ForwardingChooser(self.chooser, self.forwarding, self.connectivity)
         return Handler(
