Lookups of streams: a plain class like its neighbours

Cause: a data class with collaborators as fields read unlike the other parts of control. Change: a constructor; one place turns a known stream into an answer. No behaviour changes. Measured: test_stream_notices passes.

--- a/packages/ashhoist/src/ashhoist/control/stream_lookups.py
+++ b/packages/ashhoist/src/ashhoist/control/stream_lookups.py
@@ -5,12 +5,13 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
 from ..clock import Clock
 from ..streams import (
+    BegunStream,
     BegunStreams,
     FoundVersion,
     SoftwareVersions,
@@ -50,10 +51,16 @@
     responses: int = 0
 
 
-@dataclass(slots=True)
 class StreamLookups:
     """Resolves lookups of this instance's requests, and answers those of others.
 
+    Attributes
+    ----------
+    begun : BegunStreams
+        The streams that are known here.
+    versions : SoftwareVersions
+        The versions that have served lately, as far as is known here.
+
     Parameters
     ----------
     is_list_current : callable
@@ -62,15 +69,25 @@
         Takes the name of an instance and a message for it; returns whether it was sent.
     """
 
-    begun: BegunStreams
-    versions: SoftwareVersions
-    replicas: StreamReplicas
-    peers: Peers
-    is_list_current: Callable[[], bool]
-    send: Callable[[str, Any], bool]
-    clock: Clock
-    _last_number: int = 0
-    _pending: dict[int, _PendingLookup] = field(default_factory=dict)
+    def __init__(
+        self,
+        begun: BegunStreams,
+        versions: SoftwareVersions,
+        replicas: StreamReplicas,
+        peers: Peers,
+        is_list_current: Callable[[], bool],
+        send: Callable[[str, Any], bool],
+        clock: Clock,
+    ) -> None:
+        self.begun = begun
+        self.versions = versions
+        self._replicas = replicas
+        self._peers = peers
+        self._is_list_current = is_list_current
+        self._send = send
+        self._clock = clock
+        self._last_number = 0
+        self._pending: dict[int, _PendingLookup] = {}
 
     # Lookups of this instance
 
@@ -78,19 +95,15 @@
         """Resolve a lookup from what is known here, or ask other instances."""
         known = self.begun.find(lookup.stream_id)
         if known is not None:
-            age = self.clock.monotonic() - known.recorded_at
-            found = FoundVersion(
-                VersionSource.HERE, known.service, known.software_version, age
-            )
-            lookup.settle(found)
+            lookup.settle(self._found_here(known))
             return
         self._last_number += 1
         number = self._last_number
         query = messages.StreamVersionQuery(number, lookup.stream_id, lookup.service)
         asked = {
             instance
-            for instance in self.replicas.to_ask(lookup.stream_id)
-            if self.send(instance, query)
+            for instance in self._replicas.to_ask(lookup.stream_id)
+            if self._send(instance, query)
         }
         pending = _PendingLookup(
             lookup,
@@ -105,6 +118,11 @@
         if len(self._pending) > MAX_PENDING:
             self._conclude(self._pending.pop(next(iter(self._pending))))
 
+    def _found_here(self, known: BegunStream) -> FoundVersion:
+        age = self._clock.monotonic() - known.recorded_at
+        service, version = known.service, known.software_version
+        return FoundVersion(VersionSource.HERE, service, version, age)
+
     def answered(self, peer: str, response: messages.StreamVersionResponse) -> None:
         """Handle the response of another instance."""
         pending = self._pending.get(response.number)
@@ -157,23 +175,23 @@
         """Return whether the stream must have begun at the one version there is."""
         if not pending.has_watched_lifetime or len(pending.recent) != 1:
             return False
-        if not pending.responses and self.peers.by_name:
+        if not pending.responses and self._peers.by_name:
             # Another instance may have used a version that is not known here.
             return False
-        return self.is_list_current()
+        return self._is_list_current()
 
     # Lookups of other instances
 
     def asked(self, instance: str, query: messages.StreamVersionQuery) -> None:
         """Answer a lookup of another instance."""
         known = self.begun.find(query.stream_id)
-        now = self.clock.monotonic()
+        found = UNKNOWN if known is None else self._found_here(known)
         response = messages.StreamVersionResponse(
             query.number,
-            "" if known is None else known.service,
-            "" if known is None else known.software_version,
-            0 if known is None else (now - known.recorded_at) // MILLISECOND,
+            found.service,
+            found.software_version,
+            found.age // MILLISECOND,
             sorted(self.versions.recent(query.service)),
             self.versions.has_watched_lifetime,
         )
-        self.send(instance, response)
+        self._send(instance, response)
--- a/packages/ashhoist/src/ashhoist/control/stream_replicas.py
+++ b/packages/ashhoist/src/ashhoist/control/stream_replicas.py
@@ -10,8 +10,8 @@
 from .hubs import Hubs
 from .peers import Peers
 
-TOLD = 3
-ASKED = 5
+INSTANCES_TOLD = 3
+INSTANCES_ASKED = 5
 """More than are told: the instances that each one is linked to may differ."""
 
 
@@ -27,11 +27,11 @@
 
     def to_tell(self, stream_id: str) -> list[str]:
         """Return the other instances that are told that a stream has begun."""
-        return self._others(stream_id)[:TOLD]
+        return self._others(stream_id)[:INSTANCES_TOLD]
 
     def to_ask(self, stream_id: str) -> list[str]:
         """Return the other instances that may know a stream, the likeliest first."""
-        return self._others(stream_id)[:ASKED]
+        return self._others(stream_id)[:INSTANCES_ASKED]
 
     def _others(self, stream_id: str) -> list[str]:
         zones = {name: self._zone(name) for name in self._hubs.linked_hubs()}
--- a/tests/test_stream_notices.py
+++ b/tests/test_stream_notices.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from ashhoist.control.messages.streams import STREAMS_REVISION
-from ashhoist.control.stream_replicas import TOLD, ranked
+from ashhoist.control.stream_replicas import INSTANCES_TOLD, ranked
 from ashhoist.streams import (
     FoundVersion,
     StreamBegan,
@@ -81,7 +81,7 @@
         self.begin(world, "instance-0")
         world.run(1.0)
         told = self.told(world)
-        self.assertEqual(len(told), 1 + TOLD)
+        self.assertEqual(len(told), 1 + INSTANCES_TOLD)
         zones = {world.machines[name].zone for name in told - {"instance-0"}}
         self.assertEqual(len(zones), 3)
 
@@ -93,7 +93,7 @@
         self.begin(world, "instance-0")
         self.add(world, 1, NEW)
         world.run(2.0)
-        self.assertEqual(len(self.told(world)), 1 + TOLD)
+        self.assertEqual(len(self.told(world)), 1 + INSTANCES_TOLD)
 
     def test_a_version_that_one_instance_has_used_is_known_to_those_it_tells(
         self,
@@ -117,7 +117,7 @@
         assert core is not None
         for name in self.told(world) - {"instance-20"}:
             self.assertTrue(core._hubs.is_hub(name))
-        self.assertEqual(len(self.told(world)), 1 + TOLD)
+        self.assertEqual(len(self.told(world)), 1 + INSTANCES_TOLD)
 
     def test_old_streams_are_forgotten(self) -> None:
         world = self.start(7, OLD, NEW)
@@ -285,19 +285,19 @@
         # Guards against a survivor that is not asked.
         for number in range(50):
             stream = f"stream-{number}"
-            told = ranked(stream, self.ZONES)[:TOLD]
+            told = ranked(stream, self.ZONES)[:INSTANCES_TOLD]
             survivor = told[-1]
             left = {
                 name: zone
                 for name, zone in self.ZONES.items()
                 if name == survivor or name not in told
             }
-            self.assertLess(ranked(stream, left).index(survivor), TOLD)
+            self.assertLess(ranked(stream, left).index(survivor), INSTANCES_TOLD)
 
     def test_streams_are_spread_over_instances(self) -> None:
         counts = dict.fromkeys(self.ZONES, 0)
         for number in range(1200):
-            for name in ranked(f"stream-{number}", self.ZONES)[:TOLD]:
+            for name in ranked(f"stream-{number}", self.ZONES)[:INSTANCES_TOLD]:
                 counts[name] += 1
         self.assertLess(max(counts.values()), 2 * min(counts.values()))
 
