Streams: ids that are too long are not remembered; lookups are found by number

Cause: a caller's request ids may be as long as a head, and 65,536 of them were kept; a lookup that timed out was searched for among all that are pending. Change: only ids that a caller may name later are recorded (128 characters); lookups carry a number.

--- a/packages/ashhoist/src/ashhoist/control/stream_lookups.py
+++ b/packages/ashhoist/src/ashhoist/control/stream_lookups.py
@@ -16,6 +16,7 @@
     FoundVersion,
     SoftwareVersions,
     VersionLookup,
+    VersionLookupTimedOut,
     VersionSource,
 )
 from . import messages
@@ -86,7 +87,6 @@
         self._is_list_current = is_list_current
         self._send = send
         self._clock = clock
-        self._last_number = 0
         self._pending: dict[int, _PendingLookup] = {}
 
     # Lookups of this instance
@@ -97,9 +97,9 @@
         if known is not None:
             lookup.settle(self._found_here(known))
             return
-        self._last_number += 1
-        number = self._last_number
-        query = messages.StreamVersionQuery(number, lookup.stream_id, lookup.service)
+        query = messages.StreamVersionQuery(
+            lookup.number, lookup.stream_id, lookup.service
+        )
         asked = {
             instance
             for instance in self._replicas.to_ask(lookup.stream_id)
@@ -114,7 +114,7 @@
         if not asked:
             self._conclude(pending)
             return
-        self._pending[number] = pending
+        self._pending[lookup.number] = pending
         if len(self._pending) > MAX_PENDING:
             self._conclude(self._pending.pop(next(iter(self._pending))))
 
@@ -145,13 +145,11 @@
             del self._pending[response.number]
             self._conclude(pending)
 
-    def timed_out(self, lookup: VersionLookup) -> None:
+    def timed_out(self, message: VersionLookupTimedOut) -> None:
         """Answer a lookup from the responses that have arrived."""
-        for number, pending in list(self._pending.items()):
-            if pending.lookup is lookup:
-                del self._pending[number]
-                self._conclude(pending)
-                return
+        pending = self._pending.pop(message.number, None)
+        if pending is not None:
+            self._conclude(pending)
 
     def instance_gone(self, peer: str) -> None:
         """Expect no response of an instance that is no longer linked."""
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -342,7 +342,7 @@
 
     @_handles(VersionLookupTimedOut)
     def _version_lookup_timed_out(self, message: VersionLookupTimedOut) -> None:
-        self.core.stream_lookups.timed_out(message.lookup)
+        self.core.stream_lookups.timed_out(message)
 
     @_handles(OrderDone)
     def _order_done(self, message: OrderDone) -> None:
--- a/packages/ashhoist/src/ashhoist/requests/resumption.py
+++ b/packages/ashhoist/src/ashhoist/requests/resumption.py
@@ -53,12 +53,13 @@
         self._clock = clock
         self._metrics = metrics
         self._log = log
+        self._last_number = 0
 
     def stream_begins(self, call: Call) -> None:
         """Record that the first event of an upstream is about to be forwarded."""
         if not call.software_version:
             call.software_version = call.last_software_version
-        if not call.route.resumable or not call.stream_id:
+        if not call.route.resumable or not _is_valid_id(call.stream_id):
             return
         began = StreamBegan(call.stream_id, call.service, call.software_version)
         self._send(began)
@@ -82,12 +83,13 @@
         began = self._clock.monotonic()
         services = [part.service for part in call.route.services]
         only_service = call.service if len(services) == 1 else ""
-        lookup = VersionLookup(call.stream_id, only_service)
+        self._last_number += 1
+        lookup = VersionLookup(self._last_number, call.stream_id, only_service)
         self._send(lookup)
         until = min(began + LOOKUP_TIMEOUT, call.deadline)
         caller_left = yield from wait_for(lookup.answer, until, caller, self._clock)
         if not lookup.answer.done():
-            self._send(VersionLookupTimedOut(lookup))
+            self._send(VersionLookupTimedOut(lookup.number))
         if caller_left is not None:
             return caller_left
         found = lookup.answer.result()
@@ -135,4 +137,9 @@
     if len(resumed) != 1:
         return ""
     [found] = resumed
-    return found if len(found) <= MAX_REQUEST_ID_LENGTH else ""
+    return found if _is_valid_id(found) else ""
+
+
+def _is_valid_id(request_id: str) -> bool:
+    """Return whether a request id can name a stream: it is neither empty nor long."""
+    return 0 < len(request_id) <= MAX_REQUEST_ID_LENGTH
--- a/packages/ashhoist/src/ashhoist/streams/messages.py
+++ b/packages/ashhoist/src/ashhoist/streams/messages.py
@@ -54,12 +54,15 @@
 
     Parameters
     ----------
+    number : int
+        Identifies the lookup; unique within this instance.
     stream_id : str
         Empty if the caller does not say which stream it takes up.
     service : str
         The service that the stream must have begun at; empty if there are several.
     """
 
+    number: int
     stream_id: str
     service: str
     answer: "Future[FoundVersion]" = field(default_factory=Future)
@@ -74,4 +77,4 @@
 class VersionLookupTimedOut:
     """A lookup has to be answered now, from the responses that have arrived."""
 
-    lookup: VersionLookup
+    number: int
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -322,7 +322,9 @@
         if isinstance(message, VersionLookup) and self.found_version is not None:
             message.settle(self.found_version)
         if isinstance(message, VersionLookupTimedOut):
-            message.lookup.settle(FoundVersion(VersionSource.UNKNOWN))
+            for lookup in self.control_messages:
+                if isinstance(lookup, VersionLookup):
+                    lookup.settle(FoundVersion(VersionSource.UNKNOWN))
 
     def calls(self, index: int = 0) -> list[UpstreamCall]:
         """Return the requests that an upstream has received."""
--- a/tests/test_many_streams.py
+++ b/tests/test_many_streams.py
@@ -13,7 +13,13 @@
 from ashhoist.control.core import Core
 from ashhoist.control.stream_lookups import StreamLookups
 from ashhoist.control.stream_notices import StreamNotices
-from ashhoist.streams import FoundVersion, StreamBegan, VersionLookup, VersionSource
+from ashhoist.streams import (
+    FoundVersion,
+    StreamBegan,
+    VersionLookup,
+    VersionLookupTimedOut,
+    VersionSource,
+)
 from ashhoist.streams.lifetime import MIN_TIMEOUT
 from ashhoist.upstreams import UpstreamState
 
@@ -84,6 +90,7 @@
     """Of those that count, the hardest: their instance was killed, and upstreams of
     several versions serve or have served lately."""
     orphans_continued: int = 0
+    lookups: int = 0
     sources: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -192,7 +199,8 @@
         machine = self.rng.choice(live)
         core = machine.core
         assert core is not None
-        lookup = VersionLookup(stream.id, SERVICE)
+        self.lookups += 1
+        lookup = VersionLookup(self.lookups, stream.id, SERVICE)
         counts = self._is_in_touch(machine) and self._serving(core, stream.version) >= 2
         is_orphan = (
             self._has_ended(stream)
@@ -215,7 +223,7 @@
     ) -> None:
         if machine.core is not core:
             return
-        core.stream_lookups.timed_out(lookup)
+        core.stream_lookups.timed_out(VersionLookupTimedOut(lookup.number))
         found = lookup.answer.result()
         self.sources[found.source] = self.sources.get(found.source, 0) + 1
         goes_on = found.source is not VersionSource.UNKNOWN
--- a/tests/test_resumptions.py
+++ b/tests/test_resumptions.py
@@ -69,6 +69,16 @@
     def test_a_name_that_is_too_long_is_no_known_stream(self) -> None:
         self.check_named({RESUMES: "x" * (MAX_REQUEST_ID_LENGTH + 1)}, "")
 
+    def test_a_stream_whose_own_id_is_too_long_is_not_recorded(self) -> None:
+        # Guards against callers that fill the memory with long ids.
+        harness = self.start_versions()
+        answer = harness.ask("/stream/", id="x" * (MAX_REQUEST_ID_LENGTH + 1))
+        self.assertEqual(answer.status, 200)
+        recorded = [
+            one for one in harness.control_messages if isinstance(one, StreamBegan)
+        ]
+        self.assertEqual(recorded, [])
+
     def test_a_new_stream_is_not_looked_up(self) -> None:
         harness = self.start_versions()
         self.assertEqual(harness.ask("/stream/").status, 200)
--- a/tests/test_stream_notices.py
+++ b/tests/test_stream_notices.py
@@ -9,6 +9,7 @@
     FoundVersion,
     StreamBegan,
     VersionLookup,
+    VersionLookupTimedOut,
     VersionSource,
     begun,
 )
@@ -25,6 +26,8 @@
 
 
 class StreamNoticesTestCase(unittest.TestCase):
+    lookups = 0
+
     def start(self, instances: int = 7, *versions: str) -> World:
         """Start instances before one engine of each software version."""
         world = World(instances, 0, zones=3)
@@ -51,10 +54,11 @@
     ) -> FoundVersion:
         core = world.machines[name].core
         assert core is not None
-        lookup = VersionLookup(stream, service)
+        self.lookups += 1
+        lookup = VersionLookup(self.lookups, stream, service)
         core.stream_lookups.ask(lookup)
         world.run(LOOKUP_S, lookup.answer.done)
-        core.stream_lookups.timed_out(lookup)
+        core.stream_lookups.timed_out(VersionLookupTimedOut(lookup.number))
         return lookup.answer.result()
 
     def told(self, world: World) -> set[str]:
