Streams: the log tells which software versions have served, also after a restart of all

Cause: after a restart of all nobody knew which versions had served before. Where several served, an unknown stream is refused as before. Measured: test_stream_notices, restarts of all before and after a lifetime, with a version that ended lately and one that appeared meanwhile.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -145,6 +145,7 @@
             settings.paces,
             self._apply_upstreams,
             self.membership.log_restored,
+            lambda record: self.stream_notices.record_followed(record),
             clock,
             metrics,
             log,
@@ -296,7 +297,14 @@
         versions = SoftwareVersions(lifetime, self._clock)
         replicas = StreamReplicas(self.peers, self._hubs)
         self.stream_notices = StreamNotices(
-            begun, versions, replicas, self._directory, self._send
+            begun,
+            versions,
+            replicas,
+            self._directory,
+            lambda: self.scheduling.leads,
+            self.crashes.write,
+            self._send,
+            self._log,
         )
         self.stream_lookups = StreamLookups(
             begun,
--- a/packages/ashhoist/src/ashhoist/control/crash_reports.py
+++ b/packages/ashhoist/src/ashhoist/control/crash_reports.py
@@ -119,6 +119,11 @@
         self._enqueue(message.key, message.value)
         self.step()
 
+    def write(self, key: str, value: bytes) -> None:
+        """Write another record to the topic of crash records."""
+        self._enqueue(key, value)
+        self.step()
+
     def _enqueue(self, key: str, value: bytes) -> None:
         self._unwritten.pop(key, None)
         self._unwritten[key] = value
--- a/packages/ashhoist/src/ashhoist/control/messages/streams.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/streams.py
@@ -52,9 +52,8 @@
         For how many milliseconds the sender has known it.
     recent : list
         Versions of the service in the query that have served lately.
-    has_watched_lifetime : bool
-        Whether the sender would have seen every other version that has served since a
-        stream could have begun.
+    knows_all : bool
+        Whether these are all versions at which a stream of the service may have begun.
     """
 
     number: int
@@ -62,7 +61,7 @@
     software_version: str
     age_ms: int
     recent: list
-    has_watched_lifetime: bool
+    knows_all: bool
 
 
 @message(90, STREAMS_REVISION)
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -15,6 +15,7 @@
 from ..routing.active_configuration import ActiveConfiguration
 from ..store import Position, ReadPacing, Record, Topic, era_of, position
 from ..store.follower import FollowedRecords
+from ..streams import KEY_PREFIX
 from ..upstreams import Directory, Health, LapsedEnds
 from . import messages
 from .changes import (
@@ -63,6 +64,8 @@
         Called when the upstreams or the configuration in force have changed.
     log_restored : callable
         Called once for each new era of the log.
+    versions_recorded : callable
+        Takes a record of the software versions of a service.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         paces: Mapping[Topic, ReadPacing],
         upstreams_changed: Callable[[], None],
         log_restored: Callable[[], None],
+        versions_recorded: Callable[[Record], None],
         clock: Clock,
         metrics: Metrics,
         log: Logger,
@@ -95,6 +99,7 @@
         self._paces = paces
         self._upstreams_changed = upstreams_changed
         self._log_restored = log_restored
+        self._versions_recorded = versions_recorded
         self._restored_era = 0
         self._clock = clock
         self._metrics = metrics
@@ -257,6 +262,9 @@
         return self.replica.update_position(topic, record)
 
     def _apply_record(self, topic: Topic, record: Record) -> bool:
+        if topic is Topic.CRASHES and record.key.startswith(KEY_PREFIX):
+            self._versions_recorded(record)
+            return True
         if topic is Topic.CRASHES:
             return self._apply_crash(record)
         change = self._decode(topic, record)
--- a/packages/ashhoist/src/ashhoist/control/stream_lookups.py
+++ b/packages/ashhoist/src/ashhoist/control/stream_lookups.py
@@ -39,8 +39,8 @@
         The instances that have not responded.
     recent : set of str
         Versions of the service that have served lately, as far as anybody has said.
-    has_watched_lifetime : bool
-        Whether somebody would have seen every other version.
+    knows_all : bool
+        Whether somebody knows all versions at which the stream may have begun.
     responses : int
         Number of instances that have responded.
     """
@@ -48,7 +48,7 @@
     lookup: VersionLookup
     unanswered: set[str]
     recent: set[str]
-    has_watched_lifetime: bool
+    knows_all: bool
     responses: int = 0
 
 
@@ -109,7 +109,7 @@
             lookup,
             asked,
             self.versions.recent(lookup.service),
-            self.versions.has_watched_lifetime,
+            self.versions.knows_all(lookup.service),
         )
         if not asked:
             self._conclude(pending)
@@ -131,7 +131,7 @@
         pending.unanswered.discard(peer)
         pending.responses += 1
         pending.recent.update(response.recent)
-        pending.has_watched_lifetime |= response.has_watched_lifetime
+        pending.knows_all |= response.knows_all
         if response.software_version:
             del self._pending[response.number]
             found = FoundVersion(
@@ -171,7 +171,7 @@
 
     def _is_only_version(self, pending: _PendingLookup) -> bool:
         """Return whether the stream must have begun at the one version there is."""
-        if not pending.has_watched_lifetime or len(pending.recent) != 1:
+        if not pending.knows_all or len(pending.recent) != 1:
             return False
         if not pending.responses and self._peers.by_name:
             # Another instance may have used a version that is not known here.
@@ -190,6 +190,6 @@
             found.software_version,
             found.age // MILLISECOND,
             sorted(self.versions.recent(query.service)),
-            self.versions.has_watched_lifetime,
+            self.versions.knows_all(query.service),
         )
         self._send(instance, response)
--- a/packages/ashhoist/src/ashhoist/control/stream_notices.py
+++ b/packages/ashhoist/src/ashhoist/control/stream_notices.py
@@ -8,10 +8,14 @@
 from datetime import timedelta
 from typing import Any
 
+from ..logs import Logger
+from ..store import Record
 from ..streams import (
     BegunStream,
     BegunStreams,
+    MalformedVersionsError,
     SeenVersion,
+    ServedVersions,
     ServiceVersion,
     SoftwareVersions,
     StreamBegan,
@@ -30,6 +34,10 @@
 
     Parameters
     ----------
+    leads : callable
+        Returns whether this instance is the leader, which records versions on the log.
+    write : callable
+        Takes the key and the value of a record for the log.
     send : callable
         Takes the name of an instance and a message for it.
     """
@@ -40,13 +48,19 @@
         versions: SoftwareVersions,
         replicas: StreamReplicas,
         directory: Directory,
+        leads: Callable[[], bool],
+        write: Callable[[str, bytes], None],
         send: Callable[[str, Any], None],
+        log: Logger,
     ) -> None:
         self._begun = begun
         self._versions = versions
         self._replicas = replicas
         self._directory = directory
+        self._leads = leads
+        self._write = write
         self._send = send
+        self._log = log
         self._view: DirectoryView | None = None
         self._listed: frozenset[ServiceVersion] = frozenset()
 
@@ -93,6 +107,26 @@
                 (one.service, one.software_version) for one in view.by_id.values()
             )
         self._tell_own(self._versions.listed(self._listed))
+        if self._leads():
+            self._record_versions()
+
+    def _record_versions(self) -> None:
+        """Write to the log which versions have served lately, if that has changed."""
+        for served in self._versions.unrecorded():
+            self._versions.put_record(served)
+            self._write(served.key, served.encode())
+
+    def record_followed(self, record: Record) -> None:
+        """Handle a record of the versions of a service that was read from the log."""
+        if record.value is None:
+            return
+        try:
+            served = ServedVersions.decode(record.value)
+        except MalformedVersionsError as error:
+            self._log.warning("versions record malformed", why=str(error))
+            return
+        if self._versions.put_record(served):
+            self._tell_own({served.service})
 
     def _tell_own(self, services: Iterable[str]) -> None:
         """Tell others of this instance's streams at services with a new version."""
--- a/packages/ashhoist/src/ashhoist/store/port.py
+++ b/packages/ashhoist/src/ashhoist/store/port.py
@@ -14,7 +14,10 @@
 
 
 class Topic(StrEnum):
-    """The topics that ashhoist reads; the last three are its own."""
+    """The topics that ashhoist reads; the last three are its own.
+
+    The topic of crashes also holds which software versions of a service have served.
+    """
 
     CONFIGURATION = "configuration"
     UPSTREAMS = "upstreams"
--- a/packages/ashhoist/src/ashhoist/streams/__init__.py
+++ b/packages/ashhoist/src/ashhoist/streams/__init__.py
@@ -9,13 +9,17 @@
     VersionLookupTimedOut,
     VersionSource,
 )
+from .served_versions import KEY_PREFIX, MalformedVersionsError, ServedVersions
 from .software_versions import SeenVersion, ServiceVersion, SoftwareVersions
 
 __all__ = [
     "BegunStream",
     "BegunStreams",
     "FoundVersion",
+    "KEY_PREFIX",
+    "MalformedVersionsError",
     "SeenVersion",
+    "ServedVersions",
     "ServiceVersion",
     "SoftwareVersions",
     "StreamBegan",
--- a/packages/ashhoist/src/ashhoist/streams/software_versions.py
+++ b/packages/ashhoist/src/ashhoist/streams/software_versions.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 
 from ..clock import Clock
+from .served_versions import ServedVersions
 
 ServiceVersion = tuple[str, str]
 """The name of a service and a version of its upstreams' software."""
@@ -37,6 +38,7 @@
         self._clock = clock
         self._seen_at: dict[str, dict[str, timedelta]] = {}
         self._watching_since: timedelta | None = None
+        self._recorded: dict[str, frozenset[str]] = {}
 
     # Input
 
@@ -84,6 +86,17 @@
             and self._see(one.service, one.version, now - one.age)
         }
 
+    def put_record(self, record: ServedVersions) -> bool:
+        """Add what the log says; return whether one of the versions is new here.
+
+        Their ages are not known, so they count as seen just now.
+        """
+        is_first = record.service not in self._recorded
+        known = self._recorded.get(record.service, frozenset())
+        self._recorded[record.service] = record.versions
+        added = record.versions if is_first else record.versions - known
+        return any([self.see(record.service, version) for version in added])
+
     # Questions
 
     @property
@@ -93,10 +106,24 @@
             return timedelta()
         return self._clock.monotonic() - self._watching_since
 
-    @property
-    def has_watched_lifetime(self) -> bool:
-        """Return whether no stream can go on that began before the watch."""
-        return self.watched >= self._lifetime()
+    def knows_all(self, service: str) -> bool:
+        """Return whether every version is known at which a stream may have begun.
+
+        That is so if the versions have been watched for as long as a stream may go on,
+        or the log tells which ones had served before.
+        """
+        return self.watched >= self._lifetime() or service in self._recorded
+
+    def unrecorded(self) -> list[ServedVersions]:
+        """Return what the log should say of services, where that is known for sure."""
+        found = []
+        for service in self._seen_at:
+            served = ServedVersions(service, frozenset(self.recent(service)))
+            if served.versions in (self._recorded.get(service), frozenset({""})):
+                continue
+            if self.knows_all(service):
+                found.append(served)
+        return found
 
     def recent(self, service: str) -> set[str]:
         """Return the versions that have served since a stream could have begun."""
@@ -106,7 +133,7 @@
 
     def is_only_one(self, service: str) -> bool:
         """Return whether one version has served for as long as a stream may go on."""
-        return self.has_watched_lifetime and len(self.recent(service)) == 1
+        return self.knows_all(service) and len(self.recent(service)) == 1
 
     def all(self) -> list[SeenVersion]:
         """Return all versions that have served lately."""
--- a/tests/world_store.py
+++ b/tests/world_store.py
@@ -68,6 +68,7 @@
         self.bytes_per_s = math.inf
         self.lease_calls = 0
         self.crash_writes = 0
+        self.appended: list[tuple[str, bytes]] = []
         self.registered: set[str] = set(machines)
         self.call_timeout_s = CALL_TIMEOUT_S
 
@@ -120,6 +121,7 @@
             self._timeline.after(CALL_TIMEOUT_S, lambda: machine.run_step(core, step))
             return
         for key, value in records.items():
+            self.appended.append((key, value))
             offset = self.log.append(Topic.CRASHES, key, value or None)
             assert offset is not None
         appended = Appended(position(self.log.era, offset))
