Logs: an instance that reaches no upstream and knows nobody who does

Change: one log line an episode and a counter, `no_upstream_anywhere`. Measured: no behaviour changes; tests of connectivity pass.

--- a/packages/ashhoist/src/ashhoist/forwarding/connectivity.py
+++ b/packages/ashhoist/src/ashhoist/forwarding/connectivity.py
@@ -79,6 +79,7 @@
         self._log = log
         self._heard_at = clock.monotonic()
         self._cut_off_at = clock.monotonic()
+        self._is_alone = False
         self._unreachable: set[str] = set()
         self._unconfirmed: list[_Unconfirmed] = []
 
@@ -169,10 +170,12 @@
         if self.is_cut_off:
             return
         if not self.others_reach():
+            self._log_alone()
             if upstreams <= MAX_CRASHED_TOGETHER:
                 self._send_unconfirmed()
             self._drop_unconfirmed()
             return
+        self._is_alone = False
         self.is_cut_off = True
         now = self._clock.monotonic()
         self._cut_off_at = now
@@ -186,8 +189,20 @@
         self._drop_unconfirmed()
         self.on_change()
 
+    def _log_alone(self) -> None:
+        """Log once that no other instance is known to reach upstreams either."""
+        if self._is_alone:
+            return
+        self._is_alone = True
+        self._metrics.count("no_upstream_anywhere")
+        self._log.warning(
+            "no upstream can be reached, and no instance that reaches any is known",
+            unreachable=sorted(self._unreachable),
+        )
+
     def set_restored(self) -> None:
         """Record that upstreams can be reached."""
+        self._is_alone = False
         if self.is_cut_off:
             self.is_cut_off = False
             lasted = self._clock.monotonic() - self._cut_off_at
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -42,6 +42,10 @@
         ("by",),
     ),
     "permits": ("Sends to limited upstreams that were asked for", ("result",)),
+    "no_upstream_anywhere": (
+        "Times that no upstream could be reached, from here or from a known instance",
+        (),
+    ),
     "forwarded": ("Requests sent through another instance that ended", ("end",)),
     "resumed_streams": (
         "Streams that callers took up, by how their software version was known",
