--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -175,15 +175,26 @@
         self.store.put("keyed.op", "config", self.configuration)
 
     def start(self, name: str = "node-1", program: Path = START) -> PlatformProcess:
+        """Start an instance; return once it is ready."""
+        process = self.spawn(name, program)
+        self.await_ready(process)
+        return process
+
+    def spawn(self, name: str, program: Path = START) -> PlatformProcess:
+        """Start an instance without waiting for it."""
         process = PlatformProcess(
             self.folder, self.store.address, name, program, self.retries
         )
         self.addCleanup(self._end, process)
+        return process
+
+    def await_ready(self, process: PlatformProcess) -> None:
+        """Return once an instance is ready."""
         try:
             self.wait(lambda: process.get(process.readiness, "/api/ready")[0] == 200)
         except AssertionError as error:
+            name = process.settings.stem
             raise AssertionError(f"{name} is not ready: {process.end()}") from error
-        return process
 
     def _end(self, process: PlatformProcess) -> None:
         """Kill a process and show its log; the runner keeps what a failed test writes.
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import os
+import re
 import socket
 import struct
 import threading
@@ -21,7 +22,7 @@
 from .cut_off_names import LINKS_VARIABLE
 from .platform_process import PlatformProcess, ProcessTestCase, with_route_timeout
 from .platform_stand_ins.worker import ID, ModelWorker, PlainWorker
-from .test_platform import CONFIGURATION, MODEL
+from .test_platform import CONFIGURATION, MODEL, SOON
 
 INSTANCES = 3
 CUT_OFF = 2
@@ -39,6 +40,7 @@
 CHANGES = 10
 HEAL_SHARE = 0.4
 CALLERS = 9
+CONTACTS = re.compile(r"instances_in_contact ([0-9.]+)")
 PROGRAM = Path(__file__).parent / "cut_off_instance.py"
 
 
@@ -136,9 +138,16 @@
 
 
 class LinksTestCase(ProcessTestCase):
-    """Three instances; two of them lose their links."""
+    """Some instances, by default three; some of them lose their links.
+
+    Attributes
+    ----------
+    linked_s : float
+        By when they are linked, in seconds.
+    """
 
     configuration = with_route_timeout(CONFIGURATION, TIMEOUT_MS)
+    linked_s = SOON
 
     def setUp(self) -> None:
         super().setUp()
@@ -156,14 +165,25 @@
             self.store.put("keyed.servers", engine.state.id, entry)
         self.links: list[Links] = []
         self.instances: list[PlatformProcess] = []
-        for number in range(INSTANCES):
-            self.instances.append(self._start_instance(f"node-{number}"))
+        self.start_all()
         for instance in self.instances:
-            self.wait(lambda instance=instance: self._is_linked(instance))
+            linked = lambda instance=instance: self._is_linked(instance)  # noqa: E731
+            self.wait(linked, self.linked_s)
         self.pool = ThreadPoolExecutor(REQUESTS * INSTANCES)
         self.addCleanup(self.pool.shutdown, cancel_futures=True)
 
-    def _start_instance(self, name: str) -> PlatformProcess:
+    def start_all(self) -> None:
+        """Start all instances."""
+        self.start_instances([f"node-{number}" for number in range(INSTANCES)])
+
+    def start_instances(self, names: list[str]) -> None:
+        """Start instances together; return once all are ready."""
+        started = [self._spawn_instance(name) for name in names]
+        for instance in started:
+            self.await_ready(instance)
+        self.instances += started
+
+    def _spawn_instance(self, name: str) -> PlatformProcess:
         links = Links(self.folder / f"{name}.json")
         for worker in (*self.plain, *self.engines):
             address = worker.server.address
@@ -174,14 +194,19 @@
         self.links.append(links)
         os.environ[LINKS_VARIABLE] = str(links.file)
         try:
-            return self.start(name, PROGRAM)
+            return self.spawn(name, PROGRAM)
         finally:
             del os.environ[LINKS_VARIABLE]
 
     def _is_linked(self, instance: PlatformProcess) -> bool:
         """Return whether an instance is in contact with all others."""
+        return self.contacts(instance) == INSTANCES - 1
+
+    def contacts(self, instance: PlatformProcess) -> int:
+        """Return the number of others that an instance is in contact with."""
         _, page = instance.get(instance.metrics, "/metrics")
-        return f"instances_in_contact {INSTANCES - 1}.0" in page.decode()
+        found = CONTACTS.search(page.decode())
+        return int(float(found.group(1))) if found else 0
 
     def ask_all(self, label: str, adapter: str = "") -> list[int]:
         """Send requests to all instances at once; return how many each has served."""
