Instances that reach no upstream are told who serves their callers; cut-off hubs give way

Cause: only linked instances take forwarded requests, and those are the hubs. With all hubs cut off an instance knew of nobody who reaches upstreams, so it did not even call itself cut off. And no hub could lead then: each sound instance, linked to cut-off hubs only, led itself. The class: what only a few are linked to all for must not rest on those few alone. Change: a cut-off instance asks linked ones for six that reach upstreams (rendezvous hashing by processor cores, own zone first while half of it is sound); instances that reach no upstream rank behind the others of their zone as hubs, keep their links, and nobody leads itself while a link to a better hub is due. Why it works: links between instances are sound, so who is linked to all can tell who serves, whether or not it does so itself; the next of each zone become hubs as after a stop.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -257,7 +257,13 @@
             backoffs, self.peers, self._hubs, self._send, log
         )
         self.forwarding = ForwardingNotices(
-            settings.callers, self.peers, self._send, clock, log
+            settings.identity,
+            settings.callers,
+            self.peers,
+            self._hubs,
+            self._send,
+            clock,
+            log,
         )
         self._make_streams()
         self.lookups = Lookups(settings.name, residency, self._hubs, self._send)
@@ -268,7 +274,6 @@
             settings.name,
             self.peers,
             self._hubs,
-            self.forwarding.is_peer_cut_off,
             clock,
         )
         self.leader: str | None = None
@@ -497,11 +502,13 @@
         """Handle what an instance says of its connections to upstreams."""
         if self.forwarding.handle_notice(peer, notice):
             self._elect()
+            self.membership.relink()
 
     def connectivity_changed(self, is_cut_off: bool) -> None:
         """Handle that this instance lost all upstreams, or reaches them again."""
         self.forwarding.set_cut_off(is_cut_off)
         self._elect()
+        self.membership.relink()
 
     def asked(self, peer: str, ask: messages.PlacementQuery) -> None:
         """Handle another instance's request that waits for its adapter."""
--- a/packages/ashhoist/src/ashhoist/control/election.py
+++ b/packages/ashhoist/src/ashhoist/control/election.py
@@ -13,7 +13,6 @@
 get the reports of engines.
 """
 
-from collections.abc import Callable
 from datetime import timedelta
 
 from ..clock import Clock
@@ -33,8 +32,6 @@
     ----------
     own : str
         This instance's name.
-    is_cut_off : callable
-        Takes the name of another instance; returns whether it reaches no upstream.
     """
 
     def __init__(
@@ -42,13 +39,11 @@
         own: str,
         peers: Peers,
         hubs: Hubs,
-        is_cut_off: Callable[[str], bool],
         clock: Clock,
     ) -> None:
         self._own = own
         self._peers = peers
         self._hubs = hubs
-        self._is_cut_off = is_cut_off
         self._clock = clock
         self._started_at = clock.monotonic()
 
@@ -64,8 +59,8 @@
         """
         fresh = self._peers.fresh(self._clock.monotonic())
         candidates = [peer for peer in fresh if not peer.stops]
-        connected = [peer for peer in candidates if not self._is_cut_off(peer.name)]
-        if connected or not cut_off:
+        connected = [peer for peer in candidates if not peer.is_cut_off]
+        if connected or not (cut_off or self._hubs.awaits_link()):
             # Among all that reach upstreams, which may be this instance alone.
             candidates = connected
             stopping = stopping or cut_off
--- a/packages/ashhoist/src/ashhoist/control/hubs.py
+++ b/packages/ashhoist/src/ashhoist/control/hubs.py
@@ -4,7 +4,8 @@
 every instance, so some instances of each availability zone are hubs: every instance
 links to the hubs and the hubs link to all. While there are hubs, only they schedule,
 read the log for the others and hold leases. All instances compute the same ranking, so
-they agree on the hubs without exchanging messages.
+they agree on the hubs without exchanging messages. Instances that reach no upstream
+rank behind the others of their zone.
 """
 
 from collections.abc import Iterator
@@ -56,6 +57,11 @@
         self._cached_revision = -1
         self._cached_names: frozenset[str] = frozenset()
 
+    def set_cut_off(self, is_cut_off: bool) -> None:
+        """Set whether this instance reaches no upstream."""
+        self._own_peer.is_cut_off = is_cut_off
+        self._peers.revision += 1
+
     @property
     def all_linked(self) -> bool:
         """Return whether there are so few instances that they form a full mesh."""
@@ -79,7 +85,7 @@
         for peer in live:
             by_zone.setdefault(peer.zone, []).append(peer)
         for peers in by_zone.values():
-            for peer in sorted(peers, key=_zone_rank)[:HUBS_PER_ZONE]:
+            for peer in sorted(peers, key=_hub_rank)[:HUBS_PER_ZONE]:
                 yield peer.name
 
     def _of_zone(self, zone: str) -> list[Peer]:
@@ -114,9 +120,10 @@
         """Return the linked instances whose links are no longer needed.
 
         Two instances that are not hubs need no link. A young link is kept, because the
-        other side may need it.
+        other side may need it. An instance that reaches no upstream keeps all: it may
+        be a hub again soon.
         """
-        if self.is_hub(self._own.name):
+        if self.is_hub(self._own.name) or self._own_peer.is_cut_off:
             return []
         now = self._clock.monotonic()
         wanted = {endpoint.name for endpoint in self.desired_links()}
@@ -185,15 +192,27 @@
             if reachable >= HUBS_PER_ZONE or len(chosen) >= MAX_LINKS_PER_ZONE:
                 break
             if peer is self._own_peer:
-                reachable += 1
+                reachable += not peer.is_cut_off
                 continue
             chosen.append(peer)
             reachable += self._counts_as_reachable(peer, now)
         return chosen
 
+    def awaits_link(self) -> bool:
+        """Return whether a link to a possible hub is expected to come up soon."""
+        if self.all_linked:
+            return False
+        now = self._clock.monotonic()
+        wanted = (
+            self._peers.by_name[endpoint.name] for endpoint in self.desired_links()
+        )
+        return any(
+            not peer.linked and self._counts_as_reachable(peer, now) for peer in wanted
+        )
+
     def _counts_as_reachable(self, peer: Peer, now: timedelta) -> bool:
         if peer.linked:
-            return not peer.stops
+            return not peer.stops and not peer.is_cut_off
         if peer.unlinked_since is None:
             peer.unlinked_since = now
         return now - peer.unlinked_since < LINK_EXPECTED_FOR
@@ -203,6 +222,11 @@
     return peer.linked and not peer.stops
 
 
+def _hub_rank(peer: Peer) -> tuple[bool, float, bytes]:
+    """Return the sort key of an instance in the choice of its zone's hubs."""
+    return (peer.is_cut_off, *_zone_rank(peer))
+
+
 def _zone_rank(peer: Peer) -> tuple[float, bytes]:
     """Return the sort key of an instance within its zone: the largest come first."""
     return (-peer.capacity, rank(RANK_KEY, peer.name))
--- a/packages/ashhoist/src/ashhoist/control/message_handlers.py
+++ b/packages/ashhoist/src/ashhoist/control/message_handlers.py
@@ -266,6 +266,20 @@
     core.handle_forwarding_notice(peer, notice)
 
 
+@_handles(messages.ForwardingQuery)
+def _on_forwarding_query(
+    core: "Core", peer: str, query: messages.ForwardingQuery
+) -> None:
+    core.forwarding.handle_query(peer)
+
+
+@_handles(messages.ForwardingCandidates)
+def _on_forwarding_candidates(
+    core: "Core", peer: str, message: messages.ForwardingCandidates
+) -> None:
+    core.forwarding.handle_candidates(peer, message)
+
+
 # Streams that go on at their software version
 
 
--- a/packages/ashhoist/src/ashhoist/control/messages/__init__.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/__init__.py
@@ -10,7 +10,7 @@
     ContentionNotice,
     OverloadReport,
 )
-from .forwarding import ForwardingNotice
+from .forwarding import ForwardingCandidates, ForwardingNotice, ForwardingQuery
 from .membership import Heartbeat, InstanceList, InstanceListRequest, Introduction
 from .notices import (
     CrashNotice,
@@ -72,7 +72,9 @@
     "InstanceListRequest",
     "PermitQuery",
     "ProofRequest",
+    "ForwardingCandidates",
     "ForwardingNotice",
+    "ForwardingQuery",
     "Heartbeat",
     "OrderForwardResult",
     "OrderForward",
--- a/packages/ashhoist/src/ashhoist/control/messages/forwarding.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/forwarding.py
@@ -5,6 +5,7 @@
 from ...codec import message
 
 FORWARDING_REVISION = 3
+CANDIDATES_REVISION = 5
 
 
 @message(85, FORWARDING_REVISION)
@@ -22,3 +23,23 @@
 
     callers: str
     is_cut_off: bool
+
+
+@message(91, CANDIDATES_REVISION)
+@dataclass(frozen=True, slots=True)
+class ForwardingQuery:
+    """Query of an instance that reaches no upstream: who takes its requests."""
+
+
+@message(92, CANDIDATES_REVISION)
+@dataclass(frozen=True, slots=True)
+class ForwardingCandidates:
+    """Some instances that reach upstreams, for the instance that has asked.
+
+    Parameters
+    ----------
+    rows : list
+        One ``[name, zone, callers]`` list per instance; see `ForwardingNotice`.
+    """
+
+    rows: list
--- a/packages/ashhoist/src/ashhoist/control/peers.py
+++ b/packages/ashhoist/src/ashhoist/control/peers.py
@@ -45,6 +45,8 @@
     linked_at: timedelta = timedelta()
     unlinked_since: timedelta | None = None
     heartbeat: Heartbeat | None = None
+    is_cut_off: bool = False
+    """Whether it has said that it reaches no upstream."""
     heartbeat_at: timedelta = timedelta()
     """When the last heartbeat arrived; `heard_at` may be later."""
 
@@ -107,7 +109,8 @@
     ----------
     revision : int
         Incremented whenever an instance is added, updated, removed, linked or unlinked,
-        or its heartbeats begin or cease to say that it leads or stops.
+        begins or ceases to reach upstreams, or its heartbeats begin or cease to say
+        that it leads or stops.
     """
 
     own: str
@@ -154,8 +157,18 @@
         if peer is not None:
             self.revision += 1
             peer.linked = False
+            peer.is_cut_off = False
             peer.unlinked_since = now
 
+    def set_cut_off(self, name: str, is_cut_off: bool) -> bool:
+        """Record whether an instance is cut off; return whether that has changed."""
+        peer = self.by_name.get(name)
+        if peer is None or peer.is_cut_off == is_cut_off:
+            return False
+        self.revision += 1
+        peer.is_cut_off = is_cut_off
+        return True
+
     def record_heartbeat(self, name: str, heartbeat: Heartbeat, now: timedelta) -> bool:
         """Record a heartbeat; return whether the instance's state has changed."""
         peer = self.by_name.get(name)
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from ..customers.charges import Charge, ChargeTimedOut, TokenRefund
-from ..forwarding import ConnectivityChanged
+from ..forwarding import ConnectivityChanged, UpstreamsUnreachable
 from ..http import Pool
 from ..links import Links, news
 from ..logs import Logger
@@ -288,6 +288,10 @@
     def _connectivity_changed(self, message: ConnectivityChanged) -> None:
         self.core.connectivity_changed(message.is_cut_off)
 
+    @_handles(UpstreamsUnreachable)
+    def _upstreams_unreachable(self, message: UpstreamsUnreachable) -> None:
+        self.core.forwarding.upstreams_unreachable()
+
     @_handles(RequestInterrupted)
     def _request_interrupted(self, message: RequestInterrupted) -> None:
         self.core.crashes.request_interrupted(message)
--- a/packages/ashhoist/src/ashhoist/forwarding/__init__.py
+++ b/packages/ashhoist/src/ashhoist/forwarding/__init__.py
@@ -2,7 +2,7 @@
 
 from .connectivity import Connectivity
 from .instances import ForwardingInstance, ForwardingInstances
-from .messages import ConnectivityChanged
+from .messages import ConnectivityChanged, UpstreamsUnreachable
 from .probes import ConnectivityProbes
 
 __all__ = [
@@ -11,4 +11,5 @@
     "ConnectivityProbes",
     "ForwardingInstance",
     "ForwardingInstances",
+    "UpstreamsUnreachable",
 ]
--- a/packages/ashhoist/src/ashhoist/forwarding/connectivity.py
+++ b/packages/ashhoist/src/ashhoist/forwarding/connectivity.py
@@ -65,6 +65,8 @@
         Called when connections should be tried.
     on_change : callable
         Called when `is_cut_off` has changed.
+    on_unreachable : callable
+        Called each time that connections were tried in vain.
     others_reach : callable
         Returns whether another instance reaches upstreams.
     """
@@ -73,6 +75,7 @@
         self.is_cut_off = False
         self.on_suspicion: Callable[[], None] = _ignore
         self.on_change: Callable[[], None] = _ignore
+        self.on_unreachable: Callable[[], None] = _ignore
         self.others_reach: Callable[[], bool] = _no
         self._clock = clock
         self._metrics = metrics
@@ -167,6 +170,7 @@
         upstreams : int
             Number of upstreams that are known.
         """
+        self.on_unreachable()
         if self.is_cut_off:
             return
         if not self.others_reach():
--- a/packages/ashhoist/src/ashhoist/forwarding/instances.py
+++ b/packages/ashhoist/src/ashhoist/forwarding/instances.py
@@ -4,9 +4,14 @@
 from collections import Counter
 from collections.abc import Callable, Container
 from dataclasses import dataclass
+from datetime import timedelta
+
+from ..clock import Clock
 
 OTHER_ZONE_COST = 4
 """Cost of an instance in another zone, in forwarded requests in flight."""
+UNREACHABLE_FOR = timedelta(seconds=1)
+"""How long an instance is left out that could not be connected to."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,11 +22,14 @@
     ----------
     address : str
         ``IP:PORT`` of its listener for callers.
+    is_assigned : bool
+        Whether it was chosen for this instance among all, whatever its zone.
     """
 
     name: str
     zone: str
     address: str
+    is_assigned: bool = False
 
 
 class ForwardingInstances:
@@ -32,35 +40,51 @@
     zone : str
         The availability zone of this instance.
     available : callable
-        Returns the linked instances that reach upstreams.
+        Returns the instances that reach upstreams, as far as is known.
     """
 
     def __init__(
         self,
         zone: str,
         available: Callable[[], list[ForwardingInstance]],
+        clock: Clock,
         rng: random.Random,
     ) -> None:
         self._zone = zone
         self._available = available
+        self._clock = clock
         self._random = rng
         self._in_flight: Counter[str] = Counter()
+        self._usable_at: dict[str, timedelta] = {}
 
     def is_available(self, name: str) -> bool:
-        """Return whether an instance is linked and reaches upstreams."""
+        """Return whether an instance reaches upstreams, as far as is known."""
         return any(instance.name == name for instance in self._available())
 
     def choose(self, tried: Container[str] = ()) -> ForwardingInstance | None:
         """Return the least loaded instance, preferably of the own zone, or None."""
-        untried = [one for one in self._available() if one.name not in tried]
+        now = self._clock.monotonic()
+        untried = [
+            one
+            for one in self._available()
+            if one.name not in tried and self._usable_at.get(one.name, now) <= now
+        ]
         return min(untried, key=self._cost, default=None)
 
     def _cost(self, instance: ForwardingInstance) -> float:
         in_flight = self._in_flight[instance.name]
-        if instance.zone != self._zone:
+        if instance.zone != self._zone and not instance.is_assigned:
             in_flight += OTHER_ZONE_COST
         return in_flight + self._random.random()
 
+    def set_unreachable(self, name: str) -> None:
+        """Leave out an instance that could not be connected to for a while."""
+        now = self._clock.monotonic()
+        self._usable_at = {
+            other: at for other, at in self._usable_at.items() if at > now
+        }
+        self._usable_at[name] = now + UNREACHABLE_FOR
+
     def begin(self, name: str) -> None:
         """Count a request that is forwarded to an instance."""
         self._in_flight[name] += 1
--- a/packages/ashhoist/src/ashhoist/forwarding/messages.py
+++ b/packages/ashhoist/src/ashhoist/forwarding/messages.py
@@ -8,3 +8,8 @@
     """The connectivity to upstreams was lost, or is back."""
 
     is_cut_off: bool
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamsUnreachable:
+    """Connections to several upstreams were tried in vain."""
--- a/packages/ashhoist/src/ashhoist/forwarding/probes.py
+++ b/packages/ashhoist/src/ashhoist/forwarding/probes.py
@@ -93,6 +93,7 @@
         if (yield from self._probe(upstreams[:1])):
             state.set_restored()
             return
+        state.on_unreachable()
         while True:
             reached = yield from self._probe(upstreams)
             # Once cut off, one upstream that answers does not prove that links are
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -18,7 +18,11 @@
 from .control.task import ControlTask
 from .customers import QuotaBounds
 from .exceptions import AddressInUseError
-from .forwarding import ConnectivityChanged, ConnectivityProbes
+from .forwarding import (
+    ConnectivityChanged,
+    ConnectivityProbes,
+    UpstreamsUnreachable,
+)
 from .http import Listener, Pool
 from .instance_state import InstanceState
 from .links import Links
@@ -186,6 +190,7 @@
             self._source,
         )
         connectivity.on_change = self._connectivity_changed
+        connectivity.on_unreachable = lambda: self.control.send(UpstreamsUnreachable())
         connectivity.others_reach = lambda: bool(
             self.control.core.forwarding.available()
         )
--- a/packages/ashhoist/src/ashhoist/request_wiring.py
+++ b/packages/ashhoist/src/ashhoist/request_wiring.py
@@ -118,6 +118,7 @@
         instances = ForwardingInstances(
             self._settings.instance.availability_zone,
             self._control.core.forwarding.available,
+            self._clock,
             self._random,
         )
         return Forwarding(self._state.connectivity, instances, self._metrics)
--- a/packages/ashhoist/src/ashhoist/requests/forwarding_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/forwarding_chooser.py
@@ -63,6 +63,8 @@
     def ended(self, target: Target, end: RequestOutcome) -> None:
         """Record that a forwarded attempt has ended."""
         self._instances.end(target.upstream)
+        if end is RequestOutcome.UNREACHABLE:
+            self._instances.set_unreachable(target.upstream)
         self._metrics.count("forwarded", end)
 
 
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -181,6 +181,7 @@
                 self.seeds,
                 self.timing_by_machine.get(machine.name, self.timing),
                 machine.capacity,
+                callers=machine.name,
             ),
             self._decode,
             machine.active_configuration,
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -194,7 +194,9 @@
         self.connectivity = Connectivity(clock, self.metrics, logs.get("connectivity"))
         self.connectivity.on_suspicion = self.connectivity.connected
         self.instances: list[ForwardingInstance] = []
-        available = ForwardingInstances("zone", lambda: self.instances, Random(1))
+        available = ForwardingInstances(
+            "zone", lambda: self.instances, clock, Random(1)
+        )
         self.forwarding = Forwarding(self.connectivity, available, self.metrics)
         self._pool = Pool(self.loop)
         self.directory = Directory()
--- a/tests/test_connectivity.py
+++ b/tests/test_connectivity.py
@@ -190,18 +190,18 @@
         self.clock = ManualClock(timedelta(seconds=10))
         self.peers = Peers("own")
         self.sent: list[tuple[str, ForwardingNotice]] = []
+        identity = Identity("own", "zone", "10.0.0.1:81")
+        hubs = Hubs(identity, self.peers, self.clock)
         self.notices = ForwardingNotices(
+            identity,
             "10.0.0.1:80",
             self.peers,
+            hubs,
             lambda peer, message: self.sent.append((peer, message)),
             self.clock,
             logs.get("test"),
         )
-        identity = Identity("own", "zone", "10.0.0.1:81")
-        hubs = Hubs(identity, self.peers, self.clock)
-        self.election = Election(
-            "own", self.peers, hubs, self.notices.is_peer_cut_off, self.clock
-        )
+        self.election = Election("own", self.peers, hubs, self.clock)
         self.clock.advance(timedelta(seconds=10))
         for name in ("one", "two"):
             self.link(name)
