--- a/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
@@ -16,6 +16,8 @@
 from .relay import CompletedStream
 
 FIRST_REDIRECT_STATUS = 300
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt that a log line names at most."""
 
 
 class AttemptRecorder:
@@ -70,6 +72,7 @@
             "attempt ended",
             request=call.id,
             fingerprint=call.fingerprint,
+            prompt_parts=list(call.prompt_parts[:MAX_LOGGED_PARTS]),
             upstream=target.upstream,
             address=target.address,
             software_version=call.last_software_version,
