--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -95,13 +95,21 @@
         return status, getattr(reply, "body", b"")
 
     def ask(
-        self, path: str, id: str, model: str = "", key: str = ""
+        self, path: str, id: str, model: str = "", key: str = "", parts: str = ""
     ) -> tuple[int, bytes]:
-        """Ask as a client of the platform does."""
+        """Ask as a client of the platform does.
+
+        Parameters
+        ----------
+        parts : str
+            The parts of the prompt, as the header has them.
+        """
         headers = [("Host", HOST), ("X-Attempt-Id", id)]
         headers.append(("X-Deadline-Ms", str(REQUEST_TIMEOUT_MS)))
         if model:
             headers += [("X-Model", model), ("X-Token-Count", "100,10")]
+        if parts:
+            headers.append(("X-Prompt-Prefix", parts))
         if key:
             headers.append(("X-Credential", key))
         wait_s = 2 * REQUEST_TIMEOUT_MS / 1000
