Prompt parts that crash upstreams are held back, and what they explain goes free

Cause: what is learnt of a crash is filed under the whole request, so it said nothing of the next one with the same part. The class: knowledge filed under too narrow a name. Change: a broken attempt whose answer had not begun names the parts of its prompt but the last; parts are counted, written, told and cleared as requests are. Four crashes without an answer hold one back. A held part explains the crashes in which it stands, so requests and parts beside it go free. Why it works: the part at fault is never answered, while shared sound parts are, many times a second.

--- a/packages/ashhoist/src/ashhoist/control/crash_reports.py
+++ b/packages/ashhoist/src/ashhoist/control/crash_reports.py
@@ -16,6 +16,7 @@
     Quarantine,
     RequestCompleted,
     RequestInterrupted,
+    is_part,
 )
 from ..rates import Bucket
 from ..store import Appended, AppendResult
@@ -101,11 +102,9 @@
 
     def request_interrupted(self, message: RequestInterrupted) -> None:
         """Record that an upstream broke the connection during a request sent here."""
-        crash = Crash(message.incarnation, self._own, frozenset({message.request}))
-        self._quarantine.add_unwritten(crash)
-        self._seen_by_incarnation.setdefault(message.incarnation, set()).add(
-            message.request
-        )
+        names = frozenset({message.request, *message.parts})
+        self._quarantine.add_unwritten(Crash(message.incarnation, self._own, names))
+        self._seen_by_incarnation.setdefault(message.incarnation, set()).update(names)
 
     def request_completed(self, message: RequestCompleted) -> None:
         """Record the complete answer to a request, if the request is a suspect."""
@@ -264,10 +263,12 @@
             return []
         newly_held = sorted(held - self._held)
         for request in newly_held:
-            self._log.warning("request quarantined", fingerprint=request)
+            self._log.warning(f"{_kind(request)} quarantined", fingerprint=request)
         for request in sorted(self._held - held):
-            self._log.info("request released", fingerprint=request)
-        self._metrics.gauge("quarantined_requests", len(held))
+            self._log.info(f"{_kind(request)} released", fingerprint=request)
+        parts = sum(map(is_part, held))
+        self._metrics.gauge("quarantined_requests", len(held) - parts)
+        self._metrics.gauge("quarantined_parts", parts)
         self._held = held
         own = [
             name
@@ -276,3 +277,8 @@
         ]
         self._is_urgent = self._is_urgent or bool(own)
         return own
+
+
+def _kind(name: str) -> str:
+    """Return what a name in the quarantine stands for."""
+    return "prompt part" if is_part(name) else "request"
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -83,6 +83,7 @@
     "reads_log": ("1 if this instance reads the log itself", ()),
     "instances_in_contact": ("Instances heard of lately", ()),
     "quarantined_requests": ("Requests held back as they crash upstreams", ()),
+    "quarantined_parts": ("Prompt parts held back as they crash upstreams", ()),
     "cut_off": ("1 if no upstream can be reached", ()),
     "ready": ("1 if callers may be sent here", ()),
     "leads": ("1 if this instance schedules", ()),
--- a/packages/ashhoist/src/ashhoist/quarantine/__init__.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/__init__.py
@@ -1,17 +1,23 @@
 """Detection and quarantine of requests that crash upstreams."""
 
 from .crashes import Completion, Crash, MalformedRecordError, decode_record
+from .held_names import CRASH_THRESHOLD, PART_CRASH_THRESHOLD
 from .messages import RequestCompleted, RequestInterrupted
-from .quarantine import CRASH_THRESHOLD, WINDOW, Quarantine
+from .parts import PartHistory, is_part, part_names
+from .quarantine import WINDOW, Quarantine
 
 __all__ = [
     "CRASH_THRESHOLD",
+    "PART_CRASH_THRESHOLD",
     "WINDOW",
     "Crash",
     "MalformedRecordError",
+    "PartHistory",
     "Quarantine",
     "RequestInterrupted",
     "RequestCompleted",
     "Completion",
     "decode_record",
+    "is_part",
+    "part_names",
 ]
--- a/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
@@ -5,6 +5,9 @@
 upstream that it crashes, while other requests are seldom in flight at three of them. A
 request is therefore held back once three incarnations of upstreams have broken off
 while handling it. A complete answer clears it of all earlier crashes.
+
+Parts of prompts are counted in the same way, under names of their own; see `parts`.
+What is said of requests below holds for them, too.
 """
 
 from collections.abc import Iterator
@@ -14,15 +17,13 @@
 from ..clock import ZERO, Clock
 from ..position import NO_POSITION, Position, era_of, offset_of, supersedes
 from .crashes import Completion, Crash
+from .held_names import HeldNames
 
-CRASH_THRESHOLD = 3
-"""Number of upstream incarnations that break off under a request until it is held back.
-With two, an innocent request that was cut off together with the one at fault, and then
-retried with it at the same upstream, would be held back as well. Each additional crash
-cuts off up to a whole batch of other requests."""
 WINDOW = timedelta(minutes=10)
 """How long a crash counts. When the oldest one expires, the request may run once more;
 if it crashes that upstream too, it is held back again at once."""
+ENDANGERED_CRASHES = 2
+"""Crashes of a part from which on an answer to it is told to the other instances."""
 NO_REQUESTS: frozenset[str] = frozenset()
 
 
@@ -68,17 +69,17 @@
         self._completion_by_key: dict[str, tuple[Position, timedelta]] = {}
         self._request_by_completion_key: dict[str, str] = {}
         self._lost_keys: set[str] = set()
-        self._held: dict[str, timedelta] = {}
+        self._held = HeldNames()
 
     # Queries of request handling and metrics
 
     def holds_back(self, request: str) -> bool:
         """Return whether a request is held back, so that no upstream may get it."""
-        return request in self._held
+        return self._held.since(request) is not None
 
     def remaining(self, request: str) -> timedelta:
         """Return the time until a request that is held back may be tried again."""
-        since = self._held.get(request)
+        since = self._held.since(request)
         if since is None:
             return ZERO
         return max(since + WINDOW - self._clock.monotonic(), ZERO)
@@ -86,7 +87,17 @@
     @property
     def held(self) -> frozenset[str]:
         """Return the requests that are held back."""
-        return frozenset(self._held)
+        return self._held.names()
+
+    def is_endangered(self, name: str) -> bool:
+        """Return whether further crashes would hold a part back.
+
+        A single crash does not need to be cleared.
+        """
+        return (
+            name in self._keys_by_request
+            and len(self._uncleared_incarnations(name)) >= ENDANGERED_CRASHES
+        )
 
     def is_suspect(self, request: str) -> bool:
         """Return whether an uncleared crash within the window involves a request.
@@ -294,7 +305,7 @@
         unwritten: set[str] = set()
         for entry in self._by_key.values():
             unwritten |= entry.unwritten
-        return sorted(unwritten & self._held.keys())
+        return sorted(unwritten & self._held.names())
 
     def crashes_of(self, requests: list[str]) -> list[Crash]:
         """Return the crashes that count against the given requests, written or not."""
@@ -379,11 +390,4 @@
 
     def _update_held(self, request: str) -> None:
         """Hold a request back, or release it, depending on its uncleared crashes."""
-        incarnations = self._uncleared_incarnations(request)
-        if len(incarnations) < CRASH_THRESHOLD:
-            self._held.pop(request, None)
-            return
-        # The request is released once so many crashes have expired that fewer than
-        # `CRASH_THRESHOLD` are left.
-        learned = sorted(incarnations.values(), reverse=True)
-        self._held[request] = learned[CRASH_THRESHOLD - 1]
+        self._held.set_crashes(request, self._uncleared_incarnations(request))
--- a/packages/ashhoist/src/ashhoist/request_wiring.py
+++ b/packages/ashhoist/src/ashhoist/request_wiring.py
@@ -11,6 +11,7 @@
 from .loop import Loop
 from .metrics import Metrics
 from .process_settings import ProcessSettings
+from .quarantine import PartHistory
 from .requests import Handler, HeaderNames, RetryBudget
 from .requests.admission_gate import AdmissionGate
 from .requests.attempt import Attempts
@@ -130,6 +131,7 @@
         quarantine_gate = QuarantineGate(
             state.quarantine,
             state.connectivity,
+            PartHistory(self._clock),
             state.directory.incarnation_of,
             send,
         )
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -44,6 +44,10 @@
         False if the caller has probably sent the request before.
     fingerprint : str
         Equal for all tries of the same request, at any instance.
+    prompt_parts : tuple of str
+        The ids of the parts of its prompt; the last one is its own.
+    attempt_events : int
+        Events that the upstream of the current attempt has sent.
     upstream_incarnation : str
         Names the incarnation of the upstream that the current attempt goes to.
     last_upstream : str
@@ -109,6 +113,7 @@
     adapter: Adapter | None = None
     token_counts: TokenCounts = TokenCounts()
     prompt_parts: tuple[str, ...] = ()
+    attempt_events: int = 0
     first_try: bool = True
     fingerprint: str = ""
     upstream_incarnation: str = ""
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -264,6 +264,7 @@
                 self._responses.caller_head(result.head),
                 lambda: self._stream_begins(call, target),
                 lambda: chooser.on_first_event(call, target),
+                lambda: self._quarantine_gate.event_received(call),
             )
         finally:
             if isinstance(segment_end, CompletedStream):
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -39,6 +39,10 @@
 """How the part of a stream that one upstream sent has ended."""
 
 
+def _ignore() -> None:
+    """Do nothing: no upstream sends events yet."""
+
+
 class StreamRelay:
     """One streamed response, whose events may come from several upstreams in turn."""
 
@@ -56,6 +60,7 @@
         self._last_event_number: int | None = None
         self._events_sent = 0
         self._before_forwarding: Callable[[], None] | None = None
+        self._on_event: Callable[[], None] = _ignore
         self.started = False
         self.events_relayed = 0
 
@@ -65,6 +70,7 @@
         head: Head,
         before_forwarding: Callable[[], None],
         on_first_event: Callable[[], None],
+        on_event: Callable[[], None],
     ) -> Steps[SegmentEnd]:
         """Forward the events of one upstream until its part of the stream ends.
 
@@ -77,7 +83,10 @@
         on_first_event : callable
             Called once this upstream's first new event with a numeric id has been
             forwarded.
+        on_event : callable
+            Called for each new event of this upstream with a numeric id.
         """
+        self._on_event = on_event
         self._before_forwarding = before_forwarding
         splitter = EventSplitter()
         events_before: int | None = self.events_relayed
@@ -146,6 +155,7 @@
         self._last_event_number = number
         self._call.last_event_id = event.id
         self.events_relayed += 1
+        self._on_event()
         return True
 
     def _send(self, events: list[StreamEvent], head: Head) -> Steps[CallerLeft | None]:
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -20,7 +20,7 @@
 from ashhoist.overload import AttemptOutcome
 from ashhoist.placement.messages import Refusal, RequestOutcome, Target
 from ashhoist.position import Position
-from ashhoist.quarantine import Quarantine
+from ashhoist.quarantine import PartHistory, Quarantine
 from ashhoist.requests import Handler, RetryBudget
 from ashhoist.requests.attempt import Attempts
 from ashhoist.requests.authentication import Authenticator
@@ -225,6 +225,7 @@
         quarantine_gate = QuarantineGate(
             self.quarantine,
             self.connectivity,
+            PartHistory(clock),
             lambda upstream: upstream,
             self._receive_control_message,
         )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -22,6 +22,7 @@
 from .platform_process import PlatformProcess, ProcessTestCase
 from .platform_stand_ins.fleet import CrashingFleet
 from .platform_stand_ins.server import Call, Handler
+from .request_caller import HEADER_NAMES, Answer
 from .request_harness import Harness, event, response_headers
 from .request_scripts import good, refuse, reset
 
@@ -153,6 +154,37 @@
         self.assertEqual(len(harness.calls()), 1)
         self.assertEqual(harness.ask("/unsafe/y").status, 502)
 
+    def ask_with_parts(self, harness: Harness, number: int, parts: str) -> Answer:
+        headers = {HEADER_NAMES.prompt_parts: parts}
+        return harness.ask("/safe/x", body=b"%d" % number, headers=headers)
+
+    def test_parts_that_are_broken_off_are_reported_but_for_the_last(self) -> None:
+        harness = self.start(reset, attempts=1)
+        self.ask_with_parts(harness, 1, "aa:10,bb:20,cc:30")
+        [cut] = self.sent(harness, RequestInterrupted)
+        self.assertEqual(cut.parts, ("part:aa", "part:bb"))
+
+    def test_a_part_that_is_held_back_reaches_no_upstream(self) -> None:
+        # Guards against requests that crash upstreams with one part, each another one.
+        harness = self.start(reset, attempts=1)
+        for incarnation in ("a", "b", "c", "d"):
+            crash = Crash(incarnation, "elsewhere", frozenset({"part:bb"}))
+            harness.quarantine.put(crash.key, crash, 1)
+        held = self.ask_with_parts(harness, 1, "aa:10,bb:20,cc:30")
+        self.assertEqual((held.status, len(harness.calls())), (503, 0))
+        for parts in ("aa:10,dd:20,cc:30", "aa:10,bb:20"):
+            self.assertEqual(self.ask_with_parts(harness, 2, parts).status, 502)
+
+    def test_an_answer_clears_the_parts_of_its_prompt(self) -> None:
+        harness = self.start(good)
+        for incarnation in ("a", "b"):
+            crash = Crash(incarnation, "elsewhere", frozenset({"part:aa"}))
+            harness.quarantine.put(crash.key, crash, 1)
+        self.ask_with_parts(harness, 1, "aa:10,cc:30")
+        self.assertEqual(
+            self.sent(harness, RequestCompleted), [RequestCompleted("part:aa")]
+        )
+
     def test_a_request_that_has_run_is_not_reported_as_not_run(self) -> None:
         harness = self.start(reset, good, attempts=2)
         request = self.fingerprint(harness, "/safe/x")
