An instance that gets more new connections than it can answer closes some unread

Cause: every connection is read as it comes, so all of them share a processor that is enough for some. The class: work is taken in without regard to what is under way. Change: as many new connections are read in a turn of the loop as keep turns below 100 ms; those not read after 400 ms, and those that come while many wait, are closed unread. Kept ones are always read. Why it works: a turn is what everything waits for, and a closed connection is tried elsewhere at once.

--- a/packages/ashhoist/src/ashhoist/http/__init__.py
+++ b/packages/ashhoist/src/ashhoist/http/__init__.py
@@ -15,6 +15,7 @@
 )
 from .listener import Listener
 from .pool import Pool
+from .unread_connections import UnreadConnections
 from .upstream import Broken, Head, NotSent, UpstreamConnection
 
 __all__ = [
@@ -28,5 +29,6 @@
     "NotSent",
     "Pool",
     "Request",
+    "UnreadConnections",
     "UpstreamConnection",
 ]
--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -8,13 +8,24 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from ..loop import Loop, Steps, Task, Wait
+from ..loop import Loop, Steps, Task, Wait, sleep_until
 from .caller import CallerConnection
+from .read_budget import ReadBudget
 from .sockets import close, listening_socket, tune
 
 BACKLOG = 1024
-ACCEPTED_AT_ONCE = 64
+ACCEPTED_AT_ONCE = 128
 """Connections that are taken in one turn of the loop."""
+MAX_UNREAD = timedelta(milliseconds=400)
+"""How long a new connection waits until its request is read; then it is closed, so that
+its caller has time to ask another instance."""
+UNREAD_INTERVAL = timedelta(milliseconds=10)
+"""Between two looks whether a waiting connection may be read."""
+
+
+def _ignore() -> None:
+    """Do nothing: nobody counts connections that are closed unread."""
+
 
 Serve = Callable[[CallerConnection], Steps[bool]]
 """Answers what has come; returns whether the connection is kept."""
@@ -31,6 +42,9 @@
         Returns how long a connection may rest.
     most : int
         Connections that are open at once; further ones wait to be taken.
+    on_unread : callable
+        Called for each new connection that is closed with its request unread, as this
+        instance is behind.
 
     Raises
     ------
@@ -45,15 +59,19 @@
         idle_time: Callable[[], timedelta],
         most: int,
         loop: Loop,
+        on_unread: Callable[[], None] = _ignore,
     ) -> None:
         self._listening = listening_socket(address, BACKLOG)
         self._serve = serve
         self._idle_time = idle_time
         self._most = most
         self._loop = loop
+        self._on_unread = on_unread
+        self._read_budget = ReadBudget()
         self._resting: dict[CallerConnection, Task] = {}
         self._stopped = False
         self._open = 0
+        self._unread = 0
         self.busy = 0
 
     @property
@@ -75,6 +93,10 @@
                 peer, _ = self._listening.accept()
             except OSError:
                 return
+            if self._read_budget.is_crowded(self._unread):
+                peer.close()
+                self._on_unread()
+                continue
             self._take(peer)
 
     def _take(self, peer: socket.socket) -> None:
@@ -91,6 +113,9 @@
     def _run_connection(self, connection: CallerConnection) -> Steps[None]:
         try:
             while (yield from self._rest(connection)):
+                if not (yield from self._may_read(connection)):
+                    self._on_unread()
+                    return
                 task = self._resting.pop(connection)
                 kept = yield from self._answer(connection)
                 if not kept or self._stopped:
@@ -107,6 +132,35 @@
         ready = yield Wait(until, (connection.fileno(),))
         return ready is not None
 
+    def _may_read(self, connection: CallerConnection) -> Steps[bool]:
+        """Wait until a request may be read; return False if that takes too long.
+
+        Only the first request of a connection waits: a caller whose connection is kept
+        has been served here.
+        """
+        if connection.answered:
+            return True
+        if self._take_read():
+            return True
+        self._unread += 1
+        try:
+            return (yield from self._await_read())
+        finally:
+            self._unread -= 1
+
+    def _take_read(self) -> bool:
+        return self._read_budget.take(self._loop.turns, self._loop.last_turn)
+
+    def _await_read(self) -> Steps[bool]:
+        now = self._loop.clock.monotonic()
+        until = now + MAX_UNREAD
+        while now < until:
+            yield from sleep_until(now + UNREAD_INTERVAL)
+            if self._take_read():
+                return True
+            now = self._loop.clock.monotonic()
+        return False
+
     def _answer(self, connection: CallerConnection) -> Steps[bool]:
         self.busy += 1
         try:
--- a/packages/ashhoist/src/ashhoist/loop/loop.py
+++ b/packages/ashhoist/src/ashhoist/loop/loop.py
@@ -81,6 +81,10 @@
 
     Attributes
     ----------
+    turns : int
+        Number of the present turn.
+    last_turn : timedelta
+        How long the turn before took, its wait left out.
     on_turn : callable or None
         Takes how long each turn took, its wait left out.
     """
@@ -89,6 +93,7 @@
         self.clock = clock
         self.log = log
         self.turns = 0
+        self.last_turn = timedelta()
         self.on_turn: Callable[[timedelta], None] | None = None
         self._poller: Poller = select.epoll() if poller is None else poller
         self._masks: dict[int, int] = {}
@@ -128,6 +133,7 @@
 
     def _measure_turn(self, began: timedelta, events: int) -> None:
         took = self.clock.monotonic() - began
+        self.last_turn = took
         if self.on_turn is not None:
             self.on_turn(took)
         if took >= LONG_TURN:
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -42,6 +42,10 @@
         ("by",),
     ),
     "permits": ("Sends to limited upstreams that were asked for", ("result",)),
+    "connections_unread": (
+        "New connections closed with their request unread, as too many came",
+        (),
+    ),
     "no_upstream_anywhere": (
         "Times that no upstream could be reached, from here or from a known instance",
         (),
