An instance that stops on plan hands over the streams that it knows

Cause: those told of a stream are told once; when they are replaced themselves, nobody tells their successors. The class: what is kept for others ends with its keeper. Change: a planned stop tells the streams that are known, its own and those held for others, to three instances each, as when they began; a stream that began here stays so when another one tells of it. Measured: virtual time, 3 and 5 instances replaced in order: the test failed before and passes.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -350,6 +350,7 @@
         self.stopping = True
         self._lease_handover.begin()
         self.effects.unregister()
+        self.stream_notices.hand_over()
         self._heartbeats.send_all(self.leader)
 
     def instances(self, records: list[InstanceRecord]) -> None:
--- a/packages/ashhoist/src/ashhoist/control/stream_notices.py
+++ b/packages/ashhoist/src/ashhoist/control/stream_notices.py
@@ -25,6 +25,8 @@
 from .stream_replicas import StreamReplicas
 
 MILLISECOND = timedelta(milliseconds=1)
+MAX_ROWS = 1024
+"""Streams in one message, some 60 kB."""
 Row = list[Any]
 """A stream as it stands in a message; see `messages.StreamsBegan`."""
 
@@ -76,10 +78,22 @@
     def notices_received(self, message: messages.StreamsBegan) -> None:
         """Record the streams of another instance."""
         for stream_id, service, version in message.rows:
-            self._begun.put(stream_id, service, version, is_own=False)
+            known = self._begun.find(stream_id)
+            is_own = known is not None and known.is_own
+            self._begun.put(stream_id, service, version, is_own)
             if self._versions.see(service, version):
                 self._tell_own({service})
 
+    def hand_over(self) -> None:
+        """Tell others of all streams that are known here: this instance is to end.
+
+        It may know them from instances that have ended before.
+        """
+        streams = self._begun.all()
+        self._tell(
+            one for one in streams if not self._versions.is_only_one(one.service)
+        )
+
     def greet(self, peer: str) -> None:
         """Send a newly linked instance the versions that have served lately."""
         rows = [
@@ -141,4 +155,6 @@
             for instance in self._replicas.to_tell(stream.id):
                 rows_by_instance.setdefault(instance, []).append(row)
         for instance, rows in rows_by_instance.items():
-            self._send(instance, messages.StreamsBegan(rows))
+            for first in range(0, len(rows), MAX_ROWS):
+                batch = rows[first : first + MAX_ROWS]
+                self._send(instance, messages.StreamsBegan(batch))
--- a/packages/ashhoist/src/ashhoist/streams/begun.py
+++ b/packages/ashhoist/src/ashhoist/streams/begun.py
@@ -58,6 +58,11 @@
         """Return a stream, or None if it is not known."""
         return self._by_id.get(stream_id)
 
+    def all(self) -> list[BegunStream]:
+        """Return all streams that may still go on."""
+        self._remove_old(self._clock.monotonic())
+        return list(self._by_id.values())
+
     def own(self, service: str) -> list[BegunStream]:
         """Return the streams of a service that have begun at this instance."""
         self._remove_old(self._clock.monotonic())
--- a/tests/test_stream_notices.py
+++ b/tests/test_stream_notices.py
@@ -118,6 +118,25 @@
         found = self.look_up(world, "instance-1", "another-stream")
         self.assertIs(found.source, VersionSource.UNKNOWN)
 
+    def test_streams_outlive_a_release_of_all_instances_one_by_one(self) -> None:
+        # Guards against streams that nobody knows once all instances were replaced.
+        for instances in (3, 5):
+            world = self.start(instances, OLD, NEW)
+            world.run(LIFETIME_S)
+            self.begin(world, "instance-0")
+            world.run(1.0)
+            for name in world.machines:
+                core = world.machines[name].core
+                assert core is not None
+                core.stop()
+                world.run(0.3)
+                world.kill(name)
+                world.start(name)
+                world.run(1.5)
+            for name in ("instance-0", "instance-1", f"instance-{instances - 1}"):
+                found = self.look_up(world, name)
+                self.assertEqual(found.software_version, OLD, (instances, name))
+
     def test_only_hubs_are_told_where_instances_are_many(self) -> None:
         world = self.start(24, OLD, NEW)
         self.begin(world, "instance-20")
