Crash reports, stream records and resumptions: what stood twice, and a plain name

Change: `write_for` uses `write`; `KEY_PREFIX` of versions is `VERSIONS_KEY_PREFIX`; the name of a header comes from `HeaderNames`. Behaviour unchanged. Measured: tests of these parts pass.

--- a/packages/ashhoist/src/ashhoist/control/crash_reports.py
+++ b/packages/ashhoist/src/ashhoist/control/crash_reports.py
@@ -115,8 +115,7 @@
     def write_for(self, message: messages.CrashWriteRequest) -> None:
         """Write a record on behalf of an instance that the log rejects."""
         self._not_own.add(message.key)
-        self._enqueue(message.key, message.value)
-        self.step()
+        self.write(message.key, message.value)
 
     def write(self, key: str, value: bytes) -> None:
         """Write another record to the topic of crash records."""
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -15,7 +15,7 @@
 from ..routing.active_configuration import ActiveConfiguration
 from ..store import Position, ReadPacing, Record, Topic, era_of, position
 from ..store.follower import FollowedRecords
-from ..streams import KEY_PREFIX
+from ..streams import VERSIONS_KEY_PREFIX
 from ..upstreams import Directory, Health, LapsedEnds
 from . import messages
 from .changes import (
@@ -262,7 +262,7 @@
         return self.replica.update_position(topic, record)
 
     def _apply_record(self, topic: Topic, record: Record) -> bool:
-        if topic is Topic.CRASHES and record.key.startswith(KEY_PREFIX):
+        if topic is Topic.CRASHES and record.key.startswith(VERSIONS_KEY_PREFIX):
             self._versions_recorded(record)
             return True
         if topic is Topic.CRASHES:
--- a/packages/ashhoist/src/ashhoist/requests/resumption.py
+++ b/packages/ashhoist/src/ashhoist/requests/resumption.py
@@ -22,6 +22,7 @@
 from .attempt import CallerLeft
 from .call import Call
 from .elapsed import elapsed_ms, milliseconds
+from .header_names import HeaderNames
 from .waiting import wait_for
 
 MAX_REQUEST_ID_LENGTH = 128
@@ -42,12 +43,14 @@
 
     def __init__(
         self,
+        header_names: HeaderNames,
         directory: Directory,
         send: Callable[[Any], None],
         clock: Clock,
         metrics: Metrics,
         log: Logger,
     ) -> None:
+        self._last_event_header = header_names.last_event_id.lower()
         self._directory = directory
         self._send = send
         self._clock = clock
@@ -108,7 +111,7 @@
             "stream taken up",
             request=call.id,
             resumes=call.resumes,
-            last_event=call.request.value("last-event-id"),
+            last_event=call.request.value(self._last_event_header),
             service=found.service,
             software_version=found.software_version,
             known_by=found.source,
--- a/packages/ashhoist/src/ashhoist/streams/__init__.py
+++ b/packages/ashhoist/src/ashhoist/streams/__init__.py
@@ -9,14 +9,14 @@
     VersionLookupTimedOut,
     VersionSource,
 )
-from .served_versions import KEY_PREFIX, MalformedVersionsError, ServedVersions
+from .served_versions import VERSIONS_KEY_PREFIX, MalformedVersionsError, ServedVersions
 from .software_versions import SeenVersion, ServiceVersion, SoftwareVersions
 
 __all__ = [
     "BegunStream",
     "BegunStreams",
     "FoundVersion",
-    "KEY_PREFIX",
+    "VERSIONS_KEY_PREFIX",
     "MalformedVersionsError",
     "SeenVersion",
     "ServedVersions",
--- a/packages/ashhoist/src/ashhoist/streams/served_versions.py
+++ b/packages/ashhoist/src/ashhoist/streams/served_versions.py
@@ -8,7 +8,7 @@
 
 import cbor2
 
-KEY_PREFIX = "versions/"
+VERSIONS_KEY_PREFIX = "versions/"
 
 
 class MalformedVersionsError(ValueError):
@@ -25,7 +25,7 @@
     @property
     def key(self) -> str:
         """Return the key on the log; a later record of the service replaces it."""
-        return KEY_PREFIX + self.service
+        return VERSIONS_KEY_PREFIX + self.service
 
     def encode(self) -> bytes:
         """Return the record's value."""
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -257,6 +257,7 @@
             self.rejections,
             self.forwarding,
             Resumptions(
+                HEADER_NAMES,
                 self.directory,
                 self._receive_control_message,
                 clock,
--- a/tests/test_stream_notices.py
+++ b/tests/test_stream_notices.py
@@ -8,7 +8,7 @@
 from ashhoist.control.messages.streams import STREAMS_REVISION
 from ashhoist.control.stream_replicas import INSTANCES_TOLD, ranked
 from ashhoist.streams import (
-    KEY_PREFIX,
+    VERSIONS_KEY_PREFIX,
     FoundVersion,
     MalformedVersionsError,
     ServedVersions,
@@ -310,7 +310,9 @@
     def version_records(self, world: World) -> list[ServedVersions]:
         """Return what was written to the log about versions."""
         values = [
-            value for key, value in world.store.appended if key.startswith(KEY_PREFIX)
+            value
+            for key, value in world.store.appended
+            if key.startswith(VERSIONS_KEY_PREFIX)
         ]
         return [ServedVersions.decode(value) for value in values]
 
