--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -136,7 +136,13 @@
             upstream = ScriptedUpstream(self.clock, script)
             connection = cast(UpstreamConnection, upstream)
             end = finish(
-                relay.run(Streaming(HEAD, connection), HEAD, lambda: None, lambda: None)
+                relay.run(
+                    Streaming(HEAD, connection),
+                    HEAD,
+                    before_forwarding=lambda: None,
+                    on_first_event=lambda: None,
+                    on_event=lambda: None,
+                )
             )
         return end
 
