--- a/packages/ashhoist/src/ashhoist/control/forwarding_candidates.py
+++ b/packages/ashhoist/src/ashhoist/control/forwarding_candidates.py
@@ -26,8 +26,6 @@
 """Between two queries while candidates are known."""
 VALID_FOR = timedelta(seconds=3)
 """How long candidates are used without another answer."""
-MIN_CAPACITY = 0.01
-"""Of an instance in the choice, in processor cores."""
 HASHES = 2**64
 
 
@@ -113,12 +111,11 @@
     total = sum(peer.linked and peer.zone == zone for peer in peers.by_name.values())
     if in_zone and len(in_zone) >= total * MIN_ZONE_SHARE:
         others = in_zone
-    others.sort(key=lambda one: _distance(asking, one.name, peers))
+    others.sort(key=lambda one: _distance(asking, one))
     return [replace(one, is_assigned=True) for one in others[:CANDIDATES]]
 
 
-def _distance(asking: str, name: str, peers: Peers) -> float:
+def _distance(asking: str, one: ForwardingInstance) -> float:
     """Return the sort key of an instance in weighted rendezvous hashing."""
-    hashed = int.from_bytes(rank(asking, name), "big")
-    capacity = max(peers.by_name[name].capacity, MIN_CAPACITY)
-    return -math.log((hashed + 1) / (HASHES + 1)) / capacity
+    hashed = int.from_bytes(rank(asking, one.name), "big")
+    return -math.log((hashed + 1) / (HASHES + 1)) / one.weight
--- a/packages/ashhoist/src/ashhoist/control/forwarding_notices.py
+++ b/packages/ashhoist/src/ashhoist/control/forwarding_notices.py
@@ -91,7 +91,7 @@
     def _linked(self) -> list[ForwardingInstance]:
         """Return the linked instances that reach upstreams."""
         return [
-            ForwardingInstance(peer.name, peer.zone, callers)
+            ForwardingInstance(peer.name, peer.zone, callers, peer.capacity)
             for peer in self._peers.fresh(self._clock.monotonic())
             if not peer.stops
             and not peer.is_cut_off
@@ -114,7 +114,7 @@
         """Tell an instance that reaches no upstream who takes its requests."""
         asking = self._peers.by_name[peer]
         found = self._choose(asking.name, asking.zone)
-        rows = [[one.name, one.zone, one.address] for one in found]
+        rows = [[one.name, one.zone, one.address, one.capacity] for one in found]
         self._send(peer, messages.ForwardingCandidates(rows))
 
     def _choose(self, asking: str, zone: str) -> list[ForwardingInstance]:
@@ -125,8 +125,8 @@
     ) -> None:
         """Record the instances that take this one's requests."""
         candidates = [
-            ForwardingInstance(name, zone, address, is_assigned=True)
-            for name, zone, address in message.rows
+            ForwardingInstance(name, zone, address, capacity, is_assigned=True)
+            for name, zone, address, capacity in message.rows
         ]
         if self._assigned.set(candidates):
             names = sorted(one.name for one in self._assigned.current())
--- a/packages/ashhoist/src/ashhoist/control/messages/forwarding.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/forwarding.py
@@ -39,7 +39,8 @@
     Parameters
     ----------
     rows : list
-        One ``[name, zone, callers]`` list per instance; see `ForwardingNotice`.
+        One ``[name, zone, callers, capacity]`` list per instance; see
+        `ForwardingNotice` and `Introduction`.
     """
 
     rows: list
--- a/packages/ashhoist/src/ashhoist/forwarding/instances.py
+++ b/packages/ashhoist/src/ashhoist/forwarding/instances.py
@@ -10,6 +10,8 @@
 
 OTHER_ZONE_COST = 4
 """Cost of an instance in another zone, in forwarded requests in flight."""
+MIN_CAPACITY = 0.01
+"""Of an instance in a choice, in processor cores."""
 UNREACHABLE_FOR = timedelta(seconds=1)
 """How long an instance is left out that could not be connected to."""
 
@@ -22,6 +24,8 @@
     ----------
     address : str
         ``IP:PORT`` of its listener for callers.
+    capacity : float
+        Processor cores that it may use.
     is_assigned : bool
         Whether it was chosen for this instance among all, whatever its zone.
     """
@@ -29,8 +33,14 @@
     name: str
     zone: str
     address: str
+    capacity: float = 1.0
     is_assigned: bool = False
 
+    @property
+    def weight(self) -> float:
+        """Return its weight in a choice, in processor cores."""
+        return max(self.capacity, MIN_CAPACITY)
+
 
 class ForwardingInstances:
     """Chooses among the instances that reach upstreams.
@@ -72,10 +82,11 @@
         return min(untried, key=self._cost, default=None)
 
     def _cost(self, instance: ForwardingInstance) -> float:
+        """Return the load of an instance for each of its cores, as far as known."""
         in_flight = self._in_flight[instance.name]
         if instance.zone != self._zone and not instance.is_assigned:
             in_flight += OTHER_ZONE_COST
-        return in_flight + self._random.random()
+        return (in_flight + self._random.random()) / instance.weight
 
     def set_unreachable(self, name: str) -> None:
         """Leave out an instance that could not be connected to for a while."""
