Second reading: work done once, state that was kept twice, plainer names

Cause: the whole change read again. Found: a planned stop ranked the linked hubs anew, and scanned all peers, for each stream that it hands over; whether this instance is cut off stood in two objects; links that are wanted were turned into endpoints and looked up again by name; two counts of crashes that differ in a number; a second constant for the parts of a prompt; `ReadBudget` carried a word of the users' rules. Change: zones of hubs once a batch, versions once a service; `ForwardingNotices.is_cut_off` asks `Hubs`; `Hubs._desired_peers` serves links, surplus links and awaited ones; `Quarantine._count_uncleared`; `MAX_PARTS` for logs too; `ReadLimit`.

--- a/packages/ashhoist/src/ashhoist/control/forwarding_notices.py
+++ b/packages/ashhoist/src/ashhoist/control/forwarding_notices.py
@@ -18,11 +18,6 @@
     Where instances are many, one that reaches no upstream asks those that are linked to
     others; see `forwarding_candidates`.
 
-    Attributes
-    ----------
-    is_cut_off : bool
-        Whether this instance reaches no upstream.
-
     Parameters
     ----------
     callers : str
@@ -41,7 +36,6 @@
         clock: Clock,
         log: Logger,
     ) -> None:
-        self.is_cut_off = False
         self._own = own
         self._callers = callers
         self._peers = peers
@@ -53,6 +47,11 @@
         self._queries = CandidateQueries(peers, hubs, clock)
         self._assigned = AssignedCandidates(clock)
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether this instance reaches no upstream."""
+        return self._hubs.is_cut_off
+
     def greet(self, peer: str) -> None:
         """Send the state of this instance to a newly linked one."""
         self._send(peer, self._notice())
@@ -61,7 +60,6 @@
         """Set whether this instance reaches no upstream, and notify the others."""
         if is_cut_off == self.is_cut_off:
             return
-        self.is_cut_off = is_cut_off
         self._hubs.set_cut_off(is_cut_off)
         notice = self._notice()
         for peer in self._peers.linked():
--- a/packages/ashhoist/src/ashhoist/control/hubs.py
+++ b/packages/ashhoist/src/ashhoist/control/hubs.py
@@ -57,6 +57,11 @@
         self._cached_revision = -1
         self._cached_names: frozenset[str] = frozenset()
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether this instance reaches no upstream."""
+        return self._own_peer.is_cut_off
+
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Set whether this instance reaches no upstream."""
         self._own_peer.is_cut_off = is_cut_off
@@ -102,23 +107,26 @@
         return (not self.is_hub(name), *_zone_rank(peer))
 
     def desired_links(self) -> list[Endpoint]:
+        """Return the instances that this one should be linked to."""
+        return [
+            Endpoint(peer.name, peer.zone, "", peer.address)
+            for peer in self._desired_peers()
+        ]
+
+    def _desired_peers(self) -> list[Peer]:
         """Return the instances that this one should be linked to.
 
         An instance that has registered earlier may not know of a later hub, which
         therefore links to all by itself.
         """
-        if self.all_linked or self.is_expected_hub():
+        if self.is_expected_hub():
             chosen = list(self._peers.by_name.values())
         else:
             zones = {peer.zone for peer in self._peers.by_name.values()}
             chosen = [
                 peer for zone in sorted(zones) for peer in self._desired_links_in(zone)
             ]
-        return [
-            Endpoint(peer.name, peer.zone, "", peer.address)
-            for peer in chosen
-            if peer.address
-        ]
+        return [peer for peer in chosen if peer.address]
 
     def surplus_links(self) -> list[str]:
         """Return the linked instances whose links are no longer needed.
@@ -127,10 +135,10 @@
         other side may need it. An instance that reaches no upstream keeps all: it may
         be a hub again soon.
         """
-        if self.is_hub(self._own.name) or self._own_peer.is_cut_off:
+        if self.is_hub(self._own.name) or self.is_cut_off:
             return []
         now = self._clock.monotonic()
-        wanted = {endpoint.name for endpoint in self.desired_links()}
+        wanted = {peer.name for peer in self._desired_peers()}
         return [
             peer.name
             for peer in self._peers.by_name.values()
@@ -207,11 +215,9 @@
         if self.all_linked:
             return False
         now = self._clock.monotonic()
-        wanted = (
-            self._peers.by_name[endpoint.name] for endpoint in self.desired_links()
-        )
         return any(
-            not peer.linked and self._counts_as_reachable(peer, now) for peer in wanted
+            not peer.linked and self._counts_as_reachable(peer, now)
+            for peer in self._desired_peers()
         )
 
     def _counts_as_reachable(self, peer: Peer, now: timedelta) -> bool:
--- a/packages/ashhoist/src/ashhoist/control/membership.py
+++ b/packages/ashhoist/src/ashhoist/control/membership.py
@@ -18,6 +18,7 @@
 
 LIST_INTERVAL = timedelta(seconds=5)
 """Between two requests of an instance list, where instances are many."""
+
 RECENT_REGISTRATION = timedelta(seconds=30)
 """A registration this recent may be missing from the copy that a restore used."""
 
--- a/packages/ashhoist/src/ashhoist/control/stream_notices.py
+++ b/packages/ashhoist/src/ashhoist/control/stream_notices.py
@@ -89,10 +89,10 @@
 
         It may know them from instances that have ended before.
         """
-        streams = self._begun.all()
-        self._tell(
-            one for one in streams if not self._versions.is_only_one(one.service)
-        )
+        known = self._begun.all()
+        services = {stream.service for stream in known}
+        told = {one for one in services if not self._versions.is_only_one(one)}
+        self._tell([stream for stream in known if stream.service in told])
 
     def greet(self, peer: str) -> None:
         """Send a newly linked instance the versions that have served lately."""
@@ -148,11 +148,12 @@
             if not self._versions.is_only_one(service):
                 self._tell(self._begun.own(service))
 
-    def _tell(self, streams: Iterable[BegunStream]) -> None:
+    def _tell(self, streams: list[BegunStream]) -> None:
+        to_tell = self._replicas.to_tell(stream.id for stream in streams)
         rows_by_instance: dict[str, list[Row]] = {}
         for stream in streams:
             row = [stream.id, stream.service, stream.software_version]
-            for instance in self._replicas.to_tell(stream.id):
+            for instance in to_tell[stream.id]:
                 rows_by_instance.setdefault(instance, []).append(row)
         for instance, rows in rows_by_instance.items():
             for first in range(0, len(rows), MAX_ROWS):
--- a/packages/ashhoist/src/ashhoist/control/stream_replicas.py
+++ b/packages/ashhoist/src/ashhoist/control/stream_replicas.py
@@ -6,6 +6,7 @@
 
 import hashlib
 from collections import Counter
+from collections.abc import Iterable
 
 from .hubs import Hubs
 from .peers import Peers
@@ -25,17 +26,20 @@
         self._peers = peers
         self._hubs = hubs
 
-    def to_tell(self, stream_id: str) -> list[str]:
-        """Return the other instances that are told that a stream has begun."""
-        return self._others(stream_id)[:INSTANCES_TOLD]
+    def to_tell(self, stream_ids: Iterable[str]) -> dict[str, list[str]]:
+        """Return the other instances that are told that streams have begun, by id."""
+        zones = self._zone_by_hub()
+        return {
+            stream_id: ranked(stream_id, zones)[:INSTANCES_TOLD]
+            for stream_id in stream_ids
+        }
 
     def to_ask(self, stream_id: str) -> list[str]:
         """Return the other instances that may know a stream, the likeliest first."""
-        return self._others(stream_id)[:INSTANCES_ASKED]
+        return ranked(stream_id, self._zone_by_hub())[:INSTANCES_ASKED]
 
-    def _others(self, stream_id: str) -> list[str]:
-        zones = {name: self._zone(name) for name in self._hubs.linked_hubs()}
-        return ranked(stream_id, zones)
+    def _zone_by_hub(self) -> dict[str, str]:
+        return {name: self._zone(name) for name in self._hubs.linked_hubs()}
 
     def _zone(self, name: str) -> str:
         peer = self._peers.by_name.get(name)
--- a/packages/ashhoist/src/ashhoist/forwarding/messages.py
+++ b/packages/ashhoist/src/ashhoist/forwarding/messages.py
@@ -12,4 +12,4 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamsUnreachable:
-    """Connections to several upstreams were tried in vain."""
+    """Connections to upstreams were tried in vain."""
--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -10,7 +10,7 @@
 
 from ..loop import Loop, Steps, Task, Wait, sleep_until
 from .caller import CallerConnection
-from .read_budget import ReadBudget
+from .read_limit import ReadLimit
 from .sockets import close, listening_socket, tune
 
 BACKLOG = 1024
@@ -67,7 +67,7 @@
         self._most = most
         self._loop = loop
         self._on_unread = on_unread
-        self._read_budget = ReadBudget()
+        self._read_limit = ReadLimit()
         self._resting: dict[CallerConnection, Task] = {}
         self._stopped = False
         self._open = 0
@@ -93,7 +93,7 @@
                 peer, _ = self._listening.accept()
             except OSError:
                 return
-            if self._read_budget.is_crowded(self._unread):
+            if self._read_limit.is_crowded(self._unread):
                 peer.close()
                 self._on_unread()
                 continue
@@ -149,7 +149,7 @@
             self._unread -= 1
 
     def _take_read(self) -> bool:
-        return self._read_budget.take(self._loop.turns, self._loop.last_turn)
+        return self._read_limit.take(self._loop.turns, self._loop.last_turn)
 
     def _await_read(self) -> Steps[bool]:
         now = self._loop.clock.monotonic()
--- a/packages/ashhoist/src/ashhoist/http/read_budget.py
+++ b/packages/ashhoist/src/ashhoist/http/read_limit.py
@@ -18,7 +18,7 @@
 """Share, as a divisor, by which the number grows with each short turn that used it."""
 
 
-class ReadBudget:
+class ReadLimit:
     """Grants reads of new connections, as many a turn as keep turns short."""
 
     def __init__(self) -> None:
--- a/packages/ashhoist/src/ashhoist/quarantine/__init__.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/__init__.py
@@ -3,11 +3,12 @@
 from .crashes import Completion, Crash, MalformedRecordError, decode_record
 from .held_names import CRASH_THRESHOLD, PART_CRASH_THRESHOLD
 from .messages import RequestCompleted, RequestInterrupted
-from .parts import PartHistory, is_part, part_names
+from .parts import MAX_PARTS, PartHistory, is_part, part_names
 from .quarantine import WINDOW, Quarantine
 
 __all__ = [
     "CRASH_THRESHOLD",
+    "MAX_PARTS",
     "PART_CRASH_THRESHOLD",
     "WINDOW",
     "Crash",
--- a/packages/ashhoist/src/ashhoist/quarantine/parts.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/parts.py
@@ -22,7 +22,7 @@
 """Longer ids of parts are replaced by their hash."""
 HASH_BYTES = 12
 MAX_PARTS = 8
-"""Parts of a prompt that are considered, from its beginning."""
+"""Parts of a prompt that are considered, and logged, from its beginning."""
 SOUND_FOR = timedelta(seconds=3)
 """How long a part that was answered here is sent on, whatever is known of crashes."""
 SOUND_BEFORE_CRASH = timedelta(seconds=10)
--- a/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
@@ -94,20 +94,21 @@
 
         A single crash does not need to be cleared.
         """
-        return (
-            name in self._keys_by_request
-            and len(self._uncleared_incarnations(name)) >= ENDANGERED_CRASHES
-        )
+        return self._count_uncleared(name) >= ENDANGERED_CRASHES
 
     def is_suspect(self, request: str) -> bool:
-        """Return whether an uncleared crash within the window involves a request.
+        """Return whether an uncleared crash within the window involves a request."""
+        return self._count_uncleared(request) > 0
+
+    def _count_uncleared(self, name: str) -> int:
+        """Return the number of incarnations that count against a request or part.
 
-        This is called for each complete answer. For a request that no record contains,
-        it costs a single dictionary lookup.
+        This is called for each complete answer. For a name that no record contains, it
+        costs a single dictionary lookup.
         """
-        return request in self._keys_by_request and bool(
-            self._uncleared_incarnations(request)
-        )
+        if name not in self._keys_by_request:
+            return 0
+        return len(self._uncleared_incarnations(name))
 
     # Updates
 
--- a/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
@@ -7,6 +7,7 @@
 from ..logs import Logger
 from ..overload import AttemptOutcome
 from ..placement.messages import RequestOutcome, Target
+from ..quarantine import MAX_PARTS
 from ..upstreams import Health
 from .attempt import Answered, MayHaveRun, NotRun, OutOfTime, Result
 from .call import Call
@@ -16,8 +17,6 @@
 from .relay import CompletedStream
 
 FIRST_REDIRECT_STATUS = 300
-MAX_LOGGED_PARTS = 8
-"""Parts of a prompt that a log line names at most."""
 
 
 class AttemptRecorder:
@@ -72,7 +71,7 @@
             "attempt ended",
             request=call.id,
             fingerprint=call.fingerprint,
-            prompt_parts=list(call.prompt_parts[:MAX_LOGGED_PARTS]),
+            prompt_parts=list(call.prompt_parts[:MAX_PARTS]),
             upstream=target.upstream,
             address=target.address,
             software_version=call.last_software_version,
