Tests: starts in groups and draws of a ready instance stand once

Cause: two tests of hubs and two steps of the drawn streams repeated their set-up. Change: `start_in_groups` and `_draw_live`; draws and assertions are the same.

--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -19,14 +19,29 @@
 class ManyInstancesTests(unittest.TestCase):
     """Forty instances; the first two of each zone are larger than the others."""
 
-    def start(self, machines: int = 40) -> World:
+    def make(self, machines: int = 40) -> World:
+        """Return instances that are not started yet."""
         world = World(machines, 6, LeaseTiming(), zones=ZONES)
         for index, machine in enumerate(world.machines.values()):
             machine.capacity = 2.15 if index < 2 * ZONES else 0.52
+        return world
+
+    def start(self, machines: int = 40) -> World:
+        world = self.make(machines)
         world.start()
         world.run(6.0)
         return world
 
+    def start_in_groups(self) -> World:
+        """Start ten instances after ten others, each as its first start."""
+        world = self.make()
+        names = list(world.machines)
+        world.store.registered = set()
+        for first in range(0, len(names), 10):
+            world.start(*names[first : first + 10])
+            world.run(2.0)
+        return world
+
     def assert_no_violations(self, world: World) -> None:
         self.assertEqual(world.broken_turns(), [])
         self.assertEqual(world.fallen(), [])
@@ -59,14 +74,7 @@
                 self.assertLessEqual(links, MAX_LINKS_OF_NON_HUBS, name)
 
     def test_links_of_a_smaller_deployment_are_closed(self) -> None:
-        world = World(40, 6, LeaseTiming(), zones=ZONES)
-        names = list(world.machines)
-        for index, machine in enumerate(world.machines.values()):
-            machine.capacity = 2.15 if index < 2 * ZONES else 0.52
-        world.store.registered = set()
-        for first in range(0, 40, 10):
-            world.start(*names[first : first + 10])
-            world.run(2.0)
+        world = self.start_in_groups()
         world.run(12.0)
         for name, machine in world.machines.items():
             assert machine.core is not None
@@ -90,14 +98,8 @@
 
     def test_all_instances_know_those_that_registered_later(self) -> None:
         # Guards against instances that do not find the next hub when hubs are lost.
-        world = World(40, 6, LeaseTiming(), zones=ZONES)
+        world = self.start_in_groups()
         names = list(world.machines)
-        for index, machine in enumerate(world.machines.values()):
-            machine.capacity = 2.15 if index < 2 * ZONES else 0.52
-        world.store.registered = set()
-        for first in range(0, 40, 10):
-            world.start(*names[first : first + 10])
-            world.run(2.0)
         world.run(10.0)
         for name, machine in world.machines.items():
             assert machine.core is not None
--- a/tests/test_many_streams.py
+++ b/tests/test_many_streams.py
@@ -161,13 +161,20 @@
             if machine.core is not None and machine.core.ready
         ]
 
-    def _begin(self) -> None:
+    def _draw_live(self) -> tuple[Machine, Core] | None:
+        """Return one of the ready instances at random, or None if there is none."""
         live = self._live()
         if not live:
-            return
+            return None
         machine = self.rng.choice(live)
-        core = machine.core
-        assert core is not None
+        assert machine.core is not None
+        return machine, machine.core
+
+    def _begin(self) -> None:
+        drawn = self._draw_live()
+        if drawn is None:
+            return
+        machine, core = drawn
         listed = core._directory.view.of(SERVICE)
         if not listed:
             return
@@ -193,12 +200,10 @@
             return
         if self.world.now + LOOKUP_S > stream.began_at + LONGEST_S:
             return
-        live = self._live()
-        if not live:
+        drawn = self._draw_live()
+        if drawn is None:
             return
-        machine = self.rng.choice(live)
-        core = machine.core
-        assert core is not None
+        machine, core = drawn
         self.lookups += 1
         lookup = VersionLookup(self.lookups, stream.id, SERVICE)
         counts = self._is_in_touch(machine) and self._serving(core, stream.version) >= 2
