Review: case 1, engines that load while all instances restart serve no more

Cause: a leader takes a 409 to the load of a base model as accepted and counts the order. That holds for an order of its own whose answer was lost, not for a new leader that meets the load of its predecessor: it polls with a wrong order count from then on, is answered 409 for good and never asks for a report again.

Case: all five engines crash for 2 s and come back empty; 1.4 s later, while they load, all processes are killed and start again. Rule RECOVER. The earlier cases move to 2 (DRAIN) and 3 (RECOVER, lookups); their files were only formatted.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,15 +1,14 @@
-"""RECOVER: sound requests are refused for ten minutes after workers failed for seconds.
+"""DRAIN: after a restart of all machines, one goes on with a worker that has left.
 
-Three instances, three plain workers. Most requests are the same safe lookup. All
-workers reset a part of their connections, five times for four seconds; four seconds
-after the last time all processes of the system are killed and start again.
+Three instances and twelve plain workers. All processes of the system are killed at
+once and start again within 0.3 s of each other. Soon after, a worker that never says
+`draining` leaves: its entry goes, and it serves on for some seconds, then it ends.
 """
 
 import asyncio
 import os
 import signal
 import sys
-from dataclasses import dataclass
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -26,84 +25,123 @@
     temporary_folder,
 )
 
-TROUBLE = os.environ.get("TROUBLE", "1")
-"""1: both disruptions; 0: none; kill: only the final fault."""
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+ROUNDS = int(os.environ.get("ROUNDS", "6"))
 ZONES = ("lima-a", "lima-b", "lima-c")
-LOOKUPS_PER_S = 20.0
-CALLS_PER_S = 4.0
-DEADLINE_S = 1.0
-TRIES = 2
-GREY_AT = (8.0, 14.0, 20.0, 26.0, 32.0)
-GREY_FOR, GREY_SHARE = 4.0, 0.45
-KILL_AT, DOWN_FOR = 40.0, 0.52
-RECOVERY_S = 12.0
-MEASURE_FOR = 25.0
-
-
-@dataclass
-class Asked:
-    """One request of a client, with all its tries."""
-
-    kind: str
-    sent_at: float
-    served: bool = False
+WORKERS_PER_ZONE = 4
+CALLS_PER_S = 20.0
+"""Of unsafe calls, at each instance."""
+WORK_S = 0.1
+DRAIN_S, CONTACT_S, SLACK_S = 2.0, 3.0, 0.2
+DOWN_S = 0.52
+OTHERS_START_AFTER_S = 0.25
+"""All machines start within 0.3 s of each other, in any order."""
+LEAVE_AT_S = (0.06, 0.13)
+"""When the workers of a round leave, after a machine has begun to answer again."""
+SERVES_ON_S = 8.0
+"""So long a worker serves after its entry has gone: `at times many seconds`."""
 
 
 async def client(
-    record: Record, instances: list[Instance], kind: str, number: int, asked: Asked
-) -> None:
-    """Ask as the pages say: once more, elsewhere, after a failure, while there is time."""
-    ends_at = now() + DEADLINE_S
-    for attempt in range(TRIES):
-        left = ends_at - now()
-        if left <= 0.05:
-            return
-        instance = instances[(number + attempt) % len(instances)]
-        id = f"{kind}-{number}-{attempt}"
-        headers = {"X-Attempt-Id": id, "X-Deadline-Ms": str(int(left * 1000))}
-        record.note(f"client sends {id} to {instance.name}")
-        if kind == "lookup":
-            reply = await ask(
-                instance.front, "GET", "play.example", "/moves/live", headers,
-                wait_s=left,
-            )
-        else:
-            reply = await ask(
-                instance.front, "POST", "play.example", f"/lobby/{number}", headers,
-                f"call {number}".encode(), left,
-            )
-        status, found, body = reply
-        record.note(f"client gets {status} for {id}: {body[:40]!r}")
-        if 200 <= status < 300 and "x-server-seal" in found and body:
-            asked.served = True
-            return
-        if kind == "call" and status not in (408, 421, 429, 503):
-            return
-        wait_s = float(found.get("retry-after", "0") or 0)
-        await asyncio.sleep(min(wait_s, (ends_at - now()) / 3, ends_at - now()))
-
-
-async def traffic(
-    record: Record, instances: list[Instance], kind: str, per_s: float,
-    all_asked: list[Asked], until: float,
+    record: Record, instance: Instance, id: str, calls: dict[str, int]
 ) -> None:
+    headers = {"X-Attempt-Id": id, "X-Deadline-Ms": "1000"}
+    status, _, _ = await ask(
+        instance.front, "POST", "play.example", f"/lobby/{id}", headers, b"call", 1.0
+    )
+    calls[id] = status
+    record.note(f"client gets {status} for {id}")
+
+
+async def traffic(record: Record, instance: Instance, calls: dict[str, int]) -> None:
     number = 0
-    next_at = now()
-    tasks = []
-    while next_at < until:
-        await asyncio.sleep(max(next_at - now(), 0))
+    tasks: set[asyncio.Task[None]] = set()
+    while True:
         number += 1
-        asked = Asked(kind, now())
-        all_asked.append(asked)
-        tasks.append(
-            asyncio.create_task(client(record, instances, kind, number, asked))
+        id = f"{instance.name}.{number}"
+        task = asyncio.create_task(client(record, instance, id, calls))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await asyncio.sleep(1 / CALLS_PER_S)
+
+
+async def restart(record: Record, instances: list[Instance]) -> None:
+    """Kill all processes at once and start them again, one a moment before the rest."""
+    record.note("DISRUPTION herd_kill: all processes are killed at the same moment")
+    for instance in instances:
+        instance.send(signal.SIGKILL)
+    for instance in instances:
+        await instance.ended(5)
+    await asyncio.sleep(DOWN_S)
+    first, *others = instances
+    await first.start()
+    await asyncio.sleep(OTHERS_START_AFTER_S)
+    for instance in others:
+        await instance.start()
+
+
+async def leave_and_end(
+    worker: PlainWorker,
+    at: float,
+    record: Record,
+    instances: list[Instance],
+    calls: dict[str, int],
+) -> tuple[int, int]:
+    """Return how many requests reached a worker too late, and how many were lost."""
+    await asyncio.sleep(at - now())
+    left_at = worker.leave()
+    await asyncio.sleep(left_at + SERVES_ON_S - now())
+    counted_from = max(
+        left_at + DRAIN_S,
+        *(one.started_at + CONTACT_S + SLACK_S for one in instances),
+    )
+    late = [(ran_at, id) for ran_at, id in worker.arrived if ran_at > counted_from]
+    for ran_at, id in late:
+        after = ran_at - left_at
+        record.note(f"TOO LATE {id} ran at {worker.id} {after:.3f} s after its entry")
+    in_flight = set(worker.in_flight)
+    worker.end()
+    await asyncio.sleep(1.1)
+    lost = [id for id in in_flight if calls.get(id) != 200]
+    for id in lost:
+        record.note(f"LOST {id} ran at {worker.id} as it ended: {calls.get(id)}")
+    record.note(
+        f"RESULT {worker.id}: {len(worker.arrived)} ran there,"
+        f" {len(late)} of them too late, {len(lost)} lost at its end"
+    )
+    return len(late), len(lost)
+
+
+async def one_round(
+    number: int,
+    record: Record,
+    store: Store,
+    instances: list[Instance],
+    calls: dict[str, int],
+) -> list[tuple[int, int]]:
+    """Restart all machines while workers leave; return what `leave_and_end` does."""
+    workers = [
+        PlainWorker(record, store, f"i-leaving-{number}-{one}", ZONES[0], work_s=WORK_S)
+        for one in range(len(LEAVE_AT_S))
+    ]
+    for worker in workers:
+        await worker.start()
+    await asyncio.sleep(1.2)
+    restarted = asyncio.create_task(restart(record, instances)) if TROUBLE else None
+    if restarted is not None:
+        await asyncio.sleep(DOWN_S / 2)
+    if not await instances[0].await_answer():
+        return [(-1, 0)]
+    started_at = now()
+    found = await asyncio.gather(
+        *(
+            leave_and_end(worker, started_at + at, record, instances, calls)
+            for worker, at in zip(workers, LEAVE_AT_S, strict=True)
         )
-        next_at += 1 / per_s
-    await asyncio.gather(*tasks)
-
-
-def share(found: list[Asked]) -> float:
-    return sum(one.served for one in found) / max(len(found), 1)
+    )
+    if restarted is not None:
+        await restarted
+    return found
 
 
 async def main() -> int:
@@ -112,83 +150,68 @@
     await store.server.start()
     store.put("keyed.op", "config", plain_configuration())
     workers = [
-        PlainWorker(record, store, f"i-{zone}", zone) for zone in ZONES
+        PlainWorker(record, store, f"i-{zone}-{number}", zone, work_s=WORK_S)
+        for zone in ZONES
+        for number in range(WORKERS_PER_ZONE)
     ]
     for worker in workers:
         await worker.start()
+        await asyncio.sleep(1.2 / len(workers))
     folder = temporary_folder()
     instances = [
         Instance(
-            record, Path(folder.name), f"front-{zone}-1", zone, "lima",
+            record,
+            Path(folder.name),
+            f"front-{zone}-1",
+            zone,
+            "lima",
             store.server.address,
         )
         for zone in ZONES
     ]
+    load: list[asyncio.Task[None]] = []
+    calls: dict[str, int] = {}
     try:
         for instance in instances:
-            instance.seeds = [other.control for other in instances]
+            instance.seeds = [other.control for other in instances[1:]]
             await instance.start()
         for instance in instances:
             if not await instance.await_ready():
                 record.note(f"{instance.name} is not ready")
                 return 2
-        await asyncio.sleep(3)
-        began = now()
-        ends = began + KILL_AT + DOWN_FOR + 3.0 + RECOVERY_S + MEASURE_FOR
-        all_asked: list[Asked] = []
         load = [
-            asyncio.create_task(
-                traffic(record, instances, kind, per_s, all_asked, ends)
-            )
-            for kind, per_s in (("lookup", LOOKUPS_PER_S), ("call", CALLS_PER_S))
+            asyncio.create_task(traffic(record, instance, calls))
+            for instance in instances
         ]
-        back_at = began + KILL_AT + DOWN_FOR + 3.0
-        if TROUBLE == "1":
-            for at in GREY_AT:
-                await asyncio.sleep(began + at - now())
-                record.note("DISRUPTION srv_grey: all workers reset 0.45 of their runs")
-                for worker in workers:
-                    worker.reset_share = GREY_SHARE
-                await asyncio.sleep(GREY_FOR)
-                for worker in workers:
-                    worker.reset_share = 0.0
-                record.note("srv_grey is over, all workers are sound")
-        if TROUBLE in ("1", "kill"):
-            await asyncio.sleep(began + KILL_AT - now())
-            record.note("DISRUPTION closing kill_all: all processes are killed")
-            for instance in instances:
-                instance.send(signal.SIGKILL)
-            for instance in instances:
-                await instance.ended(5)
-            await asyncio.sleep(DOWN_FOR)
-            for instance in instances:
-                await instance.start()
-            for instance in instances:
-                if not await instance.await_ready():
-                    record.note(f"{instance.name} is not ready again")
-            back_at = now()
-            record.note("all machines are back")
-        await asyncio.gather(*load)
-        before = [one for one in all_asked if one.sent_at < began + KILL_AT]
-        after = [one for one in all_asked if one.sent_at > back_at + RECOVERY_S]
-        calm = [one for one in all_asked if one.sent_at < began + GREY_AT[0]]
-        for name, found in (("calm", calm), ("before", before), ("after", after)):
-            for kind in ("lookup", "call"):
-                of_kind = [one for one in found if one.kind == kind]
-                record.note(
-                    f"RESULT {name}: {sum(one.served for one in of_kind)} of"
-                    f" {len(of_kind)} {kind}s served"
-                )
-            record.note(f"RESULT {name}: {share(found):.3f} of all served")
-        broken = share(after) < 0.25 <= share(before)
-        record.note(f"RESULT RECOVER {'broken' if broken else 'held'}")
-        return int(broken)
+        await asyncio.sleep(3.0)
+        broken_rounds = 0
+        all_late = all_lost = 0
+        for number in range(1, ROUNDS + 1):
+            found = await one_round(number, record, store, instances, calls)
+            if (-1, 0) in found:
+                return 2
+            late = sum(late for late, _ in found)
+            broken_rounds += late > 0
+            all_late += late
+            all_lost += sum(lost for _, lost in found)
+        record.note(
+            f"RESULT DRAIN {'broken' if all_late else 'held'}: {all_late} requests"
+            f" too late in {broken_rounds} of {ROUNDS} rounds, {all_lost} lost"
+        )
+        return int(all_late > 0)
     finally:
+        for task in load:
+            task.cancel()
         for instance in instances:
             await instance.end()
         for worker in workers:
             worker.end()
         store.server.end()
+        if os.environ.get("KEEP_LOGS"):
+            for instance in instances:
+                Path(f"/tmp/case1-{instance.name}.log").write_bytes(
+                    instance.log_path.read_bytes()
+                )
         record.close()
         folder.cleanup()
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -347,7 +347,9 @@
     def end(self) -> None:
         if self._beats is not None:
             self._beats.cancel()
-        self._record.note(f"worker {self.id} ends; it was at {len(self.in_flight)} requests")
+        self._record.note(
+            f"worker {self.id} ends; it was at {len(self.in_flight)} requests"
+        )
         self.server.end()
 
     async def _handle(
@@ -378,6 +380,186 @@
         return answer(200, {"X-Attempt-Id": id, "X-Server-Seal": seal}, b"done " * 160)
 
 
+class EngineWorker:
+    """One life of a model worker with one base model and no adapters.
+
+    Parameters
+    ----------
+    holds : bool
+        Whether it holds the model from its start. It has a copy on its disk anyway.
+    load_s : float
+        How long a load lasts.
+    """
+
+    MODEL = "m0"
+    REPORT_LAG_S = 0.2
+    """Reports tell how things stood `some hundred ms ago`."""
+
+    def __init__(
+        self,
+        record: Record,
+        store: Store,
+        id: str,
+        zone: str,
+        holds: bool,
+        load_s: float,
+        beat_s: float = 1.2,
+    ) -> None:
+        self._record = record
+        self._store = store
+        self.id = id
+        self.zone = zone
+        self._load_s = load_s
+        self._beat_s = beat_s
+        self._beats: asyncio.Task[None] | None = None
+        self._holds = holds
+        self._loading_until: float | None = None
+        self.sequence = 0
+        self.orders: list[tuple[float, int, int]] = []
+        self._history: list[tuple[float, dict[str, object]]] = []
+        self.server = HttpServer(self._handle)
+        self._note()
+
+    async def start(self) -> None:
+        """Serve, and write an entry into the store."""
+        await self.server.start()
+        self._beats = asyncio.create_task(self._beat())
+
+    async def _beat(self) -> None:
+        while True:
+            self._settle()
+            entry = {
+                "service": "engine-llm",
+                "address": self.server.address,
+                "zone": self.zone,
+                "version": "v1",
+                "slots": 96,
+                "state": "ready",
+                "cold-remaining-ms": 0,
+                "sequence": self.sequence,
+                "models": self._models(),
+            }
+            self._store.put("keyed.servers", self.id, entry)
+            await asyncio.sleep(self._beat_s)
+
+    def crash(self) -> None:
+        """End without a word: connections are reset; the entry lapses later."""
+        assert self._beats is not None
+        self._beats.cancel()
+        self._record.note(f"engine {self.id} crashes")
+        self.server.end()
+        asyncio.get_running_loop().call_later(
+            3 * self._beat_s, self._store.put, "keyed.servers", self.id, None
+        )
+
+    def end(self) -> None:
+        """End with the script."""
+        if self._beats is not None:
+            self._beats.cancel()
+        self.server.end()
+
+    def _models(self) -> list[dict[str, object]]:
+        if not self._holds:
+            return []
+        return [{"name": self.MODEL, "version": 1, "adapters": []}]
+
+    def _settle(self) -> None:
+        if self._loading_until is not None and now() >= self._loading_until:
+            self._loading_until = None
+            self._holds = True
+            self._record.note(f"engine {self.id} holds {self.MODEL}")
+            self._note()
+
+    def _note(self) -> None:
+        report = {
+            "stage": "both",
+            "models": self._models(),
+            "busy": self._loading_until is not None,
+            "sequence": self.sequence,
+            "waiting": 0,
+            "running": 0,
+            "coming": [],
+            "at-hand": {"in-memory": [], "on-disk": [self.MODEL]},
+        }
+        self._history.append((now(), report))
+
+    async def _handle(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        writer: asyncio.StreamWriter,
+    ) -> bytes | None:
+        self._settle()
+        id = headers.get("x-attempt-id", "")
+        if headers.get("x-expect-instance", self.id) != self.id:
+            return answer(421, {"X-Instance-Id": self.id, "X-Attempt-Id": id}, b"")
+        if target == "/api/report":
+            until = now() - self.REPORT_LAG_S
+            known = [report for at, report in self._history if at <= until]
+            report = known[-1] if known else self._history[0][1]
+            return answer(200, {}, json.dumps(report).encode())
+        if target == "/api/order":
+            order = json.loads(body)
+            status = self._order(order)
+            expected = order.get("expected")
+            self.orders.append((now(), expected, status))
+            self._record.note(
+                f"order to {self.id} by {order['holder']}: {order['operation']}"
+                f" {order['model']} expected {expected}, sequence {self.sequence},"
+                f" answered {status}"
+            )
+            return answer(status, {}, b"")
+        if not id:
+            return answer(200, {"X-Instance-Id": self.id}, b"")
+        if headers.get("x-model") != self.MODEL or not self._holds:
+            return answer(421, {"X-Instance-Id": self.id, "X-Attempt-Id": id}, b"")
+        await self._stream(id, headers, writer)
+        return b""
+
+    def _order(self, order: dict[str, object]) -> int:
+        """Return the status: 409 where another is under way or `sequence` differs."""
+        expected = order.get("expected")
+        if expected is not None and expected != self.sequence:
+            return 409
+        if order["operation"] != "load" or order.get("adapter"):
+            return 400
+        if self._holds:
+            return 200
+        if self._loading_until is not None:
+            return 409
+        self.sequence += 1
+        self._loading_until = now() + self._load_s
+        self._note()
+        return 202
+
+    async def _stream(
+        self, id: str, headers: Headers, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer with a few events."""
+        self._record.note(f"engine {self.id} runs {id}")
+        lines = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            f"X-Attempt-Id: {id}",
+            f"X-Server-Seal: seal.{self.id}.{id}",
+            "Transfer-Encoding: chunked",
+        ]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        first = int(headers.get("last-event-id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            event = f"id: {number}\ndata: {id}.{number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.03)
+        writer.write(b"0\r\n\r\n")
+
+
+EVENTS = 5
+"""Of each stream."""
+
+
 # Clients
 
 
@@ -608,3 +790,47 @@
             "idle-timeout-ms": 15000,
         },
     }
+
+
+def engine_configuration(load_s: float) -> dict[str, object]:
+    """Return a configuration with one stream route of the sheet."""
+    configuration = plain_configuration()
+    configuration["routes"] = [
+        {
+            "name": "casual-review",
+            "host": "llm.example",
+            "path-prefix": "/review/",
+            "kind": "stream",
+            "service": "engine-llm",
+            "timeout-ms": 5000,
+            "target-latency-ms": 1000,
+            "max-attempts": 2,
+            "priority": 2,
+            "resumable": True,
+            "gap-aim-ms": 400,
+            "sticky": True,
+        }
+    ]
+    model = {
+        "name": EngineWorker.MODEL,
+        "weights-mb": 16100,
+        "load-s": load_s,
+        "adapters": 3000,
+        "adapter-mb": 14,
+    }
+    engine = {
+        "slots": 96,
+        "models": [model],
+        "weights-mb": 16500,
+        "adapter-slots": 6,
+        "loads-per-s": 2.1,
+    }
+    configuration["services"] = [
+        {
+            "name": "engine-llm",
+            "health-path": "/health",
+            "max-conns": 500,
+            "engine": engine,
+        }
+    ]
+    return configuration
