Review: a case that fails by itself exits with 2 and leaves nothing running

Cause: an error in a script itself ended it with 1, which says that the rule was broken; and a script that was told to stop left its processes.

Change: review/standins.py runs the cases, turns an error into 2 and ends what was started on SIGTERM as well.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -22,6 +22,7 @@
     ask,
     now,
     plain_configuration,
+    play,
     temporary_folder,
 )
 
@@ -207,16 +208,9 @@
         for worker in workers:
             worker.end()
         store.server.end()
-        if os.environ.get("KEEP_LOGS"):
-            for instance in instances:
-                Path(f"/tmp/case1-{instance.name}.log").write_bytes(
-                    instance.log_path.read_bytes()
-                )
         record.close()
         folder.cleanup()
 
 
 if __name__ == "__main__":
-    code = asyncio.run(main())
-    sys.stdout.flush()
-    os._exit(code)
+    play(main)
--- a/review/standins.py
+++ b/review/standins.py
@@ -18,7 +18,8 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+import traceback
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -834,3 +835,22 @@
         }
     ]
     return configuration
+
+
+COULD_NOT_RUN = 2
+
+
+def play(main: Callable[[], Coroutine[None, None, int]]) -> None:
+    """Run a case and end this process with its code, 2 if it couldn't run.
+
+    What a case has started ends with it, also where it is told to stop.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    code = COULD_NOT_RUN
+    try:
+        code = asyncio.run(main())
+    except (Exception, KeyboardInterrupt):
+        traceback.print_exc()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
