An instance that is behind no longer forgets it when another one is, too

Callers could be sent to an upstream that had ended, for as long as the pulls of their instance got no usable answer.

Cause: who is behind a peer reads the log after 0.6 s if pulls do not help. The time began anew with each heartbeat of any peer that is as far behind, since that was taken for having caught up. With several such peers the log was never read. Change: the peer ahead is forgotten once its position is reached, or its link is lost.

--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -442,7 +442,7 @@
         if offset == EMPTY_TOPIC:
             self.replica.note_empty(topic)
         if not self.replica.note_peer_position(topic, offset, now):
-            self._peers_ahead.pop(topic, None)
+            self._forget_reached_peer(topic)
             return
         self._peers_ahead[topic] = (peer, offset)
         if self.replica.pull_due(topic, self._hubs.is_preferred_source(peer), now):
@@ -454,6 +454,21 @@
         if self.replica.read_due(topic, now):
             self._effects.read_now(topic)
 
+    def _forget_reached_peer(self, topic: Topic) -> None:
+        """Forget the peer that was ahead once this instance knows as much.
+
+        Another peer that is behind, too, says nothing about the one ahead.
+        """
+        ahead = self._peers_ahead.get(topic)
+        if ahead is not None:
+            name, offset = ahead
+            peer = self._peers.by_name.get(name)
+            is_linked = peer is not None and peer.linked
+            if is_linked and offset > self.replica.seen(topic):
+                return
+            del self._peers_ahead[topic]
+        self.replica.note_caught_up(topic)
+
     def pull_newer_version(self, peer: str, version: int) -> None:
         """Pull the configuration from a peer that has a newer version in force.
 
--- a/packages/ashhoist/src/ashhoist/control/replica.py
+++ b/packages/ashhoist/src/ashhoist/control/replica.py
@@ -200,12 +200,15 @@
         """Process the position of a peer; return whether this instance is behind it."""
         state = self._topics[topic]
         if peer_offset <= state.seen:
-            state.behind_since = None
             return False
         if state.behind_since is None:
             state.behind_since = now
         return True
 
+    def note_caught_up(self, topic: Topic) -> None:
+        """Record that no peer is known to be ahead."""
+        self._topics[topic].behind_since = None
+
     def pull_due(self, topic: Topic, near: bool, now: timedelta) -> bool:
         """Return whether to pull from a peer that is ahead; if so, note the pull.
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -1,11 +1,13 @@
 """Replication of log records from the few instances that read them to the others."""
 
 import unittest
+from unittest import mock
 
 from ashhoist.control.messages import Relay
 from ashhoist.control.record_codec import pack
+from ashhoist.control.records import SharedRecords
 from ashhoist.placement.messages import Target
-from ashhoist.store import Record, Topic
+from ashhoist.store import Position, Record, Topic
 from ashhoist.upstreams import UpstreamState
 
 from .control_world import World
@@ -59,6 +61,25 @@
                 world.run(1.9)
                 self.assertEqual(states(world, "engine-0"), {None})
 
+    def test_peers_that_are_behind_do_not_hide_the_one_ahead(self) -> None:
+        # Guards against never reading the log while pulls get no answer.
+        world = started(6)
+        world.run(2.0)
+        late = "instance-5"
+        core = world.machines[late].core
+        assert core is not None
+        world.end_engine("engine-0")
+        with (
+            mock.patch.object(SharedRecords, "pulled"),
+            mock.patch.object(SharedRecords, "handle_relay"),
+        ):
+            for _ in range(15):
+                seen = core.records.replica.seen(Topic.UPSTREAMS)
+                core.records.catch_up("instance-1", Topic.UPSTREAMS, Position(seen + 1))
+                core.records.catch_up("instance-2", Topic.UPSTREAMS, seen)
+                world.run(0.1)
+        self.assertNotIn("engine-0", core._directory.view.by_id)
+
     def test_two_instances_read_without_faults(self) -> None:
         world = started(8)
         world.run(2.0)
