Ends of upstreams are no longer skipped by who takes over a position

Callers' requests were sent on to an upstream that had left, after a restart: calls that may not be repeated were lost as it ended (502).

Cause: 'all effective records after X' was told as if it held for the receiver. An instance whose knowledge begins with a list knows no ends from before it, and yet answered pulls from there, pushed from there, and told its position. Who took that over skipped the end and never read it. Beside it, a record from before a list was news to who never knew its key, and an end of an unknown key was neither kept nor told on. Change: each replica knows the gaps in its history (control/history.py). It tells changes only since positions that these cover, names its gaps, and sends a list of all keys to others (record_lists.py, message RecordList). A relay that does not continue a replica is applied, logged with its reason, and does not move the position. Relays of the earlier revision are of this kind: a new instance reads the log instead. Ends are kept up to a bound. Two messages built in test_replication state the gaps as senders do now, its checks are as they were.

--- a/packages/ashhoist/src/ashhoist/codec.py
+++ b/packages/ashhoist/src/ashhoist/codec.py
@@ -17,7 +17,7 @@
 
 PROTOCOL = 1
 FIRST_REVISION = 1
-REVISION = 5
+REVISION = 6
 """Revision of the messages and their fields; both sides of a link agree on the lower
 one. Raised when a message is added."""
 DEFAULTS_REVISION = 2
--- a/packages/ashhoist/src/ashhoist/control/message_handlers.py
+++ b/packages/ashhoist/src/ashhoist/control/message_handlers.py
@@ -80,6 +80,12 @@
     core.proofs.configuration_updated(core.leader)
 
 
+@_handles(messages.RecordList)
+def _on_record_list(core: "Core", peer: str, message: messages.RecordList) -> None:
+    core.records.handle_list(peer, message)
+    core.proofs.configuration_updated(core.leader)
+
+
 @_handles(messages.ProofRequest)
 def _on_proof_request(core: "Core", peer: str, message: messages.ProofRequest) -> None:
     core.share_delegated(peer, message.delegated_since)
--- a/packages/ashhoist/src/ashhoist/control/messages/__init__.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/__init__.py
@@ -35,7 +35,14 @@
     TokenGrant,
     TokenRequest,
 )
-from .records import LargeRecordsNotice, ProofRequest, ProofResponse, Pull, Relay
+from .records import (
+    LargeRecordsNotice,
+    ProofRequest,
+    ProofResponse,
+    Pull,
+    RecordList,
+    Relay,
+)
 from .requests import (
     EngineUses,
     PlacementDeclined,
@@ -98,6 +105,7 @@
     "ProofResponse",
     "Pull",
     "ClaimsReadRequest",
+    "RecordList",
     "Relay",
     "ReturnTokens",
     "TokenGrant",
--- a/packages/ashhoist/src/ashhoist/control/messages/records.py
+++ b/packages/ashhoist/src/ashhoist/control/messages/records.py
@@ -2,7 +2,11 @@
 
 from dataclasses import dataclass
 
-from ...codec import message
+from ...codec import added_in, message
+
+HISTORY_REVISION = 6
+HISTORY_NOT_STATED = -2
+"""`Relay.gap_until` of a sender whose revision does not state its history."""
 
 
 @message(42)
@@ -37,6 +41,9 @@
         Records encoded by `record_codec.pack`.
     compressed : bool
         Whether `records` is compressed.
+    gap_after, gap_until : int
+        See `history.Gap`: records that began and ended between these positions may be
+        missing, so a receiver that has seen one of these positions can't use `up_to`.
     """
 
     topic: str
@@ -44,6 +51,44 @@
     up_to: int
     records: bytes
     compressed: bool
+    gap_after: int = added_in(HISTORY_REVISION, HISTORY_NOT_STATED)
+    gap_until: int = added_in(HISTORY_REVISION, HISTORY_NOT_STATED)
+
+    @property
+    def states_history(self) -> bool:
+        """Return whether the sender states what it knows of earlier changes."""
+        return self.gap_until != HISTORY_NOT_STATED
+
+
+@message(93, HISTORY_REVISION)
+@dataclass(frozen=True, slots=True)
+class RecordList:
+    """One part of a list of all live keys of a topic.
+
+    Sent to a receiver that the sender can't tell all changes since its position.
+
+    Parameters
+    ----------
+    as_of : int
+        Position of which this is the list: a key that the receiver knows from a record
+        up to there, and that the list lacks, has ended.
+    part, parts : int
+        Number of this part, from 0, and number of all parts, which are sent in order.
+    undecided : list
+        Keys that are not listed although they may not have ended.
+    records : bytes
+        Records encoded by `record_codec.pack`.
+    compressed : bool
+        Whether `records` is compressed.
+    """
+
+    topic: str
+    as_of: int
+    part: int
+    parts: int
+    undecided: list
+    records: bytes
+    compressed: bool
 
 
 @message(65)
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -4,7 +4,8 @@
 peer pulls the missing records from it, and reads the log itself if that does not help.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Set
+from dataclasses import dataclass
 from datetime import timedelta
 
 from ..clock import ZERO, Clock
@@ -31,12 +32,14 @@
 from .hubs import Hubs
 from .peers import Peers
 from .record_codec import pack, unpack
+from .record_lists import IncomingLists, make_list
 from .replica import (
     EMPTY_TOPIC,
     INCOMPLETE,
     MAX_RELAYED,
     NEEDED_TOPICS,
     PULL_PAUSE,
+    HistoryBreak,
     Replica,
 )
 from .restored_upstreams import RestoredUpstreams
@@ -53,6 +56,24 @@
 Decode = Callable[[Topic, Record], Change | None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Progress:
+    """How far a topic is known at one moment.
+
+    Parameters
+    ----------
+    offset, seen : Position
+        See `Replica.offset` and `Replica.seen`.
+    pushed_after : Position
+        Position since which all changes can be told; `INCOMPLETE` if some keys are
+        missing.
+    """
+
+    offset: Position
+    seen: Position
+    pushed_after: Position
+
+
 class SharedRecords:
     """Applies the records of the shared topics, and replicates them to other instances.
 
@@ -111,6 +132,7 @@
         self._log_unread_at = ZERO
         self._version_pulled_at: timedelta | None = None
         self._peers_ahead: dict[Topic, tuple[str, Position]] = {}
+        self._incoming_lists = IncomingLists()
 
     @property
     def reads_log(self) -> bool:
@@ -147,27 +169,33 @@
         """Apply records that were read from the log, and relay the new ones."""
         now = self._clock.monotonic()
         topic = followed.topic
-        known_offset = self.replica.offset(topic)
+        before = self._progress(topic)
         self._note_era(topic, followed.end)
-        if followed.is_snapshot and followed.end <= known_offset:
+        if followed.is_snapshot and followed.end <= before.offset:
             self._log.warning(
                 "log ends before newest known record",
                 topic=topic,
                 end=followed.end,
-                known_offset=known_offset,
+                known_offset=before.offset,
                 records=len(followed.records),
             )
-        applied = [
-            record for record in followed.records if self._process_record(topic, record)
-        ]
         if followed.is_snapshot:
-            listed = {record.key for record in followed.records}
-            applied += self._drop_unlisted(topic, listed, followed.end)
-            self.replica.note_complete(topic)
+            as_of = Position(followed.end - 1)
+            applied = self._apply_list(topic, list(followed.records), set(), as_of)
+        else:
+            applied = self._process_records(topic, followed.records)
         self.replica.reached(topic, followed.read_to, now)
         self._finish_batch(topic)
-        if applied:
-            self._pass_on(topic, known_offset, applied)
+        if applied or self.replica.seen(topic) > before.seen:
+            self._pass_on(topic, before, applied)
+
+    def _progress(self, topic: Topic) -> _Progress:
+        """Return how far a topic is known now."""
+        offset, seen = self.replica.offset(topic), self.replica.seen(topic)
+        if not self.replica.is_complete(topic):
+            return _Progress(offset, seen, INCOMPLETE)
+        covered = self.replica.history(topic).first_covered(min(offset, seen))
+        return _Progress(offset, seen, covered)
 
     def _note_era(self, topic: Topic, at: Position) -> None:
         """Process the era of a position; a later era may lack known upstreams."""
@@ -249,18 +277,55 @@
             self.replica.keep(topic, Record(ended_at, upstream, None))
         return bool(lost)
 
+    def _process_records(
+        self,
+        topic: Topic,
+        records: Iterable[Record],
+        listed_as_of: Position = INCOMPLETE,
+    ) -> list[Record]:
+        """Apply the records that are new; return those to relay to peers.
+
+        Parameters
+        ----------
+        listed_as_of : Position
+            Position of the list that has the records; `INCOMPLETE` if none has.
+        """
+        return [
+            record
+            for record in records
+            if self.replica.is_news(topic, record, listed_as_of)
+            and self._process_record(topic, record)
+        ]
+
     def _process_record(self, topic: Topic, record: Record) -> bool:
-        """Apply a record if it is new; return whether to relay it to peers.
+        """Apply a new record; return whether to relay it to peers.
 
-        True if it changed something, or moved its key to a position in a later era.
+        True if it changed something, ended its key, or moved it to a position in a
+        later era. An end matters to peers even if its key is unknown here.
         """
-        if not self.replica.is_news(topic, record):
-            return False
-        if self._apply_record(topic, record):
+        if self._apply_record(topic, record) or record.value is None:
             self.replica.keep(topic, record)
             return True
         return self.replica.update_position(topic, record)
 
+    def _apply_list(
+        self, topic: Topic, records: list[Record], undecided: Set[str], as_of: Position
+    ) -> list[Record]:
+        """Apply a list of all keys; return the records to relay to peers.
+
+        Parameters
+        ----------
+        undecided : set of str
+            Keys that have not ended although they are not listed.
+        as_of : Position
+            Position of which this is the list.
+        """
+        applied = self._process_records(topic, records, as_of)
+        listed = {record.key for record in records} | undecided
+        applied += self._drop_unlisted(topic, listed, Position(as_of + 1))
+        self.replica.note_list(topic, as_of)
+        return applied
+
     def _apply_record(self, topic: Topic, record: Record) -> bool:
         if topic is Topic.CRASHES and record.key.startswith(VERSIONS_KEY_PREFIX):
             self._versions_recorded(record)
@@ -285,20 +350,52 @@
                 return False
         return self._quarantine.put(record.key, report, record.offset)
 
-    def _pass_on(self, topic: Topic, after: int, records: list[Record]) -> None:
-        """Push records to the linked instances, or announce them if they are large."""
+    def _pass_on(self, topic: Topic, before: _Progress, applied: list[Record]) -> None:
+        """Push what a read has changed to the linked instances.
+
+        Large records are announced. If nothing changed, only the new position is sent,
+        so that others do not count as behind.
+        """
         peers = self._peers.linked()
-        if sum(_value_size(record) for record in records) > MAX_PUSHED_BYTES:
+        if before.pushed_after == INCOMPLETE:
+            self._push_list(topic, peers)
+            return
+        if before.offset > before.pushed_after:
+            # Some of these records came from peers, ahead of the ones read now.
+            applied = self.replica.after(topic, before.pushed_after)
+        if _size(applied) > MAX_PUSHED_BYTES:
             self._announce(topic, peers)
             return
-        newest = self.replica.offset(topic)
-        relay = messages.Relay(str(topic), after, newest, *pack(records))
+        seen = self.replica.seen(topic)
+        relay = self._relay(topic, before.pushed_after, seen, applied)
         for peer in peers:
             self._effects.send_to(peer, relay)
 
+    def _push_list(self, topic: Topic, peers: list[str]) -> None:
+        """Push a list of all keys, or announce it if it is large."""
+        if _size(self.replica.live(topic)) > MAX_PUSHED_BYTES:
+            self._announce(topic, peers)
+            return
+        for part in self._make_list(topic):
+            for peer in peers:
+                self._effects.send_to(peer, part)
+
+    def _make_list(self, topic: Topic) -> list[messages.RecordList]:
+        is_upstreams = topic is Topic.UPSTREAMS
+        undecided = self._restored.all_held_back() if is_upstreams else []
+        as_of = self.replica.seen(topic)
+        return make_list(topic, as_of, self.replica.live(topic), undecided)
+
+    def _relay(
+        self, topic: Topic, after: Position, up_to: Position, records: list[Record]
+    ) -> messages.Relay:
+        gap = self.replica.history(topic).gap_beyond(after)
+        packed = pack(records)
+        return messages.Relay(str(topic), after, up_to, *packed, gap.after, gap.until)
+
     def _announce(self, topic: Topic, peers: list[str]) -> None:
         """Announce to others that there are new records to pull."""
-        message = messages.LargeRecordsNotice(str(topic), self.replica.offset(topic))
+        message = messages.LargeRecordsNotice(str(topic), self.replica.seen(topic))
         for peer in peers:
             self._effects.send_to(peer, message)
 
@@ -320,7 +417,6 @@
             self._end_upstream_now(upstream, last_offset, individual=True)
             end_record = Record(last_offset, upstream, None)
             self.replica.keep(topic, end_record)
-            self.replica.see(topic, last_offset)
             ends.append(end_record)
         return ends
 
@@ -487,32 +583,86 @@
         self._effects.send_to(peer, messages.Pull(str(topic), INCOMPLETE))
 
     def pulled(self, peer: str, pull: messages.Pull) -> None:
-        """Answer a peer's pull with the records that it lacks."""
+        """Answer a peer's pull with the records that it lacks, or with a list."""
         topic = Topic(pull.topic)
-        records = self.replica.after(topic, Position(pull.after))
-        if not records or not self.replica.is_complete(topic):
+        after = Position(pull.after)
+        up_to = self.replica.known_up_to(topic)
+        if after >= up_to:
             # The peer would treat a partial replica as a complete one.
             return
-        up_to = self.replica.known_up_to(topic)
+        if not self.replica.history(topic).covers(after):
+            # Not sent to earlier revisions: these read the log themselves.
+            for part in self._make_list(topic):
+                self._effects.send_to(peer, part)
+            return
+        records = self.replica.after(topic, after)
         if len(records) == MAX_RELAYED:
             up_to = min(up_to, records[-1].offset)
-        relay = messages.Relay(pull.topic, pull.after, up_to, *pack(records))
-        self._effects.send_to(peer, relay)
+        self._effects.send_to(peer, self._relay(topic, after, up_to, records))
 
     def handle_relay(self, peer: str, relay: messages.Relay) -> None:
         """Apply records that a peer has relayed."""
         topic = Topic(relay.topic)
         self._note_era(topic, Position(relay.up_to))
         records = unpack(relay.records, relay.compressed)
-        applied = [record for record in records if self._process_record(topic, record)]
+        applied = self._process_records(topic, records)
         seen = self.replica.seen(topic)
-        if relay.after <= seen:
-            self.replica.see(topic, Position(relay.up_to))
+        history_break = self.replica.find_break(topic, relay)
+        if history_break is None:
+            self.replica.follow(topic, relay)
             self._continue_pull(peer, topic, seen)
         else:
+            self._note_break(peer, relay, seen, history_break)
             self.catch_up(peer, topic, Position(relay.up_to))
+        self._finish_relayed(topic, applied)
+
+    def _note_break(
+        self, peer: str, relay: messages.Relay, seen: Position, why: HistoryBreak
+    ) -> None:
+        if relay.up_to <= seen:
+            return
+        self._metrics.count("relay_breaks", relay.topic, why)
+        self._log.info(
+            "relayed records do not continue the known ones",
+            topic=relay.topic,
+            peer=peer,
+            why=why,
+            known=seen,
+            after=relay.after,
+            up_to=relay.up_to,
+        )
+
+    def handle_list(self, peer: str, message: messages.RecordList) -> None:
+        """Apply a list that a peer has sent, once all its parts have arrived."""
+        listed = self._incoming_lists.add(peer, message)
+        if listed is None:
+            return
+        topic = Topic(message.topic)
+        seen = self.replica.seen(topic)
+        self._note_era(topic, listed.as_of)
+        if self.replica.is_complete(topic) and listed.as_of <= seen:
+            applied = self._process_records(topic, listed.records, listed.as_of)
+        else:
+            applied = self._apply_list(
+                topic, listed.records, listed.undecided, listed.as_of
+            )
+        self._metrics.count("record_lists", topic)
+        self._log.info(
+            "record list received",
+            topic=topic,
+            peer=peer,
+            known=seen,
+            as_of=listed.as_of,
+            records=len(listed.records),
+            changed=len(applied),
+        )
+        self._continue_pull(peer, topic, seen)
+        self._finish_relayed(topic, applied)
+
+    def _finish_relayed(self, topic: Topic, applied: list[Record]) -> None:
+        """Apply the ends of a batch, and announce large records to a hub's members."""
         self._finish_batch(topic)
-        if sum(_value_size(record) for record in applied) > MAX_PUSHED_BYTES:
+        if _size(applied) > MAX_PUSHED_BYTES:
             self._announce(topic, self._hubs.members())
 
     def _continue_pull(self, peer: str, topic: Topic, seen_before: Position) -> None:
@@ -527,5 +677,6 @@
         self.replica.note_complete(topic)
 
 
-def _value_size(record: Record) -> int:
-    return len(record.value or b"")
+def _size(records: Iterable[Record]) -> int:
+    """Return the bytes of the values of records."""
+    return sum(len(record.value or b"") for record in records)
--- a/packages/ashhoist/src/ashhoist/control/replica.py
+++ b/packages/ashhoist/src/ashhoist/control/replica.py
@@ -7,9 +7,12 @@
 
 from dataclasses import dataclass, field
 from datetime import timedelta
+from enum import StrEnum
 
 from ..clock import ZERO
 from ..store import Position, Record, Topic, era_of, supersedes
+from .history import BEFORE_ALL, Gap, History
+from .messages import Relay
 
 SHARED_TOPICS = (Topic.CONFIGURATION, Topic.UPSTREAMS, Topic.CRASHES)
 NEEDED_TOPICS = (Topic.CONFIGURATION, Topic.UPSTREAMS)
@@ -27,6 +30,19 @@
 """Known position of a topic of which only some keys are known."""
 EMPTY_TOPIC = Position(-2)
 """Known position of a complete topic that was never written to."""
+MAX_ENDS = 4000
+"""Maximum number of ended keys that are kept; half of them are dropped beyond it."""
+
+
+class HistoryBreak(StrEnum):
+    """Why relayed records do not continue a replica."""
+
+    MISSING_RECORDS = "missing_records"
+    """There are records between the known position and the relayed ones."""
+    SENDER_LISTED = "sender_listed"
+    """The sender may not know all ends since the known position."""
+    NOT_STATED = "not_stated"
+    """The sender's revision does not state its history."""
 
 
 @dataclass(slots=True)
@@ -55,9 +71,15 @@
         Since when a peer has been ahead; None if none is.
     pulled_at, log_asked_at : timedelta or None
         When a peer was last asked, and the log last read, in order to catch up.
+    history : History
+        Of which positions all later changes are known.
+    ends : int
+        Number of ended keys in `by_key`.
     """
 
     by_key: dict[str, Record] = field(default_factory=dict)
+    history: History = field(default_factory=History)
+    ends: int = 0
     offset: Position = INCOMPLETE
     seen: Position = INCOMPLETE
     whole: bool = False
@@ -101,8 +123,11 @@
         state = self._topics[topic]
         if not state.whole:
             return INCOMPLETE
-        known = min(state.offset, state.seen)
-        return EMPTY_TOPIC if known < 0 else known
+        return EMPTY_TOPIC if state.seen < 0 else state.seen
+
+    def history(self, topic: Topic) -> History:
+        """Return of which positions all later changes are known here."""
+        return self._topics[topic].history
 
     def is_complete(self, topic: Topic) -> bool:
         """Return whether all keys of a topic are known."""
@@ -110,7 +135,38 @@
 
     def note_complete(self, topic: Topic) -> None:
         """Record that all keys of a topic were received."""
-        self._topics[topic].whole = True
+        state = self._topics[topic]
+        if not state.whole:
+            state.history.add(Gap(BEFORE_ALL, state.seen))
+        state.whole = True
+
+    def note_list(self, topic: Topic, as_of: Position) -> None:
+        """Record that a list of all keys as of a position was received."""
+        state = self._topics[topic]
+        known_before = state.seen if state.whole else BEFORE_ALL
+        state.history.add(Gap(known_before, as_of))
+        state.whole = True
+        self.see(topic, as_of)
+
+    def find_break(self, topic: Topic, relay: Relay) -> HistoryBreak | None:
+        """Return why relayed records do not continue this replica; None if they do."""
+        state = self._topics[topic]
+        if relay.after > state.seen:
+            return HistoryBreak.MISSING_RECORDS
+        if not state.whole:
+            return None
+        if not relay.states_history:
+            return HistoryBreak.NOT_STATED
+        if _gap_of(relay).contains(state.seen):
+            return HistoryBreak.SENDER_LISTED
+        return None
+
+    def follow(self, topic: Topic, relay: Relay) -> None:
+        """Record that relayed records, which continue this replica, were received."""
+        state = self._topics[topic]
+        if state.whole and relay.gap_until > state.seen:
+            state.history.add(_gap_of(relay))
+        self.see(topic, Position(relay.up_to))
 
     def note_era(self, topic: Topic, era: int, now: timedelta) -> bool:
         """Record the era of a topic; return whether a known era was superseded."""
@@ -139,25 +195,57 @@
         """Return, for each topic, the offset up to which all changes are known here."""
         return {str(topic): self.known_up_to(topic) for topic in self._topics}
 
-    def is_news(self, topic: Topic, record: Record) -> bool:
-        """Return whether a record may be newer than the known one of its key.
+    def is_news(
+        self, topic: Topic, record: Record, listed_as_of: Position = INCOMPLETE
+    ) -> bool:
+        """Return whether a record may be newer than what is known of its key.
 
         A record of an earlier era may be newer than a known one of a later era, unless
         the known one has the higher offset: the known one may come from the copy that
         the log was restored from.
+
+        Parameters
+        ----------
+        listed_as_of : Position
+            Position of the list that has the record; `INCOMPLETE` if none has.
         """
         known = self._topics[topic].by_key.get(record.key)
-        if known is None or known.offset < record.offset:
+        if known is None:
+            return not self._had_ended(topic, record, listed_as_of)
+        if known.offset < record.offset:
             return True
         if known.offset == record.offset:
             return known.value != record.value
         return not supersedes(known.offset, record.offset)
 
+    def _had_ended(self, topic: Topic, record: Record, listed_as_of: Position) -> bool:
+        """Return whether a record of an unknown key is older than a list without it."""
+        state = self._topics[topic]
+        listed_at = min(state.history.listed_at, state.seen)
+        if not state.whole or listed_as_of >= listed_at:
+            return False
+        return record.offset <= listed_at and era_of(record.offset) == era_of(listed_at)
+
     def keep(self, topic: Topic, record: Record) -> None:
         """Keep a record that has changed something, so that peers can pull it."""
         state = self._topics[topic]
+        before = state.by_key.get(record.key)
+        state.ends -= before is not None and before.value is None
+        state.ends += record.value is None
         state.by_key[record.key] = record
         state.offset = max(state.offset, record.offset)
+        if state.ends > MAX_ENDS:
+            self._drop_oldest_ends(state)
+
+    def _drop_oldest_ends(self, state: _TopicState) -> None:
+        """Drop half of the ended keys; changes since before them can't be told then."""
+        ends = [record for record in state.by_key.values() if record.value is None]
+        ends.sort(key=lambda record: record.offset)
+        dropped = ends[: len(ends) // 2]
+        for record in dropped:
+            del state.by_key[record.key]
+        state.ends -= len(dropped)
+        state.history.add(Gap(BEFORE_ALL, dropped[-1].offset))
 
     def update_position(self, topic: Topic, record: Record) -> bool:
         """Move the known value of a key to the position of its record in a later era.
@@ -194,6 +282,13 @@
         found.sort(key=lambda record: record.offset)
         return found[:MAX_RELAYED]
 
+    def live(self, topic: Topic) -> list[Record]:
+        """Return the newest records of all keys that have not ended, in order."""
+        records = self._topics[topic].by_key.values()
+        found = [record for record in records if record.value is not None]
+        found.sort(key=lambda record: record.offset)
+        return found
+
     def note_peer_position(
         self, topic: Topic, peer_offset: Position, now: timedelta
     ) -> bool:
@@ -255,6 +350,8 @@
                 ends.append(Record(last_offset, key, None))
         for ended in ends:
             self.keep(topic, ended)
-        if ends:
-            self.see(topic, last_offset)
         return ends
+
+
+def _gap_of(relay: Relay) -> Gap:
+    return Gap(Position(relay.gap_after), Position(relay.gap_until))
--- a/packages/ashhoist/src/ashhoist/control/restored_upstreams.py
+++ b/packages/ashhoist/src/ashhoist/control/restored_upstreams.py
@@ -96,6 +96,10 @@
             self._held_by_id[upstream.id] = (record, until)
         return True
 
+    def all_held_back(self) -> list[str]:
+        """Return the IDs of all upstreams with a held-back record."""
+        return list(self._held_by_id)
+
     def held_back(self, end: Position) -> list[str]:
         """Return the IDs of upstreams with a held-back record before `end`."""
         return [
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -61,6 +61,11 @@
     ),
     "charged_alone": ("Charges without an answer of the leader", ("result",)),
     "refused_records": ("Records of the log that are not acceptable", ("key",)),
+    "relay_breaks": (
+        "Relayed records that do not continue the known ones",
+        ("topic", "reason"),
+    ),
+    "record_lists": ("Lists of all keys received from other instances", ("topic",)),
     "admissions": (
         "Decisions on requests to contended services",
         ("customer", "result"),
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -6,13 +6,18 @@
 from ashhoist.control.messages import Relay
 from ashhoist.control.record_codec import pack
 from ashhoist.control.records import SharedRecords
+from ashhoist.control.replica import SHARED_TOPICS
 from ashhoist.placement.messages import Target
+from ashhoist.quarantine import CRASH_THRESHOLD, Crash
 from ashhoist.store import Position, Record, Topic
 from ashhoist.upstreams import UpstreamState
 
 from .control_world import World
 from .world_requests import started, want
 
+REQUEST = "0a1b2c"
+"""Fingerprint of a request."""
+
 
 def versions(world: World) -> set[int]:
     """Return the configuration versions in force at any running machine."""
@@ -34,6 +39,17 @@
     return found
 
 
+def crash_request(world: World) -> list[str]:
+    """Record enough crashes to hold a request back; return the keys of the records."""
+    crashes = [
+        Crash(f"engine-{number}", "instance-0", frozenset([REQUEST]))
+        for number in range(CRASH_THRESHOLD)
+    ]
+    for crash in crashes:
+        world.log.append(Topic.CRASHES, crash.key, crash.encode())
+    return [crash.key for crash in crashes]
+
+
 class KnowledgeTests(unittest.TestCase):
     def test_a_change_is_in_force_everywhere_soon(self) -> None:
         world = started(6)
@@ -61,6 +77,49 @@
                 world.run(1.9)
                 self.assertEqual(states(world, "engine-0"), {None})
 
+    def test_ends_that_a_newly_started_instance_never_saw_reach_older_ones(
+        self,
+    ) -> None:
+        # Guards against a position that claims all changes, told after a list alone.
+        for dropped in (False, True):
+            with self.subTest(history_dropped=dropped):
+                world = started(3)
+                keys = crash_request(world)
+                world.run(2.0)
+                world.kill("instance-0")
+                world.kill("instance-1")
+                older = world.machines["instance-2"]
+                older.store_cut = True
+                world.run(1.0)
+                assert older.core is not None
+                self.assertTrue(older.quarantine.holds_back(REQUEST))
+                world.end_engine("engine-0")
+                for key in keys:
+                    world.log.append(Topic.CRASHES, key, None)
+                if dropped:
+                    for topic in SHARED_TOPICS:
+                        world.log.forget_history(topic)
+                world.start("instance-0", "instance-1")
+                world.run(3.0)
+                self.assertEqual(states(world, "engine-0"), {None})
+                self.assertFalse(older.quarantine.holds_back(REQUEST))
+
+    def test_upstream_that_ended_is_not_brought_back_by_an_older_record(self) -> None:
+        # Guards against taking a record from before a list, which lacks it, for news.
+        world = started(2)
+        offset, value = world.log.topics[Topic.UPSTREAMS].newest["engine-0"]
+        for name in world.machines:
+            world.kill(name)
+        world.end_engine("engine-0")
+        world.start("instance-0")
+        world.run(3.0)
+        core = world.machines["instance-0"].core
+        assert core is not None
+        packed = pack([Record(Position(offset), "engine-0", value)])
+        relay = Relay(str(Topic.UPSTREAMS), -1, offset, *packed, -1, -1)
+        core.handle_message("instance-1", relay)
+        self.assertNotIn("engine-0", core._directory.view.by_id)
+
     def test_peers_that_are_behind_do_not_hide_the_one_ahead(self) -> None:
         # Guards against never reading the log while pulls get no answer.
         world = started(6)
@@ -154,11 +213,11 @@
         assert core is not None
         seen = core.records.replica.seen(Topic.CONFIGURATION)
         packed = pack([Record(seen + 5, "version/a1", b"x")])
-        relay = Relay(str(Topic.CONFIGURATION), seen + 4, seen + 5, *packed)
+        relay = Relay(str(Topic.CONFIGURATION), seen + 4, seen + 5, *packed, -1, -1)
         core.handle_message("instance-1", relay)
         self.assertEqual(core.records.replica.seen(Topic.CONFIGURATION), seen)
         packed = pack([Record(seen + 1, "version/a2", b"x")])
-        relay = Relay(str(Topic.CONFIGURATION), seen, seen + 1, *packed)
+        relay = Relay(str(Topic.CONFIGURATION), seen, seen + 1, *packed, -1, -1)
         core.handle_message("instance-1", relay)
         self.assertEqual(core.records.replica.seen(Topic.CONFIGURATION), seen + 1)
 
--- a/tests/world_links.py
+++ b/tests/world_links.py
@@ -96,6 +96,8 @@
                 self._timeline.after(RESEND_INTERVAL_S, resend)
             return True
         self._count(machine, other, message)
+        if revision < codec.REVISION:
+            message = _as_received(message, revision)
         name = machine.name
         step = other.bind_step(lambda core: core.handle_message(name, message))
         self._timeline.after(LINK_S, step)
@@ -115,5 +117,11 @@
             self.cross_zone_bytes[kind] += len(codec.encode_one(message))
 
 
+def _as_received(message: Any, revision: int) -> Any:
+    """Return a message without the fields that a revision does not have."""
+    [received] = codec.decode(codec.join([codec.encode_one(message, revision)]))
+    return received
+
+
 def _pair(one: str, other: str) -> tuple[str, str]:
     return (one, other) if one < other else (other, one)
