A refused order for a base model no longer stands for an accepted one

Callers got 503 (no_place) from all instances for good, with sound engines, after all engines had crashed and all instances were restarted while the engines loaded their base model.

Cause: a new leader took the 409 to its order, which its predecessor's load drew, as accepted, counted it, and polled with a count that was one too high ever after. While a model counts as loading no report was fetched. Change: a refusal means a load that goes on only if an order for it was accepted before, and then a report confirms it once a second. Any other refusal has the engine read back. While a report says that an engine without a model carries out an unknown order, it is ordered nothing and read again 0.35 s later; it counts as a load from the store. A poll without a known order count, which raised an AssertionError after a fenced poll, waits.

--- a/packages/ashhoist/src/ashhoist/placement/engine.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine.py
@@ -26,6 +26,8 @@
 """A load is first polled after this fraction of its expected time."""
 LOAD_POLL_INTERVAL = timedelta(milliseconds=20)
 MODEL_POLL_INTERVAL = timedelta(milliseconds=60)
+MODEL_CHECK_INTERVAL = timedelta(seconds=1)
+"""Interval between reports while polls of a base model's load are refused."""
 UNLOAD_POLL_INTERVAL = timedelta(milliseconds=100)
 REPORT_DELAY = timedelta(milliseconds=350)
 """Delay before a report is fetched, as reports lag behind the engine's state."""
@@ -121,7 +123,12 @@
     unresolved_order : Order or None
         The last order if it is not known whether it was accepted.
     loading_model : AdapterSlot or None
-        The base model that is being loaded.
+        The base model that this leader is loading: the engine has accepted its order.
+    model_checked_at : timedelta
+        When that order was accepted, or a report last confirmed that a load goes on.
+    is_busy : bool
+        Whether the engine, which has no base model, has reported that it carries out an
+        order that is not known here, such as one of an earlier leader.
     """
 
     def __init__(
@@ -151,6 +158,8 @@
         self.models: set[str] = set(upstream.models)
         self.model_copies: set[str] = set()
         self.loading_model: AdapterSlot | None = None
+        self.model_checked_at = timedelta()
+        self.is_busy = False
         self._process_started_at = upstream.born
         self.cold_load_time = COLD_LOAD_TIME
         self.warm_load_time = WARM_LOAD_TIME
@@ -314,8 +323,8 @@
             self.unresolved_order = unresolved
             self.paused_until = now + RETRY_PAUSE
             return EngineUpdate()
-        if answer is OrderAnswer.CONFLICT and not order.adapter.name:
-            return self._model_answered(order, OrderAnswer.ACCEPTED, now)
+        if answer is OrderAnswer.CONFLICT and self._polls_model(order):
+            return self._model_poll_refused(order, now)
         if answer is OrderAnswer.FENCED:
             # Another instance has sent it orders meanwhile: fetch its current state.
             return self._order_refused(order, OrderAnswer.REFUSED, now)
@@ -327,6 +336,20 @@
             return self._load_answered(order, answer, now)
         return self._unload_answered(order, answer, now)
 
+    def _polls_model(self, order: Order) -> bool:
+        """Return whether an order polls a base model's load that was accepted."""
+        return not order.adapter.name and self.loading_model is not None
+
+    def _model_poll_refused(self, order: Order, now: timedelta) -> EngineUpdate:
+        """Take a load as going on, and have a report confirm that from time to time.
+
+        The engine refuses a poll while the load goes on, but also if the order count
+        is wrong.
+        """
+        if now - self.model_checked_at >= MODEL_CHECK_INTERVAL:
+            self.report_due_at = now
+        return self._model_answered(order, OrderAnswer.ACCEPTED, now)
+
     def _order_refused(
         self, order: Order, answer: OrderAnswer, now: timedelta
     ) -> EngineUpdate:
@@ -351,6 +374,7 @@
             self.loading_model = AdapterSlot(
                 order.adapter, 0, SlotState.LOADING, now, now, cold
             )
+            self.model_checked_at = now
         if answer is OrderAnswer.ACCEPTED:
             self.loading_model.poll_at = now + MODEL_POLL_INTERVAL
             return EngineUpdate()
@@ -477,7 +501,7 @@
         self.order_count = report.order_count
         self.models = set(report.models)
         self.model_copies = set(report.model_copies) | self.models
-        self.loading_model = None
+        self._apply_reported_load(report, now)
         previous = dict(self.adapter_slots)
         for adapter in previous:
             self._remove_slot(adapter)
@@ -487,6 +511,21 @@
             self._restore_slot(previous, adapter, version, SlotState.LOADING, now)
         return EngineUpdate(serving_changed=True)
 
+    def _apply_reported_load(self, report: EngineReport, now: timedelta) -> None:
+        """Update whether a base model is being loaded.
+
+        The report does not say which model. An order is only sent again once no other
+        is under way, so that the engine does not load two.
+        """
+        is_loading = report.busy and not report.models
+        self.is_busy = is_loading and self.loading_model is None
+        if not is_loading:
+            self.loading_model = None
+        elif self.is_busy:
+            self.report_due_at = now + REPORT_DELAY
+        else:
+            self.model_checked_at = now
+
     def _clear_copies(self) -> None:
         """Forget its copies: they were lost when the engine restarted."""
         for adapter in self.copies:
--- a/packages/ashhoist/src/ashhoist/placement/engine_orders.py
+++ b/packages/ashhoist/src/ashhoist/placement/engine_orders.py
@@ -46,7 +46,8 @@
         if engine.unresolved_order is not None:
             self._send(engine, engine.unresolved_order)
         elif engine.loading_model is not None:
-            self._poll_model(engine, engine.loading_model, now)
+            if engine.state_known:
+                self._poll_model(engine, engine.loading_model, now)
         elif engine.can_order(now):
             self._poll_slots(engine, now)
 
--- a/packages/ashhoist/src/ashhoist/placement/model_loads.py
+++ b/packages/ashhoist/src/ashhoist/placement/model_loads.py
@@ -106,7 +106,8 @@
 
 def _loads_from_store(engine: Engine) -> bool:
     """Return whether an engine loads, or may load, a base model from the store."""
-    if engine.loading_model is not None and engine.loading_model.cold:
+    model = engine.loading_model
+    if engine.is_busy or (model is not None and model.cold):
         return True
     order = engine.order_in_flight
     return order is not None and not order.adapter.name
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -353,6 +353,7 @@
                 (),
                 {Adapter(MODEL, name): v for name, v in engine.adapters.items()},
                 {Adapter(MODEL, name): v for name, (v, _) in engine.coming.items()},
+                busy=engine.model_coming is not None,
                 born=self.born_by_engine.get(request.upstream, 0),
             )
         step = lambda: self._run_and_settle(  # noqa: E731
--- a/tests/platform_stand_ins/engine_state.py
+++ b/tests/platform_stand_ins/engine_state.py
@@ -11,6 +11,9 @@
 
     Attributes
     ----------
+    refuses_polls : bool
+        Whether an order for the model that is being loaded is refused, as one for any
+        other model is.
     fallen : str
         Why it fell, if it was ordered beyond what it can hold.
     """
@@ -29,6 +32,7 @@
     users: dict[str, int] = field(default_factory=dict)
     newest: dict[str, int] = field(default_factory=dict)
     model_coming: tuple[str, float] | None = None
+    refuses_polls: bool = False
     cold_loads: int = 0
     fallen: str = ""
 
@@ -71,7 +75,8 @@
         if model in self.models:
             return 200
         if self.model_coming is not None:
-            return 202 if self.model_coming[0] == model else 409
+            is_same = self.model_coming[0] == model
+            return 202 if is_same and not self.refuses_polls else 409
         self.sequence += 1
         self.model_coming = (model, now + self.model_s)
         return 202
