Records of the log: what they change has a module of its own

Change: state_changes.py applies changes and keeps delayed ends; messages of changes and lists are made in record_lists.py.

--- a/packages/ashhoist/src/ashhoist/control/record_lists.py
+++ b/packages/ashhoist/src/ashhoist/control/record_lists.py
@@ -1,11 +1,12 @@
-"""Lists of all keys of a topic, sent between instances in several messages."""
+"""Messages with changes of a topic, and with lists of all keys in several parts."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..store import Position, Record, Topic
-from .messages import RecordList
+from .messages import RecordList, Relay
 from .record_codec import pack, unpack
+from .replica import Replica
 
 MAX_LISTED = 2000
 """Maximum number of records in one message of a list."""
@@ -31,15 +32,22 @@
 
 
 def make_list(
-    topic: Topic, as_of: Position, records: list[Record], undecided: Iterable[str]
+    replica: Replica, topic: Topic, undecided: Iterable[str]
 ) -> list[RecordList]:
-    """Return the messages of a list, in the order in which to send them."""
+    """Return the messages of a list of all live keys, in the order to send them.
+
+    Parameters
+    ----------
+    undecided : iterable of str
+        Keys that are not live in the replica, and may not have ended.
+    """
+    records = replica.live(topic)
     starts = range(0, max(len(records), 1), MAX_LISTED)
     names = sorted(undecided)
     return [
         RecordList(
             str(topic),
-            as_of,
+            replica.seen(topic),
             number,
             len(starts),
             names,
@@ -49,6 +57,24 @@
     ]
 
 
+def make_relay(
+    replica: Replica,
+    topic: Topic,
+    after: Position,
+    up_to: Position,
+    records: list[Record],
+) -> Relay:
+    """Return the message of all changes between two positions.
+
+    Parameters
+    ----------
+    after : Position
+        A position that the history of the replica covers.
+    """
+    gap = replica.history(topic).gap_beyond(after)
+    return Relay(str(topic), after, up_to, *pack(records), gap.after, gap.until)
+
+
 class IncomingLists:
     """Assembles the messages of lists, one list of each topic at a time."""
 
--- a/packages/ashhoist/src/ashhoist/control/records.py
+++ b/packages/ashhoist/src/ashhoist/control/records.py
@@ -5,34 +5,23 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping, Set
-from dataclasses import dataclass
 from datetime import timedelta
 
 from ..clock import ZERO, Clock
 from ..logs import Logger
 from ..metrics import Metrics
 from ..placement import Residency
-from ..quarantine import MalformedRecordError, Quarantine, decode_record
+from ..quarantine import Quarantine
 from ..routing.active_configuration import ActiveConfiguration
 from ..store import Position, ReadPacing, Record, Topic, era_of, position
 from ..store.follower import FollowedRecords
-from ..streams import VERSIONS_KEY_PREFIX
-from ..upstreams import Directory, Health, LapsedEnds
+from ..upstreams import Directory, Health
 from . import messages
-from .changes import (
-    Change,
-    ConfigurationPut,
-    ConfigurationRefused,
-    UpstreamEnded,
-    UpstreamPut,
-    UpstreamRefused,
-    VersionNamed,
-)
 from .effects import Effects
 from .hubs import Hubs
 from .peers import Peers
-from .record_codec import pack, unpack
-from .record_lists import IncomingLists, make_list
+from .record_codec import unpack
+from .record_lists import IncomingLists, make_list, make_relay
 from .replica import (
     EMPTY_TOPIC,
     INCOMPLETE,
@@ -40,9 +29,10 @@
     NEEDED_TOPICS,
     PULL_PAUSE,
     HistoryBreak,
+    Progress,
     Replica,
 )
-from .restored_upstreams import RestoredUpstreams
+from .state_changes import Decode, StateChanges
 
 ANSWER_GRACE = timedelta(milliseconds=700)
 """Time beyond a topic's round after which its next answer is overdue. Slow answers take
@@ -53,26 +43,6 @@
 """How long upstreams have to write records again that a restored log lacks. They take
 about two seconds."""
 
-Decode = Callable[[Topic, Record], Change | None]
-
-
-@dataclass(frozen=True, slots=True)
-class _Progress:
-    """How far a topic is known at one moment.
-
-    Parameters
-    ----------
-    offset, seen : Position
-        See `Replica.offset` and `Replica.seen`.
-    pushed_after : Position
-        Position since which all changes can be told; `INCOMPLETE` if some keys are
-        missing.
-    """
-
-    offset: Position
-    seen: Position
-    pushed_after: Position
-
 
 class SharedRecords:
     """Applies the records of the shared topics, and replicates them to other instances.
@@ -108,11 +78,7 @@
         metrics: Metrics,
         log: Logger,
     ) -> None:
-        self._decode = decode
         self._in_force = active_configuration
-        self._directory = directory
-        self._residency = residency
-        self._health = health
         self._quarantine = quarantine
         self._peers = peers
         self._hubs = hubs
@@ -120,15 +86,26 @@
         self._paces = paces
         self._upstreams_changed = upstreams_changed
         self._log_restored = log_restored
-        self._versions_recorded = versions_recorded
         self._restored_era = 0
         self._clock = clock
         self._metrics = metrics
         self._log = log
         self.replica = Replica()
-        self._lapsed_ends = LapsedEnds(clock)
-        self._restored = RestoredUpstreams(clock)
-        self._log_may_lack_upstreams = False
+        self._changes = StateChanges(
+            decode,
+            active_configuration,
+            directory,
+            residency,
+            health,
+            quarantine,
+            self.replica,
+            effects,
+            upstreams_changed,
+            versions_recorded,
+            clock,
+            metrics,
+            log,
+        )
         self._log_unread_at = ZERO
         self._version_pulled_at: timedelta | None = None
         self._peers_ahead: dict[Topic, tuple[str, Position]] = {}
@@ -169,7 +146,7 @@
         """Apply records that were read from the log, and relay the new ones."""
         now = self._clock.monotonic()
         topic = followed.topic
-        before = self._progress(topic)
+        before = self.replica.progress(topic)
         self._note_era(topic, followed.end)
         if followed.is_snapshot and followed.end <= before.offset:
             self._log.warning(
@@ -189,14 +166,6 @@
         if applied or self.replica.seen(topic) > before.seen:
             self._pass_on(topic, before, applied)
 
-    def _progress(self, topic: Topic) -> _Progress:
-        """Return how far a topic is known now."""
-        offset, seen = self.replica.offset(topic), self.replica.seen(topic)
-        if not self.replica.is_complete(topic):
-            return _Progress(offset, seen, INCOMPLETE)
-        covered = self.replica.history(topic).first_covered(min(offset, seen))
-        return _Progress(offset, seen, covered)
-
     def _note_era(self, topic: Topic, at: Position) -> None:
         """Process the era of a position; a later era may lack known upstreams."""
         if at < 0:  # no position, hence no era
@@ -208,7 +177,7 @@
             return
         self._log.info("log restored", topic=topic, era=era_of(at))
         if topic is Topic.UPSTREAMS:
-            self._log_may_lack_upstreams = True
+            self._changes.log_may_lack_upstreams = True
         if era_of(at) > self._restored_era:
             self._restored_era = era_of(at)
             self._log_restored()
@@ -217,9 +186,7 @@
         """Apply the ends of upstreams in a batch, which may have lapsed together."""
         if topic is not Topic.UPSTREAMS:
             return
-        known = len(self._directory.view.by_id)
-        for upstream, offset in self._lapsed_ends.settle(known):
-            self._end_upstream_now(upstream, offset, individual=True)
+        self._changes.settle_ends()
         self._upstreams_changed()
 
     def tick(self) -> None:
@@ -228,11 +195,9 @@
             self._log_unread_at = self._clock.monotonic()
         for topic, (peer, offset) in list(self._peers_ahead.items()):
             self.catch_up(peer, topic, offset)
-        due = self._lapsed_ends.due()
-        for upstream, offset in due:
-            self._end_upstream_now(upstream, offset)
+        have_lapsed = self._changes.end_lapsed()
         returned = self._apply_held_back()
-        if self._end_lost_upstreams() or due or returned:
+        if self._end_lost_upstreams() or have_lapsed or returned:
             self._upstreams_changed()
 
     def _has_log_reader(self) -> bool:
@@ -246,9 +211,9 @@
         """
         if not self._has_log_reader():
             return []
-        returned = self._restored.due()
+        returned = self._changes.restored.due()
         for record in returned:
-            self._apply_record(Topic.UPSTREAMS, record)
+            self._changes.apply_record(Topic.UPSTREAMS, record)
             self.replica.keep(Topic.UPSTREAMS, record)
         return returned
 
@@ -259,23 +224,26 @@
         `REWRITE_WITHIN`, so that live upstreams can write their records again.
         """
         topic = Topic.UPSTREAMS
-        if not self._log_may_lack_upstreams or not self.knows_latest(topic):
+        followed_since = self.followed_since(topic)
+        if not self._changes.log_may_lack_upstreams or followed_since is None:
             return False
-        log_read_since = max(self.replica.era_since(topic), self._log_unread_at)
+        log_read_since = max(self.replica.era_since(topic), followed_since)
         if self._clock.monotonic() - log_read_since < REWRITE_WITHIN:
             return False
-        self._log_may_lack_upstreams = False
+        self._changes.log_may_lack_upstreams = False
         era = self.replica.era(topic)
         ended_at = Position(position(era, 0) - 1)
-        lost = self._directory.recorded_before(era)
-        for upstream in lost:
-            known = self._directory.get(upstream)
-            born = None if known is None else known.born
-            self._end_upstream_now(upstream, ended_at)
-            # Keeps a later restore from bringing the ended upstream back.
-            self._restored.note_end(upstream, self.replica.offset(topic), born)
-            self.replica.keep(topic, Record(ended_at, upstream, None))
-        return bool(lost)
+        ends = self._changes.end_recorded_before(era, ended_at)
+        for end in ends:
+            self.replica.keep(topic, end)
+        return bool(ends)
+
+    def followed_since(self, topic: Topic) -> timedelta | None:
+        """Return since when a topic has been followed, here or by linked instances.
+
+        None if a peer is ahead, or not all of the topic is known.
+        """
+        return self._log_unread_at if self.knows_latest(topic) else None
 
     def _process_records(
         self,
@@ -303,7 +271,7 @@
         True if it changed something, ended its key, or moved it to a position in a
         later era. An end matters to peers even if its key is unknown here.
         """
-        if self._apply_record(topic, record) or record.value is None:
+        if self._changes.apply_record(topic, record) or record.value is None:
             self.replica.keep(topic, record)
             return True
         return self.replica.update_position(topic, record)
@@ -326,31 +294,7 @@
         self.replica.note_list(topic, as_of)
         return applied
 
-    def _apply_record(self, topic: Topic, record: Record) -> bool:
-        if topic is Topic.CRASHES and record.key.startswith(VERSIONS_KEY_PREFIX):
-            self._versions_recorded(record)
-            return True
-        if topic is Topic.CRASHES:
-            return self._apply_crash(record)
-        change = self._decode(topic, record)
-        if isinstance(change, UpstreamPut):
-            if self._restored.hold_back(change.upstream, record):
-                return False
-        return change is not None and self._apply(change)
-
-    def _apply_crash(self, record: Record) -> bool:
-        """Apply an instance's record of requests that were cut off."""
-        report = None
-        if record.value is not None:
-            try:
-                report = decode_record(record.value)
-            except MalformedRecordError as error:
-                self._log.warning("crash record malformed", why=str(error))
-                self._metrics.count("refused_records", Topic.CRASHES)
-                return False
-        return self._quarantine.put(record.key, report, record.offset)
-
-    def _pass_on(self, topic: Topic, before: _Progress, applied: list[Record]) -> None:
+    def _pass_on(self, topic: Topic, before: Progress, applied: list[Record]) -> None:
         """Push what a read has changed to the linked instances.
 
         Large records are announced. If nothing changed, only the new position is sent,
@@ -367,7 +311,7 @@
             self._announce(topic, peers)
             return
         seen = self.replica.seen(topic)
-        relay = self._relay(topic, before.pushed_after, seen, applied)
+        relay = make_relay(self.replica, topic, before.pushed_after, seen, applied)
         for peer in peers:
             self._effects.send_to(peer, relay)
 
@@ -381,17 +325,9 @@
                 self._effects.send_to(peer, part)
 
     def _make_list(self, topic: Topic) -> list[messages.RecordList]:
-        is_upstreams = topic is Topic.UPSTREAMS
-        undecided = self._restored.all_held_back() if is_upstreams else []
-        as_of = self.replica.seen(topic)
-        return make_list(topic, as_of, self.replica.live(topic), undecided)
-
-    def _relay(
-        self, topic: Topic, after: Position, up_to: Position, records: list[Record]
-    ) -> messages.Relay:
-        gap = self.replica.history(topic).gap_beyond(after)
-        packed = pack(records)
-        return messages.Relay(str(topic), after, up_to, *packed, gap.after, gap.until)
+        held_back = self._changes.restored.all_held_back()
+        undecided = held_back if topic is Topic.UPSTREAMS else []
+        return make_list(self.replica, topic, undecided)
 
     def _announce(self, topic: Topic, peers: list[str]) -> None:
         """Announce to others that there are new records to pull."""
@@ -406,124 +342,13 @@
         ends = self.replica.drop_ended(topic, listed, end)
         if topic is Topic.CRASHES:
             self._quarantine.keep_only(listed, end)
-        if topic is not Topic.UPSTREAMS:
-            return ends
-        last_offset = Position(end - 1)
-        for upstream in self._directory.missing_from(listed, end):
-            self._apply(UpstreamEnded(upstream, last_offset))
-        for upstream in self._restored.held_back(end):
-            if upstream in listed:
-                continue
-            self._end_upstream_now(upstream, last_offset, individual=True)
-            end_record = Record(last_offset, upstream, None)
-            self.replica.keep(topic, end_record)
-            ends.append(end_record)
+        if topic is Topic.UPSTREAMS:
+            held_back_ends = self._changes.end_unlisted(listed, end)
+            for end_record in held_back_ends:
+                self.replica.keep(topic, end_record)
+            ends += held_back_ends
         return ends
 
-    def _apply(self, change: Change) -> bool:
-        """Apply a change; return whether it had an effect."""
-        if isinstance(change, ConfigurationPut):
-            return self._put_configuration(change)
-        if isinstance(change, ConfigurationRefused):
-            self._log.warning("configuration refused", key=change.key, why=change.why)
-            self._metrics.count("refused_records", change.key)
-            return False
-        if isinstance(change, VersionNamed):
-            return self._name_version(change)
-        if isinstance(change, UpstreamPut):
-            return self._put_upstream(change)
-        if isinstance(change, UpstreamRefused):
-            return self._refuse_upstream(change)
-        return self._end_upstream(change)
-
-    def _name_version(self, change: VersionNamed) -> bool:
-        now = self._clock.monotonic()
-        if not self._in_force.set_required_version(change.adapter, change.version, now):
-            return False
-        self._log.info(
-            "adapter version changed",
-            adapter=str(change.adapter),
-            version=change.version,
-        )
-        return True
-
-    def _put_configuration(self, change: ConfigurationPut) -> bool:
-        if not self._in_force.activate(change.configuration):
-            return False
-        self._log.info("configuration in force", version=self._in_force.version)
-        self._metrics.gauge("configuration_offset", self._in_force.version)
-        self._upstreams_changed()
-        return True
-
-    def _put_upstream(self, change: UpstreamPut) -> bool:
-        upstream = change.upstream
-        if era_of(upstream.offset) < self.replica.era(Topic.UPSTREAMS):
-            self._log_may_lack_upstreams = True
-        had_lapsed = self._lapsed_ends.cancel(upstream.id)
-        previous = self._directory.get(upstream.id)
-        if not self._directory.put(upstream) and not had_lapsed:
-            return False
-        if previous is not None and previous.incarnation != upstream.incarnation:
-            self._log.info("upstream restarted", upstream=upstream.id)
-            self._drop_state(upstream.id)
-        self._log.info(
-            "upstream changed",
-            upstream=upstream.id,
-            service=upstream.service,
-            address=upstream.address,
-            state=upstream.state,
-            born=upstream.born,
-            offset=upstream.offset,
-        )
-        return True
-
-    def _refuse_upstream(self, change: UpstreamRefused) -> bool:
-        """Reject an invalid record; an upstream whose record it has replaced ends."""
-        self._log.warning(
-            "upstream refused", upstream=change.upstream_id, why=change.why
-        )
-        self._metrics.count("refused_records", Topic.UPSTREAMS)
-        return self._end_upstream(UpstreamEnded(change.upstream_id, change.offset))
-
-    def _end_upstream(self, change: UpstreamEnded) -> bool:
-        known = self._directory.get(change.upstream_id)
-        if known is None or not known.accepts_requests:
-            return self._end_upstream_now(
-                change.upstream_id, change.offset, individual=True
-            )
-        if known.offset >= change.offset:
-            return False
-        self._lapsed_ends.add(change.upstream_id, change.offset)
-        return True
-
-    def _end_upstream_now(
-        self, upstream: str, offset: Position, individual: bool = False
-    ) -> bool:
-        """End an upstream; return whether that changed anything.
-
-        Parameters
-        ----------
-        individual : bool
-            Whether its record ended by itself. False if it lapsed with many others, or
-            was lost in a restore.
-        """
-        known = self._directory.get(upstream)
-        was_held_back = False
-        if individual:
-            born = None if known is None else known.born
-            was_held_back = self._restored.note_end(upstream, offset, born)
-        if not self._directory.end(upstream, offset, self._clock.monotonic()):
-            return was_held_back
-        self._log.info("upstream ended", upstream=upstream, offset=offset)
-        self._drop_state(upstream)
-        return True
-
-    def _drop_state(self, upstream: str) -> None:
-        """Drop all state of an upstream's incarnation that has ended."""
-        self._residency.forget(upstream)
-        self._health.forget(upstream)
-        self._effects.forget_upstream(upstream)
-
     # Replication between instances
 
     def handle_announcement(
@@ -598,7 +423,8 @@
         records = self.replica.after(topic, after)
         if len(records) == MAX_RELAYED:
             up_to = min(up_to, records[-1].offset)
-        self._effects.send_to(peer, self._relay(topic, after, up_to, records))
+        relay = make_relay(self.replica, topic, after, up_to, records)
+        self._effects.send_to(peer, relay)
 
     def handle_relay(self, peer: str, relay: messages.Relay) -> None:
         """Apply records that a peer has relayed."""
--- a/packages/ashhoist/src/ashhoist/control/replica.py
+++ b/packages/ashhoist/src/ashhoist/control/replica.py
@@ -91,6 +91,24 @@
     log_asked_at: timedelta | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """How far a topic is known at one moment.
+
+    Parameters
+    ----------
+    offset, seen : Position
+        See `Replica.offset` and `Replica.seen`.
+    pushed_after : Position
+        Position since which all changes can be told; `INCOMPLETE` if some keys are
+        missing.
+    """
+
+    offset: Position
+    seen: Position
+    pushed_after: Position
+
+
 class Replica:
     """Replica of the shared topics, and how far it is behind those of peers."""
 
@@ -105,6 +123,14 @@
         """Return the position up to which a topic was received without a gap."""
         return self._topics[topic].seen
 
+    def progress(self, topic: Topic) -> Progress:
+        """Return how far a topic is known now."""
+        state = self._topics[topic]
+        if not state.whole:
+            return Progress(state.offset, state.seen, INCOMPLETE)
+        covered = state.history.first_covered(min(state.offset, state.seen))
+        return Progress(state.offset, state.seen, covered)
+
     def see(self, topic: Topic, offset: Position) -> None:
         """Record that a topic was received up to an offset."""
         state = self._topics[topic]
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -122,7 +122,7 @@
 class ListTests(unittest.TestCase):
     def make(self, count: int) -> list[RecordList]:
         records = [Record(at(one), f"key-{one}", b"x") for one in range(count)]
-        return make_list(TOPIC, at(count), records, ["held"])
+        return make_list(listed(*records, as_of=count), TOPIC, ["held"])
 
     def test_list_of_several_parts_is_complete_with_the_last(self) -> None:
         parts = self.make(2 * MAX_LISTED + 1)
@@ -147,7 +147,7 @@
         self.assertIsNotNone(lists.add("b", third))
 
     def test_empty_list_has_one_part(self) -> None:
-        [only] = make_list(TOPIC, at(7), [], [])
+        [only] = make_list(listed(as_of=7), TOPIC, [])
         found = IncomingLists().add("peer", only)
         self.assertEqual((found.as_of, found.records), (7, []))
 
