A broken connection counts as a crash only until its upstream proves to live

Callers got 503 (crashes_upstreams, Retry-After up to 600) for a request that most of them share, for ten minutes and after a restart of everything, although all upstreams were sound.

Cause: an upstream that broke a connection off was counted as crashed for ten minutes. Three such counts held the request back everywhere; as none was sent, none could be answered and clear it. Change: each crash record has a verdict. It is open at first and counts. It counts no longer once its upstream answers a request that was sent a second or more after the cut, or its record is still there when that of a crashed one would have lapsed (6 s, while the log is followed). The leader deletes such records. Retry-After is short while the verdict is open.

--- a/packages/ashhoist/src/ashhoist/control/core.py
+++ b/packages/ashhoist/src/ashhoist/control/core.py
@@ -4,7 +4,7 @@
 run many instances on one manual clock, connected by small fakes.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -236,6 +236,7 @@
             quarantine,
             self.peers,
             lambda: self.scheduling.leads,
+            self._recorded_incarnations,
             effects,
             clock,
             metrics,
@@ -392,6 +393,21 @@
         if followed.topic is Topic.CONFIGURATION and followed.complete:
             self.proofs.read(followed.asked_at)
 
+    def _recorded_incarnations(self, followed_for: timedelta) -> Set[str] | None:
+        """Return the upstreams' incarnations whose records the log has.
+
+        None if the log has been followed for less than the given time.
+        """
+        followed_since = self.records.followed_since(Topic.UPSTREAMS)
+        if followed_since is None:
+            return None
+        if self._clock.monotonic() - followed_since < followed_for:
+            return None
+        return {
+            self._directory.incarnation_of(record.key)
+            for record in self.records.replica.live(Topic.UPSTREAMS)
+        }
+
     def _catch_up_configuration(self, peer: str, offset: Position) -> None:
         self.records.catch_up(peer, Topic.CONFIGURATION, offset)
 
--- a/packages/ashhoist/src/ashhoist/control/crash_reports.py
+++ b/packages/ashhoist/src/ashhoist/control/crash_reports.py
@@ -4,18 +4,20 @@
 and one that starts after all were killed.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from datetime import timedelta
 
 from ..clock import ZERO, Clock
 from ..logs import Logger
 from ..metrics import Metrics
 from ..quarantine import (
+    RECORD_LAPSES_AFTER,
     Completion,
     Crash,
     Quarantine,
     RequestCompleted,
     RequestInterrupted,
+    UpstreamAnswered,
     is_part,
 )
 from ..rates import Bucket
@@ -58,6 +60,9 @@
         This instance's name.
     leads : callable
         Returns whether this instance is the leader, which deletes expired records.
+    recorded_upstreams : callable
+        Takes a time; returns the incarnations whose records the log has, or None if the
+        log has not been followed for that long.
     """
 
     def __init__(
@@ -66,6 +71,7 @@
         quarantine: Quarantine,
         peers: Peers,
         leads: Callable[[], bool],
+        recorded_upstreams: Callable[[timedelta], Set[str] | None],
         effects: Effects,
         clock: Clock,
         metrics: Metrics,
@@ -75,6 +81,7 @@
         self._quarantine = quarantine
         self._peers = peers
         self._leads = leads
+        self._recorded_upstreams = recorded_upstreams
         self._effects = effects
         self._clock = clock
         self._metrics = metrics
@@ -112,6 +119,29 @@
         if self._quarantine.is_suspect(message.request):
             self._enqueue(record.key, record.encode())
 
+    def upstream_answered(self, message: UpstreamAnswered) -> None:
+        """Process an answer of an upstream that may have crashed."""
+        if self._quarantine.answered(message.incarnation, message.sent_at):
+            self._log_survival(message.incarnation, "answered")
+
+    def _decide_crashes(self) -> None:
+        """Decide from the log which upstreams have crashed, if that shows by now."""
+        overdue = self._quarantine.overdue()
+        if not overdue:
+            return
+        recorded = self._recorded_upstreams(RECORD_LAPSES_AFTER)
+        if recorded is None:
+            return
+        for incarnation in overdue:
+            is_recorded = incarnation in recorded
+            self._quarantine.decide(incarnation, is_recorded)
+            if is_recorded:
+                self._log_survival(incarnation, "record is there")
+
+    def _log_survival(self, incarnation: str, why: str) -> None:
+        self._metrics.count("refuted_crashes", why)
+        self._log.info("upstream has not crashed", incarnation=incarnation, why=why)
+
     def write_for(self, message: messages.CrashWriteRequest) -> None:
         """Write a record on behalf of an instance that the log rejects."""
         self._not_own.add(message.key)
@@ -218,6 +248,7 @@
 
     def tick(self) -> None:
         """Do the periodic work that is due."""
+        self._decide_crashes()
         self.step()
         now = self._clock.monotonic()
         if now < self._retry_at and self._unwritten:
--- a/packages/ashhoist/src/ashhoist/control/task.py
+++ b/packages/ashhoist/src/ashhoist/control/task.py
@@ -21,7 +21,7 @@
     RequestEnded,
     RequestSent,
 )
-from ..quarantine import RequestCompleted, RequestInterrupted
+from ..quarantine import RequestCompleted, RequestInterrupted, UpstreamAnswered
 from ..store import Topic
 from ..store.follower import FollowedRecords, LogAvailability
 from ..streams import StreamBegan, VersionLookup, VersionLookupTimedOut
@@ -300,6 +300,10 @@
     def _request_completed(self, message: RequestCompleted) -> None:
         self.core.crashes.request_completed(message)
 
+    @_handles(UpstreamAnswered)
+    def _upstream_answered(self, message: UpstreamAnswered) -> None:
+        self.core.crashes.upstream_answered(message)
+
     @_handles(CrashAppended)
     def _crash_appended(self, message: CrashAppended) -> None:
         self.core.crashes.appended(message.result)
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -66,6 +66,10 @@
         ("topic", "reason"),
     ),
     "record_lists": ("Lists of all keys received from other instances", ("topic",)),
+    "refuted_crashes": (
+        "Upstreams that broke off requests and had not crashed, by what showed it",
+        ("by",),
+    ),
     "admissions": (
         "Decisions on requests to contended services",
         ("customer", "result"),
--- a/packages/ashhoist/src/ashhoist/quarantine/messages.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/messages.py
@@ -1,6 +1,7 @@
 """Messages from request handling to the control task about the end of attempts."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,3 +34,19 @@
     """
 
     request: str
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAnswered:
+    """An upstream that had broken off requests has answered one completely.
+
+    Parameters
+    ----------
+    incarnation : str
+        Identifies the incarnation of the upstream; see `Upstream.incarnation`.
+    sent_at : timedelta
+        When the answered request was sent, on the monotonic clock.
+    """
+
+    incarnation: str
+    sent_at: timedelta
--- a/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
+++ b/packages/ashhoist/src/ashhoist/quarantine/quarantine.py
@@ -6,6 +6,10 @@
 request is therefore held back once three incarnations of upstreams have broken off
 while handling it. A complete answer clears it of all earlier crashes.
 
+Not every upstream that breaks a connection off has crashed. One that answers a request
+that was sent well after that has survived, and so has one whose record is still on the
+log when that of a crashed one would be gone. What it broke off counts no longer.
+
 Parts of prompts are counted in the same way, under names of their own; see `parts`.
 What is said of requests below holds for them, too.
 """
@@ -13,6 +17,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import StrEnum
 
 from ..clock import ZERO, Clock
 from ..position import NO_POSITION, Position, era_of, offset_of, supersedes
@@ -24,9 +29,22 @@
 if it crashes that upstream too, it is held back again at once."""
 ENDANGERED_CRASHES = 2
 """Crashes of a part from which on an answer to it is told to the other instances."""
+RECORD_LAPSES_AFTER = timedelta(seconds=6)
+"""Exceeds the time after which the record of an upstream that ended is gone here."""
+SURVIVAL_MARGIN = timedelta(seconds=1)
+"""Minimum time from a crash until a request is sent whose answer refutes it, because an
+upstream that is about to end may still answer for a moment."""
 NO_REQUESTS: frozenset[str] = frozenset()
 
 
+class Verdict(StrEnum):
+    """Whether an upstream that broke off requests has crashed."""
+
+    OPEN = "open"
+    CRASHED = "crashed"
+    SURVIVED = "survived"
+
+
 @dataclass(slots=True)
 class _Entry:
     """One crash record, with the requests observed since it was written.
@@ -42,15 +60,20 @@
     unwritten : frozenset of str
         Requests that this instance observed, or was told of by another instance, and
         that are not on the log yet.
+    verdict : Verdict
+        Whether the upstream has crashed; it counts as crashed while that is open.
     """
 
     crash: Crash
     offset: Position | None
     since: timedelta
     unwritten: frozenset[str] = NO_REQUESTS
+    verdict: Verdict = Verdict.OPEN
 
     def counts(self, request: str, cleared: Position) -> bool:
         """Return whether the crash counts against a request cleared at `cleared`."""
+        if self.verdict is Verdict.SURVIVED:
+            return False
         if self.offset is None or request in self.unwritten:
             return True
         return self.offset > cleared
@@ -69,6 +92,7 @@
         self._completion_by_key: dict[str, tuple[Position, timedelta]] = {}
         self._request_by_completion_key: dict[str, str] = {}
         self._lost_keys: set[str] = set()
+        self._open_keys: dict[str, set[str]] = {}
         self._held = HeldNames()
 
     # Queries of request handling and metrics
@@ -84,6 +108,21 @@
             return ZERO
         return max(since + WINDOW - self._clock.monotonic(), ZERO)
 
+    def retry_after(self, request: str) -> timedelta:
+        """Return after what time the caller of a held-back request may come back.
+
+        That is soon while it is not known whether its upstreams have crashed.
+        """
+        open_since = [
+            entry.since
+            for entry in self._uncleared_entries(request)
+            if entry.verdict is Verdict.OPEN
+        ]
+        if not open_since:
+            return self.remaining(request)
+        decided_at = max(open_since) + RECORD_LAPSES_AFTER
+        return max(decided_at - self._clock.monotonic(), SURVIVAL_MARGIN)
+
     @property
     def held(self) -> frozenset[str]:
         """Return the requests that are held back."""
@@ -110,6 +149,68 @@
             return 0
         return len(self._uncleared_incarnations(name))
 
+    # Whether upstreams have crashed
+
+    def is_open(self, incarnation: str) -> bool:
+        """Return whether it is not known yet if an upstream has crashed."""
+        return incarnation in self._open_keys
+
+    def answered(self, incarnation: str, sent_at: timedelta) -> bool:
+        """Process a complete answer; return whether it shows that no crash occurred.
+
+        Parameters
+        ----------
+        sent_at : timedelta
+            When the request was sent, on the monotonic clock.
+        """
+        keys = [
+            key
+            for key in self._open_keys.get(incarnation, ())
+            if self._by_key[key].since + SURVIVAL_MARGIN <= sent_at
+        ]
+        for key in keys:
+            self._decide(key, Verdict.SURVIVED)
+        return bool(keys)
+
+    def overdue(self) -> list[str]:
+        """Return the incarnations of which the log shows by now if they crashed."""
+        latest = self._clock.monotonic() - RECORD_LAPSES_AFTER
+        return [
+            incarnation
+            for incarnation, keys in self._open_keys.items()
+            if any(self._by_key[key].since <= latest for key in keys)
+        ]
+
+    def decide(self, incarnation: str, is_recorded: bool) -> None:
+        """Decide whether an incarnation has crashed.
+
+        Parameters
+        ----------
+        is_recorded : bool
+            Whether the log still has its record. This says nothing of requests that it
+            broke off a moment ago.
+        """
+        latest = self._clock.monotonic() - RECORD_LAPSES_AFTER
+        for key in list(self._open_keys.get(incarnation, ())):
+            if not is_recorded:
+                self._decide(key, Verdict.CRASHED)
+            elif self._by_key[key].since <= latest:
+                self._decide(key, Verdict.SURVIVED)
+
+    def _decide(self, key: str, verdict: Verdict) -> None:
+        entry = self._by_key[key]
+        entry.verdict = verdict
+        self._close(key, entry)
+        for request in entry.crash.requests:
+            self._update_held(request)
+
+    def _close(self, key: str, entry: _Entry) -> None:
+        """Remove a record from the index of those without a verdict."""
+        keys = self._open_keys.get(entry.crash.incarnation, set())
+        keys.discard(key)
+        if not keys:
+            self._open_keys.pop(entry.crash.incarnation, None)
+
     # Updates
 
     def add_unwritten(self, crash: Crash) -> None:
@@ -120,7 +221,7 @@
         requests at once.
         """
         known = self._by_key.get(crash.key)
-        if known is None:
+        if known is None or known.verdict is Verdict.SURVIVED:
             self._put(crash, None, crash.requests)
             return
         new_requests = crash.requests - known.crash.requests
@@ -253,20 +354,24 @@
                 self._lost_keys.add(key)
                 continue
             self._drop(key)
-            if entry.unwritten:
+            if entry.unwritten and entry.verdict is not Verdict.SURVIVED:
                 crash = Crash(
                     entry.crash.incarnation, entry.crash.instance, entry.unwritten
                 )
                 self._put(crash, None, entry.unwritten)
 
     def expired(self) -> list[str]:
-        """Return the keys that have expired, crashes before completed requests.
+        """Return the keys that are no longer needed, crashes before completed requests.
 
-        Deleted in the opposite order, crashes that a complete answer had cleared would
-        count again.
+        These have expired, or are of upstreams that have survived. Deleted in the
+        opposite order, crashes that a complete answer had cleared would count again.
         """
         oldest = self._clock.monotonic() - WINDOW
-        found = [key for key, entry in self._by_key.items() if entry.since <= oldest]
+        found = [
+            key
+            for key, entry in self._by_key.items()
+            if entry.since <= oldest or entry.verdict is Verdict.SURVIVED
+        ]
         found += [
             key for key, (_, at) in self._completion_by_key.items() if at <= oldest
         ]
@@ -290,7 +395,9 @@
         return [
             Crash(entry.crash.incarnation, instance, entry.unwritten)
             for entry in reversed(self._by_key.values())
-            if entry.unwritten and entry.crash.instance == instance
+            if entry.unwritten
+            and entry.crash.instance == instance
+            and entry.verdict is not Verdict.SURVIVED
         ]
 
     def has_unwritten(self, request: str, instance: str) -> bool:
@@ -324,10 +431,14 @@
         self, crash: Crash, offset: Position | None, unwritten: frozenset[str]
     ) -> None:
         known = self._by_key.get(crash.key)
-        since = self._clock.monotonic() if known is None else known.since
+        entry = _Entry(crash, offset, self._clock.monotonic(), unwritten)
         if known is not None:
             self._forget(crash.key, known)
-        self._by_key[crash.key] = _Entry(crash, offset, since, unwritten)
+            if known.verdict is not Verdict.SURVIVED:
+                entry.since, entry.verdict = known.since, known.verdict
+        self._by_key[crash.key] = entry
+        if entry.verdict is Verdict.OPEN:
+            self._open_keys.setdefault(crash.incarnation, set()).add(crash.key)
         self._index(crash.key, crash.requests)
 
     def _index(self, key: str, requests: frozenset[str]) -> None:
@@ -361,6 +472,7 @@
 
     def _forget(self, key: str, entry: _Entry) -> None:
         del self._by_key[key]
+        self._close(key, entry)
         for request in entry.crash.requests:
             keys = self._keys_by_request[request]
             keys.discard(key)
--- a/packages/ashhoist/src/ashhoist/requests/quarantine_gate.py
+++ b/packages/ashhoist/src/ashhoist/requests/quarantine_gate.py
@@ -12,6 +12,7 @@
     Quarantine,
     RequestCompleted,
     RequestInterrupted,
+    UpstreamAnswered,
     part_names,
 )
 from .call import Call
@@ -51,7 +52,7 @@
         held = self._held_name(call)
         if held is None:
             return None
-        return Refusal(Reason.CRASHES_UPSTREAMS, self._quarantine.remaining(held))
+        return Refusal(Reason.CRASHES_UPSTREAMS, self._quarantine.retry_after(held))
 
     def _held_name(self, call: Call) -> str | None:
         """Return what holds a request back: itself, or a part of its prompt."""
@@ -96,6 +97,8 @@
         """Report a complete response to a request that is under suspicion."""
         if self._quarantine.is_suspect(call.fingerprint):
             self._send(RequestCompleted(call.fingerprint))
+        if self._quarantine.is_open(call.upstream_incarnation) and call.sent_at:
+            self._send(UpstreamAnswered(call.upstream_incarnation, call.sent_at))
         self._parts_answered(call)
 
     def _parts_answered(self, call: Call) -> None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -114,6 +114,7 @@
         for incarnation in ("a", "b", "c"):
             crash = Crash(incarnation, "elsewhere", frozenset({request}))
             harness.quarantine.put(crash.key, crash, 1)
+            harness.quarantine.decide(incarnation, is_recorded=False)
 
     def fingerprint(self, harness: Harness, path: str) -> str:
         """Return the fingerprint of a request, as reported for its cut attempt."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -177,6 +177,7 @@
             self.quarantine,
             Peers("one"),
             lambda: False,
+            lambda _: None,
             outside,
             self.clock,
             Metrics(),
