A holder that reaches no engine lets its lease lapse

Requests for adapters that no engine of a zone served waited, and were refused, for as long as the zone's lease holder had lost its links to all upstreams, though other instances reached the engines.

Cause: the lease was renewed whether or not orders could arrive, and instances that reach no upstream claimed leases like all others. Change: while an instance reaches no upstream and a linked one does, it neither renews nor claims leases, and is left out of the ranking. It does not release: orders on lost connections may arrive until the term ends.

--- a/packages/ashhoist/src/ashhoist/control/order_leases.py
+++ b/packages/ashhoist/src/ashhoist/control/order_leases.py
@@ -17,7 +17,7 @@
 from .effects import Effects
 from .hubs import Hubs, Identity
 from .lease_calls import LeaseCalls
-from .peers import Peers, rank
+from .peers import Peer, Peers, rank
 
 OTHER_ZONE_RANK = 10
 """Ranks by which an instance of another zone comes later in claiming a zone's lease."""
@@ -154,19 +154,26 @@
         if self._ranked_for == (self._peers.revision, len(self._leases)):
             return
         self._ranked_for = (self._peers.revision, len(self._leases))
+        candidates = self._candidates()
+        reaches_engines = not (self._hubs.is_cut_off and candidates)
         for zone, lease in self._leases.items():
-            lease.set_rank(self._rank(zone))
+            lease.set_rank(self._rank(zone, candidates))
+            lease.set_reaches_engines(reaches_engines)
 
-    def _rank(self, zone: str) -> int:
-        """Return how many instances take precedence in claiming a zone's lease."""
+    def _candidates(self) -> list[Peer]:
+        """Return the linked instances that reach upstreams."""
         linked = [self._peers.by_name[name] for name in self._peers.linked()]
-        same_zone = [peer.name for peer in linked if peer.zone == zone]
-        other_zones = [peer.name for peer in linked if peer.zone != zone]
-        candidates, penalty = (
+        return [peer for peer in linked if not peer.is_cut_off]
+
+    def _rank(self, zone: str, candidates: list[Peer]) -> int:
+        """Return how many candidates take precedence in claiming a zone's lease."""
+        same_zone = [peer.name for peer in candidates if peer.zone == zone]
+        other_zones = [peer.name for peer in candidates if peer.zone != zone]
+        names, penalty = (
             (same_zone, 0) if self._own.zone == zone else (other_zones, OTHER_ZONE_RANK)
         )
         own = self._claim_order(zone, self._own.name)
-        return penalty + sum(self._claim_order(zone, name) < own for name in candidates)
+        return penalty + sum(self._claim_order(zone, name) < own for name in names)
 
     def _claim_order(self, zone: str, name: str) -> tuple[bool, bytes]:
         return (not self._hubs.is_hub(name), rank(zone, name))
--- a/packages/ashhoist/src/ashhoist/orders/lease.py
+++ b/packages/ashhoist/src/ashhoist/orders/lease.py
@@ -232,6 +232,7 @@
         self._orders_blocked = False
         self._stopping = False
         self._rank = 0
+        self._reaches_engines = True
         self._refused_token: int | None = None
 
     # State
@@ -253,6 +254,8 @@
             return None
         if self._orders_blocked or claim.released or now < self._orders_allowed_from:
             return None
+        if not self._reaches_engines:
+            return None
         if claim.token == self._refused_token:
             return None
         if now >= self._renewed_at + self._timing.term - self._timing.send_margin:
@@ -279,6 +282,15 @@
         """
         self._rank = rank
 
+    def set_reaches_engines(self, reaches_engines: bool) -> None:
+        """Set whether orders of this instance can reach engines.
+
+        While they can't, the lease is neither claimed nor renewed, so that another
+        instance takes it over. It is not released: orders on a lost link may arrive
+        until the term ends.
+        """
+        self._reaches_engines = reaches_engines
+
     def reject_token(self, token: int) -> None:
         """Handle the rejection of a token by an engine that has seen a higher one."""
         self._refused_token = token
@@ -318,7 +330,7 @@
             return ReadClaims(self.key) if must_read else None
         if self.held:
             return self._next_action_as_holder(now)
-        if self._stopping:
+        if self._stopping or not self._reaches_engines:
             return None
         if now < self._claimable_from():
             return None
@@ -328,6 +340,8 @@
         assert self._claim is not None and self._renewed_at is not None
         if self._stopping:
             return self._append_action(self._renewal(released=True), now)
+        if not self._reaches_engines:
+            return None
         if self._claim.token == self._refused_token:
             return self._append_action(self._first_claim(), now)
         if now < self._renewed_at + self._timing.renew_every:
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -291,7 +291,7 @@
     def _arrive(self, machine: Machine, core: Core, order: Order) -> None:
         engine = self.engines.get(order.upstream)
         zone = self.engine_zones.get(order.upstream, "")
-        if not self.links.connected(machine.zone, zone):
+        if machine.upstreams_cut or not self.links.connected(machine.zone, zone):
             self._answer_order(
                 machine, core, order, OrderAnswer.UNKNOWN, ORDER_TIMEOUT_S
             )
@@ -345,7 +345,8 @@
         assert core is not None
         report = None
         zone = self.engine_zones.get(request.upstream, "")
-        if engine is not None and self.links.connected(machine.zone, zone):
+        is_linked = self.links.connected(machine.zone, zone)
+        if engine is not None and is_linked and not machine.upstreams_cut:
             engine.settle(self.now)
             report = EngineReport(
                 engine.sequence,
@@ -367,6 +368,14 @@
 
     # Used by tests
 
+    def cut_upstreams(self, name: str, is_cut: bool = True) -> None:
+        """Cut a machine off from all engines, which it notices at once, or end that."""
+        machine = self.machines[name]
+        machine.upstreams_cut = is_cut
+        core = machine.core
+        if core is not None:
+            machine.run_step(core, lambda: core.connectivity_changed(is_cut))
+
     def ask(self, name: str, wanted: PlacementRequest) -> None:
         """Submit a request at a machine that needs an adapter."""
         machine = self.machines[name]
--- a/tests/world_machine.py
+++ b/tests/world_machine.py
@@ -29,6 +29,8 @@
         Number of times that its process has been started.
     deferred : list of callable
         Steps that came due while the process was frozen.
+    upstreams_cut : bool
+        Whether it reaches no engine.
     unanswered_topics : set of Topic
         Topics that the store does not answer this machine's reads of.
     revision : int
@@ -48,6 +50,7 @@
     frozen: bool = False
     store_cut: bool = False
     links_cut: bool = False
+    upstreams_cut: bool = False
     capacity: float = 1.0
     loses_append_answers: bool = False
     process_number: int = 0
