An instance without links no longer fails to look for who takes its requests

Cause: with other instances known and none linked, CandidateQueries.asked divided by the number of linked ones; the control task logged 'message failed' (ZeroDivisionError), and the instance did not choose by what it knew. Change: nobody is asked then.

--- a/packages/ashhoist/src/ashhoist/control/forwarding_candidates.py
+++ b/packages/ashhoist/src/ashhoist/control/forwarding_candidates.py
@@ -56,11 +56,12 @@
     def asked(self) -> list[str]:
         """Return the linked instances to ask, others each time.
 
-        None if this instance is linked to most others, so that it knows as much.
+        None if this instance is linked to most others, so that it knows as much, or to
+        nobody at the moment.
         """
         now = self._clock.monotonic()
         linked = sorted(peer.name for peer in self._peers.fresh(now))
-        if 2 * len(linked) >= len(self._peers.by_name):
+        if not linked or 2 * len(linked) >= len(self._peers.by_name):
             return []
         first = self._asked % len(linked)
         self._asked += ASKED_INSTANCES
--- a/tests/test_forwarding_candidates.py
+++ b/tests/test_forwarding_candidates.py
@@ -43,6 +43,18 @@
     return peers
 
 
+class NobodyLinkedTests(unittest.TestCase):
+    def test_nobody_is_asked_while_no_instance_is_linked(self) -> None:
+        # Guards against an error of the control task, which left requests untried.
+        clock = ManualClock()
+        peers = known(instances(FULL_MESH))
+        for name in peers.by_name:
+            peers.link_down(name, timedelta())
+        own = Identity("own", "zone-0", "own:1")
+        queries = CandidateQueries(peers, Hubs(own, peers, clock), clock)
+        self.assertEqual(queries.asked(), [])
+
+
 class ChoiceTests(unittest.TestCase):
     def test_the_load_spreads_over_all_that_reach_upstreams(self) -> None:
         # Guards against few instances that carry the requests of many.
