Tests: adapters are loaded though all hubs are cut off, with real processes

Cause: the lease that its holder lets lapse was tested in virtual time only, and the engine's test of many lost links asks for an adapter that is there. Change: a test with an adapter for each instance that no engine has.

--- a/tests/test_many_lost_links.py
+++ b/tests/test_many_lost_links.py
@@ -12,6 +12,7 @@
 
 from ashhoist.control.hubs import HUBS_PER_ZONE, RANK_KEY
 from ashhoist.control.peers import rank
+from ashhoist.orders import LeaseTiming
 
 from .platform_process import PlatformProcess
 from .platform_stand_ins.worker import ID
@@ -25,6 +26,8 @@
 """Of the share of requests that the other instances serve."""
 INTERVAL_S = 0.3
 """Between two requests to an instance while it loses its links."""
+TAKEOVER_S = LeaseTiming().term.total_seconds() + 1.0
+"""Time, after `CONTACT_S`, for a lease to lapse and for another claim of it."""
 LINKED_S = 90.0
 """By then, links that were needed at the start only are closed."""
 NAMES = [f"node-{number}" for number in range(INSTANCES)]
@@ -122,6 +125,22 @@
     def test_callers_of_engines_are_served_if_all_hubs_are_cut_off(self) -> None:
         self.check("silent", HUBS_PER_ZONE, ADAPTER)
 
+    def test_adapters_are_loaded_if_all_hubs_are_cut_off(self) -> None:
+        # Guards against no loads at all while the lease holder reaches no engine.
+        model, _, _ = ADAPTER.partition("/")
+        names = self.cut_names(HUBS_PER_ZONE)
+        self.cut_named("silent", names)
+        time.sleep(TAKEOVER_S)
+        answers = [
+            self.callers.submit(
+                self.by_name[name].ask, "/review/x", f"new-{name}", f"{model}/{name}"
+            )
+            for name in NAMES
+        ]
+        served = sum(answer.result()[0] == 200 for answer in answers)
+        self.assertGreaterEqual(served, 0.9 * INSTANCES)
+        self.assert_none_ran_twice()
+
     def test_callers_are_served_if_one_hub_is_cut_off(self) -> None:
         self.check("silent", 1)
 
