Logs and counters for connections that are closed between requests

Cause: CallerConnection dropped what it read at a close; the listener counted only new connections that are closed unread.

Change: 'bytes discarded' with connections_discarding_total; kept_connections_closed_total by reason (idle, stopping).

--- a/packages/ashhoist/src/ashhoist/http/__init__.py
+++ b/packages/ashhoist/src/ashhoist/http/__init__.py
@@ -13,16 +13,17 @@
     MalformedRequestError,
     Request,
 )
+from .closed_connections import ClosedConnections
 from .listener import Listener
 from .numbers import parse_number
 from .pool import Pool
-from .unread_connections import UnreadConnections
 from .upstream import Broken, Head, NotSent, UpstreamConnection
 
 __all__ = [
     "Broken",
     "CallerConnection",
     "CallerGoneError",
+    "ClosedConnections",
     "Head",
     "Headers",
     "Listener",
@@ -30,7 +31,6 @@
     "NotSent",
     "Pool",
     "Request",
-    "UnreadConnections",
     "UpstreamConnection",
     "parse_number",
 ]
--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -80,6 +80,15 @@
     ----------
     peer : socket.socket
         Non-blocking.
+
+    Attributes
+    ----------
+    answered : int
+        Number of responses sent on it.
+    discarded_bytes : int
+        Bytes that were read after the last response and dropped.
+    keep : bool
+        False if the next response states that the connection is closed.
     """
 
     def __init__(self, peer: socket.socket, loop: Loop) -> None:
@@ -92,6 +101,7 @@
         self._watched = True
         self.idle_since = loop.clock.monotonic()
         self.answered = 0
+        self.discarded_bytes = 0
         self.keep = True
 
     def fileno(self) -> int:
@@ -315,8 +325,10 @@
         """Read what came too much, so that the close is not a reset."""
         until = self._clock.monotonic() + LINGER
         while (yield Wait(until, (self.fileno(),))) is not None:
-            if not self._peer.recv(READ_SIZE):
+            data = self._peer.recv(READ_SIZE)
+            if not data:
                 return
+            self.discarded_bytes += len(data)
 
     def abort(self) -> None:
         """Break the connection so that the answer can't be taken for whole."""
--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -10,6 +10,7 @@
 
 from ..loop import Loop, Steps, Task, Wait, sleep_until
 from .caller import CallerConnection
+from .closed_connections import CloseRecorder, KeptClose, NoRecorder
 from .read_limit import ReadLimit
 from .sockets import close, listening_socket, tune
 
@@ -23,10 +24,6 @@
 """Between two looks whether a waiting connection may be read."""
 
 
-def _ignore() -> None:
-    """Do nothing: nobody counts connections that are closed unread."""
-
-
 Serve = Callable[[CallerConnection], Steps[bool]]
 """Answers what has come; returns whether the connection is kept."""
 
@@ -42,9 +39,8 @@
         Returns how long a connection may rest.
     most : int
         Connections that are open at once; further ones wait to be taken.
-    on_unread : callable
-        Called for each new connection that is closed with its request unread, as this
-        instance is behind.
+    closed : CloseRecorder or None
+        Learns of connections that are closed between requests.
 
     Raises
     ------
@@ -59,14 +55,14 @@
         idle_time: Callable[[], timedelta],
         most: int,
         loop: Loop,
-        on_unread: Callable[[], None] = _ignore,
+        closed: CloseRecorder | None = None,
     ) -> None:
         self._listening = listening_socket(address, BACKLOG)
         self._serve = serve
         self._idle_time = idle_time
         self._most = most
         self._loop = loop
-        self._on_unread = on_unread
+        self._closed = closed or NoRecorder()
         self._read_limit = ReadLimit()
         self._resting: dict[CallerConnection, Task] = {}
         self._stopped = False
@@ -95,7 +91,7 @@
                 return
             if self._read_limit.is_crowded(self._unread):
                 peer.close()
-                self._on_unread()
+                self._closed.record_unread()
                 continue
             self._take(peer)
 
@@ -112,13 +108,19 @@
 
     def _run_connection(self, connection: CallerConnection) -> Steps[None]:
         try:
-            while (yield from self._rest(connection)):
+            while True:
+                if not (yield from self._rest(connection)):
+                    self._closed.record_kept(KeptClose.IDLE)
+                    return
                 if not (yield from self._may_read(connection)):
-                    self._on_unread()
+                    self._closed.record_unread()
                     return
                 task = self._resting.pop(connection)
                 kept = yield from self._answer(connection)
-                if not kept or self._stopped:
+                if not kept:
+                    return
+                if self._stopped:
+                    self._closed.record_kept(KeptClose.STOPPING)
                     return
                 self._resting[connection] = task
         finally:
@@ -185,5 +187,7 @@
         self._stopped = True
         close(self._loop, self._listening)
         for connection, task in list(self._resting.items()):
+            if connection.answered:
+                self._closed.record_kept(KeptClose.STOPPING)
             task.cancel()
             connection.abort()
--- a/packages/ashhoist/src/ashhoist/metrics.py
+++ b/packages/ashhoist/src/ashhoist/metrics.py
@@ -56,6 +56,14 @@
         "New connections closed with their request unread, as too many came",
         (),
     ),
+    "connections_discarding": (
+        "Connections that were closed while their callers still sent",
+        (),
+    ),
+    "kept_connections_closed": (
+        "Kept connections closed between requests, by reason",
+        ("reason",),
+    ),
     "no_upstream_anywhere": (
         "Times that no upstream could be reached, from here or from a known instance",
         (),
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -24,7 +24,7 @@
     ConnectivityProbes,
     UpstreamsUnreachable,
 )
-from .http import Listener, Pool, UnreadConnections
+from .http import ClosedConnections, Listener, Pool
 from .instance_state import InstanceState
 from .links import Links
 from .loop import Loop, Steps, Task, sleep_until
@@ -117,7 +117,7 @@
     def _make_listener(self) -> Listener:
         address = self.settings.instance.callers
         descriptors = self.settings.limits.descriptors - RESERVED_DESCRIPTORS
-        unread = UnreadConnections(self.clock, self.metrics, logs.get("requests"))
+        closed = ClosedConnections(self.clock, self.metrics, logs.get("requests"))
         try:
             return Listener(
                 address,
@@ -125,7 +125,7 @@
                 lambda: self.handler.limits().idle_time,
                 max(descriptors // DESCRIPTORS_A_CALL, 1),
                 self.loop,
-                unread.record,
+                closed,
             )
         except OSError as error:
             why = f"cannot listen on {address}: {error}"
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -123,9 +123,21 @@
             caller.abort()
             return False
         if not kept:
-            yield from caller.close()
+            yield from self._close(caller)
         return kept
 
+    def _close(self, caller: CallerConnection) -> Steps[None]:
+        yield from caller.close()
+        if not caller.discarded_bytes:
+            return
+        self._metrics.count("connections_discarding")
+        self._log.info(
+            "bytes discarded",
+            bytes=caller.discarded_bytes,
+            stated_close=not caller.keep,
+            answered=caller.answered,
+        )
+
     def _serve_one(self, caller: CallerConnection) -> Steps[bool]:
         try:
             limits = self.limits()
