--- a/tests/request_caller.py
+++ b/tests/request_caller.py
@@ -111,6 +111,14 @@
         answer.took = time.monotonic() - started
         return answer
 
+    def receive_raw(self) -> Answer:
+        """Read the response to a request that was sent as bytes."""
+        left_over, _ = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT)
+        if left_over:
+            self._http.receive_data(left_over)
+        return self.receive()
+
     def ask(self, path: str, **arguments: object) -> Answer:
         """Send a request and read the response."""
         self.send(path, **arguments)  # type: ignore[arg-type]
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -1,5 +1,6 @@
 """A request entry on loopback, with scripted upstreams."""
 
+from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
 from random import Random
@@ -365,6 +366,16 @@
         with self.connect(source) as caller:
             return caller.ask(path, **arguments)  # type: ignore[arg-type]
 
+    def on_loop(self, function: Callable[[], None]) -> None:
+        """Call a function in one turn of the loop, in which nothing else happens."""
+        self._thread.call(function)
+
+    def set_limits(self, limits: Limits) -> None:
+        """Put other limits on callers in force."""
+        assert self.table is not None
+        configuration = replace(self.table.configuration, limits=limits)
+        self.table = RouteTable(configuration)
+
     def stop(self) -> None:
         """Begin the last phase of a planned stop, as a process does."""
         self.closing = True
