A connection with a response given by the head alone stays open for the next request

What callers saw: a whole request that got neither an answer nor a refusal. A request on a route that is not in force (404; an unknown key 401; no configuration 503) was answered before its body was in, on a connection that the response left open; the next request on it was read, dropped, and the connection ended. No log had a line for it. It takes a version of the configuration for a known caller to meet a 404.

Cause: the response says what becomes of the connection before anybody has looked whether its body is in. Bodies of over 8 KiB are never in by then, as the first read takes no more, so a late caller is not needed.

Why this works: the rest of the body is passed over before the next request, within the limits of a body and the idle time; if it does not end in them the connection ends, and no next request can have begun. A caller that waits for 100 Continue is told that the connection is closed.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -9,7 +9,7 @@
 from ..loop import Loop, Steps, Wait
 from .headers import encoded
 from .read_size import ReadSize
-from .sockets import close, has_left, send_all
+from .sockets import close, has_bytes, has_left, send_all
 
 READ_SIZE = 65536
 HEADER_ROOM = 65536
@@ -97,6 +97,8 @@
         self._clock = loop.clock
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_ROOM)
         self._read_size = ReadSize()
+        self._limits = CallerLimits()
+        self._passed_bytes = 0
         self._has_read = False
         self._watched = True
         self.idle_since = loop.clock.monotonic()
@@ -125,6 +127,7 @@
         MalformedRequestError
             If it is none, too large, or too slow.
         """
+        self._limits = limits
         begun = self._clock.monotonic()
         if self.has_more:
             # A caller may send refused requests without end, which need no wait.
@@ -167,14 +170,6 @@
         body = yield from self._read_body(limits)
         return replace(request, body=body) if body else request
 
-    def skip_body(self) -> None:
-        """Pass over a body that has come already, so that the connection may stay."""
-        try:
-            while isinstance(self._http.next_event(), h11.Data):
-                pass
-        except h11.RemoteProtocolError:
-            self.keep = False
-
     def _read_body(self, limits: CallerLimits) -> Steps[bytes]:
         until = self._clock.monotonic() + limits.idle_time
         if self._http.they_are_waiting_for_100_continue:
@@ -228,7 +223,53 @@
     @property
     def has_more(self) -> bool:
         """Return whether bytes of a next request have been read already."""
-        return bool(self._http.trailing_data[0])
+        return bool(self._http.trailing_data[0]) and not self.has_body_left
+
+    def has_bytes(self) -> bool:
+        """Return whether something has arrived that has not been read."""
+        return has_bytes(self._peer)
+
+    # Passing over a body
+
+    @property
+    def has_body_left(self) -> bool:
+        """Return whether the body of a request that was responded to has not ended."""
+        if self._http.our_state is not h11.DONE:
+            return False
+        return self._http.their_state is h11.SEND_BODY
+
+    def pass_body(self) -> bool:
+        """Read on in a body that nobody needs; return False if it is none any more."""
+        try:
+            data = self._peer.recv(self._read_size.take())
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        self._read_size.received(len(data))
+        self._http.receive_data(data)
+        return self._pass_received_body()
+
+    def _pass_received_body(self) -> bool:
+        """Drop what has been read of a body; begin anew once it has ended."""
+        try:
+            while self.has_body_left:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    return True
+                self._read_size.parsed()
+                if isinstance(event, h11.Data):
+                    self._passed_bytes += len(event.data)
+                if self._passed_bytes > self._limits.body_bytes:
+                    return False
+        except h11.RemoteProtocolError:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        self._passed_bytes = 0
+        self.idle_since = self._clock.monotonic()
+        return True
 
     # Watching
 
@@ -280,6 +321,9 @@
         yield from self._send(self._http.send(h11.EndOfMessage()) or b"", until)
 
     def _begin(self, status: int, headers: Headers) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            # Its body may come, or be left out: nobody could tell the next request.
+            self.keep = False
         if not self.keep:
             headers = [*headers, ("Connection", "close")]
         event = h11.Response(status_code=status, headers=encoded(headers))
@@ -306,11 +350,8 @@
         self._watched = True
         if self.fileno() < 0 or not self.keep or self._http.our_state is not h11.DONE:
             return False
-        if self._http.their_state is not h11.DONE:
-            return False
-        self._http.start_next_cycle()
         self.idle_since = self._clock.monotonic()
-        return True
+        return self._pass_received_body()
 
     def close(self) -> Steps[None]:
         """Close in order: what was sent still arrives."""
--- a/packages/ashhoist/src/ashhoist/http/closed_connections.py
+++ b/packages/ashhoist/src/ashhoist/http/closed_connections.py
@@ -15,6 +15,7 @@
     """Why a connection that was kept is closed without a further request."""
 
     IDLE = "idle"
+    UNFINISHED_BODY = "unfinished_body"
     STOPPING = "stopping"
 
 
--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -109,8 +109,9 @@
     def _run_connection(self, connection: CallerConnection) -> Steps[None]:
         try:
             while True:
-                if not (yield from self._rest(connection)):
-                    self._closed.record_kept(KeptClose.IDLE)
+                reason = yield from self._rest(connection)
+                if reason is not None:
+                    self._closed.record_kept(reason)
                     return
                 if not (yield from self._may_read(connection)):
                     self._closed.record_unread()
@@ -128,11 +129,19 @@
             connection.abort()
             self._ended()
 
-    def _rest(self, connection: CallerConnection) -> Steps[bool]:
-        """Wait for the next request; return False if none comes in time."""
-        until = connection.idle_since + self._idle_time()
-        ready = yield Wait(until, (connection.fileno(),))
-        return ready is not None
+    def _rest(self, connection: CallerConnection) -> Steps[KeptClose | None]:
+        """Wait for the next request; return why there is none, or None."""
+        while True:
+            until = connection.idle_since + self._idle_time()
+            ready = yield Wait(until, (connection.fileno(),))
+            if ready is None:
+                return KeptClose.IDLE
+            if not connection.has_body_left:
+                return None
+            if not connection.pass_body():
+                return KeptClose.UNFINISHED_BODY
+            if connection.has_more:
+                return None
 
     def _may_read(self, connection: CallerConnection) -> Steps[bool]:
         """Wait until a request may be read; return False if that takes too long.
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -159,7 +159,6 @@
         if isinstance(admitted, Admitted):
             yield from self._serve_admitted(caller, request, admitted)
         else:
-            caller.skip_body()
             yield from self._refuse(caller, admitted, request)
         return caller.next()
 
