A response that begins after a stop has begun says that its connection is closed

What callers saw: a response without 'Connection: close', then the end of its connection; a next request sent in between is not read.

Cause: whether the instance is closing was asked when the head of a request was read, up to 15 s before its response began.

Why this works: the question is asked where the head of the response is written. A stream's head may have been sent long before the stop; its connection then ends as one that rests.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -1,6 +1,7 @@
 """The caller's side of a request: one kept connection, many requests."""
 
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
@@ -89,6 +90,8 @@
         Bytes that were read after the last response and dropped.
     keep : bool
         False if the next response states that the connection is closed.
+    is_closing : callable
+        Returns whether connections are not kept any more. Asked when a response begins.
     """
 
     def __init__(self, peer: socket.socket, loop: Loop) -> None:
@@ -105,6 +108,7 @@
         self.answered = 0
         self.discarded_bytes = 0
         self.keep = True
+        self.is_closing: Callable[[], bool] = lambda: False
 
     def fileno(self) -> int:
         """Return the socket's descriptor."""
@@ -324,6 +328,7 @@
         if self._http.they_are_waiting_for_100_continue:
             # Its body may come, or be left out: nobody could tell the next request.
             self.keep = False
+        self.keep = self.keep and not self.is_closing()
         if not self.keep:
             headers = [*headers, ("Connection", "close")]
         event = h11.Response(status_code=status, headers=encoded(headers))
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -66,7 +66,7 @@
     choosers : dict of str to Chooser
         The choosers for ``engine`` and ``plain`` services.
     closing : callable
-        Returns whether connections are to be closed after the response.
+        Returns whether connections are closed after responses that begin now.
     """
 
     def __init__(
@@ -111,6 +111,7 @@
 
     def serve(self, caller: CallerConnection) -> Steps[bool]:
         """Respond to all received requests; return whether the connection is kept."""
+        caller.is_closing = self._closing
         try:
             kept = yield from self._serve_one(caller)
             while kept and caller.has_more:
@@ -142,7 +143,6 @@
         try:
             limits = self.limits()
             request = yield from caller.read_head(limits)
-            caller.keep = caller.keep and not self._closing()
             admitted = self._admit(request)
             if isinstance(admitted, Admitted):
                 request = yield from caller.read_body(request, limits)
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -4,6 +4,8 @@
 closed though the last response on it did not say so.
 """
 
+import socket
+import threading
 import time
 import unittest
 from collections.abc import Callable
@@ -14,8 +16,8 @@
 
 from .platform_stand_ins.server import Call
 from .request_caller import HEADER_NAMES, HOST, ID, Answer, Caller
-from .request_harness import Harness
-from .request_scripts import RequestTestCase, good, stream
+from .request_harness import Harness, event, response_headers
+from .request_scripts import RequestTestCase, good
 
 BODY = b"x" * 40_000
 """Longer than one read of a new connection."""
@@ -204,10 +206,15 @@
     def test_a_request_behind_a_stream_that_ends_after_the_stop_began(self) -> None:
         # The head of the stream said that the connection is kept.
         began: list[Harness] = []
+        begun = threading.Event()
 
         def stop_in_between(call: Call) -> None:
+            call.start_stream(response_headers(call))
+            call.chunk(event(1))
+            begun.wait(LATE)
             began[0].stop()
-            stream(1, 2)(call)
+            call.chunk(event(2))
+            call.end_stream()
 
         harness = self.start(stop_in_between)
         began.append(harness)
@@ -215,7 +222,11 @@
             caller.socket.sendall(
                 request("/stream/x", "first") + request("/elsewhere/x", "next")
             )
-            self.assertEqual(caller.receive_raw().status, 200)
+            caller.socket.recv(1, socket.MSG_PEEK)
+            begun.set()
+            answer = caller.receive_raw()
+            self.assertTrue(is_kept(answer))
+            self.assertEqual(answer.body, event(1) + event(2))
             following = caller.receive_raw()
             self.assertEqual(following.status, 404)
             self.assertFalse(is_kept(following))
