A planned stop serves the requests that have arrived unread, and closes what rests without a reset

What callers saw: a reset in place of an answer to a request that had arrived on a kept connection, or on a new one, when the listener stopped.

Cause: stop() closed every connection that rested, whether bytes waited on it or not; the same for connections in the listening socket. A close with unread bytes is a reset, which can also take the last bytes of the response before along.

Evidence: tests.test_kept_connections.StopTests, two tests failed in three runs of three. On the way: a connection taken in the turn of the stop would never have counted as ended, so the listener counts its connections by their tasks now.

Why this works: a connection is closed at a stop only if nothing has arrived on it; else its request is served, its response says that the connection is closed, and the stop waits for it (busy).

--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -64,11 +64,11 @@
         self._loop = loop
         self._closed = closed or NoRecorder()
         self._read_limit = ReadLimit()
-        self._resting: dict[CallerConnection, Task] = {}
+        self._tasks: dict[CallerConnection, Task] = {}
+        self._resting: set[CallerConnection] = set()
         self._stopped = False
-        self._open = 0
         self._unread = 0
-        self.busy = 0
+        self._serving = 0
 
     @property
     def address(self) -> str:
@@ -82,7 +82,7 @@
 
     def _accept(self) -> None:
         for _ in range(ACCEPTED_AT_ONCE):
-            if self._open >= self._most:
+            if len(self._tasks) >= self._most:
                 self._loop.off_readable(self._listening.fileno())
                 return
             try:
@@ -101,37 +101,35 @@
         except OSError:
             peer.close()
             return
-        self._open += 1
         connection = CallerConnection(peer, self._loop)
         steps = self._run_connection(connection)
-        self._resting[connection] = Task(self._loop, steps, "caller")
+        self._tasks[connection] = Task(self._loop, steps, "caller")
 
     def _run_connection(self, connection: CallerConnection) -> Steps[None]:
         try:
             while True:
+                self._resting.add(connection)
                 reason = yield from self._rest(connection)
                 if reason is not None:
-                    self._closed.record_kept(reason)
+                    self._record_close(connection, reason)
                     return
                 if not (yield from self._may_read(connection)):
                     self._closed.record_unread()
                     return
-                task = self._resting.pop(connection)
+                self._resting.remove(connection)
                 kept = yield from self._answer(connection)
                 if not kept:
                     return
-                if self._stopped:
-                    self._closed.record_kept(KeptClose.STOPPING)
-                    return
-                self._resting[connection] = task
         finally:
-            self._resting.pop(connection, None)
+            self._resting.discard(connection)
             connection.abort()
-            self._ended()
+            self._ended(connection)
 
     def _rest(self, connection: CallerConnection) -> Steps[KeptClose | None]:
         """Wait for the next request; return why there is none, or None."""
         while True:
+            if self._stopped and not connection.has_bytes():
+                return KeptClose.STOPPING
             until = connection.idle_since + self._idle_time()
             ready = yield Wait(until, (connection.fileno(),))
             if ready is None:
@@ -173,30 +171,40 @@
         return False
 
     def _answer(self, connection: CallerConnection) -> Steps[bool]:
-        self.busy += 1
+        self._serving += 1
         try:
             return (yield from self._serve(connection))
         finally:
-            self.busy -= 1
+            self._serving -= 1
+
+    @property
+    def busy(self) -> int:
+        """Return how many connections have a request at work or, at a stop, unread."""
+        return len(self._tasks) if self._stopped else self._serving
 
-    def _ended(self) -> None:
+    def _record_close(self, connection: CallerConnection, reason: KeptClose) -> None:
+        if connection.answered:
+            self._closed.record_kept(reason)
+
+    def _ended(self, connection: CallerConnection) -> None:
         """Note that a connection has ended; there is room for another."""
-        self._open -= 1
-        if self._open == self._most - 1 and not self._stopped:
+        del self._tasks[connection]
+        if len(self._tasks) == self._most - 1 and not self._stopped:
             self.start()
 
     def stop(self) -> None:
-        """Take no further connections and requests; those under way go on.
+        """Take no further connections; serve what has arrived and what is under way.
 
-        Connections that rest are closed at once: what a caller sends on one from
-        now on is not read, and it asks another instance.
+        Connections on which nothing has arrived are closed at once: what a caller sends
+        on one from now on is not read, and it asks another instance.
         """
         if self._stopped:
             return
+        self._accept()
         self._stopped = True
         close(self._loop, self._listening)
-        for connection, task in list(self._resting.items()):
-            if connection.answered:
-                self._closed.record_kept(KeptClose.STOPPING)
-            task.cancel()
-            connection.abort()
+        for connection in list(self._resting):
+            if connection.has_bytes():
+                continue
+            self._record_close(connection, KeptClose.STOPPING)
+            self._tasks[connection].cancel()
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -203,6 +203,23 @@
         with callers[0] as caller:
             self.assertEqual(caller.receive().body, b"answer to body")
 
+    def test_connections_without_a_request_do_not_hold_up_the_stop(self) -> None:
+        harness = self.start(good)
+        callers: list[Caller] = []
+
+        def connect_and_stop() -> None:
+            callers.append(harness.connect())
+            harness.listener.stop()
+
+        with harness.connect() as resting:
+            resting.ask("/safe/x")
+            harness.on_loop(connect_and_stop)
+            for caller in (resting, *callers):
+                self.assertEqual(caller.socket.recv(1), b"")
+                caller.close()
+            harness.on_loop(lambda: None)
+            self.assertEqual(harness.listener.busy, 0)
+
     def test_a_request_behind_a_stream_that_ends_after_the_stop_began(self) -> None:
         # The head of the stream said that the connection is kept.
         began: list[Harness] = []
