Responses state for how long their connection is kept, and it is kept for that long

Cause: the idle time that closes a connection was the one in force when its last response was sent, though a longer one had come into force; and no response states a time.

Why this works: 'Keep-Alive: timeout=' states whole seconds, at least one less than the true time, so that a caller that keeps to it does not meet the close (our own instances do, when they forward); the time in force is asked again before a connection is closed.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -15,6 +15,10 @@
 READ_SIZE = 65536
 HEADER_ROOM = 65536
 LINGER = timedelta(milliseconds=300)
+IDLE_MARGIN = timedelta(seconds=1)
+"""A kept connection is said to rest for so much less than it may: a request that is
+sent at the end of the time has to arrive."""
+SECOND = timedelta(seconds=1)
 
 Headers = list[tuple[str, str]]
 
@@ -148,13 +152,16 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers.raw_items()
         ]
+        values = {name.lower(): value for name, value in pairs}
+        if "close" in values.get("connection", "").lower():
+            self.keep = False
         return Request(
             head.method.decode("ascii"),
             head.target.decode("latin-1"),
             pairs,
             b"",
             begun,
-            {name.lower(): value for name, value in pairs},
+            values,
         )
 
     def _read_head(self, until: timedelta) -> Steps[h11.Request]:
@@ -329,14 +336,20 @@
             # Its body may come, or be left out: nobody could tell the next request.
             self.keep = False
         self.keep = self.keep and not self.is_closing()
-        if not self.keep:
-            headers = [*headers, ("Connection", "close")]
+        headers = [*headers, *self._connection_headers()]
         event = h11.Response(status_code=status, headers=encoded(headers))
         try:
             self._head_bytes = self._http.send(event) or b""
         except h11.LocalProtocolError:
             raise CallerGoneError from None
 
+    def _connection_headers(self) -> Headers:
+        """Return the headers that state what becomes of the connection."""
+        if not self.keep:
+            return [("Connection", "close")]
+        seconds = (self._limits.idle_time - IDLE_MARGIN) // SECOND
+        return [("Keep-Alive", f"timeout={seconds}")] if seconds > 0 else []
+
     def _send(self, data: bytes | None, until: timedelta) -> Steps[None]:
         if not data:
             return
--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -130,9 +130,11 @@
         while True:
             if self._stopped and not connection.has_bytes():
                 return KeptClose.STOPPING
-            until = connection.idle_since + self._idle_time()
+            until = self._idle_until(connection)
             ready = yield Wait(until, (connection.fileno(),))
             if ready is None:
+                if self._loop.clock.monotonic() < self._idle_until(connection):
+                    continue  # A longer time has come into force.
                 return KeptClose.IDLE
             if not connection.has_body_left:
                 return None
@@ -141,6 +143,9 @@
             if connection.has_more:
                 return None
 
+    def _idle_until(self, connection: CallerConnection) -> timedelta:
+        return connection.idle_since + self._idle_time()
+
     def _may_read(self, connection: CallerConnection) -> Steps[bool]:
         """Wait until a request may be read; return False if that takes too long.
 
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -261,6 +261,14 @@
         self.assertLess(int(seconds), 9)
         self.assertGreater(int(seconds), 9 * 0.8)
 
+    def test_a_response_states_no_time_for_a_connection_that_its_caller_closes(
+        self,
+    ) -> None:
+        harness = self.start(good)
+        answer = harness.ask("/safe/x", headers={"Connection": "close"})
+        self.assertEqual(answer.headers["connection"], "close")
+        self.assertNotIn("keep-alive", answer.headers)
+
     def test_a_connection_outlasts_a_longer_time_that_comes_into_force(self) -> None:
         # It was closed by the time that was in force when its last response was sent.
         harness = self.start(
