The results of choices and attempts stand in a module of their own

Nine modules of requests/ imported each other in a circle, because the result classes that all of them share stood in attempt.py, which itself imports the modules of calls and notices. requests/results.py holds the results of an attempt, the statuses that belong to them, and the choice of an upstream; it imports nothing of the folder. The status of a misdirected request, which attempt.py and notices.py each had, stands there once.

--- a/packages/ashhoist/src/ashhoist/requests/admission_gate.py
+++ b/packages/ashhoist/src/ashhoist/requests/admission_gate.py
@@ -17,8 +17,8 @@
     SendQuery,
     ServiceOverloaded,
 )
-from .attempt import CallerLeft, OutOfTime
 from .call import Call
+from .results import CallerLeft, OutOfTime
 from .waiting import CallerWatch, wait_for
 
 ADMISSION_TIMEOUT = timedelta(milliseconds=60)
--- a/packages/ashhoist/src/ashhoist/requests/attempt.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt.py
@@ -1,11 +1,5 @@
-"""One attempt: sends a request to one upstream and reads the start of its response.
+"""One attempt: sends a request to one upstream and reads the start of its response."""
 
-Each outcome of an attempt is one of the result classes below. They state what is
-known for certain: the upstream did not run the request, may have run it, or has
-answered.
-"""
-
-from dataclasses import dataclass
 from datetime import timedelta
 
 from ..clock import Clock
@@ -19,18 +13,24 @@
 from .call import Call
 from .header_names import HOP_BY_HOP_HEADERS, HeaderNames
 from .notices import UpstreamNotices
+from .results import (
+    MISDIRECTED_STATUS,
+    NOT_RUN_STATUSES,
+    PROMISE_STATUSES,
+    Answered,
+    CallerLeft,
+    MayHaveRun,
+    NotRun,
+    OutOfTime,
+    Result,
+    Streaming,
+)
 
 CONNECT_TIMEOUT = timedelta(milliseconds=700)
 MAX_TIMER_DELAY = timedelta(milliseconds=100)
 """A timer that is so late shows that this instance was held up. An upstream whose
 silence ends with such a delay is given the full timeout once more."""
 MAX_RESPONSE_BYTES = 16_777_216
-NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
-"""Statuses with which an upstream can refuse a request without having run it."""
-PROMISE_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses with which an instance promises that a request has not run."""
-MISDIRECTED_STATUS = 421
-"""The address belongs to an upstream other than the intended one."""
 OK = 200
 MAX_RESPONSES_READ = 4
 """Responses read from a connection before the attempt fails: responses that do not
@@ -43,57 +43,6 @@
 """Urgency values between two route priorities, where there are no customers."""
 
 
-@dataclass(frozen=True, slots=True)
-class NotRun:
-    """The upstream is certain not to have run the request.
-
-    Parameters
-    ----------
-    reached_upstream : bool
-        True if the request reached the upstream, which refused it.
-    """
-
-    reason: Reason
-    reached_upstream: bool
-    head: Head | None = None
-    body: bytes = b""
-
-
-@dataclass(frozen=True, slots=True)
-class MayHaveRun:
-    """The request was sent, and nothing proves that it was not run."""
-
-    reason: Reason
-
-
-@dataclass(frozen=True, slots=True)
-class Answered:
-    """A complete response, successful or not."""
-
-    head: Head
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Streaming:
-    """An event stream has begun; its head has been read from `connection`."""
-
-    head: Head
-    connection: UpstreamConnection
-
-
-class CallerLeft:
-    """The caller closed its connection, so the attempt was aborted."""
-
-
-@dataclass(frozen=True, slots=True)
-class OutOfTime:
-    """The call's deadline passed before the response; the request may have run."""
-
-
-Result = NotRun | MayHaveRun | Answered | Streaming | CallerLeft | OutOfTime
-
-
 class Attempts:
     """Sends requests to upstreams.
 
--- a/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
@@ -9,12 +9,12 @@
 from ..placement.messages import RequestOutcome, Target
 from ..quarantine import MAX_PARTS
 from ..upstreams import Health
-from .attempt import Answered, MayHaveRun, NotRun, OutOfTime, Result
 from .call import Call
 from .caller_responses import FIRST_SERVER_ERROR_STATUS, reason_of
 from .elapsed import elapsed_ms
 from .quarantine_gate import QuarantineGate
 from .relay import CompletedStream
+from .results import Answered, MayHaveRun, NotRun, OutOfTime, Result
 
 FIRST_REDIRECT_STATUS = 300
 
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -11,14 +11,7 @@
 from ..metrics import Metrics
 from ..placement.messages import Refusal, RequestOutcome, Target
 from ..upstreams import Directory, Health, RejectionLimits
-from .attempt import (
-    Answered,
-    Attempts,
-    CallerLeft,
-    OutOfTime,
-    Result,
-    Streaming,
-)
+from .attempt import Attempts
 from .attempt_recorder import AttemptRecorder, attempt_outcome, request_outcome
 from .budget import RetryBudget
 from .call import Call
@@ -28,11 +21,12 @@
     Ending,
 )
 from .charging import Charging
-from .choosers import Choice, Chooser
+from .choosers import Chooser
 from .forwarding_chooser import Forwarding
 from .header_names import HeaderNames
 from .quarantine_gate import QuarantineGate
 from .relay import CompletedStream, SegmentEnd, StreamRelay
+from .results import Answered, CallerLeft, Choice, OutOfTime, Result, Streaming
 from .resumption import Resumptions
 from .retries import Retries
 from .send_checks import SendChecks
--- a/packages/ashhoist/src/ashhoist/requests/caller_responses.py
+++ b/packages/ashhoist/src/ashhoist/requests/caller_responses.py
@@ -9,7 +9,10 @@
 from ..loop import Steps
 from ..metrics import Metrics
 from ..placement.messages import Refusal
-from .attempt import (
+from .call import Call
+from .header_names import HOP_BY_HOP_HEADERS, HeaderNames
+from .relay import StreamRelay
+from .results import (
     PROMISE_STATUSES,
     Answered,
     CallerLeft,
@@ -18,9 +21,6 @@
     OutOfTime,
     Result,
 )
-from .call import Call
-from .header_names import HOP_BY_HOP_HEADERS, HeaderNames
-from .relay import StreamRelay
 
 NOT_RUN_STATUS = 503
 OVER_QUOTA_STATUS = 429
--- a/packages/ashhoist/src/ashhoist/requests/charging.py
+++ b/packages/ashhoist/src/ashhoist/requests/charging.py
@@ -12,8 +12,8 @@
 from ..loop import Steps
 from ..metrics import Metrics
 from ..placement.messages import Refusal
-from .attempt import CallerLeft
 from .call import Call
+from .results import CallerLeft
 from .waiting import CallerWatch, wait_for
 
 CHARGE_TIMEOUT = timedelta(milliseconds=60)
--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -9,14 +9,12 @@
 from ..placement.messages import Refusal, RequestOutcome, Target
 from ..upstreams import NOT_GRANTED, Balancer, Directory, Permit, Upstream
 from .admission_gate import AdmissionGate
-from .attempt import CallerLeft, OutOfTime
 from .call import Call
+from .results import CallerLeft, Choice, OutOfTime
 from .room_check import RoomCheck
 from .send_permits import SendPermits
 from .waiting import CallerWatch
 
-Choice = Target | Refusal | CallerLeft | OutOfTime
-
 
 class Chooser(Protocol):
     """Selects upstreams for requests."""
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -29,7 +29,8 @@
 from ..routing.active_configuration import ActiveConfiguration
 from ..upstreams import Backoffs, Balancer, Directory, Health
 from .call import Call
-from .choosers import Choice, PlainChooser
+from .choosers import PlainChooser
+from .results import Choice
 from .room_check import RoomCheck
 from .send_permits import SendPermits
 from .waiting import CallerWatch, wait_for
--- a/packages/ashhoist/src/ashhoist/requests/forwarding_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/forwarding_chooser.py
@@ -7,7 +7,8 @@
 from ..overload import AttemptOutcome
 from ..placement.messages import RequestOutcome, Target
 from .call import Call
-from .choosers import Choice, Chooser
+from .choosers import Chooser
+from .results import Choice
 from .waiting import CallerWatch
 
 
--- a/packages/ashhoist/src/ashhoist/requests/notices.py
+++ b/packages/ashhoist/src/ashhoist/requests/notices.py
@@ -23,14 +23,12 @@
 )
 from .call import Call
 from .header_names import HeaderNames
+from .results import MISDIRECTED_STATUS
 from .unread_headers import UnreadHeaders
 
 BACKOFF_STATUS = 503
 """The only status with which ``Retry-After`` applies to this instance; with others it
 concerns the single request."""
-MISDIRECTED_STATUS = 421
-"""Sent by whatever process has the address now. That need not be the intended upstream,
-so its announcements are ignored."""
 MAX_BACKOFF = timedelta(hours=1)
 """Longer times are reduced to this, so that a faulty value does not exclude an upstream
 for a day."""
--- a/packages/ashhoist/src/ashhoist/requests/place_search.py
+++ b/packages/ashhoist/src/ashhoist/requests/place_search.py
@@ -13,9 +13,8 @@
 from ..clock import Clock
 from ..loop import Steps, Wait
 from ..placement.messages import Target
-from .attempt import CallerLeft
 from .call import Call
-from .choosers import Choice
+from .results import CallerLeft, Choice
 from .waiting import CallerWatch
 
 
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -21,10 +21,11 @@
 )
 from ..http.upstream import Broken, End, Piece
 from ..loop import Steps
-from .attempt import Attempts, CallerLeft, MayHaveRun, OutOfTime, Streaming
+from .attempt import Attempts
 from .call import Call
 from .event_pause import EventPause
 from .events import EventSplitter, StreamEvent
+from .results import CallerLeft, MayHaveRun, OutOfTime, Streaming
 from .silence import stall_timeout
 
 MAX_EVENT_ID_DIGITS = 18
--- a/packages/ashhoist/src/ashhoist/requests/resumption.py
+++ b/packages/ashhoist/src/ashhoist/requests/resumption.py
@@ -19,10 +19,10 @@
     VersionSource,
 )
 from ..upstreams import Directory
-from .attempt import CallerLeft
 from .call import Call
 from .elapsed import elapsed_ms, milliseconds
 from .header_names import HeaderNames
+from .results import CallerLeft
 from .waiting import CallerWatch, wait_for
 
 MAX_REQUEST_ID_LENGTH = 128
--- a/packages/ashhoist/src/ashhoist/requests/retries.py
+++ b/packages/ashhoist/src/ashhoist/requests/retries.py
@@ -8,12 +8,12 @@
 from ..metrics import Metrics
 from ..placement.messages import Target
 from ..upstreams import RejectionLimits
-from .attempt import Answered, CallerLeft, NotRun, OutOfTime, Result
 from .budget import RetryBudget
 from .call import Call
 from .caller_responses import FIRST_SERVER_ERROR_STATUS, reason_of
 from .choosers import Chooser
 from .forwarding_chooser import Forwarding
+from .results import Answered, CallerLeft, NotRun, OutOfTime, Result
 
 MILLISECOND = timedelta(milliseconds=1)
 MAX_REFUSED_SENDS = 3
--- a/packages/ashhoist/src/ashhoist/requests/send_permits.py
+++ b/packages/ashhoist/src/ashhoist/requests/send_permits.py
@@ -7,7 +7,7 @@
 from ..clock import ZERO, Clock
 from ..loop import Steps
 from ..upstreams import NOT_GRANTED, Permit, PermitRequest, RateLimits, Upstream
-from .attempt import CallerLeft
+from .results import CallerLeft
 from .waiting import CallerWatch, wait_for
 
 PERMIT_TIMEOUT = timedelta(milliseconds=60)
--- a/packages/ashhoist/src/ashhoist/requests/silence_limits.py
+++ b/packages/ashhoist/src/ashhoist/requests/silence_limits.py
@@ -10,9 +10,10 @@
 from ..upstreams import Directory
 from .budget import RetryBudget
 from .call import Call
-from .choosers import Choice, Chooser
+from .choosers import Chooser
 from .forwarding_chooser import Forwarding
 from .place_search import PlaceSearch
+from .results import Choice
 from .send_checks import SendChecks
 from .silence import SilenceLimit, response_timeout
 from .waiting import CallerWatch
--- a/packages/ashhoist/src/ashhoist/requests/waiting.py
+++ b/packages/ashhoist/src/ashhoist/requests/waiting.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..loop import Steps, Wait
-from .attempt import CallerLeft
+from .results import CallerLeft
 
 
 class CallerWatch(Protocol):
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -28,10 +28,11 @@
 from ashhoist.requests.call import Call
 from ashhoist.requests.call_runner import CallRunner
 from ashhoist.requests.charging import Charging
-from ashhoist.requests.choosers import Choice, Chooser
+from ashhoist.requests.choosers import Chooser
 from ashhoist.requests.forwarding_chooser import Forwarding, ForwardingChooser
 from ashhoist.requests.notices import UpstreamNotices
 from ashhoist.requests.quarantine_gate import QuarantineGate
+from ashhoist.requests.results import Choice
 from ashhoist.requests.resumption import Resumptions
 from ashhoist.requests.send_checks import SendChecks
 from ashhoist.requests.send_permits import SendPermits
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -30,10 +30,10 @@
     LATE_DECISION_TIMEOUT,
     AdmissionGate,
 )
-from ashhoist.requests.attempt import CallerLeft, OutOfTime
 from ashhoist.requests.authentication import Identity
 from ashhoist.requests.call import Call
 from ashhoist.requests.choosers import PlainChooser
+from ashhoist.requests.results import CallerLeft, OutOfTime
 from ashhoist.requests.retries import MAX_REFUSED_SENDS
 from ashhoist.requests.room_check import RoomCheck
 from ashhoist.requests.send_permits import SendPermits
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -10,12 +10,13 @@
 from ashhoist.http.upstream import Broken, End, Event, Piece, Why
 from ashhoist.loop import Steps
 from ashhoist.metrics import Metrics
-from ashhoist.requests.attempt import Attempts, CallerLeft, MayHaveRun, Streaming
+from ashhoist.requests.attempt import Attempts
 from ashhoist.requests.call import Call
 from ashhoist.requests.caller_responses import Ending
 from ashhoist.requests.end_recorder import EndRecorder
 from ashhoist.requests.event_pause import EventPause
 from ashhoist.requests.relay import CompletedStream, StreamRelay
+from ashhoist.requests.results import CallerLeft, MayHaveRun, Streaming
 from ashhoist.routing import Route, RouteKind, WeightedService
 
 from .loops import finish
