A timer that is due in 25 days or later does not end the process

What callers saw: none yet; found while looking for requests that a change of the configuration leaves without an answer. With 'idle-timeout-ms' of 2,147,483,648 or more, every instance that gets the configuration ends at once, with all its requests and streams.

Cause: the loop waits until its next timer, and epoll takes no wait of 2^31 ms: OverflowError out of Loop.run. The timer of a kept connection is as far away as its idle time.

Evidence: tests.test_loop, test_a_timer_beyond_the_longest_wait_of_the_system, ended with that error before; a harness under such a configuration lost its loop with the first connection.

Why this works: one wait lasts an hour at most; a turn without anything due costs nothing.

--- a/packages/ashhoist/src/ashhoist/loop/loop.py
+++ b/packages/ashhoist/src/ashhoist/loop/loop.py
@@ -27,6 +27,8 @@
 MOST_EVENTS = 256
 """Sockets that are served in one turn; the others follow in the next."""
 NO_WAIT = 0.0
+MAX_WAIT_S = 3600.0
+"""The operating system takes no wait of 25 days or more; timers may be due later."""
 MOST_LOOKS = 16
 """Looks at the sockets before late timers run: enough for 4,096 sockets, and bounded so
 that timers run under any load."""
@@ -201,7 +203,7 @@
         if next_at is None:
             return None
         left = (next_at - self.clock.monotonic()).total_seconds()
-        return max(left, NO_WAIT)
+        return min(max(left, NO_WAIT), MAX_WAIT_S)
 
     def _next_timer_at(self) -> timedelta | None:
         timers = self._timers
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -124,6 +124,16 @@
         self.turns(1)
         self.assertEqual((self.poller.polls, self.seen), (1, ["due"]))
 
+    def test_a_timer_beyond_the_longest_wait_of_the_system(self) -> None:
+        # Guards against a wait that the operating system refuses, which ends the loop.
+        loop = new_loop()
+        self.addCleanup(loop.close)
+        loop.call_at(timedelta(days=40_000), lambda: self.seen.append("far"))
+        loop.call_from_thread(lambda: self.seen.append("called"))
+        while not self.seen:
+            loop.run_turn()
+        self.assertEqual(self.seen, ["called"])
+
     def test_a_defect_in_a_callback_ends_nothing_else(self) -> None:
         self.loop.call_soon(lambda: 1 // 0)
         self.loop.call_soon(lambda: self.seen.append("next"))
