An idle time of nothing does not close new connections before their first request

What callers saw: none yet; found with configurations of odd numbers. With 'idle-timeout-ms' of 0 (or less, or less than a caller needs for its first bytes) new connections were closed before their first request was read, at all instances: nobody was served.

Cause: a new connection rests for the idle time too, and a body has to arrive within it.

Evidence: tests.test_kept_connections, test_connections_under_an_idle_time_of_nothing failed before.

Why this works: a first request and a body have a second at least; without an idle time a response says that its connection is closed.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from ..clock import ZERO
 from ..loop import Loop, Steps, Wait
 from .headers import encoded
 from .read_size import ReadSize
@@ -15,6 +16,9 @@
 READ_SIZE = 65536
 HEADER_ROOM = 65536
 LINGER = timedelta(milliseconds=300)
+MIN_ARRIVAL_TIME = timedelta(seconds=1)
+"""The least time for a first request or a body to arrive, however short the idle time
+is."""
 IDLE_MARGIN = timedelta(seconds=1)
 """A kept connection is said to rest for so much less than it may: a request that is
 sent at the end of the time has to arrive."""
@@ -182,7 +186,8 @@
         return replace(request, body=body) if body else request
 
     def _read_body(self, limits: CallerLimits) -> Steps[bytes]:
-        until = self._clock.monotonic() + limits.idle_time
+        time = max(limits.idle_time, MIN_ARRIVAL_TIME)
+        until = self._clock.monotonic() + time
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             yield from self._send(self._http.send(go_on), until)
@@ -336,6 +341,7 @@
             # Its body may come, or be left out: nobody could tell the next request.
             self.keep = False
         self.keep = self.keep and not self.is_closing()
+        self.keep = self.keep and self._limits.idle_time > ZERO
         headers = [*headers, *self._connection_headers()]
         event = h11.Response(status_code=status, headers=encoded(headers))
         try:
--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 
 from ..loop import Loop, Steps, Task, Wait, sleep_until
-from .caller import CallerConnection
+from .caller import MIN_ARRIVAL_TIME, CallerConnection
 from .closed_connections import CloseRecorder, KeptClose, NoRecorder
 from .read_limit import ReadLimit
 from .sockets import close, listening_socket, tune
@@ -144,7 +144,10 @@
                 return None
 
     def _idle_until(self, connection: CallerConnection) -> timedelta:
-        return connection.idle_since + self._idle_time()
+        idle_time = self._idle_time()
+        if not connection.answered or connection.has_body_left:
+            idle_time = max(idle_time, MIN_ARRIVAL_TIME)
+        return connection.idle_since + idle_time
 
     def _may_read(self, connection: CallerConnection) -> Steps[bool]:
         """Wait until a request may be read; return False if that takes too long.
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -281,6 +281,15 @@
             time.sleep(0.6)
             self.assertEqual(caller.ask("/safe/x").status, 200)
 
+    def test_connections_under_an_idle_time_of_nothing(self) -> None:
+        # New ones were closed before their first request was read.
+        harness = self.start(good, limits=Limits(idle_timeout=timedelta()))
+        with harness.connect() as caller:
+            time.sleep(0.1)
+            answer = caller.ask("/safe/x")
+            self.assertEqual(answer.status, 200)
+            self.assertFalse(is_kept(answer))
+
     def test_a_connection_without_requests_is_closed(self) -> None:
         harness = self.start(
             good, limits=Limits(idle_timeout=timedelta(milliseconds=300))
