--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -240,6 +240,8 @@
         if len(route.services) == 1:
             return route.services[0].service
         weights = [part.weight for part in route.services]
+        if not any(weights):
+            return self._random.choice(route.services).service
         [chosen] = self._random.choices(route.services, weights)
         return chosen.service
 
