--- /dev/null
+++ b/tests/request_ledger.py
@@ -0,0 +1,190 @@
+"""What callers sent, how each request ended, and whether an instance's log agrees.
+
+A connection that ends without a response says whether its request was read: the
+operating system resets it if bytes were left unread, also when the process ends.
+"""
+
+import json
+import socket
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+ENDED = "requests: request ended"
+REFUSED = "requests: request refused"
+DISCARDED = "requests: bytes discarded"
+TCP_STATE_CLOSED = 7
+"""The first byte of `TCP_INFO` once a connection was reset. One that the other side
+closed in order stays in another state until this side closes as well."""
+NOT_PARSED_STATUSES = frozenset({408, 413, 431})
+"""Refusals of requests that are too slow or too large. Neither the response nor its log
+line has the request's id."""
+MALFORMED_STATUS = 400
+FIRST_FAILURE_STATUS = 400
+
+Line = dict[str, Any]
+
+
+class End(StrEnum):
+    """How a request ended for its caller."""
+
+    ANSWER = "answer"
+    REFUSAL = "refusal"
+    NOT_WHOLE = "not whole"
+    UNREAD = "unread"
+    UNANSWERED = "read, and neither answer nor refusal"
+    CUT = "answer without its end"
+
+
+@dataclass
+class Sent:
+    """A request, and what its caller received for it.
+
+    Attributes
+    ----------
+    instance : str
+        The process that it was sent to.
+    connection : int
+        Number of the connection.
+    is_whole : bool
+        Whether its last byte was sent before its caller had read that the connection
+        is closed.
+    status : int
+        0 without a response.
+    answered_id : str
+        The id that the response states.
+    complete : bool
+        Whether the response came to its end.
+    was_reset : bool
+        Whether its connection ended with bytes that the instance had not read.
+    """
+
+    id: str
+    instance: str
+    connection: int
+    kind: str
+    path: str
+    began: float
+    number: int = 0
+    is_whole: bool = False
+    status: int = 0
+    answered_id: str = ""
+    complete: bool = False
+    was_reset: bool = False
+    took_s: float = 0.0
+
+    @property
+    def end(self) -> End:
+        """Return how it ended."""
+        if self.complete:
+            is_failure = self.status >= FIRST_FAILURE_STATUS
+            return End.REFUSAL if is_failure else End.ANSWER
+        if self.status:
+            return End.CUT
+        if not self.is_whole:
+            return End.NOT_WHOLE
+        return End.UNREAD if self.was_reset else End.UNANSWERED
+
+
+def is_reset(peer: socket.socket) -> bool:
+    """Return whether a connection was reset; certain once the other process is gone."""
+    return peer.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == (
+        TCP_STATE_CLOSED
+    )
+
+
+@dataclass
+class InstanceLog:
+    """The lines about requests that one instance wrote."""
+
+    lines_by_id: dict[str, list[Line]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    without_id: list[Line] = field(default_factory=list)
+    discarded: list[Line] = field(default_factory=list)
+    stopped: Line | None = None
+
+    @classmethod
+    def parse(cls, text: str) -> "InstanceLog":
+        """Return the lines of a log in JSON."""
+        log = cls()
+        for line in text.splitlines():
+            if line.startswith("{"):
+                log._add(json.loads(line))
+        return log
+
+    def _add(self, line: Line) -> None:
+        event = line["event"]
+        if event == DISCARDED:
+            self.discarded.append(line)
+        elif event == "process: stopped":
+            self.stopped = line
+        elif event in (ENDED, REFUSED):
+            id = line.get("request")
+            if id:
+                self.lines_by_id[id].append(line)
+            else:
+                self.without_id.append(line)
+
+
+@dataclass
+class Ledger:
+    """All requests of a play, and the logs of its instances."""
+
+    sent: list[Sent] = field(default_factory=list)
+    logs: dict[str, InstanceLog] = field(default_factory=dict)
+
+    def ends(self) -> Counter[End]:
+        """Return how many requests ended in which way."""
+        return Counter(one.end for one in self.sent)
+
+    def faults(self) -> list[str]:
+        """Return what must not be, in the order in which the requests were sent."""
+        found = [text for one in self.sent for text in self._faults_of(one)]
+        for name, log in self.logs.items():
+            found += [f"{name}: {text}" for text in self._faults_of_log(name, log)]
+        return found
+
+    def _faults_of(self, one: Sent) -> Iterable[str]:
+        lines = self.logs[one.instance].lines_by_id.get(one.id, [])
+        for text in _ends_without_response(one, lines):
+            yield f"{text}: {one}, log: {lines}"
+        if one.end in (End.ANSWER, End.REFUSAL):
+            for text in _ends_with_response(one, lines):
+                yield f"{text}: {one}, log: {lines}"
+
+    def _faults_of_log(self, name: str, log: InstanceLog) -> Iterable[str]:
+        sent = [one for one in self.sent if one.instance == name]
+        unknown = set(log.lines_by_id) - {one.id for one in sent}
+        for id in sorted(unknown):
+            yield f"line of a request that nobody sent: {log.lines_by_id[id]}"
+        unstated = [line for line in log.discarded if not line["stated_close"]]
+        for line in unstated:
+            yield f"discarded on a connection that was said to be kept: {line}"
+        statuses = [one.status for one in sent]
+        not_parsed = sum(status in NOT_PARSED_STATUSES for status in statuses)
+        if not_parsed > len(log.without_id):
+            yield f"{not_parsed} requests not parsed, lines: {log.without_id}"
+
+
+def _ends_without_response(one: Sent, lines: list[Line]) -> Iterable[str]:
+    if one.end in (End.UNANSWERED, End.CUT):
+        yield one.end
+    if one.end is End.UNREAD and lines:
+        yield "the instance has read the head, and its caller got no response"
+
+
+def _ends_with_response(one: Sent, lines: list[Line]) -> Iterable[str]:
+    if one.status == MALFORMED_STATUS:
+        yield "a proper request was taken to be malformed"
+    if one.status in NOT_PARSED_STATUSES:
+        return
+    if one.answered_id != one.id:
+        yield "response to another request"
+    if not lines:
+        yield "no log line"
+    ended = [line for line in lines if line["event"] == ENDED]
+    if ended and ended[-1]["status"] != one.status:
+        yield "the log line has another status"
