A refused body beyond the limit loses no request that follows it

What callers saw: 404 or 401 for a request with a body beyond max-body-bytes, without 'Connection: close'; then the end of the connection for the next whole request.

Cause: such a body is passed over up to the limit. What was read beyond it was dropped even where the body ended in it and the next request had begun, and a connection that ended right after the response was drained as if it had been said to be closed.

Change: a body beyond the limit is given up only where it has not ended in what has been read, and never by draining. If its stated length is beyond the limit and it has not ended, the response says that the connection is closed.

Why it works: a next request begins only after the body has ended, so nothing that is given up belongs to it.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -9,6 +9,7 @@
 
 from ..loop import Loop, Steps, Wait
 from .headers import encoded
+from .numbers import parse_number
 from .read_size import ReadSize
 from .sockets import close, has_bytes, has_left, send_all
 
@@ -105,7 +106,9 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_ROOM)
         self._read_size = ReadSize()
         self._limits = CallerLimits()
+        self._content_length = ""
         self._passed_bytes = 0
+        self._drain_limit: int | None = None
         self._has_read = False
         self._watched = True
         self.idle_since = loop.clock.monotonic()
@@ -155,6 +158,7 @@
         values = {name.lower(): value for name, value in pairs}
         if "close" in values.get("connection", "").lower():
             self.keep = False
+        self._content_length = values.get("content-length", "")
         return Request(
             head.method.decode("ascii"),
             head.target.decode("latin-1"),
@@ -262,17 +266,19 @@
         return self._pass_received_body()
 
     def _pass_received_body(self) -> bool:
-        """Drop what has been read of a body; begin anew once it has ended."""
+        """Drop what has been read of a body; begin anew once it has ended.
+
+        A body beyond the limit is given up only where it has not ended in what has been
+        read: bytes of the next request may have been read with its end.
+        """
         try:
             while self.has_body_left:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
-                    return True
+                    return self._passed_bytes <= self._limits.body_bytes
                 self._read_size.parsed()
                 if isinstance(event, h11.Data):
                     self._passed_bytes += len(event.data)
-                if self._passed_bytes > self._limits.body_bytes:
-                    return False
         except h11.RemoteProtocolError:
             return False
         if self._http.their_state is not h11.DONE:
@@ -335,6 +341,9 @@
         if self._http.they_are_waiting_for_100_continue:
             # Its body may come, or be left out: nobody could tell the next request.
             self.keep = False
+        if self.keep and self._has_long_body_left:
+            self.keep = False
+            self._drain_limit = self._limits.body_bytes
         self.keep = self.keep and not self.is_closing()
         headers = [*headers, *self._connection_headers()]
         event = h11.Response(status_code=status, headers=encoded(headers))
@@ -343,6 +352,14 @@
         except h11.LocalProtocolError:
             raise CallerGoneError from None
 
+    @property
+    def _has_long_body_left(self) -> bool:
+        """Return whether a body has not ended that is known to exceed the limit."""
+        if self._http.their_state is not h11.SEND_BODY:
+            return False
+        length = parse_number(self._content_length)
+        return length is not None and length > self._limits.body_bytes
+
     def _connection_headers(self) -> Headers:
         """Return the headers that state what becomes of the connection."""
         if not self.keep:
@@ -369,7 +386,9 @@
         if self.fileno() < 0 or not self.keep or self._http.our_state is not h11.DONE:
             return False
         self.idle_since = self._clock.monotonic()
-        return self._pass_received_body()
+        # A body beyond the limit ends the connection once more of it arrives, as what
+        # is read while a connection is closed may be the next request.
+        return self._pass_received_body() or self.has_body_left
 
     def close(self) -> Steps[None]:
         """Close in order: what was sent still arrives."""
@@ -383,11 +402,14 @@
     def _drain(self) -> Steps[None]:
         """Read what came too much, so that the close is not a reset."""
         until = self._clock.monotonic() + LINGER
+        limit = self._drain_limit
         while (yield Wait(until, (self.fileno(),))) is not None:
             data = self._peer.recv(READ_SIZE)
             if not data:
                 return
             self.discarded_bytes += len(data)
+            if limit is not None and self.discarded_bytes > limit:
+                return
 
     def abort(self) -> None:
         """Break the connection so that the answer can't be taken for whole."""
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -98,6 +98,23 @@
         lines = (f"{ID}: first", f"Content-Length: {len(BODY)}")
         self.check(lambda path: (head(path, *lines) + BODY, b""))
 
+    def test_a_request_after_a_refused_body_beyond_the_limit(self) -> None:
+        # The end of such a body was read together with the next request.
+        harness = self.start(good, limits=Limits(body_bytes=len(BODY) // 2))
+        bodies = {
+            f"Content-Length: {len(BODY)}": BODY,
+            "Transfer-Encoding: chunked": chunk(BODY) + b"0\r\n\r\n",
+        }
+        path = "/elsewhere/x"
+        for line, body in bodies.items():
+            for pause_s in PAUSES_S:
+                with self.subTest(line, pause_s=pause_s), harness.connect() as caller:
+                    caller.socket.sendall(head(path, f"{ID}: first", line) + body)
+                    answer = caller.receive_raw()
+                    self.assertEqual(answer.status, 404)
+                    time.sleep(pause_s)
+                    self.check_next(caller, answer, b"", path, 404)
+
     def test_a_chunked_body_that_ends_after_the_response(self) -> None:
         lines = (f"{ID}: first", "Transfer-Encoding: chunked")
         start = chunk(BODY[:100])
