A connection rests for the time that its response stated, though a shorter one came into force meanwhile

What callers saw: 'Keep-Alive: timeout=19', and the connection closed after 0.3 s, under the next request.

Cause: the time that is stated is that of the configuration in which the request was read; the listener took the one that was in force when the connection began to rest. A version that shortens the idle time while a request is at work, a stream for example, comes in between.

Change: the connection keeps the time that it has stated; the longer of the two holds.

Evidence: test_a_connection_outlasts_a_shorter_time_from_within_its_request, which failed before.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from ..clock import ZERO
 from ..loop import Loop, Steps, Wait
 from .headers import encoded
 from .numbers import parse_number
@@ -93,6 +94,8 @@
         Number of responses sent on it.
     discarded_bytes : int
         Bytes that were read after the last response and dropped.
+    kept_for : timedelta
+        How long it may rest by what the last response stated.
     keep : bool
         False if the next response states that the connection is closed.
     is_closing : callable
@@ -114,6 +117,7 @@
         self.idle_since = loop.clock.monotonic()
         self.answered = 0
         self.discarded_bytes = 0
+        self.kept_for = ZERO
         self.keep = True
         self.is_closing: Callable[[], bool] = lambda: False
 
@@ -364,7 +368,8 @@
         """Return the headers that state what becomes of the connection."""
         if not self.keep:
             return [("Connection", "close")]
-        seconds = (self._limits.idle_time - IDLE_MARGIN) // SECOND
+        self.kept_for = self._limits.idle_time
+        seconds = (self.kept_for - IDLE_MARGIN) // SECOND
         return [("Keep-Alive", f"timeout={seconds}")] if seconds > 0 else []
 
     def _send(self, data: bytes | None, until: timedelta) -> Steps[None]:
--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -144,7 +144,7 @@
                 return None
 
     def _idle_until(self, connection: CallerConnection) -> timedelta:
-        return connection.idle_since + self._idle_time()
+        return connection.idle_since + max(connection.kept_for, self._idle_time())
 
     def _may_read(self, connection: CallerConnection) -> Steps[bool]:
         """Wait until a request may be read; return False if that takes too long.
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -298,6 +298,24 @@
             time.sleep(0.6)
             self.assertEqual(caller.ask("/safe/x").status, 200)
 
+    def test_a_connection_outlasts_a_shorter_time_from_within_its_request(self) -> None:
+        # It was closed by the time that came into force before its response ended.
+        began: list[Harness] = []
+
+        def shorten_and_respond(call: Call) -> None:
+            limits = Limits(idle_timeout=timedelta(milliseconds=300))
+            began[0].set_limits(limits)
+            good(call)
+
+        limits = Limits(idle_timeout=timedelta(seconds=20))
+        harness = self.start(shorten_and_respond, limits=limits)
+        began.append(harness)
+        with harness.connect() as caller:
+            stated = caller.ask("/safe/x").headers["keep-alive"]
+            self.assertEqual(stated, "timeout=19")
+            time.sleep(0.6)
+            self.assertEqual(caller.ask("/safe/x").status, 200)
+
     def test_a_connection_without_requests_is_closed(self) -> None:
         harness = self.start(
             good, limits=Limits(idle_timeout=timedelta(milliseconds=300))
