--- a/tests/request_ledger.py
+++ b/tests/request_ledger.py
@@ -59,6 +59,13 @@
         Whether the response came to its end.
     was_reset : bool
         Whether its connection ended with bytes that the instance had not read.
+    kept_until : float
+        Until when its connection is kept at least, by the response before. Counted from
+        when the caller sent the request before, as it cannot know when the instance
+        responded.
+    follows_refused_chunks : bool
+        Whether the request before had a body of no stated length and was refused. The
+        instance may give it up, and its connection with it.
     """
 
     id: str
@@ -73,6 +80,8 @@
     answered_id: str = ""
     complete: bool = False
     was_reset: bool = False
+    kept_until: float = 0.0
+    follows_refused_chunks: bool = False
     took_s: float = 0.0
 
     @property
@@ -135,6 +144,7 @@
 
     sent: list[Sent] = field(default_factory=list)
     logs: dict[str, InstanceLog] = field(default_factory=dict)
+    stopping_at: dict[str, float] = field(default_factory=dict)
 
     def ends(self) -> Counter[End]:
         """Return how many requests ended in which way."""
@@ -151,10 +161,19 @@
         lines = self.logs[one.instance].lines_by_id.get(one.id, [])
         for text in _ends_without_response(one, lines):
             yield f"{text}: {one}, log: {lines}"
+        if one.end is End.UNREAD and self._must_be_read(one):
+            yield f"the connection was closed within the time that was stated: {one}"
         if one.end in (End.ANSWER, End.REFUSAL):
             for text in _ends_with_response(one, lines):
                 yield f"{text}: {one}, log: {lines}"
 
+    def _must_be_read(self, one: Sent) -> bool:
+        """Return whether its connection was to be kept until after its end."""
+        if one.follows_refused_chunks:
+            return False
+        ended = one.began + one.took_s
+        return ended < min(one.kept_until, self.stopping_at[one.instance])
+
     def _faults_of_log(self, name: str, log: InstanceLog) -> Iterable[str]:
         sent = [one for one in self.sent if one.instance == name]
         unknown = set(log.lines_by_id) - {one.id for one in sent}
