--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -144,7 +144,7 @@
                 return None
 
     def _idle_until(self, connection: CallerConnection) -> timedelta:
-        idle_time = self._idle_time()
+        idle_time = max(connection.kept_for, self._idle_time())
         if not connection.answered or connection.has_body_left:
             idle_time = max(idle_time, MIN_ARRIVAL_TIME)
         return connection.idle_since + idle_time
