The search for a call's next upstream does not import the call

A call holds the search for its next upstream, and the search copied the call and wrote to it, so call.py, silence.py and place_search.py imported each other, two of them for types only. The call now makes its copy (Call.copy_for_search) and takes over what was obtained for it (Call.adopt); the search is given the steps that do so, as it was given those that choose and release.

tests/test_imports.py checks that the modules of requests/ form no cycle, imports for types included.

--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -2,20 +2,17 @@
 
 import itertools
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
 from ..adapter import Adapter
 from ..http import Request
 from ..routing import Route
 from .authentication import ANONYMOUS, Identity
 from .event_pause import EventPause
+from .place_search import PlaceSearch
 from .silence import SilenceLimit
 
-if TYPE_CHECKING:
-    from .place_search import PlaceSearch
-
 
 @dataclass(frozen=True, slots=True)
 class TokenCounts:
@@ -171,7 +168,7 @@
     refused_by: set[str] = field(default_factory=set)
     use_id: str = ""
     placement_numbers: Iterator[int] = field(default_factory=itertools.count)
-    place_search: "PlaceSearch | None" = None
+    place_search: PlaceSearch | None = None
     silence_limit: SilenceLimit | None = None
     placement_wait: timedelta = timedelta()
     admission_wait: timedelta = timedelta()
@@ -188,6 +185,35 @@
         self.tried -= self.refused_by
         self.refused_by.clear()
 
+    def copy_for_search(self) -> "Call":
+        """Return a copy of a call that is still at an upstream, to look for another.
+
+        Nothing has been sent for the copy, and its present upstream counts as tried.
+        """
+        return replace(
+            self,
+            tried=set(self.tried),
+            grant_number=0,
+            place_search=None,
+            is_searching=True,
+            attempt_unresolved=False,
+            may_have_run=False,
+            runs=0,
+        )
+
+    def adopt(self, copy: "Call") -> None:
+        """Take over what a search has obtained for a copy of the call."""
+        self.use_id = copy.use_id
+        self.service = copy.service
+        self.software_version = copy.software_version
+        self.is_taken_over = copy.is_taken_over
+        self.is_charged = copy.is_charged
+        self.charged_tokens = copy.charged_tokens
+        self.grant_number = copy.grant_number
+        self.sent_undecided = copy.sent_undecided
+        self.placement_wait = copy.placement_wait
+        self.admission_wait = copy.admission_wait
+
     def withdraw_place_search(self) -> None:
         """End the search for the next upstream, if there is one."""
         search, self.place_search = self.place_search, None
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -214,7 +214,7 @@
         search = call.place_search
         if search is None:
             return (yield from self._next_target(call, caller, chooser))
-        choice = yield from search.finish(call, caller, self._clock)
+        choice = yield from search.finish(caller, self._clock)
         call.place_search = None
         return choice
 
--- a/packages/ashhoist/src/ashhoist/requests/place_search.py
+++ b/packages/ashhoist/src/ashhoist/requests/place_search.py
@@ -13,7 +13,6 @@
 from ..clock import Clock
 from ..loop import Steps, Wait
 from ..placement.messages import Target
-from .call import Call
 from .results import CallerLeft, Choice
 from .waiting import CallerWatch
 
@@ -36,12 +35,12 @@
 
     Parameters
     ----------
-    call : Call
-        Its present upstream counts as tried already.
     choose : callable
         Returns the steps that choose an upstream.
     may_move : callable
-        Returns whether a call may be sent to a chosen upstream now.
+        Returns whether the call may be sent to a chosen upstream now.
+    adopt : callable
+        Makes what the search has obtained the call's own.
     release : callable
         Gives back what a withdrawn search has obtained: the choice, and what the copy
         of the call has been charged.
@@ -49,24 +48,15 @@
 
     def __init__(
         self,
-        call: Call,
-        choose: Callable[[Call, CallerWatch], Steps[Choice]],
-        may_move: Callable[[Call, Target], bool],
-        release: Callable[[Call, Choice | None], None],
+        choose: Callable[[CallerWatch], Steps[Choice]],
+        may_move: Callable[[Target], bool],
+        adopt: Callable[[], None],
+        release: Callable[[Choice | None], None],
     ) -> None:
-        self._call = replace(
-            call,
-            tried=set(call.tried),
-            grant_number=0,
-            place_search=None,
-            is_searching=True,
-            attempt_unresolved=False,
-            may_have_run=False,
-            runs=0,
-        )
         self._may_move = may_move
+        self._adopt = adopt
         self._release = release
-        self._steps = choose(self._call, _NoWatch())
+        self._steps = choose(_NoWatch())
         self._waits = Wait()
         self._choice: Choice | None = None
         self._go_on()
@@ -81,7 +71,7 @@
         """Return whether the call may leave its present upstream for the chosen one."""
         if not isinstance(self._choice, Target):
             return False
-        return self._may_move(self._call, self._choice)
+        return self._may_move(self._choice)
 
     def add_to(self, waits: Wait) -> Wait:
         """Return a wait that also ends when the search can go on.
@@ -113,7 +103,7 @@
             return
         self._waits = Wait(future=step) if isinstance(step, Future) else step
 
-    def finish(self, call: Call, caller: CallerWatch, clock: Clock) -> Steps[Choice]:
+    def finish(self, caller: CallerWatch, clock: Clock) -> Steps[Choice]:
         """Wait for the choice and adopt it, as the present upstream has ended."""
         while self._choice is None:
             watched = () if caller.watched is None else (caller.watched,)
@@ -122,24 +112,11 @@
                 self.withdraw()
                 return CallerLeft()
             self.advance(clock.monotonic())
-        self._adopt(call)
+        self._adopt()
         return self._choice
 
-    def _adopt(self, call: Call) -> None:
-        chosen_for = self._call
-        call.use_id = chosen_for.use_id
-        call.service = chosen_for.service
-        call.software_version = chosen_for.software_version
-        call.is_taken_over = chosen_for.is_taken_over
-        call.is_charged = chosen_for.is_charged
-        call.charged_tokens = chosen_for.charged_tokens
-        call.grant_number = chosen_for.grant_number
-        call.sent_undecided = chosen_for.sent_undecided
-        call.placement_wait = chosen_for.placement_wait
-        call.admission_wait = chosen_for.admission_wait
-
     def withdraw(self) -> None:
         """End the search, and give back what it has obtained."""
         if self._choice is None:
             self._steps.close()
-        self._release(self._call, self._choice)
+        self._release(self._choice)
--- a/packages/ashhoist/src/ashhoist/requests/silence.py
+++ b/packages/ashhoist/src/ashhoist/requests/silence.py
@@ -7,13 +7,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
 from ..placement.messages import Target
 from ..routing import Route
-
-if TYPE_CHECKING:
-    from .place_search import PlaceSearch
+from .place_search import PlaceSearch
 
 EXPECTED_TIME_FACTOR = 2.0
 """An upstream may be silent for this multiple of the expected time to the first event,
@@ -45,7 +42,7 @@
     """
 
     timeout: timedelta
-    begin_search: "Callable[[], PlaceSearch | None]"
+    begin_search: Callable[[], PlaceSearch | None]
     upstream_has_ended: Callable[[], bool] = lambda: False
 
 
--- a/packages/ashhoist/src/ashhoist/requests/silence_limits.py
+++ b/packages/ashhoist/src/ashhoist/requests/silence_limits.py
@@ -100,11 +100,12 @@
             last_event=call.last_event_id,
         )
         was_taken_over = call.is_taken_over
+        copy = call.copy_for_search()
         return PlaceSearch(
-            call,
-            lambda copy, caller: self._choose_safely(copy, caller, chooser),
-            lambda copy, chosen: self._may_move(copy, target, chosen),
-            lambda copy, choice: self._release(copy, choice, chooser, was_taken_over),
+            lambda caller: self._choose_safely(copy, caller, chooser),
+            lambda chosen: self._may_move(copy, target, chosen),
+            lambda: call.adopt(copy),
+            lambda choice: self._release(copy, choice, chooser, was_taken_over),
         )
 
     def _choose_safely(
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -2,6 +2,7 @@
 
 import ast
 import unittest
+from graphlib import TopologicalSorter
 from pathlib import Path
 
 SOURCE = Path(__file__).parent.parent / "packages" / "ashhoist" / "src" / "ashhoist"
@@ -111,6 +112,17 @@
     }
 
 
+def imported_neighbours(path: Path) -> set[str]:
+    """Return the modules of its own room that a module imports, also for types only."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.ImportFrom) or node.level != 1:
+            continue
+        module = (node.module or "").split(".")[0]
+        found |= {module} if module else {alias.name for alias in node.names}
+    return found
+
+
 class ImportTests(unittest.TestCase):
     def test_decision_code_imports_no_peer_and_no_input_output(self) -> None:
         for path in SOURCE.glob("*.py"):
@@ -135,6 +147,15 @@
                     found = imported_rooms(path) & rooms
                     self.assertEqual(found - below - {room}, set())
 
+    def test_the_modules_of_requests_form_no_cycle(self) -> None:
+        # Guards against modules that can be read and changed only together.
+        modules = (SOURCE / "requests").glob("*.py")
+        sorter = TopologicalSorter(
+            {path.stem: imported_neighbours(path) for path in modules}
+        )
+        # Raises CycleError, which names the modules of a cycle.
+        sorter.prepare()
+
     def test_peers_import_no_other_peer(self) -> None:
         for peer in PEERS:
             for path in (SOURCE / peer).glob("*.py"):
