What is obtained for a call before it is sent is one object

PlaceSearch copied ten fields of a call back by hand once an upstream was found, so a field that was added to Call could be left out there without an error. Seven of them are now a CallPlacement, which a search takes a copy of and the call takes over whole.

The service and the software version stay on Call, as they describe the stream. The grant number stays there too: it belongs to one attempt, and a search begins without one.

--- a/packages/ashhoist/src/ashhoist/requests/admission_gate.py
+++ b/packages/ashhoist/src/ashhoist/requests/admission_gate.py
@@ -71,7 +71,7 @@
         """
         began = self._clock.monotonic()
         query = self._query(call, excluded)
-        call.sent_undecided = False
+        call.placement.sent_undecided = False
         self._send(query)
         answer: SendAnswer = None
         is_waiting = False
@@ -79,7 +79,7 @@
             caller_left = yield from self._wait(query, began, caller)
             is_waiting = caller_left is None
         finally:
-            call.admission_wait += self._clock.monotonic() - began
+            call.placement.admission_wait += self._clock.monotonic() - began
             if query.answer.cancel():
                 self._send(SendCancelled(query.number))
             else:
@@ -93,7 +93,7 @@
         if answer is None:
             if self._clock.monotonic() >= call.deadline:
                 return OutOfTime()
-            call.sent_undecided = True
+            call.placement.sent_undecided = True
             self._metrics.count("undecided_sends", call.service)
         return answer
 
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -9,6 +9,7 @@
 from ..http import Request
 from ..routing import Route
 from .authentication import ANONYMOUS, Identity
+from .call_placement import CallPlacement
 from .event_pause import EventPause
 from .place_search import PlaceSearch
 from .silence import SilenceLimit
@@ -71,14 +72,8 @@
         Attempts that were started.
     runs : int
         Attempts that ran at an upstream, or may have.
-    use_id : str
-        Identifies the current attempt to the leader.
     is_forwarded : bool
         Whether another instance has forwarded the request to this one.
-    is_taken_over : bool
-        Whether this instance has counted the request for the retry budget.
-    is_charged : bool
-        Whether it has charged the request, if its customer has a quota.
     forwarded_to : str
         The instance that the current attempt goes to; empty if it goes to an upstream.
     response_began : bool
@@ -105,14 +100,10 @@
     silence_limit : SilenceLimit or None
         How long the upstream may send nothing before the request goes to another one;
         None if no further attempt is possible.
-    placement_wait : timedelta
-        How long the request waited for its adapter, over all attempts.
-    admission_wait : timedelta
-        How long it waited for admission to a contended service, over all attempts.
+    placement : CallPlacement
+        What the choice of an upstream has obtained for it.
     grant_number : int
         Identifies the leader's grant for the current attempt; 0 if there is none.
-    sent_undecided : bool
-        Whether the last attempt was sent because the leader did not decide in time.
     sent_at : timedelta or None
         When the last attempt began.
     longest_pause : EventPause or None
@@ -126,8 +117,6 @@
         it.
     identity : Identity
         Who sent the request.
-    charged_tokens : float
-        Amount charged to the customer's quota, in the quota's unit.
     """
 
     id: str
@@ -154,10 +143,7 @@
     may_have_run: bool = False
     attempt_unresolved: bool = False
     identity: Identity = ANONYMOUS
-    charged_tokens: float = 0.0
     is_forwarded: bool = False
-    is_taken_over: bool = False
-    is_charged: bool = False
     forwarded_to: str = ""
     response_began: bool = False
     has_moved: bool = False
@@ -166,14 +152,11 @@
     retry_reserved: bool = False
     tried: set[str] = field(default_factory=set)
     refused_by: set[str] = field(default_factory=set)
-    use_id: str = ""
     placement_numbers: Iterator[int] = field(default_factory=itertools.count)
     place_search: PlaceSearch | None = None
     silence_limit: SilenceLimit | None = None
-    placement_wait: timedelta = timedelta()
-    admission_wait: timedelta = timedelta()
+    placement: CallPlacement = field(default_factory=CallPlacement)
     grant_number: int = 0
-    sent_undecided: bool = False
     sent_at: timedelta | None = None
     first_event_at: timedelta | None = None
     last_event_at: timedelta | None = None
@@ -193,6 +176,7 @@
         return replace(
             self,
             tried=set(self.tried),
+            placement=replace(self.placement),
             grant_number=0,
             place_search=None,
             is_searching=True,
@@ -202,17 +186,14 @@
         )
 
     def adopt(self, copy: "Call") -> None:
-        """Take over what a search has obtained for a copy of the call."""
-        self.use_id = copy.use_id
+        """Take over what a search has obtained for a copy of the call.
+
+        The copy is not used afterwards, as the two share it.
+        """
         self.service = copy.service
         self.software_version = copy.software_version
-        self.is_taken_over = copy.is_taken_over
-        self.is_charged = copy.is_charged
-        self.charged_tokens = copy.charged_tokens
         self.grant_number = copy.grant_number
-        self.sent_undecided = copy.sent_undecided
-        self.placement_wait = copy.placement_wait
-        self.admission_wait = copy.admission_wait
+        self.placement = copy.placement
 
     def withdraw_place_search(self) -> None:
         """End the search for the next upstream, if there is one."""
@@ -257,6 +238,16 @@
         """Return whether an upstream has started on the request, or may have."""
         return self.may_have_run or self.attempt_unresolved or self.runs > 0
 
+    @property
+    def placement_wait(self) -> timedelta:
+        """Return how long it waited for its adapter, over all attempts."""
+        return self.placement.placement_wait
+
+    @property
+    def admission_wait(self) -> timedelta:
+        """Return how long it waited for admission, over all attempts."""
+        return self.placement.admission_wait
+
     @property
     def customer_name(self) -> str:
         """Return the name of the customer that sent it, or an empty string."""
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -195,16 +195,16 @@
         Refusal, CallerLeft or None
             None if the call may be sent.
         """
-        if call.is_charged or self._forwarding.applies(call):
+        if call.placement.is_charged or self._forwarding.applies(call):
             return None
         reason = self._forwarding.refusal_reason(call)
         if reason is not None:
             return Refusal(reason)
-        if not call.is_taken_over:
-            call.is_taken_over = True
+        if not call.placement.is_taken_over:
+            call.placement.is_taken_over = True
             self._budget.record_request(call.service)
         refused = yield from self._charging.charge(call, caller)
-        call.is_charged = refused is None
+        call.placement.is_charged = refused is None
         return refused
 
     def _choose(
@@ -307,11 +307,11 @@
 
     def _hand_over(self, call: Call) -> None:
         """Leave the count and the charge of a call to the instance it goes to."""
-        if call.is_taken_over:
-            call.is_taken_over = False
+        if call.placement.is_taken_over:
+            call.placement.is_taken_over = False
             self._budget.withdraw_request(call.service)
         if not call.has_run:
-            call.is_charged = False
+            call.placement.is_charged = False
         self._charging.refund_unused(call)
 
     def _refuse(
--- a/packages/ashhoist/src/ashhoist/requests/charging.py
+++ b/packages/ashhoist/src/ashhoist/requests/charging.py
@@ -55,8 +55,8 @@
         customer = call.identity.customer
         if customer is None or customer.quota is None:
             return None
-        call.charged_tokens = customer.quota.charge(call.token_counts.total)
-        charge = Charge(customer.name, call.charged_tokens)
+        call.placement.charged_tokens = customer.quota.charge(call.token_counts.total)
+        charge = Charge(customer.name, call.placement.charged_tokens)
         self._send(charge)
         deadline = self._clock.monotonic() + CHARGE_TIMEOUT
         is_waiting = False
@@ -68,7 +68,7 @@
         finally:
             if not is_waiting:
                 self._withdraw(charge)
-                call.charged_tokens = 0.0
+                call.placement.charged_tokens = 0.0
         if caller_left is not None:
             return caller_left
         if not charge.settled:
@@ -88,9 +88,9 @@
         self, call: Call, customer: Customer, charged: ChargeResult
     ) -> Refusal | None:
         if charged.spent:
-            self._count_tokens(customer, "spent", call.charged_tokens)
+            self._count_tokens(customer, "spent", call.placement.charged_tokens)
             return None
-        call.charged_tokens = 0.0
+        call.placement.charged_tokens = 0.0
         wait = charged.wait or UNKNOWN_QUOTA_RETRY_AFTER
         wait *= 1.0 + RETRY_JITTER * self._random.random()
         if charged.over_quota:
@@ -100,11 +100,11 @@
     def refund_unused(self, call: Call) -> None:
         """Refund the charge of a call that has ended without running."""
         customer = call.identity.customer
-        if customer is None or not call.charged_tokens or call.has_run:
+        if customer is None or not call.placement.charged_tokens or call.has_run:
             return
-        self._count_tokens(customer, "given_back", call.charged_tokens)
-        self._send(TokenRefund(customer.name, call.charged_tokens))
-        call.charged_tokens = 0.0
+        self._count_tokens(customer, "given_back", call.placement.charged_tokens)
+        self._send(TokenRefund(customer.name, call.placement.charged_tokens))
+        call.placement.charged_tokens = 0.0
 
     def _count_tokens(self, customer: Customer, outcome: str, tokens: float) -> None:
         self._metrics.count("customer_tokens", customer.name, outcome, amount=tokens)
--- a/packages/ashhoist/src/ashhoist/requests/choosers.py
+++ b/packages/ashhoist/src/ashhoist/requests/choosers.py
@@ -120,7 +120,7 @@
                 return granted
             # The leader knows other upstreams than this instance.
             self._gate.give_back(call)
-            call.sent_undecided = True
+            call.placement.sent_undecided = True
         return self._least_loaded(call)
 
     def _is_admitted(self, service: str) -> bool:
@@ -132,7 +132,7 @@
 
         It does not if it has left the last attempt undecided.
         """
-        return not call.sent_undecided and self._is_admitted(call.service)
+        return not call.placement.sent_undecided and self._is_admitted(call.service)
 
     def _give_back(self, call: Call) -> None:
         if self._gate is not None:
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -97,7 +97,7 @@
         if self._all_backing_off(call):
             wait = self._room_check.retry_after(call.service)
             return Refusal(Reason.UPSTREAMS_REST, wait)
-        call.use_id = f"{call.id}/{next(call.placement_numbers)}"
+        call.placement.use_id = f"{call.id}/{next(call.placement_numbers)}"
         if not self._leader_known():
             found = yield from self._find_serving_engine(call)
             if found is not None:
@@ -114,7 +114,7 @@
     def on_first_event(self, call: Call, target: Target) -> None:
         """Record that the first event of an attempt has arrived."""
         if call.adapter is not None:
-            self._send(FirstEventReceived(call.use_id, target.upstream))
+            self._send(FirstEventReceived(call.placement.use_id, target.upstream))
 
     def is_admitted_by_leader(self, call: Call) -> bool:
         """Return False: requests to engines are placed, not admitted."""
@@ -130,7 +130,7 @@
         """Record that an attempt has ended."""
         self._balancer.end(target.upstream)
         if call.adapter is not None:
-            self._send(RequestEnded(call.use_id, target.upstream, end))
+            self._send(RequestEnded(call.placement.use_id, target.upstream, end))
 
     def _all_backing_off(self, call: Call) -> bool:
         """Return whether every engine of a call asked this instance to back off."""
@@ -144,9 +144,11 @@
     def _send_without_leader(self, call: Call, found: Target) -> Target:
         """Assign `call` to an engine that is known to serve its adapter."""
         assert call.adapter is not None
-        call.use_id += "-alone"
+        call.placement.use_id += "-alone"
         tokens = call.token_counts.prompt_tokens
-        self._send(RequestSent(call.use_id, found.upstream, call.adapter, tokens))
+        self._send(
+            RequestSent(call.placement.use_id, found.upstream, call.adapter, tokens)
+        )
         self._balancer.begin(found.upstream)
         return found
 
@@ -202,7 +204,7 @@
     def _ask_leader(self, call: Call, caller: CallerWatch) -> Steps[Choice]:
         began = self._clock.monotonic()
         choice = yield from self._await_placement(call, caller, began)
-        call.placement_wait += self._clock.monotonic() - began
+        call.placement.placement_wait += self._clock.monotonic() - began
         return choice
 
     def _await_placement(
@@ -281,7 +283,7 @@
             # What its caller has got is lost with it, however late it goes on.
             late_worth, on_time_until = worth, call.deadline
         return PlacementRequest(
-            call.use_id,
+            call.placement.use_id,
             call.service,
             call.adapter,
             self._minimum_version(call),
--- a/packages/ashhoist/src/ashhoist/requests/silence_limits.py
+++ b/packages/ashhoist/src/ashhoist/requests/silence_limits.py
@@ -99,7 +99,7 @@
             silent=target.upstream,
             last_event=call.last_event_id,
         )
-        was_taken_over = call.is_taken_over
+        was_taken_over = call.placement.is_taken_over
         copy = call.copy_for_search()
         return PlaceSearch(
             lambda caller: self._choose_safely(copy, caller, chooser),
