Whether and when a call may ask again is decided in retries.py alone

Four methods of CallRunner and Retries.may_go_on were one policy in two modules: CallRunner asked Retries first, and then waited or refused by rules of its own. Retries now has two entries, after_refusal and after_attempt, each of which waits and says whether the call may ask again. What ends a call in any case is checked once (_is_final), and so is the deadline. call_runner.py has 61 lines fewer.

--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -1,6 +1,5 @@
 """Runs one call: chooses an upstream, sends, retries where allowed, and responds."""
 
-from concurrent.futures import Future
 from datetime import timedelta
 
 from ..clock import Clock
@@ -31,28 +30,9 @@
 from .retries import Retries
 from .send_checks import SendChecks
 from .silence_limits import SilenceLimits
-from .waiting import CallerWatch, wait_for
+from .waiting import CallerWatch
 
 MILLISECOND = timedelta(milliseconds=1)
-TEMPORARY_REASONS = frozenset(
-    {
-        Reason.KEYS_NOT_CURRENT,
-        Reason.NO_PLACE,
-        Reason.NO_UPSTREAM,
-        Reason.OVERLOADED,
-        Reason.OVER_QUOTA,
-        Reason.QUOTA_UNKNOWN,
-        Reason.UPSTREAMS_CUT_OFF,
-        Reason.UPSTREAMS_LIMITED,
-        Reason.UPSTREAMS_REST,
-    }
-)
-"""Why there is no upstream for a request that may get one later."""
-MIN_PAUSE = timedelta(milliseconds=100)
-MAX_PAUSE = timedelta(seconds=1)
-"""The least and the longest time between two refusals of a call that holds out."""
-MAX_DOUBLINGS = 4
-"""After so many, a pause is longer than `MAX_PAUSE`."""
 LOSS_EXPLAINED_WITHIN = timedelta(milliseconds=500)
 """How long a request whose connection broke waits until it is known whether its
 upstream did that, or this instance has lost all its links."""
@@ -167,15 +147,13 @@
                 yield Wait(min(until, call.deadline), future=connection_lost)
             if isinstance(result, Answered):
                 answered = result
-            if self._retries.should_retry(call, target, result, chooser):
-                continue
-            if self._retries.may_go_on(call, target, result):
-                may_retry = yield from self._await_budget(call, caller)
-                if isinstance(may_retry, CallerLeft):
-                    return self._responses.caller_left(caller)
-                if may_retry:
-                    continue
-            return (yield from self._responses.finish(call, caller, relay, result))
+            may_retry = yield from self._retries.after_attempt(
+                call, caller, target, result, chooser
+            )
+            if isinstance(may_retry, CallerLeft):
+                return self._responses.caller_left(caller)
+            if not may_retry:
+                return (yield from self._responses.finish(call, caller, relay, result))
 
     def _resolve_version(
         self, call: Call, caller: CallerWatch
@@ -280,30 +258,12 @@
         answered: Answered | None,
     ) -> Steps[Ending | None]:
         """Refuse a call, or wait until it may ask again; None if it may."""
-        if not self._may_ask_again(call, refusal):
-            return (yield from self._refuse(call, caller, relay, refusal, answered))
-        until = self._pause_until(call, refusal.retry_after)
-        left = yield from wait_for(Future(), until, caller, self._clock)
-        call.forget_refusals()
-        return None if left is None else self._responses.caller_left(caller)
-
-    def _pause_until(
-        self, call: Call, retry_after: timedelta | None = None
-    ) -> timedelta:
-        """Return until when a refused call waits; it may ask once before its deadline.
-
-        It waits longer each time, unless the refusal says how long.
-        """
-        least = MIN_PAUSE * 2 ** min(call.pauses, MAX_DOUBLINGS)
-        call.pauses += 1
-        length = min(max(retry_after or MIN_PAUSE, least), MAX_PAUSE)
-        return min(self._clock.monotonic() + length, call.deadline - MIN_PAUSE / 2)
-
-    def _may_ask_again(self, call: Call, refusal: Refusal) -> bool:
-        """Return whether a call waits until it may ask for a place again."""
-        if not call.holds_out or refusal.reason not in TEMPORARY_REASONS:
-            return False
-        return self._clock.monotonic() + MIN_PAUSE < call.deadline
+        may_ask_again = yield from self._retries.after_refusal(call, caller, refusal)
+        if isinstance(may_ask_again, CallerLeft):
+            return self._responses.caller_left(caller)
+        if may_ask_again:
+            return None
+        return (yield from self._refuse(call, caller, relay, refusal, answered))
 
     def _hand_over(self, call: Call) -> None:
         """Leave the count and the charge of a call to the instance it goes to."""
@@ -410,24 +370,3 @@
         """Return the software version of an upstream; empty if not known."""
         known = self._directory.view.by_id.get(target.upstream)
         return "" if known is None else known.software_version
-
-    # Another attempt
-
-    def _await_budget(
-        self, call: Call, caller: CallerConnection
-    ) -> Steps[bool | CallerLeft]:
-        """Wait until the budget allows another attempt; return whether it does.
-
-        A place that was looked for before is given back, as this may take long.
-        """
-        call.withdraw_place_search()
-        while True:
-            if self._clock.monotonic() + MIN_PAUSE >= call.deadline:
-                return False
-            until = self._pause_until(call)
-            left = yield from wait_for(Future(), until, caller, self._clock)
-            if left is not None:
-                return left
-            if self._budget.try_reserve(call.service):
-                call.retry_reserved = True
-                return True
--- a/packages/ashhoist/src/ashhoist/requests/retries.py
+++ b/packages/ashhoist/src/ashhoist/requests/retries.py
@@ -1,12 +1,14 @@
-"""Decides whether another attempt may follow one that has ended."""
+"""Whether and when a call may ask for another upstream."""
 
+from concurrent.futures import Future
 from datetime import timedelta
 
 from ..clock import Clock
 from ..failures import Reason
 from ..logs import Logger
+from ..loop import Steps
 from ..metrics import Metrics
-from ..placement.messages import Target
+from ..placement.messages import Refusal, Target
 from ..upstreams import RejectionLimits
 from .budget import RetryBudget
 from .call import Call
@@ -14,6 +16,7 @@
 from .choosers import Chooser
 from .forwarding_chooser import Forwarding
 from .results import Answered, CallerLeft, NotRun, OutOfTime, Result
+from .waiting import CallerWatch, wait_for
 
 MILLISECOND = timedelta(milliseconds=1)
 MAX_REFUSED_SENDS = 3
@@ -24,10 +27,32 @@
 The rest is left for failures."""
 MAX_REJECTIONS = 1
 """`MAX_REFUSED_SENDS` for upstreams that crash if they reject too many requests."""
+TEMPORARY_REASONS = frozenset(
+    {
+        Reason.KEYS_NOT_CURRENT,
+        Reason.NO_PLACE,
+        Reason.NO_UPSTREAM,
+        Reason.OVERLOADED,
+        Reason.OVER_QUOTA,
+        Reason.QUOTA_UNKNOWN,
+        Reason.UPSTREAMS_CUT_OFF,
+        Reason.UPSTREAMS_LIMITED,
+        Reason.UPSTREAMS_REST,
+    }
+)
+"""Why there is no upstream for a request that may get one later."""
+MIN_PAUSE = timedelta(milliseconds=100)
+MAX_PAUSE = timedelta(seconds=1)
+"""The least and the longest time between two refusals of a call that holds out."""
+MAX_DOUBLINGS = 4
+"""After so many, a pause is longer than `MAX_PAUSE`."""
 
 
 class Retries:
-    """Allows further attempts of calls, and counts them."""
+    """Decides whether calls may ask for another upstream, and makes them wait for it.
+
+    A call that holds out waits until it may ask again where others are refused.
+    """
 
     def __init__(
         self,
@@ -45,19 +70,70 @@
         self._metrics = metrics
         self._log = log
 
-    def should_retry(
+    def after_refusal(
+        self, call: Call, caller: CallerWatch, refusal: Refusal
+    ) -> Steps[bool | CallerLeft]:
+        """Wait until a refused call may ask again; return whether it may."""
+        if not self._may_ask_again(call, refusal):
+            return False
+        left = yield from self._pause(call, caller, refusal.retry_after)
+        call.forget_refusals()
+        return True if left is None else left
+
+    def after_attempt(
+        self,
+        call: Call,
+        caller: CallerWatch,
+        target: Target,
+        result: Result,
+        chooser: Chooser,
+    ) -> Steps[bool | CallerLeft]:
+        """Wait until another attempt may follow one that has ended.
+
+        Returns
+        -------
+        bool or CallerLeft
+            Whether another attempt may follow.
+        """
+        if _is_final(target, result):
+            return False
+        if self._should_retry(call, target, result, chooser):
+            return True
+        if not self._may_go_on(call, result):
+            return False
+        return (yield from self._await_budget(call, caller))
+
+    # After a refusal
+
+    def _may_ask_again(self, call: Call, refusal: Refusal) -> bool:
+        """Return whether a call waits until it may ask for a place again."""
+        if not call.holds_out or refusal.reason not in TEMPORARY_REASONS:
+            return False
+        return self._clock.monotonic() + MIN_PAUSE < call.deadline
+
+    def _pause(
+        self, call: Call, caller: CallerWatch, retry_after: timedelta | None = None
+    ) -> Steps[CallerLeft | None]:
+        """Wait after a refusal; the call may ask once more before its deadline.
+
+        It waits longer each time, unless the refusal says how long.
+        """
+        least = MIN_PAUSE * 2 ** min(call.pauses, MAX_DOUBLINGS)
+        call.pauses += 1
+        length = min(max(retry_after or MIN_PAUSE, least), MAX_PAUSE)
+        until = min(self._clock.monotonic() + length, call.deadline - MIN_PAUSE / 2)
+        return (yield from wait_for(Future(), until, caller, self._clock))
+
+    # After an attempt
+
+    def _should_retry(
         self, call: Call, target: Target, result: Result, chooser: Chooser
     ) -> bool:
         """Return whether another attempt is allowed and within the retry budget."""
-        if isinstance(result, CallerLeft | OutOfTime):
-            return False
-        if target.is_instance and isinstance(result, Answered):
-            # The other instance has tried what is allowed.
-            return False
-        if target.is_instance and isinstance(result, NotRun):
-            return self._may_forward_again(call, target, result)
         if self._clock.monotonic() >= call.deadline:
             return False
+        if target.is_instance and isinstance(result, NotRun):
+            return self._may_forward_again(target, result)
         if isinstance(result, NotRun) and not result.reached_upstream:
             allowed = call.sends < call.route.attempts + MAX_REFUSED_SENDS
             return allowed and self._count_retry(call, result)
@@ -68,11 +144,6 @@
             admitted = chooser.is_admitted_by_leader(call)
             share = ADMITTED_BUDGET_SHARE if admitted else 1.0
             return allowed and self._spend_retry(call, result, share)
-        if (
-            isinstance(result, Answered)
-            and result.head.status < FIRST_SERVER_ERROR_STATUS
-        ):
-            return False
         allowed = call.route.repeatable and self._may_run_again(call)
         return allowed and self._spend_retry(call, result)
 
@@ -81,19 +152,17 @@
             return MAX_REJECTIONS
         return MAX_REFUSED_SENDS
 
-    def _may_forward_again(self, call: Call, target: Target, result: NotRun) -> bool:
+    def _may_forward_again(self, target: Target, result: NotRun) -> bool:
         """Return whether a call that an instance has not sent may go to another one.
 
         An instance that can be reached knows as much of upstreams as others do, so its
         refusal counts, unless it has lost its own links.
         """
-        if self._clock.monotonic() >= call.deadline:
-            return False
         if result.reached_upstream and self._forwarding.is_available(target.upstream):
             return result.body.strip() == Reason.UPSTREAMS_CUT_OFF.encode()
         return True
 
-    def may_go_on(self, call: Call, target: Target, result: Result) -> bool:
+    def _may_go_on(self, call: Call, result: Result) -> bool:
         """Return whether a call that holds out waits for another attempt.
 
         It may need more refused sends than other requests, and a retry budget that has
@@ -101,16 +170,28 @@
         """
         if not call.holds_out or self._rejections.is_limited(call.service):
             return False
-        if isinstance(result, CallerLeft | OutOfTime):
-            return False
         if isinstance(result, NotRun):
             return True
-        if isinstance(result, Answered) and (
-            target.is_instance or result.head.status < FIRST_SERVER_ERROR_STATUS
-        ):
-            return False
         return call.route.repeatable and self._may_run_again(call)
 
+    def _await_budget(
+        self, call: Call, caller: CallerWatch
+    ) -> Steps[bool | CallerLeft]:
+        """Wait until the budget allows another attempt; return whether it does.
+
+        A place that was looked for before is given back, as this may take long.
+        """
+        call.withdraw_place_search()
+        while True:
+            if self._clock.monotonic() + MIN_PAUSE >= call.deadline:
+                return False
+            left = yield from self._pause(call, caller)
+            if left is not None:
+                return left
+            if self._budget.try_reserve(call.service):
+                call.retry_reserved = True
+                return True
+
     def _may_run_again(self, call: Call) -> bool:
         return call.runs < max(call.route.attempts, 1)
 
@@ -136,3 +217,13 @@
         call.retry_reason = reason_of(result)
         self._metrics.count("retries", call.retry_reason)
         return True
+
+
+def _is_final(target: Target, result: Result) -> bool:
+    """Return whether no other attempt may follow a result, whatever the call needs."""
+    if isinstance(result, CallerLeft | OutOfTime):
+        return True
+    if not isinstance(result, Answered):
+        return False
+    # Another instance that has answered has tried what is allowed.
+    return target.is_instance or result.head.status < FIRST_SERVER_ERROR_STATUS
