Call.refused_by is named retryable_upstreams

It also holds upstreams that did not refuse: those that the request has left as they were silent, and those that were chosen and found unfit before the send. What they have in common is that they may be asked again.

--- a/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt_recorder.py
@@ -56,10 +56,10 @@
             call.may_have_run = True
             call.runs += 1
         if isinstance(result, MayHaveRun) and result.reason is Reason.UPSTREAM_SILENT:
-            call.refused_by.add(target.upstream)
+            call.retryable_upstreams.add(target.upstream)
         if isinstance(result, NotRun):
             call.attempt_unresolved = False
-            call.refused_by.add(target.upstream)
+            call.retryable_upstreams.add(target.upstream)
         if isinstance(result, Answered):
             call.runs += 1
         connection_lost: Future[None] | None = None
--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -94,7 +94,7 @@
         one may go on.
     tried : set of str
         Ids of the upstreams that were already tried.
-    refused_by : set of str
+    retryable_upstreams : set of str
         Ids of those among them that may be asked again: they refused it as not run, or
         it left them as they were silent.
     silence_limit : SilenceLimit or None
@@ -151,7 +151,7 @@
     is_searching: bool = False
     retry_reserved: bool = False
     tried: set[str] = field(default_factory=set)
-    refused_by: set[str] = field(default_factory=set)
+    retryable_upstreams: set[str] = field(default_factory=set)
     placement_numbers: Iterator[int] = field(default_factory=itertools.count)
     place_search: PlaceSearch | None = None
     silence_limit: SilenceLimit | None = None
@@ -163,10 +163,10 @@
     longest_pause: EventPause | None = None
     last_event_id: str = ""
 
-    def forget_refusals(self) -> None:
-        """Allow attempts at the upstreams that have refused the request."""
-        self.tried -= self.refused_by
-        self.refused_by.clear()
+    def forget_retryable_upstreams(self) -> None:
+        """Allow attempts at the upstreams that may be asked again."""
+        self.tried -= self.retryable_upstreams
+        self.retryable_upstreams.clear()
 
     def copy_for_search(self) -> "Call":
         """Return a copy of a call that is still at an upstream, to look for another.
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -129,7 +129,7 @@
             if self._send_checks.rejects(call, target):
                 chooser.on_attempt_ended(call, target, RequestOutcome.UNKNOWN, None)
                 call.tried.add(target.upstream)
-                call.refused_by.add(target.upstream)
+                call.retryable_upstreams.add(target.upstream)
                 continue
             result: Result | CompletedStream | None = None
             try:
--- a/packages/ashhoist/src/ashhoist/requests/retries.py
+++ b/packages/ashhoist/src/ashhoist/requests/retries.py
@@ -77,7 +77,7 @@
         if not self._may_ask_again(call, refusal):
             return False
         left = yield from self._pause(call, caller, refusal.retry_after)
-        call.forget_refusals()
+        call.forget_retryable_upstreams()
         return True if left is None else left
 
     def after_attempt(
--- a/packages/ashhoist/src/ashhoist/requests/send_checks.py
+++ b/packages/ashhoist/src/ashhoist/requests/send_checks.py
@@ -48,7 +48,7 @@
             return None
         view = self._directory.view
         acceptable = view.of(call.service, call.software_version)
-        failed = call.tried - call.refused_by if call.holds_out else call.tried
+        failed = call.tried - call.retryable_upstreams if call.holds_out else call.tried
         if any(one.id not in failed for one in acceptable):
             return None
         self._log.info(
