Calls to the log are counted, and their errors caught, in one place

CountedLog.read and newest had the same guard, and the two appends shared another one with the same counting after it. One method makes a call and counts it; each call says what an error means for it.

--- a/packages/ashhoist/src/ashhoist/store/counted.py
+++ b/packages/ashhoist/src/ashhoist/store/counted.py
@@ -1,12 +1,14 @@
 """Counts calls to the log: each has a price, and the log limits calls per second.
 
 Errors in the adapter, such as for a malformed response, become results: the callers
-wait for a result before the next call, and must not wait forever.
+wait for a result before the next call, and must not wait forever. An append that raises
+an error is of unknown result, as it may have been made all the same.
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
+from typing import TypeVar
 
 from ..clock import ZERO, Clock
 from ..logs import Logger
@@ -25,6 +27,8 @@
     Unknown,
 )
 
+T = TypeVar("T")
+
 LOG_INTERVAL = timedelta(seconds=10)
 
 
@@ -84,14 +88,8 @@
         self, topic: Topic, start: Position, wait: timedelta
     ) -> Steps[Records | Gone | Unavailable]:
         """Return records from an offset on; wait up to `wait` for the first."""
-        result: Records | Gone | Unavailable
-        try:
-            result = yield from self._log.read(topic, start, wait)
-        except Exception as error:
-            detail = self._counts.record_error(topic, "read", error)
-            result = Unavailable(detail)
-        self._counts.record(topic, "read", result)
-        return result
+        call = self._log.read(topic, start, wait)
+        return (yield from self._counted(topic, "read", call, Unavailable))
 
     def newest(
         self,
@@ -100,14 +98,8 @@
         partition: int = 0,
     ) -> Steps[Newest | Unavailable]:
         """Return the newest record of each key."""
-        result: Newest | Unavailable
-        try:
-            result = yield from self._log.newest(topic, timeout, partition)
-        except Exception as error:
-            detail = self._counts.record_error(topic, "newest", error)
-            result = Unavailable(detail)
-        self._counts.record(topic, "newest", result)
-        return result
+        call = self._log.newest(topic, timeout, partition)
+        return (yield from self._counted(topic, "newest", call, Unavailable))
 
     def append(
         self,
@@ -120,9 +112,7 @@
     ) -> Steps[AppendResult]:
         """Append a record; with `at`, only if the topic ends there."""
         call = self._log.append(topic, key, value, at, timeout, partition)
-        result = yield from self._append(topic, call)
-        self._counts.record(topic, "append", result)
-        return result
+        return (yield from self._counted(topic, "append", call, Unknown))
 
     def append_all(
         self,
@@ -132,16 +122,25 @@
     ) -> Steps[AppendResult]:
         """Append records, by key, in one call: either all of them or none."""
         call = self._log.append_all(topic, records, timeout)
-        result = yield from self._append(topic, call)
-        self._counts.record(topic, "append", result)
-        return result
+        return (yield from self._counted(topic, "append", call, Unknown))
 
-    def _append(self, topic: Topic, call: Steps[AppendResult]) -> Steps[AppendResult]:
+    def _counted(
+        self, topic: Topic, name: str, call: Steps[T], failed: Callable[[str], T]
+    ) -> Steps[T]:
+        """Make a call, and count it with its result.
+
+        Parameters
+        ----------
+        failed : callable
+            Returns the result of a call that has raised an error, from its description.
+        """
+        result: T
         try:
-            return (yield from call)
+            result = yield from call
         except Exception as error:
-            # The call may have been made all the same.
-            return Unknown(self._counts.record_error(topic, "append", error))
+            result = failed(self._counts.record_error(topic, name, error))
+        self._counts.record(topic, name, result)
+        return result
 
     def close(self) -> None:
         """Close the connection."""
