Waiting for the next part of a response is in one method

The heads and the bodies of responses were each read in a loop of their own that waited for the upstream and returned how the wait ended. Attempts._next_event does that for both.

--- a/packages/ashhoist/src/ashhoist/requests/attempt.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt.py
@@ -282,36 +282,38 @@
     def _await_head(
         self, call: Call, caller: CallerConnection, connection: UpstreamConnection
     ) -> Steps[Head | MayHaveRun | CallerLeft | OutOfTime]:
-        while True:
-            event = connection.next_event()
-            if isinstance(event, Head):
-                return event
-            if isinstance(event, Waiting):
-                ended = yield from self.wait_for_upstream(call, caller, connection)
-                if ended is not None:
-                    return ended
-                continue
-            return MayHaveRun(_failure_reason(event))
+        event = yield from self._next_event(call, caller, connection)
+        if isinstance(event, Head | MayHaveRun | CallerLeft | OutOfTime):
+            return event
+        return MayHaveRun(_failure_reason(event))
 
     def _await_body(
         self, call: Call, caller: CallerConnection, connection: UpstreamConnection
     ) -> Steps[bytes | MayHaveRun | CallerLeft | OutOfTime]:
         body = bytearray()
         while True:
-            event = connection.next_event()
-            if isinstance(event, Piece):
-                body += event.data
-                if len(body) > MAX_RESPONSE_BYTES:
-                    return MayHaveRun(Reason.BODY_TOO_LARGE)
-                continue
+            event = yield from self._next_event(call, caller, connection)
             if isinstance(event, End):
                 return bytes(body)
-            if isinstance(event, Waiting):
-                ended = yield from self.wait_for_upstream(call, caller, connection)
-                if ended is not None:
-                    return ended
-                continue
-            return MayHaveRun(_failure_reason(event))
+            if isinstance(event, MayHaveRun | CallerLeft | OutOfTime):
+                return event
+            if not isinstance(event, Piece):
+                return MayHaveRun(_failure_reason(event))
+            body += event.data
+            if len(body) > MAX_RESPONSE_BYTES:
+                return MayHaveRun(Reason.BODY_TOO_LARGE)
+
+    def _next_event(
+        self, call: Call, caller: CallerConnection, connection: UpstreamConnection
+    ) -> Steps[Head | Piece | End | Broken | MayHaveRun | CallerLeft | OutOfTime]:
+        """Return the next part of a response, or why none will come; may wait."""
+        while True:
+            event = connection.next_event()
+            if not isinstance(event, Waiting):
+                return event
+            ended = yield from self.wait_for_upstream(call, caller, connection)
+            if ended is not None:
+                return ended
 
     def wait_for_upstream(
         self, call: Call, caller: CallerConnection, connection: UpstreamConnection
