The loop over a call's attempts, one attempt and the relay of its stream are apart

CallRunner._run recorded how an attempt had ended between the decisions on the call, and _attempt set the state of the attempt, sent the call and relayed its stream. _attempt now sends and records; _begin_attempt and _relay do the rest.

--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -14,11 +14,7 @@
 from .attempt_recorder import AttemptRecorder, attempt_outcome, request_outcome
 from .budget import RetryBudget
 from .call import Call
-from .caller_responses import (
-    WHOLE,
-    CallerResponses,
-    Ending,
-)
+from .caller_responses import WHOLE, CallerResponses, Ending
 from .charging import Charging
 from .choosers import Chooser
 from .forwarding_chooser import Forwarding
@@ -131,20 +127,9 @@
                 call.tried.add(target.upstream)
                 call.retryable_upstreams.add(target.upstream)
                 continue
-            result: Result | CompletedStream | None = None
-            try:
-                result = yield from self._attempt(call, target, caller, relay, chooser)
-            finally:
-                chooser.on_attempt_ended(
-                    call, target, request_outcome(result), attempt_outcome(result)
-                )
+            result = yield from self._attempt(call, target, caller, relay, chooser)
             if isinstance(result, CompletedStream):
-                self._attempt_recorder.stream_completed(call, target)
                 return Ending(result.status, WHOLE)
-            connection_lost = self._attempt_recorder.record(call, target, result)
-            if connection_lost is not None:
-                until = self._clock.monotonic() + LOSS_EXPLAINED_WITHIN
-                yield Wait(min(until, call.deadline), future=connection_lost)
             if isinstance(result, Answered):
                 answered = result
             may_retry = yield from self._retries.after_attempt(
@@ -322,6 +307,40 @@
         relay: StreamRelay,
         chooser: Chooser,
     ) -> Steps[Result | CompletedStream]:
+        """Send a call to the target chosen for it, and record how that has ended."""
+        result: Result | CompletedStream | None = None
+        try:
+            result = yield from self._send(call, target, caller, relay, chooser)
+        finally:
+            chooser.on_attempt_ended(
+                call, target, request_outcome(result), attempt_outcome(result)
+            )
+        if isinstance(result, CompletedStream):
+            self._attempt_recorder.stream_completed(call, target)
+            return result
+        connection_lost = self._attempt_recorder.record(call, target, result)
+        if connection_lost is not None:
+            until = self._clock.monotonic() + LOSS_EXPLAINED_WITHIN
+            yield Wait(min(until, call.deadline), future=connection_lost)
+        return result
+
+    def _send(
+        self,
+        call: Call,
+        target: Target,
+        caller: CallerConnection,
+        relay: StreamRelay,
+        chooser: Chooser,
+    ) -> Steps[Result | CompletedStream]:
+        self._begin_attempt(call, target, chooser)
+        result = yield from self._attempts.send(
+            call, target, caller, call.route.streams
+        )
+        if not isinstance(result, Streaming):
+            return result
+        return (yield from self._relay(call, target, result, relay, chooser))
+
+    def _begin_attempt(self, call: Call, target: Target, chooser: Chooser) -> None:
         call.silence_limit = self._silence_limits.of(call, target, chooser)
         call.sends += 1
         if call.retry_reserved:
@@ -337,25 +356,30 @@
         if call.has_forwarded_event:
             self._metrics.count("stream_moves", call.retry_reason)
         self._quarantine_gate.attempt_started(call, target.upstream)
-        result = yield from self._attempts.send(
-            call, target, caller, call.route.streams
-        )
-        if not isinstance(result, Streaming):
-            return result
+
+    def _relay(
+        self,
+        call: Call,
+        target: Target,
+        stream: Streaming,
+        relay: StreamRelay,
+        chooser: Chooser,
+    ) -> Steps[SegmentEnd]:
+        """Forward a stream that has begun, and release its connection."""
         segment_end: SegmentEnd | None = None
         try:
             segment_end = yield from relay.run(
-                result,
-                self._responses.caller_head(result.head),
+                stream,
+                self._responses.caller_head(stream.head),
                 lambda: self._stream_begins(call, target),
                 lambda: chooser.on_first_event(call, target),
                 lambda: self._quarantine_gate.event_received(call),
             )
         finally:
             if isinstance(segment_end, CompletedStream):
-                self._attempts.keep_connection(target, result.connection)
+                self._attempts.keep_connection(target, stream.connection)
             else:
-                result.connection.close()
+                stream.connection.close()
         return segment_end
 
     def _stream_begins(self, call: Call, target: Target) -> None:
