--- a/tests/virtual_upstreams.py
+++ b/tests/virtual_upstreams.py
@@ -2,7 +2,7 @@
 
 import math
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import cast
@@ -19,6 +19,8 @@
 EVENTS = 6
 """Events of a whole stream; their ids begin at 1."""
 GAP_S = 0.1
+BYTE_S = 0.3
+"""Between two bytes; the event takes several silence limits then."""
 FOR_EVER = 1e6
 NOT_RUN = 503
 BODY = b"whole answer"
@@ -38,12 +40,22 @@
         The status with which the upstream refuses, 503 or 421; 0 if it does not.
     halves : tuple of int
         Events of which one half is sent, then the rest after a second such pause.
+    bytewise : tuple of int
+        Events that are sent byte by byte.
+    repeats_s : float
+        Seconds between two repeats of the last event while it pauses; 0 for none.
+    pieces : callable or None
+        Returns, for a request, what is sent in place of a response: bytes, and the
+        seconds before them. The response has ended behind the last ones.
     """
 
     pauses: Mapping[int, float] = field(default_factory=dict)
     breaks_before: float = math.inf
     refusal: int = 0
     halves: tuple[int, ...] = ()
+    bytewise: tuple[int, ...] = ()
+    repeats_s: float = 0.0
+    pieces: Callable[[Call], Iterable[tuple[float, bytes]]] | None = None
 
 
 @dataclass
@@ -130,6 +142,9 @@
 
     def _answer(self, call: Call, work: Work) -> Steps[None]:
         plan = self.plan
+        if plan.pieces is not None:
+            yield from self._send_pieces(call, work, plan.pieces(call))
+            return
         yield from self._sleep(plan.pauses.get(0, 0.0))
         if plan.refusal:
             headers = {HEADER_NAMES.not_run: "1"} if plan.refusal == NOT_RUN else {}
@@ -148,7 +163,7 @@
         for number in range(last + 1, EVENTS + 1):
             data = event(number)
             pause = GAP_S + plan.pauses.get(number, 0.0)
-            yield from self._sleep(pause)
+            yield from self._pause_before(number, pause, call)
             if plan.breaks_before <= number:
                 self._break_off(call, work)
                 return
@@ -156,10 +171,31 @@
                 call.chunk(data[: len(data) // 2])
                 data = data[len(data) // 2 :]
                 yield from self._sleep(pause)
+            while number in plan.bytewise and len(data) > 1:
+                call.chunk(data[:1])
+                data = data[1:]
+                yield from self._sleep(BYTE_S)
             call.chunk(data)
         self._end(work, "done")
         call.end_stream()
 
+    def _send_pieces(
+        self, call: Call, work: Work, pieces: Iterable[tuple[float, bytes]]
+    ) -> Steps[None]:
+        for pause, data in pieces:
+            yield from self._sleep(pause)
+            call.raw(data)
+        self._end(work, "done")
+
+    def _pause_before(self, number: int, seconds: float, call: Call) -> Steps[None]:
+        """Pause before an event; repeat the one before it meanwhile if so planned."""
+        step = self.plan.repeats_s
+        while step and number > 1 and seconds > step:
+            yield from self._sleep(step)
+            call.chunk(event(number - 1))
+            seconds -= step
+        yield from self._sleep(seconds)
+
     def _break_off(self, call: Call, work: Work) -> None:
         self._end(work, "broke")
         call.reset()
