Requests that are at work when a planned stop ends have a line and are counted

What callers saw: a bare close. At the limit of a planned stop the process ended with "stopped clean=false busy=2": no "request ended" for the two, and streams_cut_total did not count them.

Cause: the process ended while the tasks of the connections still waited; nothing told them.

Now StoppingError is raised where each of these tasks waits. The request gives back what it holds, has its line and its counters (reason "stopping", as a failure if it may have run, else as a refusal), and "stopped" says with "ended" how many requests there were. A request that ends while it waits for its adapter also says for how long it has waited.

--- a/packages/ashhoist/src/ashhoist/http/__init__.py
+++ b/packages/ashhoist/src/ashhoist/http/__init__.py
@@ -12,6 +12,7 @@
     Headers,
     MalformedRequestError,
     Request,
+    StoppingError,
 )
 from .closed_connections import ClosedConnections
 from .listener import Listener
@@ -31,6 +32,7 @@
     "NotSent",
     "Pool",
     "Request",
+    "StoppingError",
     "UpstreamConnection",
     "parse_number",
 ]
--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -32,6 +32,10 @@
     """The caller's connection broke or ended."""
 
 
+class StoppingError(Exception):
+    """The instance ends now; raised where the task of a connection waits."""
+
+
 class MalformedRequestError(Exception):
     """What came is not an acceptable request.
 
--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -7,9 +7,10 @@
 import socket
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 from ..loop import Loop, Steps, Task, Wait, sleep_until
-from .caller import MIN_ARRIVAL_TIME, CallerConnection
+from .caller import MIN_ARRIVAL_TIME, CallerConnection, StoppingError
 from .closed_connections import CloseRecorder, KeptClose, NoRecorder
 from .read_limit import ReadLimit
 from .sockets import close, listening_socket, tune
@@ -120,6 +121,8 @@
                 kept = yield from self._answer(connection)
                 if not kept:
                     return
+        except StoppingError:
+            self._record_interrupted(connection)
         finally:
             self._resting.discard(connection)
             connection.abort()
@@ -194,6 +197,13 @@
         if connection.answered:
             self._closed.record_kept(reason)
 
+    def _record_interrupted(self, connection: CallerConnection) -> None:
+        """Record a connection that is closed before its next request is read."""
+        if connection.answered:
+            self._closed.record_kept(KeptClose.STOPPING)
+            return
+        self._closed.record_unread()
+
     def _ended(self, connection: CallerConnection) -> None:
         """Note that a connection has ended; there is room for another."""
         del self._tasks[connection]
@@ -216,3 +226,14 @@
                 continue
             self._record_close(connection, KeptClose.STOPPING)
             self._tasks[connection].cancel()
+
+    def interrupt(self) -> None:
+        """Raise `StoppingError` in the tasks of all connections, in the next turn."""
+        for connection in self._tasks:
+            # A task that was started in this turn has begun by then.
+            self._loop.call_soon(partial(self._interrupt, connection))
+
+    def _interrupt(self, connection: CallerConnection) -> None:
+        task = self._tasks.get(connection)
+        if task is not None:
+            task.interrupt(StoppingError())
--- a/packages/ashhoist/src/ashhoist/loop/task.py
+++ b/packages/ashhoist/src/ashhoist/loop/task.py
@@ -90,6 +90,16 @@
         self._end()
         self.result.cancel()
 
+    def interrupt(self, error: Exception) -> None:
+        """Raise an error in the function where it waits; it may handle it and go on.
+
+        The function must have begun, or it could not handle anything.
+        """
+        if self.result.done():
+            return
+        self._stop_waiting()
+        self._step(lambda: self._steps.throw(error))
+
     def _begin(self) -> None:
         if not self.result.done():
             self._go_on(None)
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -282,10 +282,18 @@
         self.listener.stop()
         while not self.idle() and self.clock.monotonic() < limit:
             yield from sleep_until(self.clock.monotonic() + LOOK_EVERY)
-        clean = self.idle()
-        self._log.info("stopped", clean=clean, busy=self.listener.busy)
+        clean, busy = self.idle(), self.listener.busy
+        if busy:
+            yield from self._end_requests()
+        ended = self.handler.ended_by_stop
+        self._log.info("stopped", clean=clean, busy=busy, ended=ended)
         return clean
 
+    def _end_requests(self) -> Steps[None]:
+        """End the requests that are still at work."""
+        self.listener.interrupt()
+        yield from sleep_until(self.clock.monotonic() + LOOK_EVERY)
+
     def apply(self, settings: ProcessSettings) -> None:
         """Put changed settings in force, as far as a running process can."""
         self.settings = settings
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -4,7 +4,7 @@
 
 from ..clock import Clock
 from ..failures import Reason
-from ..http import CallerConnection
+from ..http import CallerConnection, StoppingError
 from ..logs import Logger
 from ..loop import Steps, Wait
 from ..metrics import Metrics
@@ -85,7 +85,19 @@
     def run(
         self, call: Call, caller: CallerConnection, chooser: Chooser
     ) -> Steps[Ending]:
-        """Run `call` until its caller has been answered or has disconnected."""
+        """Run `call` until its caller has been answered or has disconnected.
+
+        At the end of a planned stop it is broken off.
+        """
+        try:
+            return (yield from self._run_and_release(call, caller, chooser))
+        except StoppingError:
+            return self._responses.stopping(call, caller)
+
+    def _run_and_release(
+        self, call: Call, caller: CallerConnection, chooser: Chooser
+    ) -> Steps[Ending]:
+        """Run `call`; then give back what it has obtained and not used."""
         try:
             return (yield from self._run(call, caller, chooser))
         finally:
--- a/packages/ashhoist/src/ashhoist/requests/caller_responses.py
+++ b/packages/ashhoist/src/ashhoist/requests/caller_responses.py
@@ -196,6 +196,16 @@
         caller.abort()
         return Ending(0, Reason.CALLER_LEFT)
 
+    def stopping(self, call: Call, caller: CallerConnection) -> Ending:
+        """End a call that is at work when the instance ends."""
+        reason = Reason.STOPPING
+        caller.abort()
+        if call.has_run:
+            self._metrics.count("failures", reason)
+            return Ending(BAD_GATEWAY_STATUS, reason)
+        self._metrics.count("refusals", reason)
+        return Ending(NOT_RUN_STATUS, reason, not_run=True)
+
     def _write_deadline(self, call: Call) -> timedelta:
         return max(call.deadline, self._clock.monotonic()) + timedelta(milliseconds=500)
 
--- a/packages/ashhoist/src/ashhoist/requests/end_recorder.py
+++ b/packages/ashhoist/src/ashhoist/requests/end_recorder.py
@@ -25,6 +25,11 @@
     ----------
     configuration_version : callable
         Returns the version of the configuration that is in force.
+
+    Attributes
+    ----------
+    ended_by_stop : int
+        Calls that were still at work when the instance ended.
     """
 
     def __init__(
@@ -38,6 +43,7 @@
         self._metrics = metrics
         self._log = log
         self._configuration_version = configuration_version
+        self.ended_by_stop = 0
 
     def record(self, call: Call, ending: Ending) -> None:
         """Log and count the end of a call."""
@@ -76,6 +82,8 @@
     def _count(self, call: Call, ending: Ending, elapsed: timedelta) -> None:
         self._metrics.observe("request_seconds", elapsed.total_seconds())
         self._metrics.count("customer_requests", call.customer_name, ending.reason)
+        if ending.reason == Reason.STOPPING:
+            self.ended_by_stop += 1
         if call.has_forwarded_event:
             self._metrics.count("streams_begun")
         if _is_cut(call, ending):
--- a/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
+++ b/packages/ashhoist/src/ashhoist/requests/engine_chooser.py
@@ -203,9 +203,10 @@
 
     def _ask_leader(self, call: Call, caller: CallerWatch) -> Steps[Choice]:
         began = self._clock.monotonic()
-        choice = yield from self._await_placement(call, caller, began)
-        call.placement.placement_wait += self._clock.monotonic() - began
-        return choice
+        try:
+            return (yield from self._await_placement(call, caller, began))
+        finally:
+            call.placement.placement_wait += self._clock.monotonic() - began
 
     def _await_placement(
         self, call: Call, caller: CallerWatch, began: timedelta
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -13,6 +13,7 @@
     CallerGoneError,
     MalformedRequestError,
     Request,
+    StoppingError,
     parse_number,
 )
 from ..http.caller import CallerLimits
@@ -96,6 +97,11 @@
         self._log = log
         self._random = rng
 
+    @property
+    def ended_by_stop(self) -> int:
+        """Return how many requests were still at work when the instance ended."""
+        return self._end_recorder.ended_by_stop
+
     def limits(self) -> CallerLimits:
         """Return the limits on requests set by the active configuration."""
         table = self._table()
@@ -118,6 +124,9 @@
                 kept = yield from self._serve_one(caller)
         except CallerGoneError:
             kept = False
+        except StoppingError:
+            caller.abort()
+            return False
         except Exception:
             self._log.exception("unexpected error while serving a request")
             self._metrics.count("failures", Reason.INVALID)
--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -43,8 +43,10 @@
         name: str,
         program: Path = START,
         retries: str = "",
+        bounds: str = "",
     ) -> None:
         self._retries = retries
+        self._bounds = bounds
         self._reserved = [reserve_port() for _ in range(4)]
         self.callers, self.readiness, self.instances, self.metrics = [
             f"127.0.0.1:{held.getsockname()[1]}" for held in self._reserved
@@ -76,6 +78,8 @@
             address = {store}
             [retries]
             {self._retries}
+            [bounds]
+            {self._bounds}
             [logs]
             format = json
         """.replace("            ", "")
@@ -169,10 +173,13 @@
         What is in force when the processes start.
     retries : str
         Their settings of the retry budget.
+    bounds : str
+        Their settings of times.
     """
 
     configuration = with_route_timeout(CONFIGURATION, REQUEST_TIMEOUT_MS)
     retries = ""
+    bounds = ""
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -191,7 +198,7 @@
     def spawn(self, name: str, program: Path = START) -> PlatformProcess:
         """Start an instance without waiting for it."""
         process = PlatformProcess(
-            self.folder, self.store.address, name, program, self.retries
+            self.folder, self.store.address, name, program, self.retries, self.bounds
         )
         self.addCleanup(self._end, process)
         return process
