A request at work at the limit of a planned stop is answered as far as is known

What callers saw: a bare close, whether their request had run or not, so that one which had not run could not be sent again.

Now 503 with Retry-After for what no upstream has got, 502 for what may have run, the end of the connection behind the last whole event for a stream, and 503 for a request that is not whole or was unread. A connection that is still being opened to an upstream counts as not sent. A response that is being sent goes on; what its caller does not take is broken off 0.3 s before the end. A permit that is waited for, and the socket of a connection that is being opened, are given back on an interruption too.

Why it works: the error passes the finally parts that a leaving caller needs too, so what is held is given back before the response is sent; the connection knows whether something is being sent, and its task is then told once the piece is out. Later requests on it are refused.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -107,6 +107,10 @@
         False if the next response states that the connection is closed.
     is_closing : callable
         Returns whether connections are not kept any more. Asked when a response begins.
+    is_interrupted : bool
+        Whether the instance ends: no further request is served.
+    is_sending : bool
+        Whether a part of a response is on its way to the caller.
     """
 
     def __init__(self, peer: socket.socket, loop: Loop) -> None:
@@ -127,6 +131,8 @@
         self.kept_for = ZERO
         self.keep = True
         self.is_closing: Callable[[], bool] = lambda: False
+        self.is_interrupted = False
+        self.is_sending = False
 
     def fileno(self) -> int:
         """Return the socket's descriptor."""
@@ -153,7 +159,7 @@
         begun = self._clock.monotonic()
         if self.has_more:
             # A caller may send refused requests without end, which need no wait.
-            yield Wait(begun)
+            yield from self._yield_turn(begun)
         else:
             self._has_read = False
         until = begun + limits.header_time
@@ -179,6 +185,16 @@
             values,
         )
 
+    def _yield_turn(self, now: timedelta) -> Steps[None]:
+        """Wait for the next turn of the loop, also if the instance ends.
+
+        What has been read may be a whole request, which has to be responded to.
+        """
+        try:
+            yield Wait(now)
+        except StoppingError:
+            pass
+
     def _read_head(self, until: timedelta) -> Steps[h11.Request]:
         event = yield from self._next_event(until)
         if isinstance(event, h11.Request):
@@ -202,6 +218,7 @@
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             yield from self._send(self._http.send(go_on), until)
+            self._check_interrupted()
         body = bytearray()
         while True:
             event = yield from self._next_event(until)
@@ -320,10 +337,15 @@
 
     # Answering
 
+    @property
+    def awaits_response(self) -> bool:
+        """Return whether a request was read whose response has not begun."""
+        return self._http.our_state is h11.SEND_RESPONSE
+
     def respond(
         self, status: int, headers: Headers, body: bytes, until: timedelta
     ) -> Steps[None]:
-        """Send a whole answer.
+        """Send a whole answer, also if the instance ends meanwhile.
 
         Raises
         ------
@@ -337,13 +359,27 @@
         yield from self._send(data, until)
 
     def start(self, status: int, headers: Headers, until: timedelta) -> Steps[None]:
-        """Send the head of an answer whose length is not known."""
+        """Send the head of an answer whose length is not known.
+
+        Raises
+        ------
+        StoppingError
+            If the instance ends meanwhile; the head is sent.
+        """
         self._begin(status, [*headers, ("Transfer-Encoding", "chunked")])
         yield from self._send(self._head_bytes, until)
+        self._check_interrupted()
 
     def send(self, data: bytes, until: timedelta) -> Steps[None]:
-        """Send a piece of the answer."""
+        """Send a piece of the answer.
+
+        Raises
+        ------
+        StoppingError
+            If the instance ends meanwhile; the piece is sent whole.
+        """
         yield from self._send(self._http.send(h11.Data(data=data)) or b"", until)
+        self._check_interrupted()
 
     def finish(self, until: timedelta) -> Steps[None]:
         """Send the end of the answer."""
@@ -384,13 +420,20 @@
     def _send(self, data: bytes | None, until: timedelta) -> Steps[None]:
         if not data:
             return
+        self.is_sending = True
         try:
             sent = yield from send_all(self._loop, self._peer, data, until)
         except OSError:
             raise CallerGoneError from None
+        finally:
+            self.is_sending = False
         if sent < len(data):
             raise CallerGoneError
 
+    def _check_interrupted(self) -> None:
+        if self.is_interrupted:
+            raise StoppingError
+
     # Ending
 
     def next(self) -> bool:
@@ -406,6 +449,7 @@
 
     def close(self) -> Steps[None]:
         """Close in order: what was sent still arrives."""
+        self.is_sending = True
         try:
             self._peer.shutdown(socket.SHUT_WR)
             yield from self._drain()
--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -228,12 +228,30 @@
             self._tasks[connection].cancel()
 
     def interrupt(self) -> None:
-        """Raise `StoppingError` in the tasks of all connections, in the next turn."""
+        """End what is under way, in this turn of the loop or the next.
+
+        `StoppingError` is raised in the tasks of connections. What is being sent goes
+        on, and a request that has arrived unread is read, to be refused.
+        """
         for connection in self._tasks:
             # A task that was started in this turn has begun by then.
             self._loop.call_soon(partial(self._interrupt, connection))
 
     def _interrupt(self, connection: CallerConnection) -> None:
+        connection.is_interrupted = True
+        if connection.is_sending:
+            return
+        unread = connection in self._resting and connection.has_bytes()
+        if unread and not connection.has_body_left:
+            return
+        self._break_off(connection)
+
+    def abort(self) -> None:
+        """Break off all that is left, in this turn of the loop or the next."""
+        for connection in self._tasks:
+            self._loop.call_soon(partial(self._break_off, connection))
+
+    def _break_off(self, connection: CallerConnection) -> None:
         task = self._tasks.get(connection)
         if task is not None:
             task.interrupt(StoppingError())
--- a/packages/ashhoist/src/ashhoist/http/sockets.py
+++ b/packages/ashhoist/src/ashhoist/http/sockets.py
@@ -108,15 +108,16 @@
     """
     host, _, port = address.rpartition(":")
     peer = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    connected = False
     try:
         tune(peer)
         connected = yield from _connected(peer, (host, int(port)), until)
     except OSError:
-        connected = False
-    if connected:
-        return peer
-    close(loop, peer)
-    return None
+        return None
+    finally:
+        if not connected:
+            close(loop, peer)
+    return peer if connected else None
 
 
 def _connected(
--- a/packages/ashhoist/src/ashhoist/process.py
+++ b/packages/ashhoist/src/ashhoist/process.py
@@ -41,7 +41,9 @@
 NOTICE = timedelta(milliseconds=2600)
 """How long new connections are taken after readiness has gone false."""
 LAST_PART = timedelta(milliseconds=700)
-"""What is left of the time to stop when requests are broken off."""
+"""What is left of the time to stop when requests are ended."""
+ABORT_PART = timedelta(milliseconds=300)
+"""What is left of it when callers that do not take their responses are given up."""
 LOOK_EVERY = timedelta(milliseconds=50)
 LOOK_AT_SETTINGS = timedelta(seconds=2)
 RESERVED_DESCRIPTORS = 200
@@ -274,24 +276,32 @@
     def stop(self) -> Steps[bool]:
         """Stop on plan; return whether nothing was broken off."""
         began = self.clock.monotonic()
-        limit = began + self.settings.bounds.stop - LAST_PART
+        end = began + self.settings.bounds.stop
         self._log.info("stopping", busy=self.listener.busy)
         self.control.core.stop()
         yield from sleep_until(began + NOTICE)
         self._closing = True
         self.listener.stop()
-        while not self.idle() and self.clock.monotonic() < limit:
-            yield from sleep_until(self.clock.monotonic() + LOOK_EVERY)
+        while not self.idle() and self.clock.monotonic() < end - LAST_PART:
+            yield from self._pause()
         clean, busy = self.idle(), self.listener.busy
         if busy:
-            yield from self._end_requests()
+            yield from self._end_requests(end - ABORT_PART)
         ended = self.handler.ended_by_stop
         self._log.info("stopped", clean=clean, busy=busy, ended=ended)
         return clean
 
-    def _end_requests(self) -> Steps[None]:
-        """End the requests that are still at work."""
+    def _end_requests(self, until: timedelta) -> Steps[None]:
+        """End the requests that are still at work; give up callers at `until`."""
         self.listener.interrupt()
+        yield from self._pause()
+        while self.listener.busy and self.clock.monotonic() < until:
+            yield from self._pause()
+        if self.listener.busy:
+            self.listener.abort()
+            yield from self._pause()
+
+    def _pause(self) -> Steps[None]:
         yield from sleep_until(self.clock.monotonic() + LOOK_EVERY)
 
     def apply(self, settings: ProcessSettings) -> None:
--- a/packages/ashhoist/src/ashhoist/requests/attempt.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt.py
@@ -6,7 +6,14 @@
 from ..failures import Reason
 from ..forwarding import Connectivity
 from ..forwarding.connectivity import SILENCE
-from ..http import CallerConnection, Head, NotSent, Pool, UpstreamConnection
+from ..http import (
+    CallerConnection,
+    Head,
+    NotSent,
+    Pool,
+    StoppingError,
+    UpstreamConnection,
+)
 from ..http.upstream import Broken, End, Piece, Waiting, Why
 from ..loop import Steps, Wait
 from ..placement.messages import Target
@@ -86,10 +93,7 @@
         self, call: Call, target: Target, caller: CallerConnection, stream: bool
     ) -> Steps[Result]:
         """Send `call` to `target`; wait for its response or the start of its stream."""
-        now = self._clock.monotonic()
-        connection = yield from self._pool.take(
-            target.upstream, target.address, min(call.deadline, now + CONNECT_TIMEOUT)
-        )
+        connection = yield from self._connect(call, target)
         self._record_connection(target, connection)
         if isinstance(connection, NotSent):
             return NotRun(Reason.UPSTREAM_UNREACHABLE, reached_upstream=False)
@@ -101,6 +105,17 @@
                 self._release_connection(target, connection, result)
         return result
 
+    def _connect(
+        self, call: Call, target: Target
+    ) -> Steps[UpstreamConnection | NotSent]:
+        until = min(call.deadline, self._clock.monotonic() + CONNECT_TIMEOUT)
+        try:
+            return (yield from self._pool.take(target.upstream, target.address, until))
+        except StoppingError:
+            # Nothing has been sent.
+            call.attempt_unresolved = False
+            raise
+
     def reach(self, call: Call, target: Target) -> Steps[bool]:
         """Open a connection to `target` that `send` may use; return whether it is."""
         until = min(call.deadline, self._clock.monotonic() + CONNECT_TIMEOUT)
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -87,12 +87,12 @@
     ) -> Steps[Ending]:
         """Run `call` until its caller has been answered or has disconnected.
 
-        At the end of a planned stop it is broken off.
+        At the end of a planned stop it is ended.
         """
         try:
             return (yield from self._run_and_release(call, caller, chooser))
         except StoppingError:
-            return self._responses.stopping(call, caller)
+            return (yield from self._responses.stopping(call, caller))
 
     def _run_and_release(
         self, call: Call, caller: CallerConnection, chooser: Chooser
--- a/packages/ashhoist/src/ashhoist/requests/caller_responses.py
+++ b/packages/ashhoist/src/ashhoist/requests/caller_responses.py
@@ -5,7 +5,7 @@
 
 from ..clock import Clock
 from ..failures import Reason
-from ..http import CallerConnection, CallerGoneError, Head
+from ..http import CallerConnection, CallerGoneError, Head, StoppingError
 from ..loop import Steps
 from ..metrics import Metrics
 from ..placement.messages import Refusal
@@ -196,15 +196,38 @@
         caller.abort()
         return Ending(0, Reason.CALLER_LEFT)
 
-    def stopping(self, call: Call, caller: CallerConnection) -> Ending:
-        """End a call that is at work when the instance ends."""
+    def stopping(self, call: Call, caller: CallerConnection) -> Steps[Ending]:
+        """End a call that is at work when the instance ends.
+
+        A response that has begun is broken off, so that it can't be taken for whole.
+        """
         reason = Reason.STOPPING
-        caller.abort()
-        if call.has_run:
-            self._metrics.count("failures", reason)
-            return Ending(BAD_GATEWAY_STATUS, reason)
-        self._metrics.count("refusals", reason)
-        return Ending(NOT_RUN_STATUS, reason, not_run=True)
+        not_run = not call.has_run
+        status = NOT_RUN_STATUS if not_run else BAD_GATEWAY_STATUS
+        self._metrics.count("refusals" if not_run else "failures", reason)
+        try:
+            if caller.awaits_response:
+                yield from self._respond_with_reason(call, caller, status, reason)
+            else:
+                caller.abort()
+        except CallerGoneError:
+            return self.caller_left(caller)
+        except StoppingError:
+            caller.abort()
+        return Ending(status, reason, not_run)
+
+    def _respond_with_reason(
+        self, call: Call, caller: CallerConnection, status: int, reason: Reason
+    ) -> Steps[None]:
+        headers = [
+            (self._header_names.request_id, call.id),
+            ("Content-Type", "text/plain"),
+        ]
+        if status == NOT_RUN_STATUS:
+            headers.append(self._retry_after(DEFAULT_RETRY_AFTER))
+        yield from caller.respond(
+            status, headers, f"{reason}\n".encode(), self._write_deadline(call)
+        )
 
     def _write_deadline(self, call: Call) -> timedelta:
         return max(call.deadline, self._clock.monotonic()) + timedelta(milliseconds=500)
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -119,19 +119,22 @@
         """Respond to all received requests; return whether the connection is kept."""
         caller.is_closing = self._closing
         try:
-            kept = yield from self._serve_one(caller)
-            while kept and caller.has_more:
-                kept = yield from self._serve_one(caller)
-        except CallerGoneError:
-            kept = False
+            return (yield from self._serve_all(caller))
         except StoppingError:
             caller.abort()
-            return False
         except Exception:
             self._log.exception("unexpected error while serving a request")
             self._metrics.count("failures", Reason.INVALID)
             caller.abort()
-            return False
+        return False
+
+    def _serve_all(self, caller: CallerConnection) -> Steps[bool]:
+        try:
+            kept = yield from self._serve_one(caller)
+            while kept and caller.has_more:
+                kept = yield from self._serve_one(caller)
+        except CallerGoneError:
+            kept = False
         if not kept:
             yield from self._close(caller)
         return kept
@@ -150,11 +153,7 @@
 
     def _serve_one(self, caller: CallerConnection) -> Steps[bool]:
         try:
-            limits = self.limits()
-            request = yield from caller.read_head(limits)
-            admitted = self._admit(request)
-            if isinstance(admitted, Admitted):
-                request = yield from caller.read_body(request, limits)
+            request, admitted = yield from self._read(caller)
         except MalformedRequestError as error:
             self._metrics.count("refusals", Reason.BAD_REQUEST)
             self._log.info(
@@ -171,6 +170,23 @@
             yield from self._refuse(caller, admitted, request)
         return caller.next()
 
+    def _read(
+        self, caller: CallerConnection
+    ) -> Steps[tuple[Request, Admitted | Reason]]:
+        """Read a request, whole if it is admitted by its head."""
+        limits = self.limits()
+        request = yield from caller.read_head(limits)
+        if caller.is_interrupted:
+            return request, Reason.STOPPING
+        admitted = self._admit(request)
+        if not isinstance(admitted, Admitted):
+            return request, admitted
+        try:
+            request = yield from caller.read_body(request, limits)
+        except StoppingError:
+            return request, Reason.STOPPING
+        return request, admitted
+
     def _admit(self, request: Request) -> Admitted | Reason:
         """Return a request's route and sender, or the reason to refuse it.
 
--- a/packages/ashhoist/src/ashhoist/requests/send_permits.py
+++ b/packages/ashhoist/src/ashhoist/requests/send_permits.py
@@ -54,13 +54,16 @@
         request = PermitRequest(upstream_id)
         self._send(request)
         deadline = self._clock.monotonic() + PERMIT_TIMEOUT
-        caller_left = yield from wait_for(request.answer, deadline, caller, self._clock)
+        permit = NOT_GRANTED
+        try:
+            caller_left = yield from wait_for(
+                request.answer, deadline, caller, self._clock
+            )
+        finally:
+            if not request.answer.cancel():
+                permit = request.answer.result()
         if caller_left is not None:
-            request.answer.cancel()
             return caller_left
-        permit = NOT_GRANTED
-        if not request.answer.cancel():
-            permit = request.answer.result()
         if not permit.granted:
             self._record_refusal(upstream_id, permit.wait)
         return permit
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -382,6 +382,14 @@
         self.closing = True
         self._thread.call(self.listener.stop)
 
+    def interrupt(self) -> None:
+        """Reach the limit of a planned stop, as a process does."""
+        self.on_loop(self.listener.interrupt)
+
+    def abort(self) -> None:
+        """Reach the end of a planned stop, as a process does."""
+        self.on_loop(self.listener.abort)
+
     def close(self) -> None:
         self._thread.call(self.listener.stop)
         self._thread.call(self._pool.close)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -277,6 +277,32 @@
         self.assertEqual(self.seen, ["ended"])
         self.assertTrue(task.result.cancelled())
 
+    def test_an_interrupted_task_handles_the_error_and_goes_on(self) -> None:
+        # What it waited for before must not wake it later.
+        answer: Future[None] = Future()
+
+        def steps() -> Steps[str]:
+            try:
+                yield Wait(2 * SECOND, future=answer)
+            except KeyError:
+                self.seen.append("interrupted")
+            yield Wait(9 * SECOND)
+            self.seen.append(self.clock.monotonic())
+            return "result"
+
+        task = self.task(steps())
+        self.loop.call_soon(lambda: task.interrupt(KeyError()))
+        self.loop.call_at(3 * SECOND, lambda: answer.set_result(None))
+        self.turns(5)
+        self.assertEqual(self.seen, ["interrupted", 9 * SECOND])
+        self.assertEqual(task.result.result(0), "result")
+
+    def test_a_task_that_has_ended_is_not_interrupted(self) -> None:
+        task = self.task(sleep_until(SECOND))
+        self.turns(2)
+        task.interrupt(KeyError())
+        self.assertIsNone(task.result.result(0))
+
 
 class ClosedDescriptorTests(unittest.TestCase):
     def test_who_waits_for_a_closed_descriptor_is_told_and_ends(self) -> None:
