--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -7,9 +7,10 @@
 import socket
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 from ..loop import Loop, Steps, Task, Wait, sleep_until
-from .caller import MIN_ARRIVAL_TIME, CallerConnection
+from .caller import MIN_ARRIVAL_TIME, CallerConnection, StoppingError
 from .closed_connections import CloseRecorder, KeptClose, NoRecorder
 from .read_limit import ReadLimit
 from .sockets import close, listening_socket, tune
@@ -120,6 +121,8 @@
                 kept = yield from self._answer(connection)
                 if not kept:
                     return
+        except StoppingError:
+            self._record_interrupted(connection)
         finally:
             self._resting.discard(connection)
             connection.abort()
@@ -194,6 +197,13 @@
         if connection.answered:
             self._closed.record_kept(reason)
 
+    def _record_interrupted(self, connection: CallerConnection) -> None:
+        """Record a connection that is closed before its next request is read."""
+        if connection.answered:
+            self._closed.record_kept(KeptClose.STOPPING)
+            return
+        self._closed.record_unread()
+
     def _ended(self, connection: CallerConnection) -> None:
         """Note that a connection has ended; there is room for another."""
         del self._tasks[connection]
@@ -216,3 +226,32 @@
                 continue
             self._record_close(connection, KeptClose.STOPPING)
             self._tasks[connection].cancel()
+
+    def interrupt(self) -> None:
+        """End what is under way, in this turn of the loop or the next.
+
+        `StoppingError` is raised in the tasks of connections. What is being sent goes
+        on, and a request that has arrived unread is read, to be refused.
+        """
+        for connection in self._tasks:
+            # A task that was started in this turn has begun by then.
+            self._loop.call_soon(partial(self._interrupt, connection))
+
+    def _interrupt(self, connection: CallerConnection) -> None:
+        connection.is_interrupted = True
+        if connection.is_sending:
+            return
+        unread = connection in self._resting and connection.has_bytes()
+        if unread and not connection.has_body_left:
+            return
+        self._break_off(connection)
+
+    def abort(self) -> None:
+        """Break off all that is left, in this turn of the loop or the next."""
+        for connection in self._tasks:
+            self._loop.call_soon(partial(self._break_off, connection))
+
+    def _break_off(self, connection: CallerConnection) -> None:
+        task = self._tasks.get(connection)
+        if task is not None:
+            task.interrupt(StoppingError())
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -13,6 +13,7 @@
     CallerGoneError,
     MalformedRequestError,
     Request,
+    StoppingError,
     parse_number,
 )
 from ..http.caller import CallerLimits
@@ -96,6 +97,11 @@
         self._log = log
         self._random = rng
 
+    @property
+    def ended_by_stop(self) -> int:
+        """Return how many requests were still at work when the instance ended."""
+        return self._end_recorder.ended_by_stop
+
     def limits(self) -> CallerLimits:
         """Return the limits on requests set by the active configuration."""
         table = self._table()
@@ -112,17 +118,23 @@
     def serve(self, caller: CallerConnection) -> Steps[bool]:
         """Respond to all received requests; return whether the connection is kept."""
         caller.is_closing = self._closing
+        try:
+            return (yield from self._serve_all(caller))
+        except StoppingError:
+            caller.abort()
+        except Exception:
+            self._log.exception("unexpected error while serving a request")
+            self._metrics.count("failures", Reason.INVALID)
+            caller.abort()
+        return False
+
+    def _serve_all(self, caller: CallerConnection) -> Steps[bool]:
         try:
             kept = yield from self._serve_one(caller)
             while kept and caller.has_more:
                 kept = yield from self._serve_one(caller)
         except CallerGoneError:
             kept = False
-        except Exception:
-            self._log.exception("unexpected error while serving a request")
-            self._metrics.count("failures", Reason.INVALID)
-            caller.abort()
-            return False
         if not kept:
             yield from self._close(caller)
         return kept
@@ -141,11 +153,7 @@
 
     def _serve_one(self, caller: CallerConnection) -> Steps[bool]:
         try:
-            limits = self.limits()
-            request = yield from caller.read_head(limits)
-            admitted = self._admit(request)
-            if isinstance(admitted, Admitted):
-                request = yield from caller.read_body(request, limits)
+            request, admitted = yield from self._read(caller)
         except MalformedRequestError as error:
             self._metrics.count("refusals", Reason.BAD_REQUEST)
             self._log.info(
@@ -162,6 +170,23 @@
             yield from self._refuse(caller, admitted, request)
         return caller.next()
 
+    def _read(
+        self, caller: CallerConnection
+    ) -> Steps[tuple[Request, Admitted | Reason]]:
+        """Read a request, whole if it is admitted by its head."""
+        limits = self.limits()
+        request = yield from caller.read_head(limits)
+        if caller.is_interrupted:
+            return request, Reason.STOPPING
+        admitted = self._admit(request)
+        if not isinstance(admitted, Admitted):
+            return request, admitted
+        try:
+            request = yield from caller.read_body(request, limits)
+        except StoppingError:
+            return request, Reason.STOPPING
+        return request, admitted
+
     def _admit(self, request: Request) -> Admitted | Reason:
         """Return a request's route and sender, or the reason to refuse it.
 
