Requests outlast a second in which no connection to their upstreams comes up

Callers were refused with 503 (no_upstream) after 0.7 s at one upstream and 1.4 s at two, though nothing had been sent and their deadline was seconds away. An attempt waits 0.7 s for a connection, and the system repeats a lost opening packet only after 1 s, so each upstream was tried once in the silence and none was left.

A request whose connection came up in no time, and was not refused either, asks again: up to 2 s after its first attempt, and within two thirds of its time, so that its caller can still try elsewhere. Nothing has been sent, so requests that may run once may do so as well. Connections that are refused are answered as before.

--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -88,6 +88,8 @@
         Whether the upstream of the current attempt has sent anything.
     pauses : int
         How often it has waited after a refusal to ask again.
+    unconnected_since : timedelta or None
+        When the attempt was made that first got no connection within the time for that.
     has_moved : bool
         Whether the request has left an upstream that may have gone on with it.
     retry_reserved : bool
@@ -163,6 +165,7 @@
     is_charged: bool = False
     forwarded_to: str = ""
     response_began: bool = False
+    unconnected_since: timedelta | None = None
     has_moved: bool = False
     pauses: int = 0
     is_searching: bool = False
--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -37,6 +37,7 @@
 from .retries import Retries
 from .send_checks import SendChecks
 from .silence_limits import SilenceLimits
+from .silent_connects import UNCONNECTED_REASONS, note_attempt, waits_until
 from .waiting import CallerWatch, wait_for
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -168,6 +169,7 @@
                 self._attempt_recorder.stream_completed(call, target)
                 return Ending(result.status, WHOLE)
             connection_lost = self._attempt_recorder.record(call, target, result)
+            note_attempt(call, result, self._clock.monotonic())
             if connection_lost is not None:
                 until = self._clock.monotonic() + LOSS_EXPLAINED_WITHIN
                 yield Wait(min(until, call.deadline), future=connection_lost)
@@ -307,9 +309,13 @@
 
     def _may_ask_again(self, call: Call, refusal: Refusal) -> bool:
         """Return whether a call waits until it may ask for a place again."""
-        if not call.holds_out or refusal.reason not in TEMPORARY_REASONS:
+        now = self._clock.monotonic()
+        if call.holds_out:
+            may_wait = refusal.reason in TEMPORARY_REASONS
+            return may_wait and now + MIN_PAUSE < call.deadline
+        if refusal.reason not in UNCONNECTED_REASONS:
             return False
-        return self._clock.monotonic() + MIN_PAUSE < call.deadline
+        return now + MIN_PAUSE < waits_until(call)
 
     def _hand_over(self, call: Call) -> None:
         """Leave the count and the charge of a call to the instance it goes to."""
--- a/packages/ashhoist/src/ashhoist/requests/retries.py
+++ b/packages/ashhoist/src/ashhoist/requests/retries.py
@@ -14,6 +14,7 @@
 from .caller_responses import FIRST_SERVER_ERROR_STATUS, reason_of
 from .choosers import Chooser
 from .forwarding_chooser import Forwarding
+from .silent_connects import waits_until
 
 MILLISECOND = timedelta(milliseconds=1)
 MAX_REFUSED_SENDS = 3
@@ -60,6 +61,9 @@
             return False
         if isinstance(result, NotRun) and not result.reached_upstream:
             allowed = call.sends < call.route.attempts + MAX_REFUSED_SENDS
+            has_waited = call.pauses > 0 and not call.holds_out
+            if has_waited and self._clock.monotonic() >= waits_until(call):
+                return False
             return allowed and self._count_retry(call, result)
         if isinstance(result, NotRun):
             refused = call.sends - call.runs
