Responses to HEAD requests are sent where they have a body

Callers that asked with HEAD and were refused (404, 401, 503, 502, 504), and health checks that ask with HEAD, got the end of their connection and no response: the body was handed to the protocol, which rejects one in a response to HEAD, and the error ended the connection. The head alone is sent now, with the length that the body would have; the connection is kept as stated.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -108,6 +108,7 @@
         self._passed_bytes = 0
         self._has_read = False
         self._watched = True
+        self._is_head_request = False
         self.idle_since = loop.clock.monotonic()
         self.answered = 0
         self.discarded_bytes = 0
@@ -153,6 +154,7 @@
             for name, value in head.headers.raw_items()
         ]
         values = {name.lower(): value for name, value in pairs}
+        self._is_head_request = head.method == b"HEAD"
         if "close" in values.get("connection", "").lower():
             self.keep = False
         return Request(
@@ -305,7 +307,7 @@
     def respond(
         self, status: int, headers: Headers, body: bytes, until: timedelta
     ) -> Steps[None]:
-        """Send a whole answer.
+        """Send a whole answer; one to a `HEAD` request only states the body's length.
 
         Raises
         ------
@@ -314,7 +316,9 @@
         """
         framed = [*headers, ("Content-Length", str(len(body)))]
         self._begin(status, framed)
-        data = self._head_bytes + (self._http.send(h11.Data(data=body)) or b"")
+        data = self._head_bytes
+        if body and not self._is_head_request:
+            data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         yield from self._send(data, until)
 
