Health checks that arrive in one read are all answered

A health check or a read of the metrics that arrived together with the one before was read and never answered: the connection then waited for further bytes until it was closed as idle. The server serves now what has been read before it waits, as the one for callers does.

tests.test_readiness_server: the second of three health checks got the end of the connection and no response before; now all three are answered.

--- a/packages/ashhoist/src/ashhoist/probes.py
+++ b/packages/ashhoist/src/ashhoist/probes.py
@@ -64,13 +64,19 @@
 
     def _serve(self, caller: CallerConnection) -> Steps[bool]:
         try:
-            request = yield from caller.read_request(CallerLimits())
-            status, body = self._answer(request.target.partition("?")[0])
-            until = self._loop.clock.monotonic() + ANSWER_TIME
-            yield from caller.respond(status, [TEXT], body, until)
-            return caller.next()
+            kept = yield from self._serve_one(caller)
+            while kept and caller.has_more:
+                kept = yield from self._serve_one(caller)
         except (CallerGoneError, MalformedRequestError):
             return False
+        return kept
+
+    def _serve_one(self, caller: CallerConnection) -> Steps[bool]:
+        request = yield from caller.read_request(CallerLimits())
+        status, body = self._answer(request.target.partition("?")[0])
+        until = self._loop.clock.monotonic() + ANSWER_TIME
+        yield from caller.respond(status, [TEXT], body, until)
+        return caller.next()
 
     def _answer(self, path: str) -> tuple[int, bytes]:
         if path == self._path:
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -2,12 +2,6 @@
 
 import unittest
 
-from ashhoist import logs
-from ashhoist.metrics import Metrics
-from ashhoist.probes import ProbeServer
-
-from .loops import ThreadLoop
-from .platform_process import reserve_port
 from .platform_stand_ins.server import Call
 from .request_caller import Caller
 from .request_harness import response_headers
@@ -56,27 +50,5 @@
             self.check(caller, "/safe/x", 200)
 
 
-class ReadinessTests(unittest.TestCase):
-    def setUp(self) -> None:
-        self.thread = ThreadLoop()
-        self.addCleanup(self.thread.close)
-        held = reserve_port()
-        self.addCleanup(held.close)
-        self.address = f"127.0.0.1:{held.getsockname()[1]}"
-        self.server = ProbeServer(
-            self.address, None, "/ready", lambda: True, Metrics(), self.thread.loop
-        )
-        self.thread.call(self.server.start)
-        self.addCleanup(lambda: self.thread.call(self.server.close))
-
-    def test_a_health_check_by_head(self) -> None:
-        # Guards against a ready instance whose health check gets no response.
-        logs.configure(level="error")
-        with Caller(self.address) as caller:
-            answer = caller.ask("/ready", method="HEAD", body=b"")
-            self.assertEqual((answer.status, answer.complete), (200, True))
-            self.assertEqual(caller.ask("/ready", method="GET").status, 200)
-
-
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/test_readiness_server.py
@@ -0,0 +1,45 @@
+"""The server of readiness and metrics: what it states of connections, and keeps."""
+
+import unittest
+
+from ashhoist.metrics import Metrics
+from ashhoist.probes import ProbeServer
+
+from .loops import ThreadLoop
+from .platform_process import reserve_port
+from .request_caller import HOST, Caller
+
+
+class ReadinessTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.thread = ThreadLoop()
+        self.addCleanup(self.thread.close)
+        held = reserve_port()
+        self.addCleanup(held.close)
+        self.address = f"127.0.0.1:{held.getsockname()[1]}"
+        self.server = ProbeServer(
+            self.address, None, "/ready", lambda: True, Metrics(), self.thread.loop
+        )
+        self.thread.call(self.server.start)
+        self.addCleanup(lambda: self.thread.call(self.server.close))
+
+    def test_a_health_check_by_head(self) -> None:
+        # Guards against a ready instance whose health check gets no response.
+        with Caller(self.address) as caller:
+            answer = caller.ask("/ready", method="HEAD", body=b"")
+            self.assertEqual((answer.status, answer.complete), (200, True))
+            self.assertEqual(caller.ask("/ready", method="GET").status, 200)
+
+    def test_health_checks_that_arrive_together(self) -> None:
+        # Guards against a whole request that is read with the one before and left.
+        request = f"GET /ready HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
+        with Caller(self.address) as caller:
+            caller.socket.sendall(request * 3)
+            for _ in range(3):
+                answer = caller.receive_raw()
+                self.assertEqual((answer.status, answer.complete), (200, True))
+                self.assertNotIn("connection", answer.headers)
+
+
+if __name__ == "__main__":
+    unittest.main()
