Responses to HTTP/1.0 requests state only that the connection is closed

They carried Keep-Alive with a time and Connection: close at once; the connection was closed. A caller of that version is told the close alone.

tests.test_readiness_server.ReadinessTests.test_a_stated_close failed before.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -19,6 +19,8 @@
 """A kept connection is said to rest for so much less than it may: a request that is
 sent at the end of the time has to arrive."""
 SECOND = timedelta(seconds=1)
+KEPT_FROM_VERSION = b"1.1"
+"""The first version of HTTP whose connections are kept."""
 
 Headers = list[tuple[str, str]]
 
@@ -155,7 +157,8 @@
         ]
         values = {name.lower(): value for name, value in pairs}
         self._is_head_request = head.method == b"HEAD"
-        if "close" in values.get("connection", "").lower():
+        is_old = head.http_version < KEPT_FROM_VERSION
+        if is_old or "close" in values.get("connection", "").lower():
             self.keep = False
         return Request(
             head.method.decode("ascii"),
--- a/tests/test_readiness_server.py
+++ b/tests/test_readiness_server.py
@@ -40,6 +40,16 @@
                 self.assertEqual((answer.status, answer.complete), (200, True))
                 self.assertNotIn("connection", answer.headers)
 
+    def test_a_stated_close(self) -> None:
+        # Guards against a response that states a time for which it is not kept.
+        request = f"GET /ready HTTP/1.0\r\nHost: {HOST}\r\n\r\n".encode()
+        with Caller(self.address) as caller:
+            caller.socket.sendall(request)
+            answer = caller.receive_raw()
+            self.assertEqual(answer.headers["connection"], "close")
+            self.assertNotIn("keep-alive", answer.headers)
+            self.assertEqual(caller.socket.recv(1), b"")
+
 
 if __name__ == "__main__":
     unittest.main()
