--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -24,6 +24,8 @@
 """A kept connection is said to rest for so much less than it may: a request that is
 sent at the end of the time has to arrive."""
 SECOND = timedelta(seconds=1)
+KEPT_FROM_VERSION = b"1.1"
+"""The first version of HTTP whose connections are kept."""
 
 Headers = list[tuple[str, str]]
 
@@ -125,6 +127,7 @@
         self._drain_limit: int | None = None
         self._has_read = False
         self._watched = True
+        self._is_head_request = False
         self.idle_since = loop.clock.monotonic()
         self.answered = 0
         self.discarded_bytes = 0
@@ -173,7 +176,9 @@
             for name, value in head.headers.raw_items()
         ]
         values = {name.lower(): value for name, value in pairs}
-        if "close" in values.get("connection", "").lower():
+        self._is_head_request = head.method == b"HEAD"
+        is_old = head.http_version < KEPT_FROM_VERSION
+        if is_old or "close" in values.get("connection", "").lower():
             self.keep = False
         self._content_length = values.get("content-length", "")
         return Request(
@@ -347,6 +352,8 @@
     ) -> Steps[None]:
         """Send a whole answer, also if the instance ends meanwhile.
 
+        An answer to a `HEAD` request only states the body's length.
+
         Raises
         ------
         CallerGoneError
@@ -354,7 +361,9 @@
         """
         framed = [*headers, ("Content-Length", str(len(body)))]
         self._begin(status, framed)
-        data = self._head_bytes + (self._http.send(h11.Data(data=body)) or b"")
+        data = self._head_bytes
+        if body and not self._is_head_request:
+            data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         yield from self._send(data, until)
 
--- a/packages/ashhoist/src/ashhoist/requests/retries.py
+++ b/packages/ashhoist/src/ashhoist/requests/retries.py
@@ -16,6 +16,7 @@
 from .choosers import Chooser
 from .forwarding_chooser import Forwarding
 from .results import Answered, CallerLeft, NotRun, OutOfTime, Result
+from .silent_connects import UNCONNECTED_REASONS, record_attempt, waits_until
 from .waiting import CallerWatch, wait_for
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -95,6 +96,7 @@
         bool or CallerLeft
             Whether another attempt may follow.
         """
+        record_attempt(call, result, self._clock.monotonic())
         if _is_final(target, result):
             return False
         if self._should_retry(call, target, result, chooser):
@@ -107,9 +109,13 @@
 
     def _may_ask_again(self, call: Call, refusal: Refusal) -> bool:
         """Return whether a call waits until it may ask for a place again."""
-        if not call.holds_out or refusal.reason not in TEMPORARY_REASONS:
+        if call.holds_out:
+            reasons, until = TEMPORARY_REASONS, call.deadline
+        else:
+            reasons, until = UNCONNECTED_REASONS, waits_until(call)
+        if refusal.reason not in reasons:
             return False
-        return self._clock.monotonic() + MIN_PAUSE < call.deadline
+        return self._clock.monotonic() + MIN_PAUSE < until
 
     def _pause(
         self, call: Call, caller: CallerWatch, retry_after: timedelta | None = None
@@ -136,6 +142,9 @@
             return self._may_forward_again(target, result)
         if isinstance(result, NotRun) and not result.reached_upstream:
             allowed = call.sends < call.route.attempts + MAX_REFUSED_SENDS
+            has_waited = call.pauses > 0 and not call.holds_out
+            if has_waited and self._clock.monotonic() >= waits_until(call):
+                return False
             return allowed and self._count_retry(call, result)
         if isinstance(result, NotRun):
             refused = call.sends - call.runs
