A defect that a request meets is answered, not a bare close

What callers saw: the end of the connection, without a response, for a request that met an unexpected error of the instance (the weights of a split route were one).

Cause: Handler.serve logged the error and broke the connection, whatever was known of the request.

Why this works: such a request ends as one at the limit of a planned stop does: 503 if surely nothing was sent, 502 if it may have run, and a response that has begun is broken off. Its line has that status.

--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -4,7 +4,7 @@
 
 from ..clock import Clock
 from ..failures import Reason
-from ..http import CallerConnection, StoppingError
+from ..http import CallerConnection, CallerGoneError, StoppingError
 from ..logs import Logger
 from ..loop import Steps, Wait
 from ..metrics import Metrics
@@ -83,12 +83,18 @@
     ) -> Steps[Ending]:
         """Run `call` until its caller has been answered or has disconnected.
 
-        At the end of a planned stop it is ended.
+        At the end of a planned stop, and by a defect here, it is ended early.
         """
         try:
             return (yield from self._run_and_release(call, caller, chooser))
+        except CallerGoneError:
+            raise
         except StoppingError:
-            return (yield from self._responses.stopping(call, caller))
+            reason = Reason.STOPPING
+        except Exception:
+            self._log.exception("unexpected error while running a request")
+            reason = Reason.INVALID
+        return (yield from self._responses.end_early(call, caller, reason))
 
     def _run_and_release(
         self, call: Call, caller: CallerConnection, chooser: Chooser
--- a/packages/ashhoist/src/ashhoist/requests/caller_responses.py
+++ b/packages/ashhoist/src/ashhoist/requests/caller_responses.py
@@ -196,12 +196,13 @@
         caller.abort()
         return Ending(0, Reason.CALLER_LEFT)
 
-    def stopping(self, call: Call, caller: CallerConnection) -> Steps[Ending]:
-        """End a call that is at work when the instance ends.
+    def end_early(
+        self, call: Call, caller: CallerConnection, reason: Reason
+    ) -> Steps[Ending]:
+        """End a call that is at work, by what is known of it.
 
         A response that has begun is broken off, so that it can't be taken for whole.
         """
-        reason = Reason.STOPPING
         not_run = not call.has_run
         status = NOT_RUN_STATUS if not_run else BAD_GATEWAY_STATUS
         self._metrics.count("refusals" if not_run else "failures", reason)
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -24,7 +24,6 @@
 from .authentication import Authenticator, Identity
 from .call import Call, TokenCounts
 from .call_runner import CallRunner
-from .caller_responses import Ending
 from .choosers import Chooser
 from .end_recorder import NO_CONFIGURATION, EndRecorder
 from .fingerprint import fingerprint
@@ -32,8 +31,6 @@
 from .resumption import named_request, resumed_requests
 
 RESPONSE_WRITE_TIMEOUT = timedelta(seconds=2)
-NO_STATUS = 0
-"""The status of a request that ended by an error here."""
 FIRST_TRY_SHARE = 0.9
 """A request with a deadline below this share of the route's timeout is taken to be a
 retry by its caller."""
@@ -192,6 +189,13 @@
 
         Only the head is examined, so a body that nobody would read need not be sent.
         """
+        try:
+            return self._look_up(request)
+        except Exception:
+            self._log.exception("unexpected error while admitting a request")
+            return Reason.INVALID
+
+    def _look_up(self, request: Request) -> Admitted | Reason:
         table = self._table()
         if table is None:
             return Reason.UNSETTLED
@@ -206,14 +210,15 @@
     def _serve_admitted(
         self, caller: CallerConnection, request: Request, admitted: Admitted
     ) -> Steps[None]:
-        call = self._call(admitted, request)
-        services = admitted.table.configuration.services
-        chooser = self._chooser(services.get(call.service))
         try:
-            ending = yield from self._call_runner.run(call, caller, chooser)
+            call = self._call(admitted, request)
         except Exception:
-            self._end_recorder.record(call, Ending(NO_STATUS, Reason.INVALID))
-            raise
+            self._log.exception("unexpected error while admitting a request")
+            yield from self._refuse(caller, Reason.INVALID, request)
+            return
+        services = admitted.table.configuration.services
+        chooser = self._chooser(services.get(call.service))
+        ending = yield from self._call_runner.run(call, caller, chooser)
         self._end_recorder.record(call, ending)
 
     def _configuration_version(self) -> int:
