A head that never becomes whole no longer keeps a request until its deadline

What callers saw: 504 at the deadline for a safe request whose upstream sent its head byte by byte without end, though another upstream had a place. The same for the framing of a body (chunk extensions, trailers) without end.

Cause: any byte began the silence limit anew and withdrew the search for another place (Attempts.wait_for_upstream, _receive).

Why this works: the limit belongs to a part of the response and outlasts single reads (requests/silence_timer.py). The reader of the part restarts it: at the whole head, at bytes of the body, at its end. For streams any bytes still do. Bytes still show that the link works and that the response has begun. A request leaves only for a place that is granted, as before (docs/design/silent_upstreams.md).

--- a/packages/ashhoist/src/ashhoist/requests/attempt.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt.py
@@ -25,11 +25,9 @@
     Result,
     Streaming,
 )
+from .silence_timer import SilenceTimer
 
 CONNECT_TIMEOUT = timedelta(milliseconds=700)
-MAX_TIMER_DELAY = timedelta(milliseconds=100)
-"""A timer that is so late shows that this instance was held up. An upstream whose
-silence ends with such a delay is given the full timeout once more."""
 MAX_RESPONSE_BYTES = 16_777_216
 OK = 200
 MAX_RESPONSES_READ = 4
@@ -282,12 +280,16 @@
     def _await_head(
         self, call: Call, caller: CallerConnection, connection: UpstreamConnection
     ) -> Steps[Head | MayHaveRun | CallerLeft | OutOfTime]:
+        silence = SilenceTimer(call, self._clock)
         while True:
             event = connection.next_event()
             if isinstance(event, Head):
+                silence.record_progress()
                 return event
             if isinstance(event, Waiting):
-                ended = yield from self.wait_for_upstream(call, caller, connection)
+                ended = yield from self.wait_for_upstream(
+                    call, caller, connection, silence
+                )
                 if ended is not None:
                     return ended
                 continue
@@ -297,32 +299,46 @@
         self, call: Call, caller: CallerConnection, connection: UpstreamConnection
     ) -> Steps[bytes | MayHaveRun | CallerLeft | OutOfTime]:
         body = bytearray()
+        silence = SilenceTimer(call, self._clock)
         while True:
             event = connection.next_event()
             if isinstance(event, Piece):
                 body += event.data
                 if len(body) > MAX_RESPONSE_BYTES:
                     return MayHaveRun(Reason.BODY_TOO_LARGE)
+                silence.record_progress()
                 continue
             if isinstance(event, End):
+                silence.record_progress()
                 return bytes(body)
             if isinstance(event, Waiting):
-                ended = yield from self.wait_for_upstream(call, caller, connection)
+                ended = yield from self.wait_for_upstream(
+                    call, caller, connection, silence
+                )
                 if ended is not None:
                     return ended
                 continue
             return MayHaveRun(_failure_reason(event))
 
     def wait_for_upstream(
-        self, call: Call, caller: CallerConnection, connection: UpstreamConnection
+        self,
+        call: Call,
+        caller: CallerConnection,
+        connection: UpstreamConnection,
+        silence: SilenceTimer,
     ) -> Steps[MayHaveRun | CallerLeft | OutOfTime | None]:
-        """Wait until data arrives from the upstream; return None once it has."""
-        silent_until = self._silent_until(call)
+        """Wait until data arrives from the upstream; return None once it has.
+
+        Parameters
+        ----------
+        silence : SilenceTimer
+            Of the part of the response that is read. Data does not restart it: that is
+            up to the reader.
+        """
         overdue_at = self._overdue_at(call)
         descriptor = connection.fileno()
-        is_extended = False
         while True:
-            until = min(silent_until, overdue_at)
+            until = min(silence.ends_at, overdue_at)
             ready = yield _response_wait(call, caller, descriptor, until)
             if ready == descriptor:
                 return self._receive(call, connection)
@@ -336,26 +352,22 @@
             if now >= overdue_at:
                 self._connectivity.response_overdue()
                 overdue_at = self._overdue_at(call)
-            if call.place_search is None and now < silent_until:
+            if call.place_search is None and now < silence.ends_at:
                 continue
-            if now - silent_until >= MAX_TIMER_DELAY and not is_extended:
-                # The upstream may have been held up together with this instance.
-                is_extended = True
-                silent_until = self._silent_until(call)
+            if silence.extend_if_late(now):
                 continue
             if self._may_leave(call, now):
                 return MayHaveRun(Reason.UPSTREAM_SILENT)
-            silent_until = self._silent_until(call)
+            silence.restart()
 
     def _receive(self, call: Call, connection: UpstreamConnection) -> MayHaveRun | None:
-        """Take in what has come; an upstream that goes on needs no successor."""
+        """Take in what has come; any byte shows that the upstream is reached."""
         broken = connection.receive()
         if broken is not None:
             return MayHaveRun(_failure_reason(broken))
         if connection.is_closed_by_peer:
             return None
         call.response_began = True
-        call.withdraw_place_search()
         if not call.forwarded_to:
             self._connectivity.heard()
         return None
@@ -386,15 +398,6 @@
             return call.deadline
         return self._clock.monotonic() + SILENCE
 
-    def _silent_until(self, call: Call) -> timedelta:
-        """Return until when the upstream of a call may be silent from now on.
-
-        While another one is looked for, the search says when it goes on.
-        """
-        if call.silence_limit is None or call.place_search is not None:
-            return call.deadline
-        return min(call.deadline, self._clock.monotonic() + call.silence_limit.timeout)
-
 
 def _response_wait(
     call: Call, caller: CallerConnection, descriptor: int, until: timedelta
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -27,6 +27,7 @@
 from .events import EventSplitter, StreamEvent
 from .results import CallerLeft, MayHaveRun, OutOfTime, Streaming
 from .silence import stall_timeout
+from .silence_timer import SilenceTimer
 
 MAX_EVENT_ID_DIGITS = 18
 """Longer ids, and those with other characters, are passed on but not compared."""
@@ -99,11 +100,12 @@
         self._on_event = on_event
         self._before_forwarding = before_forwarding
         splitter = EventSplitter()
+        silence = SilenceTimer(self._call, self._clock)
         events_before: int | None = self.events_relayed
         while True:
             event = stream.connection.next_event()
             if isinstance(event, Piece):
-                ended = yield from self._forward(splitter, event.data, head)
+                ended = yield from self._forward(splitter, event.data, head, silence)
                 if ended is not None:
                     return ended
                 if events_before is not None and self.events_relayed > events_before:
@@ -114,10 +116,11 @@
             if isinstance(event, End):
                 if not splitter.at_event_boundary:
                     return MayHaveRun(Reason.ANSWER_CUT)
+                silence.record_progress()
                 return (yield from self._finish(head))
             if isinstance(event, Broken):
                 return MayHaveRun(Reason.ANSWER_CUT)
-            waited = yield from self._wait(stream.connection)
+            waited = yield from self._wait(stream.connection, silence)
             if waited is not None:
                 return waited
 
@@ -129,12 +132,14 @@
             )
 
     def _wait(
-        self, connection: UpstreamConnection
+        self, connection: UpstreamConnection, silence: SilenceTimer
     ) -> Steps[MayHaveRun | CallerLeft | OutOfTime | None]:
-        return self._attempts.wait_for_upstream(self._call, self._caller, connection)
+        return self._attempts.wait_for_upstream(
+            self._call, self._caller, connection, silence
+        )
 
     def _forward(
-        self, splitter: EventSplitter, data: bytes, head: Head
+        self, splitter: EventSplitter, data: bytes, head: Head, silence: SilenceTimer
     ) -> Steps[MayHaveRun | CallerLeft | None]:
         new_events: list[StreamEvent] = []
         for event in splitter.feed(data):
@@ -145,9 +150,13 @@
                 new_events.append(event)
         if splitter.oversized:
             return MayHaveRun(Reason.BAD_FRAME)
+        silence.record_progress()
         if not new_events:
             return None
-        return (yield from self._send(new_events, head))
+        began = self._clock.monotonic()
+        left = yield from self._send(new_events, head)
+        silence.exclude(self._clock.monotonic() - began)
+        return left
 
     def _is_new(self, event: StreamEvent) -> bool | None:
         """Return whether an event is new; None if its id leaves a gap."""
--- a/tests/virtual_upstreams.py
+++ b/tests/virtual_upstreams.py
@@ -2,7 +2,7 @@
 
 import math
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import cast
@@ -38,12 +38,16 @@
         The status with which the upstream refuses, 503 or 421; 0 if it does not.
     halves : tuple of int
         Events of which one half is sent, then the rest after a second such pause.
+    pieces : callable or None
+        Returns, for a request, what is sent in place of a response: bytes, and the
+        seconds before them. The response has ended behind the last ones.
     """
 
     pauses: Mapping[int, float] = field(default_factory=dict)
     breaks_before: float = math.inf
     refusal: int = 0
     halves: tuple[int, ...] = ()
+    pieces: Callable[[Call], Iterable[tuple[float, bytes]]] | None = None
 
 
 @dataclass
@@ -130,6 +134,9 @@
 
     def _answer(self, call: Call, work: Work) -> Steps[None]:
         plan = self.plan
+        if plan.pieces is not None:
+            yield from self._send_pieces(call, work, plan.pieces(call))
+            return
         yield from self._sleep(plan.pauses.get(0, 0.0))
         if plan.refusal:
             headers = {HEADER_NAMES.not_run: "1"} if plan.refusal == NOT_RUN else {}
@@ -160,6 +167,14 @@
         self._end(work, "done")
         call.end_stream()
 
+    def _send_pieces(
+        self, call: Call, work: Work, pieces: Iterable[tuple[float, bytes]]
+    ) -> Steps[None]:
+        for pause, data in pieces:
+            yield from self._sleep(pause)
+            call.raw(data)
+        self._end(work, "done")
+
     def _break_off(self, call: Call, work: Work) -> None:
         self._end(work, "broke")
         call.reset()
