Comments, empty lines and old events no longer keep a stream until its deadline

What callers saw: a resumable stream that was cut at its deadline, as its upstream sent only comments, empty lines or an old event, though another upstream had a place for it.

Cause: any bytes of a stream began the silence limit anew and withdrew the search for another place.

Why this works: only a whole event that is new, parts of the next one and the end of the stream restart the limit. Comments are passed on as before. Drawn courses now have upstreams that repeat their last event while they pause.

--- a/packages/ashhoist/src/ashhoist/requests/events.py
+++ b/packages/ashhoist/src/ashhoist/requests/events.py
@@ -18,10 +18,14 @@
     ----------
     id : str
         The event's id, or an empty string.
+    is_empty : bool
+        Whether it has neither data nor an id, like a comment: callers' parsers make
+        no event of it.
     """
 
     data: bytes
     id: str
+    is_empty: bool
 
 
 class EventSplitter:
@@ -49,6 +53,11 @@
         """Return whether no part of an unfinished event is buffered."""
         return not self._pending.strip()
 
+    @property
+    def pending_size(self) -> int:
+        """Return how many bytes of an unfinished event are buffered."""
+        return len(self._pending)
+
     @property
     def oversized(self) -> bool:
         """Return whether the unfinished event is implausibly large."""
@@ -57,8 +66,11 @@
 
 def _event(data: bytes) -> StreamEvent:
     event_id = ""
+    has_data = False
     for line in data.splitlines():
         name, _, value = line.partition(b":")
         if name == b"id":
             event_id = value.strip().decode("latin-1")
-    return StreamEvent(data, event_id)
+        elif name == b"data":
+            has_data = True
+    return StreamEvent(data, event_id, is_empty=not event_id and not has_data)
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -142,15 +142,18 @@
         self, splitter: EventSplitter, data: bytes, head: Head, silence: SilenceTimer
     ) -> Steps[MayHaveRun | CallerLeft | None]:
         new_events: list[StreamEvent] = []
+        is_progress = False
         for event in splitter.feed(data):
             is_new = self._is_new(event)
             if is_new is None:
                 return MayHaveRun(Reason.BAD_FRAME)
             if is_new:
                 new_events.append(event)
+                is_progress = is_progress or not event.is_empty
         if splitter.oversized:
             return MayHaveRun(Reason.BAD_FRAME)
-        silence.record_progress()
+        if is_progress or splitter.pending_size:
+            silence.record_progress()
         if not new_events:
             return None
         began = self._clock.monotonic()
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -12,20 +12,24 @@
 
 from ashhoist.forwarding import ForwardingInstance
 
-from .endless_senders import head
+from .endless_senders import behind, head
 from .platform_stand_ins.server import Call
+from .request_harness import event
 from .test_moves import (
     ALWAYS_REFUSED,
     DARK_HEAD,
     GOOD,
     LATE_S,
     NEVER,
+    PAUSE,
     SOON_S,
+    STALL_S,
+    WHOLE,
     MoveTestCase,
 )
 from .virtual_entry import DEADLINE_S, VirtualEntry
 from .virtual_places import Place
-from .virtual_upstreams import BODY, Plan
+from .virtual_upstreams import BODY, EVENTS, FOR_EVER, Plan
 
 Pieces = Iterable[tuple[float, bytes]]
 
@@ -35,7 +39,26 @@
 """Well within each limit."""
 SIZED = head(f"Content-Length: {len(BODY)}")
 CHUNKED = head("Transfer-Encoding: chunked")
+STREAM = head("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+COMMENT = b": alive\n\n"
+NO_EVENTS = {
+    "comments": COMMENT,
+    "empty lines": b"\n\n",
+    "an event without data": b"event: ping\n\n",
+    "an empty id": b"id:\n\n",
+    "an old event": event(1),
+}
+
+
+def chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+BEGUN = behind(STREAM, chunk(event(1) + event(2)))
+"""The start of a stream, of which two events have been sent."""
+LAST_CHUNK = chunk(b"")
+REST = [chunk(event(number)) for number in range(3, EVENTS + 1)]
 
 
 def endless(unit: bytes, step_s: float = STEP_S) -> Iterator[tuple[float, bytes]]:
@@ -187,6 +210,99 @@
                 self.check_served(entry, "0 left", "1 done")
 
 
+class StreamTests(MoveTestCase):
+    def check_left(self, plan: Plan, after_s: float) -> None:
+        """Check that another upstream goes on with a stream after a time."""
+        entry = self.entry(plan, GOOD)
+        caller = entry.fetch()
+        for number in range(1, EVENTS + 1):
+            self.assertEqual(caller.answer.body.count(event(number)), 1)
+        self.assertTrue(caller.answer.complete)
+        self.check_served(entry, "0 left", "1 done")
+        old = entry.works[0]
+        self.assertLessEqual(old.ended_s - old.began_s, after_s + SOON_S)
+
+    def test_a_stream_without_further_events_is_left_at_the_limit(self) -> None:
+        # Guards against a stream that waits until its deadline for an event.
+        for name, unit in NO_EVENTS.items():
+            with self.subTest(name):
+                self.check_left(after(BEGUN, endless(chunk(unit))), STALL_S)
+
+    def test_a_stream_without_a_first_event_is_left_at_the_limit(self) -> None:
+        plan = after(STREAM, endless(chunk(COMMENT)))
+        self.check_left(plan, RESPONSE_S)
+
+    def test_bytes_without_an_event_do_not_withdraw_the_query(self) -> None:
+        for name, unit in NO_EVENTS.items():
+            with self.subTest(name):
+                plan = after(BEGUN, endless(chunk(unit)))
+                entry = self.entry(plan, GOOD, moves=(Place(after_s=3 * STEP_S),))
+                self.assertTrue(entry.fetch().answer.complete)
+                self.check_served(entry, "0 left", "1 done")
+                self.only_move(entry)
+
+    def test_an_event_withdraws_the_query(self) -> None:
+        # Guards against a slow upstream that is left though it has gone on.
+        comments = 6 * [(STEP_S, chunk(COMMENT))]
+        rest = [(0.0, data) for data in (*REST, LAST_CHUNK)]
+        entry = self.entry(after(BEGUN, [*comments, *rest]), GOOD, moves=(NEVER,))
+        self.assertTrue(entry.fetch().answer.complete)
+        self.check_served(entry, "0 done")
+        self.assertEqual(self.states(entry), ["cancelled"])
+
+    def test_a_slow_stream_with_comments_stays_without_a_place(self) -> None:
+        # Guards against a sound stream that is cut, or whose comments are dropped.
+        pieces: list[tuple[float, bytes]] = []
+        for data in REST:
+            pieces += 10 * [(STEP_S, chunk(COMMENT))]
+            pieces.append((STEP_S, data))
+        plan = after(BEGUN, [*pieces, (0.0, LAST_CHUNK)])
+        entry = self.entry(plan, GOOD, moves=ALWAYS_REFUSED)
+        caller = entry.fetch()
+        self.assertEqual(caller.answer.body.replace(COMMENT, b""), WHOLE)
+        self.assertEqual(caller.answer.body.count(COMMENT), 10 * len(REST))
+        self.assertTrue(caller.answer.complete)
+        self.check_served(entry, "0 done")
+
+    def test_slow_events_within_the_limit_stay(self) -> None:
+        # Guards against a sound stream that is taken for silent.
+        units = {
+            "ids": [event(number) for number in range(3, 3 + EVENTS)],
+            "no ids": EVENTS * [b"data: x\n\n"],
+            "other ids": EVENTS * [b"id: x\ndata: x\n\n"],
+            "empty data": EVENTS * [b"data\n\n"],
+        }
+        for name, events in units.items():
+            with self.subTest(name):
+                pieces = [(0.9 * STALL_S, chunk(one)) for one in events]
+                plan = after(BEGUN, [*pieces, (0.0, LAST_CHUNK)])
+                entry = self.entry(plan, GOOD)
+                caller = entry.fetch()
+                body = event(1) + event(2) + b"".join(events)
+                self.check_whole(caller, body)
+                self.check_served(entry, "0 done")
+                self.assertEqual(self.states(entry), [])
+
+    def test_the_first_event_of_a_stream_begins_a_shorter_limit(self) -> None:
+        plan = after(STREAM, [(STEP_S, chunk(event(1))), (FOR_EVER, b"")])
+        self.check_left(plan, STEP_S + STALL_S)
+
+    def test_a_stream_that_is_not_resumable_stays(self) -> None:
+        # Guards against a second run of what may run once.
+        entry = self.entry(after(BEGUN, endless(chunk(COMMENT))), GOOD)
+        caller = entry.fetch("/once/", deadline_s=5.0)
+        self.assertFalse(caller.answer.complete)
+        self.check_served(entry, "0 left")
+        self.assertEqual(self.states(entry), [])
+
+    def test_a_pause_of_a_second_is_no_cut(self) -> None:
+        # Guards against a stream that leaves before the next place is sure.
+        for moves in (ALWAYS_REFUSED, 9 * (NEVER,)):
+            entry = self.entry(PAUSE, GOOD, moves=moves)
+            self.check_whole(entry.fetch())
+            self.check_served(entry, "0 done")
+
+
 class InstanceTests(MoveTestCase):
     """Requests that another instance was asked to serve."""
 
@@ -220,6 +336,19 @@
         assert caller.ended_s is not None
         self.assertLess(caller.ended_s - began, DEADLINE_S / 2)
 
+    def test_a_stream_without_events_is_left_for_another_instance(self) -> None:
+        # Guards against a stream that waits until its deadline for an event.
+        entry = self.cut_off(after(BEGUN, endless(chunk(event(1)))), GOOD)
+        entry.after(0.25, partial(self.list_instance, entry, "instance-1"))
+        self.check_whole(entry.fetch())
+        self.check_served(entry, "instance-0 left", "instance-1 done")
+
+    def test_a_stream_without_events_stays_at_an_available_instance(self) -> None:
+        # Guards against a stream that leaves an instance that reaches its upstream.
+        entry = self.cut_off(after(BEGUN, endless(chunk(event(1)))), GOOD)
+        self.assertFalse(entry.fetch().answer.complete)
+        self.check_served(entry, "instance-0 left")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/virtual_upstreams.py
+++ b/tests/virtual_upstreams.py
@@ -38,6 +38,8 @@
         The status with which the upstream refuses, 503 or 421; 0 if it does not.
     halves : tuple of int
         Events of which one half is sent, then the rest after a second such pause.
+    repeats_s : float
+        Seconds between two repeats of the last event while it pauses; 0 for none.
     pieces : callable or None
         Returns, for a request, what is sent in place of a response: bytes, and the
         seconds before them. The response has ended behind the last ones.
@@ -47,6 +49,7 @@
     breaks_before: float = math.inf
     refusal: int = 0
     halves: tuple[int, ...] = ()
+    repeats_s: float = 0.0
     pieces: Callable[[Call], Iterable[tuple[float, bytes]]] | None = None
 
 
@@ -155,7 +158,7 @@
         for number in range(last + 1, EVENTS + 1):
             data = event(number)
             pause = GAP_S + plan.pauses.get(number, 0.0)
-            yield from self._sleep(pause)
+            yield from self._pause_before(number, pause, call)
             if plan.breaks_before <= number:
                 self._break_off(call, work)
                 return
@@ -175,6 +178,15 @@
             call.raw(data)
         self._end(work, "done")
 
+    def _pause_before(self, number: int, seconds: float, call: Call) -> Steps[None]:
+        """Pause before an event; repeat the one before it meanwhile if so planned."""
+        step = self.plan.repeats_s
+        while step and number > 1 and seconds > step:
+            yield from self._sleep(step)
+            call.chunk(event(number - 1))
+            seconds -= step
+        yield from self._sleep(seconds)
+
     def _break_off(self, call: Call, work: Work) -> None:
         self._end(work, "broke")
         call.reset()
