An event without its end no longer keeps a stream until its deadline

What callers saw: a resumable stream that was cut at its deadline, as its upstream sent an event byte by byte without end, though another upstream had a place for it.

Cause: each part of an event began the silence limit anew, up to the largest size of an event (1 MiB).

Why this works: parts of an event restart the limit for four limits, and one more for each 64 KiB of it (requests/stream_progress.py). Large events that keep growing stay; only a whole new event begins this time anew. Drawn courses now have events that come byte by byte.

--- a/packages/ashhoist/src/ashhoist/requests/call.py
+++ b/packages/ashhoist/src/ashhoist/requests/call.py
@@ -98,7 +98,7 @@
         Ids of those among them that may be asked again: they refused it as not run, or
         it left them as they were silent.
     silence_limit : SilenceLimit or None
-        How long the upstream may send nothing before the request goes to another one;
+        How long the upstream may make no progress before another one is looked for;
         None if no further attempt is possible.
     placement : CallPlacement
         What the choice of an upstream has obtained for it.
--- a/packages/ashhoist/src/ashhoist/requests/relay.py
+++ b/packages/ashhoist/src/ashhoist/requests/relay.py
@@ -28,6 +28,7 @@
 from .results import CallerLeft, MayHaveRun, OutOfTime, Streaming
 from .silence import stall_timeout
 from .silence_timer import SilenceTimer
+from .stream_progress import StreamProgress
 
 MAX_EVENT_ID_DIGITS = 18
 """Longer ids, and those with other characters, are passed on but not compared."""
@@ -100,12 +101,12 @@
         self._on_event = on_event
         self._before_forwarding = before_forwarding
         splitter = EventSplitter()
-        silence = SilenceTimer(self._call, self._clock)
+        progress = StreamProgress(self._call, self._clock)
         events_before: int | None = self.events_relayed
         while True:
             event = stream.connection.next_event()
             if isinstance(event, Piece):
-                ended = yield from self._forward(splitter, event.data, head, silence)
+                ended = yield from self._forward(splitter, event.data, head, progress)
                 if ended is not None:
                     return ended
                 if events_before is not None and self.events_relayed > events_before:
@@ -116,11 +117,11 @@
             if isinstance(event, End):
                 if not splitter.at_event_boundary:
                     return MayHaveRun(Reason.ANSWER_CUT)
-                silence.record_progress()
+                progress.record_end()
                 return (yield from self._finish(head))
             if isinstance(event, Broken):
                 return MayHaveRun(Reason.ANSWER_CUT)
-            waited = yield from self._wait(stream.connection, silence)
+            waited = yield from self._wait(stream.connection, progress.silence)
             if waited is not None:
                 return waited
 
@@ -139,26 +140,29 @@
         )
 
     def _forward(
-        self, splitter: EventSplitter, data: bytes, head: Head, silence: SilenceTimer
+        self,
+        splitter: EventSplitter,
+        data: bytes,
+        head: Head,
+        progress: StreamProgress,
     ) -> Steps[MayHaveRun | CallerLeft | None]:
         new_events: list[StreamEvent] = []
-        is_progress = False
+        has_new_event = False
         for event in splitter.feed(data):
             is_new = self._is_new(event)
             if is_new is None:
                 return MayHaveRun(Reason.BAD_FRAME)
             if is_new:
                 new_events.append(event)
-                is_progress = is_progress or not event.is_empty
+                has_new_event = has_new_event or not event.is_empty
         if splitter.oversized:
             return MayHaveRun(Reason.BAD_FRAME)
-        if is_progress or splitter.pending_size:
-            silence.record_progress()
+        progress.record(has_new_event, splitter.pending_size)
         if not new_events:
             return None
         began = self._clock.monotonic()
         left = yield from self._send(new_events, head)
-        silence.exclude(self._clock.monotonic() - began)
+        progress.exclude(self._clock.monotonic() - began)
         return left
 
     def _is_new(self, event: StreamEvent) -> bool | None:
--- a/packages/ashhoist/src/ashhoist/requests/silence.py
+++ b/packages/ashhoist/src/ashhoist/requests/silence.py
@@ -1,4 +1,4 @@
-"""How long an upstream may send nothing before another one is looked for.
+"""How long an upstream may make no progress before another one is looked for.
 
 Without another upstream that has a place for it, a request stays where it is: a late
 response is worth more to its caller than an error.
@@ -32,7 +32,7 @@
     Parameters
     ----------
     timeout : timedelta
-        How long the upstream may send nothing.
+        How long the upstream may make no progress with its response.
     begin_search : callable
         Begins to look for another upstream then; returns None if the request may not
         leave. Unless one is found, the request waits for another `timeout`.
--- a/tests/test_drawn_moves.py
+++ b/tests/test_drawn_moves.py
@@ -44,6 +44,7 @@
     breaks_before=st.sampled_from([math.inf, math.inf, math.inf, 0, 1, 3, 6]),
     refusal=st.sampled_from([0, 0, 0, 0, 421, 503]),
     halves=st.sampled_from([(), (), (2,), (5,)]),
+    bytewise=st.sampled_from([(), (), (), (3,)]),
     repeats_s=st.sampled_from([0.0, 0.0, 0.3]),
 )
 places = st.builds(
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -66,6 +66,13 @@
     return itertools.repeat((step_s, unit))
 
 
+def halves_of(data: bytes) -> Iterator[tuple[float, bytes]]:
+    """Return the same bytes without end, divided in the middle."""
+    middle = len(data) // 2
+    parts = (chunk(data[:middle]), chunk(data[middle:]))
+    return ((STEP_S, part) for part in itertools.cycle(parts))
+
+
 def after(start: Callable[[Call], bytes] | bytes, pieces: Pieces) -> Plan:
     """Return a plan that sends pieces behind a start."""
 
@@ -283,6 +290,77 @@
                 self.check_served(entry, "0 done")
                 self.assertEqual(self.states(entry), [])
 
+    def test_an_event_without_end_is_left_within_five_limits(self) -> None:
+        # Guards against a stream that waits until its deadline for an event's end.
+        pieces = {
+            "byte by byte": endless(chunk(b"a"), 0.05),
+            "comment": endless(chunk(b": a\n")),
+            "old event in halves": halves_of(event(1)),
+            "comment in halves": halves_of(COMMENT),
+            "empty line by line": endless(chunk(b"\n")),
+        }
+        for name, made in pieces.items():
+            with self.subTest(name):
+                self.check_left(after(BEGUN, made), 5 * STALL_S)
+
+    def test_a_large_event_in_pieces_stays(self) -> None:
+        # Guards against a sound upstream that is left while it sends an event.
+        pieces = {
+            "longer than the limit": (11, 0.25, 100),
+            "much longer than the limit": (15, 0.9 * STALL_S, 65_536),
+        }
+        for name, (count, step_s, size) in pieces.items():
+            with self.subTest(name):
+                data = event(3, "x" * count * size)
+                parts = [data[at : at + size] for at in range(0, len(data), size)]
+                made = [(step_s, chunk(part)) for part in parts]
+                rest = [(0.0, one) for one in (*REST[1:], LAST_CHUNK)]
+                entry = self.entry(after(BEGUN, [*made, *rest]), GOOD)
+                body = WHOLE.replace(event(3), data)
+                self.check_whole(entry.fetch(), body)
+                self.check_served(entry, "0 done")
+                self.assertEqual(self.states(entry), [])
+
+    def test_many_events_in_pieces_stay(self) -> None:
+        # Guards against a bound that is not begun anew by an event.
+        pieces = []
+        for number in range(3, 3 + 2 * EVENTS):
+            data, middle = event(number), len(event(number)) // 2
+            pieces += [(0.6, chunk(data[:middle])), (0.6, chunk(data[middle:]))]
+        entry = self.entry(after(BEGUN, [*pieces, (0.0, LAST_CHUNK)]), GOOD)
+        self.assertTrue(entry.fetch().answer.complete)
+        self.check_served(entry, "0 done")
+        self.assertEqual(self.states(entry), [])
+
+    def test_a_part_of_an_event_withdraws_the_query(self) -> None:
+        data, middle = event(3), len(event(3)) // 2
+        pieces = [(1.2, chunk(data[:middle])), (0.6, chunk(data[middle:]))]
+        pieces += [(0.0, one) for one in (*REST[1:], LAST_CHUNK)]
+        entry = self.entry(after(BEGUN, pieces), GOOD, moves=(NEVER,))
+        self.check_whole(entry.fetch())
+        self.check_served(entry, "0 done")
+        self.assertEqual(self.states(entry), ["cancelled"])
+
+    def test_a_late_part_of_an_event_does_not_withdraw_the_query(self) -> None:
+        # Guards against a query that each byte of an event without end ends.
+        entry = self.entry(
+            after(BEGUN, endless(chunk(b"a"))), GOOD, moves=(Place(after_s=1.0),)
+        )
+        self.check_whole(entry.fetch())
+        self.check_served(entry, "0 left", "1 done")
+        self.only_move(entry)
+
+    def test_a_slow_event_without_a_place_elsewhere_stays(self) -> None:
+        # Guards against a sound stream that is cut in a slow event.
+        data = event(3, "x" * 40)
+        pieces = [(STEP_S, chunk(data[at : at + 1])) for at in range(len(data))]
+        rest = [(0.0, one) for one in (*REST[1:], LAST_CHUNK)]
+        for moves in (ALWAYS_REFUSED, 99 * (NEVER,)):
+            entry = self.entry(after(BEGUN, [*pieces, *rest]), GOOD, moves=moves)
+            self.check_whole(entry.fetch(), WHOLE.replace(event(3), data))
+            self.check_served(entry, "0 done")
+            self.assertNotEqual(self.states(entry), [])
+
     def test_the_first_event_of_a_stream_begins_a_shorter_limit(self) -> None:
         plan = after(STREAM, [(STEP_S, chunk(event(1))), (FOR_EVER, b"")])
         self.check_left(plan, STEP_S + STALL_S)
--- a/tests/virtual_upstreams.py
+++ b/tests/virtual_upstreams.py
@@ -19,6 +19,8 @@
 EVENTS = 6
 """Events of a whole stream; their ids begin at 1."""
 GAP_S = 0.1
+BYTE_S = 0.3
+"""Between two bytes; the event takes several silence limits then."""
 FOR_EVER = 1e6
 NOT_RUN = 503
 BODY = b"whole answer"
@@ -38,6 +40,8 @@
         The status with which the upstream refuses, 503 or 421; 0 if it does not.
     halves : tuple of int
         Events of which one half is sent, then the rest after a second such pause.
+    bytewise : tuple of int
+        Events that are sent byte by byte.
     repeats_s : float
         Seconds between two repeats of the last event while it pauses; 0 for none.
     pieces : callable or None
@@ -49,6 +53,7 @@
     breaks_before: float = math.inf
     refusal: int = 0
     halves: tuple[int, ...] = ()
+    bytewise: tuple[int, ...] = ()
     repeats_s: float = 0.0
     pieces: Callable[[Call], Iterable[tuple[float, bytes]]] | None = None
 
@@ -166,6 +171,10 @@
                 call.chunk(data[: len(data) // 2])
                 data = data[len(data) // 2 :]
                 yield from self._sleep(pause)
+            while number in plan.bytewise and len(data) > 1:
+                call.chunk(data[:1])
+                data = data[1:]
+                yield from self._sleep(BYTE_S)
             call.chunk(data)
         self._end(work, "done")
         call.end_stream()
