--- a/packages/ashhoist/src/ashhoist/requests/silence_timer.py
+++ b/packages/ashhoist/src/ashhoist/requests/silence_timer.py
@@ -44,7 +44,7 @@
         self.restart()
 
     def restart(self) -> None:
-        """Begin the timeout anew, as no other upstream has a place."""
+        """Begin the timeout anew, though there was no progress."""
         self._since = self._clock.monotonic()
 
     def exclude(self, length: timedelta) -> None:
