Each end of a request whose head was read has a line with its id

What operators saw: nothing for a caller whose connection was reset while it sent its body, and a line without an id for a body that was too large, too slow, or ended early.

Cause: the request was known only once its body was in.

Now the end while the body comes is handled where the head is known: reason "caller_left", counted as a refusal, or "bad_request" as before, with the id in the line and in the response.

The check of the ledger of whole requests counted on lines without an id. It now asks for the request's own line and id where the status is 413, and accepts lines without an id only for as many requests with 408 or 431 as have none of their own.

--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -119,11 +119,7 @@
             return (yield from self._serve_all(caller))
         except StoppingError:
             caller.abort()
-        except Exception:
-            self._log.exception("unexpected error while serving a request")
-            self._metrics.count("failures", Reason.INVALID)
-            caller.abort()
-        return False
+            return False
 
     def _serve_all(self, caller: CallerConnection) -> Steps[bool]:
         try:
@@ -149,40 +145,62 @@
         )
 
     def _serve_one(self, caller: CallerConnection) -> Steps[bool]:
+        limits = self.limits()
+        request: Request | None = None
         try:
-            request, admitted = yield from self._read(caller)
+            request = yield from caller.read_head(limits)
+            yield from self._serve_request(caller, request, limits)
         except MalformedRequestError as error:
-            self._metrics.count("refusals", Reason.BAD_REQUEST)
-            self._log.info(
-                "request refused", reason=Reason.BAD_REQUEST, detail=error.detail
-            )
-            caller.keep = False
-            yield from self._respond_with_reason(
-                caller, error.status, Reason.BAD_REQUEST, ""
-            )
+            yield from self._refuse_malformed(caller, error, self._id_of(request))
             return False
+        except (CallerGoneError, StoppingError):
+            raise
+        except Exception:
+            self._end_by_error(caller, self._id_of(request))
+            return False
+        return caller.next()
+
+    def _serve_request(
+        self, caller: CallerConnection, request: Request, limits: CallerLimits
+    ) -> Steps[None]:
+        """Serve a request whose head was read."""
+        stopping = caller.is_interrupted
+        admitted = Reason.STOPPING if stopping else self._admit(request)
+        if isinstance(admitted, Admitted):
+            try:
+                request = yield from caller.read_body(request, limits)
+            except StoppingError:
+                admitted = Reason.STOPPING
+            except CallerGoneError:
+                self._record_refusal(Reason.CALLER_LEFT, request)
+                raise
         if isinstance(admitted, Admitted):
             yield from self._serve_admitted(caller, request, admitted)
         else:
             yield from self._refuse(caller, admitted, request)
-        return caller.next()
 
-    def _read(
-        self, caller: CallerConnection
-    ) -> Steps[tuple[Request, Admitted | Reason]]:
-        """Read a request, whole if it is admitted by its head."""
-        limits = self.limits()
-        request = yield from caller.read_head(limits)
-        if caller.is_interrupted:
-            return request, Reason.STOPPING
-        admitted = self._admit(request)
-        if not isinstance(admitted, Admitted):
-            return request, admitted
-        try:
-            request = yield from caller.read_body(request, limits)
-        except StoppingError:
-            return request, Reason.STOPPING
-        return request, admitted
+    def _id_of(self, request: Request | None) -> str:
+        if request is None:
+            return ""
+        return request.value(self._header_names.request_id.lower())
+
+    def _refuse_malformed(
+        self, caller: CallerConnection, error: MalformedRequestError, request_id: str
+    ) -> Steps[None]:
+        reason = Reason.BAD_REQUEST
+        self._metrics.count("refusals", reason)
+        self._log.info(
+            "request refused", request=request_id, reason=reason, detail=error.detail
+        )
+        caller.keep = False
+        yield from self._respond_with_reason(caller, error.status, reason, request_id)
+
+    def _end_by_error(self, caller: CallerConnection, request_id: str) -> None:
+        self._log.exception(
+            "unexpected error while serving a request", request=request_id
+        )
+        self._metrics.count("failures", Reason.INVALID)
+        caller.abort()
 
     def _admit(self, request: Request) -> Admitted | Reason:
         """Return a request's route and sender, or the reason to refuse it.
@@ -278,16 +296,19 @@
     def _refuse(
         self, caller: CallerConnection, reason: Reason, request: Request
     ) -> Steps[None]:
-        request_id = request.value(self._header_names.request_id.lower())
+        self._record_refusal(reason, request)
+        status = STATUS_BY_REASON.get(reason, 503)
+        request_id = self._id_of(request)
+        yield from self._respond_with_reason(caller, status, reason, request_id)
+
+    def _record_refusal(self, reason: Reason, request: Request) -> None:
         self._metrics.count("refusals", reason)
         self._log.info(
             "request refused",
-            request=request_id,
+            request=self._id_of(request),
             reason=reason,
             proof_age_ms=self._authenticator.proof_age_ms,
         )
-        status = STATUS_BY_REASON.get(reason, 503)
-        yield from self._respond_with_reason(caller, status, reason, request_id)
 
     def _respond_with_reason(
         self, caller: CallerConnection, status: int, reason: Reason, request_id: str
--- a/tests/request_ledger.py
+++ b/tests/request_ledger.py
@@ -18,9 +18,9 @@
 TCP_STATE_CLOSED = 7
 """The first byte of `TCP_INFO` once a connection was reset. One that the other side
 closed in order stays in another state until this side closes as well."""
-NOT_PARSED_STATUSES = frozenset({408, 413, 431})
-"""Refusals of requests that are too slow or too large. Neither the response nor its log
-line has the request's id."""
+NOT_PARSED_STATUSES = frozenset({408, 431})
+"""Refusals of requests that are too slow, or whose head is too large. Neither the
+response nor its log line has the request's id if its head was not read."""
 MALFORMED_STATUS = 400
 FIRST_FAILURE_STATUS = 400
 
@@ -182,10 +182,10 @@
         unstated = [line for line in log.discarded if not line["stated_close"]]
         for line in unstated:
             yield f"discarded on a connection that was said to be kept: {line}"
-        statuses = [one.status for one in sent]
-        not_parsed = sum(status in NOT_PARSED_STATUSES for status in statuses)
-        if not_parsed > len(log.without_id):
-            yield f"{not_parsed} requests not parsed, lines: {log.without_id}"
+        refused = [one for one in sent if one.status in NOT_PARSED_STATUSES]
+        not_parsed = [one for one in refused if one.id not in log.lines_by_id]
+        if len(not_parsed) > len(log.without_id):
+            yield f"{len(not_parsed)} requests not parsed, lines: {log.without_id}"
 
 
 def _ends_without_response(one: Sent, lines: list[Line]) -> Iterable[str]:
@@ -198,10 +198,11 @@
 def _ends_with_response(one: Sent, lines: list[Line]) -> Iterable[str]:
     if one.status == MALFORMED_STATUS:
         yield "a proper request was taken to be malformed"
-    if one.status in NOT_PARSED_STATUSES:
-        return
-    if one.answered_id != one.id:
+    is_parsed = one.status not in NOT_PARSED_STATUSES
+    if one.answered_id != one.id and (is_parsed or one.answered_id):
         yield "response to another request"
+    if not is_parsed:
+        return
     if not lines:
         yield "no log line"
     ended = [line for line in lines if line["event"] == ENDED]
