A call whose connection is found broken while it runs has its line

Cause: CallRunner.run passed CallerGoneError on, and the handler recorded nothing for it. No known path leads there, as all writes to callers handle it; the other ends of a call have a line without exception.

Measured: the new test failed before; it passes with the 20 of request lines and interrupted requests, eight runs of eight.

--- a/packages/ashhoist/src/ashhoist/requests/call_runner.py
+++ b/packages/ashhoist/src/ashhoist/requests/call_runner.py
@@ -88,7 +88,7 @@
         try:
             return (yield from self._run_and_release(call, caller, chooser))
         except CallerGoneError:
-            raise
+            return self._responses.caller_left(caller)
         except StoppingError:
             reason = Reason.STOPPING
         except Exception:
--- a/tests/test_request_lines.py
+++ b/tests/test_request_lines.py
@@ -12,6 +12,11 @@
 from socket import SO_LINGER, SOL_SOCKET
 from typing import Any
 
+from ashhoist.http import CallerGoneError
+from ashhoist.loop import Steps
+from ashhoist.requests.call import Call as OpenCall
+from ashhoist.requests.results import Choice
+from ashhoist.requests.waiting import CallerWatch
 from ashhoist.routing import Limits
 
 from .request_caller import HOST, ID
@@ -85,6 +90,19 @@
                 self.assertEqual(self.refused()["request"], "the-id")
                 self.assertEqual(harness.metrics.total("refusals"), 1)
 
+    def test_a_connection_that_is_found_broken_while_a_call_runs(self) -> None:
+        harness = self.start(good)
+
+        def choose(call: OpenCall, caller: CallerWatch) -> Steps[Choice]:
+            yield from ()
+            raise CallerGoneError
+
+        with unittest.mock.patch.object(harness.chooser, "choose", choose):
+            self.assertEqual(harness.ask("/unsafe/x").status, 0)
+            self.wait_until(lambda: harness.listener.busy == 0)
+        self.assertEqual(harness.metrics.total("customer_requests"), 1)
+        self.assertEqual(harness.metrics.total("failures"), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
