Tests: requests in pieces on one kept connection, drawn, in virtual time

Guards against whole requests that are read and dropped, out of order, or answered for another one, and against connections that end within the time that was stated. Sizes, cuts and moments of pieces, idle times and a stop are drawn; a listening socket within the process takes the connection.

--- a/tests/virtual_sockets.py
+++ b/tests/virtual_sockets.py
@@ -50,9 +50,18 @@
         """Return whether the other side has closed, read or not."""
         return self._ended
 
+    @property
+    def unread_by_peer(self) -> int:
+        """Return how many of the bytes that were sent the other side has not read."""
+        assert self._other is not None
+        return len(self._other._received)
+
     def fileno(self) -> int:
         return -1 if self._closed else self._descriptor
 
+    def setblocking(self, flag: bool) -> None:
+        """Do nothing: it never blocks."""
+
     def setsockopt(self, level: int, name: int, value: object) -> None:
         if name == socket.SO_LINGER:
             self._resets = True
@@ -93,16 +102,49 @@
         self._other._was_reset = self._other._was_reset or self._resets
 
 
+class VirtualListeningSocket:
+    """Takes connections, as far as the code under test listens."""
+
+    def __init__(self, net: "VirtualPoller") -> None:
+        self._net = net
+        self._descriptor = net.add(self)
+        self._arrived: list[VirtualSocket] = []
+
+    @property
+    def is_readable(self) -> bool:
+        """Return whether a connection waits to be accepted."""
+        return bool(self._arrived)
+
+    def connect(self) -> VirtualSocket:
+        """Return the caller's end of a new connection."""
+        own, other = VirtualSocket.pair(self._net)
+        self._arrived.append(other)
+        return own
+
+    def accept(self) -> tuple[VirtualSocket, tuple[str, int]]:
+        if not self._arrived:
+            raise BlockingIOError
+        return self._arrived.pop(0), ("virtual", 0)
+
+    def fileno(self) -> int:
+        return self._descriptor
+
+    def close(self) -> None:
+        self._net.remove(self._descriptor)
+        for peer in self._arrived:
+            peer.close()
+
+
 class VirtualPoller:
     """Polls virtual sockets; sets the clock forward where a loop would wait."""
 
     def __init__(self, clock: ManualClock) -> None:
         self._clock = clock
         self._descriptors = itertools.count(FIRST_DESCRIPTOR)
-        self._by_descriptor: dict[int, VirtualSocket] = {}
+        self._by_descriptor: dict[int, VirtualSocket | VirtualListeningSocket] = {}
         self._masks: dict[int, int] = {}
 
-    def add(self, one: VirtualSocket) -> int:
+    def add(self, one: "VirtualSocket | VirtualListeningSocket") -> int:
         """Return the descriptor of a new socket."""
         descriptor = next(self._descriptors)
         self._by_descriptor[descriptor] = one
