--- a/scripts/whole_requests.py
+++ b/scripts/whole_requests.py
@@ -17,8 +17,9 @@
 
 from tests.ledger_play import Play, PlayOptions  # noqa: E402
 
-LONG_STREAM_EVENTS, LONG_STREAM_INTERVAL_S = 80, 0.1
-"""Streams that go on beyond the limit of a planned stop."""
+LONG_STREAM_RUN_S, LONG_STREAM_EVENTS, LONG_STREAM_INTERVAL_S = 5.5, 30, 0.1
+"""At the limit of a planned stop, some streams have begun and some have not."""
+SHOWN_FAULTS = 10
 
 
 def play_options(options: argparse.Namespace) -> PlayOptions:
@@ -38,6 +39,7 @@
         size.life_s,
         route_timeout_ms=20_000,
         deadline_ms=20_000,
+        run_s=LONG_STREAM_RUN_S,
         events=LONG_STREAM_EVENTS,
         event_interval_s=LONG_STREAM_INTERVAL_S,
     )
@@ -48,18 +50,23 @@
     play = Play(seed, play_options(options))
     play.run()
     ends = {str(end): count for end, count in play.ledger.ends().items()}
+    play.ledger.allows_cuts_at_limit = options.long_streams
     faults = play.ledger.faults() + play.errors
     stops = Counter(
         "clean" if log.stopped and log.stopped["clean"] else "not clean"
         for log in play.ledger.logs.values()
     )
     sent = len(play.ledger.sent)
-    print(f"seed {seed}: {sent} requests: {ends}; stops: {dict(stops)}")
-    for fault in faults:
+    print(
+        f"seed {seed}: {sent} requests: {ends}; stops: {dict(stops)};"
+        f" {len(faults)} faults"
+    )
+    for fault in faults[:SHOWN_FAULTS]:
         print(f"seed {seed}: FAULT: {fault}")
     if options.logs and faults:
         for name, text in play.texts.items():
             (options.logs / f"{seed}-{name}.log").write_text(text)
+        (options.logs / f"{seed}-faults.txt").write_text("\n".join(faults))
     sys.stdout.flush()
     return len(faults)
 
--- a/tests/ledger_play.py
+++ b/tests/ledger_play.py
@@ -48,6 +48,8 @@
         The shortest and the longest time until an instance is told to stop.
     configuration_interval_s, reload_interval_s : float
         The mean time between two configurations or SIGHUPs.
+    run_s : float
+        Until the first event of a stream.
     event_interval_s : float
         Between two events of a stream.
     events : int
@@ -62,6 +64,7 @@
     life_s: tuple[float, float] = (0.8, 2.0)
     configuration_interval_s: float = 0.2
     reload_interval_s: float = 0.3
+    run_s: float = 0.0
     event_interval_s: float = 0.03
     events: int = 4
     route_timeout_ms: int = 4000
@@ -103,6 +106,7 @@
         self._store = StoreServer()
         self._plain = [PlainWorker(f"i-plain-{n}", slots=20) for n in range(2)]
         self._engine = ModelWorker("i-engine", MODEL)
+        self._engine.run_s = self._options.run_s
         self._engine.events = self._options.events
         self._engine.event_s = self._options.event_interval_s
         self._store.put("keyed.op", "config", self._draw_configuration(Random(0)))
