--- a/tests/test_silent_second.py
+++ b/tests/test_silent_second.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from .deaf_server import DeafServer
 from .mixed_load import ENGINE, KINDS, PATHS, UNSAFE, MixedLoad
 from .pausing_workers import PausingStore, PausingWorker
 from .platform_process import PlatformProcess, ProcessTestCase
@@ -27,7 +28,12 @@
 ADAPTERS = 6
 ENGINE_EVENTS = 12
 ENGINE_EVENT_S = 0.05
+NEW_ADAPTERS = 24
+"""For each request another one, while the engines are silent."""
 DEADLINE_MS = 6_000
+ENGINE_TARGET_MS = 800
+"""Callers wait four times that for an event: a silence, a report of what is held after
+it, and a load."""
 PER_SECOND = 24.0
 BEFORE_S = 1.0
 """How long requests are sent before something falls silent, and afterwards."""
@@ -51,8 +57,13 @@
 def _configuration() -> dict[str, Any]:
     _, review = CONFIGURATION["routes"]
     engines, plain = CONFIGURATION["services"]
-    engine = {**engines["engine"], "adapter-slots": ADAPTERS, "loads-per-s": 26}
-    timing = {"timeout-ms": DEADLINE_MS, "target-latency-ms": 300, "gap-aim-ms": 200}
+    engine = {
+        **engines["engine"],
+        "adapter-slots": ADAPTERS + NEW_ADAPTERS,
+        "loads-per-s": 26,
+    }
+    timing = {"timeout-ms": DEADLINE_MS, "gap-aim-ms": 200}
+    timing["target-latency-ms"] = ENGINE_TARGET_MS
     return {
         **CONFIGURATION,
         "routes": [
@@ -65,6 +76,12 @@
     }
 
 
+def _make_deaf(worker: ModelWorker | PausingWorker) -> None:
+    """Have a worker accept no connections when asked to."""
+    worker.server.close()
+    worker.server = DeafServer(worker._handle)
+
+
 class SilentSecondTests(ProcessTestCase):
     configuration = _configuration()
 
@@ -87,8 +104,9 @@
 
     def _engine(self, number: int) -> ModelWorker:
         engine = ModelWorker(f"i-engine-{number}", MODEL)
+        _make_deaf(engine)
         self.addCleanup(engine.close)
-        engine.state.places = ADAPTERS
+        engine.state.places = ADAPTERS + NEW_ADAPTERS
         engine.events, engine.event_s = ENGINE_EVENTS, ENGINE_EVENT_S
         entry = engine.record("engines", "zone-1")
         self.store.put("keyed.servers", engine.state.id, entry)
@@ -96,6 +114,7 @@
 
     def _worker(self, number: int) -> PausingWorker:
         worker = PausingWorker(f"i-plain-{number}")
+        _make_deaf(worker)
         self.addCleanup(worker.close)
         entry = worker.record("plain-service", "zone-1")
         self.store.put("keyed.servers", worker.id, entry)
@@ -187,6 +206,29 @@
         # Guards against requests that leave their upstreams for others as silent.
         self.silence_all([*self.workers, *self.engines])
 
+    def test_no_upstream_is_reached(self) -> None:
+        # Guards against requests that are refused as instances take a silence of all
+        # upstreams for a loss of their own links.
+        upstreams = [*self.workers, *self.engines]
+
+        def silence() -> None:
+            for upstream in upstreams:
+                upstream.sends.clear()
+                upstream.server.go_deaf()
+
+        def speak() -> None:
+            for upstream in upstreams:
+                upstream.sends.set()
+                upstream.server.hear()
+
+        self.run_load(silence, speak)
+
+    def test_engines_are_silent_that_have_to_load_adapters(self) -> None:
+        # Guards against requests that are refused as orders get no answer for a while.
+        self.adapters = [f"new{number}" for number in range(NEW_ADAPTERS)]
+        self.load = self._new_load("load")
+        self.silence_all(self.engines)
+
     def test_the_store_is_silent(self) -> None:
         # Guards against requests that are refused as leases or records lapse.
         self.silence_all([self.store])
