A stream that is cut resets the connection of an HTTP/1.0 caller

Callers that speak HTTP/1.0 took a cut stream for a whole one: a response without a length has no end but that of its connection, and a cut closed the connection in order. It happened at the limit of a planned stop, and where an upstream broke off a stream that may not be resumed.

While such a response is under way, the connection is now reset.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -12,7 +12,7 @@
 from .headers import encoded
 from .numbers import parse_number
 from .read_size import ReadSize
-from .sockets import close, has_bytes, has_left, send_all
+from .sockets import close, has_bytes, has_left, reset, send_all
 
 READ_SIZE = 65536
 HEADER_ROOM = 65536
@@ -480,4 +480,16 @@
 
     def abort(self) -> None:
         """Break the connection so that the answer can't be taken for whole."""
-        close(self._loop, self._peer)
+        end = reset if self._ends_by_close else close
+        end(self._loop, self._peer)
+
+    @property
+    def _ends_by_close(self) -> bool:
+        """Return whether an orderly close would end a response that is under way.
+
+        Responses without a length to HTTP/1.0 requests have no other end.
+        """
+        if self._http.our_state is not h11.SEND_BODY:
+            return False
+        version = self._http.their_http_version
+        return version is not None and version < KEPT_FROM_VERSION
