Each task that waits for a closed descriptor is told

The loop noted a descriptor as watched before the system had accepted it. After one failure, the next task that waited for the same number (-1 for any socket that is closed) was not told: it waited until its time was up, or for ever if it had none. No request was seen to meet this; a trial of three waits in a row on a closed socket showed one error and two waits of a second.

The loop now notes what the system has accepted. The new test of tests.test_loop failed before; all 31 of test_loop and test_sockets pass.

--- a/packages/ashhoist/src/ashhoist/loop/loop.py
+++ b/packages/ashhoist/src/ashhoist/loop/loop.py
@@ -256,12 +256,12 @@
     def _watch(self, descriptor: int, wanted: int) -> None:
         mask = self._masks.get(descriptor)
         if mask is None:
-            self._masks[descriptor] = wanted
             self._poller.register(descriptor, wanted)
+            self._masks[descriptor] = wanted
             return
         if not mask & wanted:
-            self._masks[descriptor] = mask | wanted
             self._poller.modify(descriptor, mask | wanted)
+            self._masks[descriptor] = mask | wanted
 
     def off_readable(self, descriptor: int) -> None:
         """Call back no more.
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -322,6 +322,20 @@
             run(loop, steps())
         self.assertEqual(ended, ["ended"])
 
+    def test_each_that_waits_for_a_closed_descriptor_is_told(self) -> None:
+        # Guards against a second task that waits for ever.
+        loop = new_loop()
+        self.addCleanup(loop.close)
+        peer = socket.socket()
+        peer.close()
+
+        def steps() -> Steps[None]:
+            yield Wait(loop.clock.monotonic() + SECOND, (peer.fileno(),))
+
+        for _ in range(2):
+            with self.assertRaises(ValueError):
+                run(loop, steps())
+
 
 class SocketTests(LoopTestCase):
     def reader(self, peer: socket.socket, until: timedelta) -> Steps[None]:
