Requests read behind a response that states the close leave a line

A caller that sends two requests at once may have both read in one piece. If the response to the first says that the connection is closed, as during a planned stop, the second is dropped. That is allowed, but neither "bytes discarded" nor its counter showed it: they held only bytes that were read after the response.

Bytes behind the end of the last request are now counted too. The new test of tests.test_kept_connections failed before; it passes now.

--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -26,6 +26,8 @@
 SECOND = timedelta(seconds=1)
 KEPT_FROM_VERSION = b"1.1"
 """The first version of HTTP whose connections are kept."""
+ENDED = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
+"""States of a caller whose request is whole."""
 
 Headers = list[tuple[str, str]]
 
@@ -102,7 +104,7 @@
     answered : int
         Number of responses sent on it.
     discarded_bytes : int
-        Bytes that were read after the last response and dropped.
+        Bytes that were read behind the last request and dropped.
     kept_for : timedelta
         How long it may rest by what the last response stated.
     keep : bool
@@ -461,11 +463,19 @@
         self.is_sending = True
         try:
             self._peer.shutdown(socket.SHUT_WR)
+            self.discarded_bytes = self._early_bytes
             yield from self._drain()
         except OSError:
             pass
         self.abort()
 
+    @property
+    def _early_bytes(self) -> int:
+        """Return how many bytes were read behind the end of the last request."""
+        if self._http.their_state not in ENDED:
+            return 0
+        return len(self._http.trailing_data[0])
+
     def _drain(self) -> Steps[None]:
         """Read what came too much, so that the close is not a reset."""
         until = self._clock.monotonic() + LINGER
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -196,6 +196,31 @@
                     self.assertFalse(is_kept(answer))
                     self.assertEqual(caller.socket.recv(1), b"")
 
+    def await_end(self, harness: Harness) -> None:
+        """Return once no connection is left."""
+        limit = time.monotonic() + LATE
+        while harness.listener.busy:
+            self.assertLess(time.monotonic(), limit, "did not end in time")
+            time.sleep(0.005)
+
+    def test_a_request_read_behind_one_whose_response_states_the_close(self) -> None:
+        # Guards against requests that are read and dropped without a trace.
+        def stop_and_respond(call: Call) -> None:
+            harness.stop()
+            good(call)
+
+        harness = self.start(stop_and_respond)
+        with harness.connect() as caller:
+            caller.socket.sendall(request("/safe/x", "1") + request("/safe/x", "2"))
+            self.assertFalse(is_kept(caller.receive_raw()))
+            self.assertEqual(caller.socket.recv(1), b"")
+        self.await_end(harness)
+        self.assertEqual(len(harness.calls()), 1)
+        lines = harness.metrics.render().splitlines()
+        name = b"ashhoist_connections_discarding_total "
+        counted = [line for line in lines if line.startswith(name)]
+        self.assertEqual(counted, [name + b"1.0"])
+
     def send_and_stop(self, harness: Harness, caller: Caller, path: str) -> None:
         """Send a request and begin the stop before the loop has read it."""
 
