A planned stop takes all connections that wait in the listening socket

Callers got a reset where more than 128 connections waited when a planned stop closed the listening socket: it took as many as one turn of the loop takes, and the system resets the others.

The stop now takes as many as the listening socket queues. Those beyond the number of open connections are still reset unread, as there are no descriptors for them.

--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -82,7 +82,11 @@
         self._loop.on_readable(self._listening.fileno(), self._accept)
 
     def _accept(self) -> None:
-        for _ in range(ACCEPTED_AT_ONCE):
+        """Take the connections that wait, up to a number for one turn of the loop."""
+        self._accept_some(ACCEPTED_AT_ONCE)
+
+    def _accept_some(self, most: int) -> None:
+        for _ in range(most):
             if len(self._tasks) >= self._most:
                 self._loop.off_readable(self._listening.fileno())
                 return
@@ -218,7 +222,8 @@
         """
         if self._stopped:
             return
-        self._accept()
+        # The system resets those that wait in the listening socket when it is closed.
+        self._accept_some(BACKLOG)
         self._stopped = True
         close(self._loop, self._listening)
         for connection in list(self._resting):
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -12,6 +12,7 @@
 from datetime import timedelta
 
 from ashhoist.customers import Customer, digest
+from ashhoist.http.listener import ACCEPTED_AT_ONCE
 from ashhoist.routing import Limits
 
 from .platform_stand_ins.server import Call
@@ -245,6 +246,24 @@
         with callers[0] as caller:
             self.assertEqual(caller.receive().body, b"answer to body")
 
+    def test_more_new_connections_than_are_taken_in_one_turn(self) -> None:
+        # Guards against requests in the listening socket that the stop resets.
+        harness = self.start(good)
+        callers: list[Caller] = []
+
+        def connect_and_stop() -> None:
+            for _ in range(ACCEPTED_AT_ONCE + 20):
+                callers.append(harness.connect())
+                callers[-1].send("/elsewhere/x")
+            harness.closing = True
+            harness.listener.stop()
+
+        harness.on_loop(connect_and_stop)
+        statuses = [caller.receive().status for caller in callers]
+        for caller in callers:
+            caller.close()
+        self.assertEqual(set(statuses), {404})
+
     def test_connections_without_a_request_do_not_hold_up_the_stop(self) -> None:
         harness = self.start(good)
         callers: list[Caller] = []
