A refused body that comes without a pause does not hold up a planned stop

A planned stop lasted until its limit, and ended as not clean, if one caller sent on in the body of a refused request without a pause: the connection ended only once nothing was waiting to be read.

A stop now reads on in such bodies for 0.3 s, then closes their connections. A request that has arrived behind a body that ends within this time is served as before.

--- a/packages/ashhoist/src/ashhoist/http/listener.py
+++ b/packages/ashhoist/src/ashhoist/http/listener.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 from functools import partial
 
+from ..clock import ZERO
 from ..loop import Loop, Steps, Task, Wait, sleep_until
 from .caller import MIN_ARRIVAL_TIME, CallerConnection, StoppingError
 from .closed_connections import CloseRecorder, KeptClose, NoRecorder
@@ -21,6 +22,9 @@
 MAX_UNREAD = timedelta(milliseconds=400)
 """How long a new connection waits until its request is read; then it is closed, so that
 its caller has time to ask another instance."""
+MAX_PASS_AT_STOP = timedelta(milliseconds=300)
+"""How long a planned stop reads on in the body of a refused request: a caller may send
+one without a pause until the idle time is over."""
 UNREAD_INTERVAL = timedelta(milliseconds=10)
 """Between two looks whether a waiting connection may be read."""
 
@@ -68,6 +72,7 @@
         self._tasks: dict[CallerConnection, Task] = {}
         self._resting: set[CallerConnection] = set()
         self._stopped = False
+        self._pass_until = ZERO
         self._unread = 0
         self._serving = 0
 
@@ -135,7 +140,7 @@
     def _rest(self, connection: CallerConnection) -> Steps[KeptClose | None]:
         """Wait for the next request; return why there is none, or None."""
         while True:
-            if self._stopped and not connection.has_bytes():
+            if self._is_over(connection):
                 return KeptClose.STOPPING
             until = self._idle_until(connection)
             ready = yield Wait(until, (connection.fileno(),))
@@ -150,6 +155,15 @@
             if connection.has_more:
                 return None
 
+    def _is_over(self, connection: CallerConnection) -> bool:
+        """Return whether a stop ends a connection that rests."""
+        if not self._stopped:
+            return False
+        if not connection.has_bytes():
+            return True
+        now = self._loop.clock.monotonic()
+        return connection.has_body_left and now >= self._pass_until
+
     def _idle_until(self, connection: CallerConnection) -> timedelta:
         idle_time = max(connection.kept_for, self._idle_time())
         if not connection.answered or connection.has_body_left:
@@ -225,6 +239,7 @@
         # The system resets those that wait in the listening socket when it is closed.
         self._accept_some(BACKLOG)
         self._stopped = True
+        self._pass_until = self._loop.clock.monotonic() + MAX_PASS_AT_STOP
         close(self._loop, self._listening)
         for connection in list(self._resting):
             if connection.has_bytes():
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -26,6 +26,9 @@
 KEY = HEADER_NAMES.key
 ALICE = Customer("alice", frozenset({digest("alice-key")}))
 LATE = 10.0
+MINUTE = timedelta(minutes=1)
+LONG_BODY = 1_000_000_000
+"""More than is sent within a test."""
 
 
 def head(path: str, *lines: str) -> bytes:
@@ -246,6 +249,30 @@
         with callers[0] as caller:
             self.assertEqual(caller.receive().body, b"answer to body")
 
+    def test_a_refused_body_without_a_pause_does_not_hold_up_the_stop(self) -> None:
+        limits = Limits(body_bytes=LONG_BODY, idle_timeout=2 * MINUTE)
+        harness = self.start(good, limits=limits)
+        # Small chunks take longer to read than to send.
+        part = chunk(b"x") * 2000
+        ended = threading.Event()
+
+        def send_on(caller: Caller) -> None:
+            try:
+                while not ended.is_set():
+                    caller.socket.sendall(part)
+            except OSError:
+                return
+
+        with harness.connect() as caller:
+            caller.socket.sendall(head("/elsewhere/x", "Transfer-Encoding: chunked"))
+            self.assertEqual(caller.receive_raw().status, 404)
+            sender = threading.Thread(target=send_on, args=(caller,))
+            sender.start()
+            self.addCleanup(sender.join)
+            self.addCleanup(ended.set)
+            harness.stop()
+            self.await_end(harness)
+
     def test_more_new_connections_than_are_taken_in_one_turn(self) -> None:
         # Guards against requests in the listening socket that the stop resets.
         harness = self.start(good)
