An instance that hears of an upstream while it probes is not cut off

When all upstreams were silent for a second and took no connections, instances declared themselves cut off 4 and 11 ms after an upstream had spoken again: the attempts to connect of that round had been lost in the silence, and only they counted. They took requests only by way of others, and the leader changed.

A round of probes whose attempts fail counts as a loss of all links only if no upstream was heard of since it began; otherwise the next round decides.

The test in tests.test_connectivity failed before.

--- a/packages/ashhoist/src/ashhoist/forwarding/probes.py
+++ b/packages/ashhoist/src/ashhoist/forwarding/probes.py
@@ -95,6 +95,7 @@
             return
         state.on_unreachable()
         while True:
+            round_began = self._clock.monotonic()
             reached = yield from self._probe(upstreams)
             # Once cut off, one upstream that answers does not prove that links are
             # back: most of them have to.
@@ -102,7 +103,10 @@
             if reached >= needed:
                 state.set_restored()
                 return
-            state.set_unreachable(len(self._directory.view.by_id))
+            # Upstreams that are heard of meanwhile are in reach. They may have been
+            # silent for a moment, in which the attempts to connect were lost.
+            if state.is_cut_off or not state.heard_since(round_began):
+                state.set_unreachable(len(self._directory.view.by_id))
             yield from sleep_until(self._clock.monotonic() + RETRY_INTERVAL)
             upstreams = self._choose()
 
--- a/tests/test_connectivity.py
+++ b/tests/test_connectivity.py
@@ -17,7 +17,8 @@
     MIN_FAILED_UPSTREAMS,
     SILENCE,
 )
-from ashhoist.loop import Steps, Wait
+from ashhoist.forwarding.probes import PROBED_UPSTREAMS
+from ashhoist.loop import Steps, Wait, sleep_until
 from ashhoist.metrics import Metrics
 from ashhoist.upstreams import Directory, Upstream
 
@@ -25,6 +26,7 @@
 
 SOON = timedelta(seconds=20)
 UPSTREAMS = 6
+MOMENT = timedelta(milliseconds=5)
 
 
 class ReportTests(unittest.TestCase):
@@ -157,6 +159,24 @@
         self.reached = {f"upstream-{number}" for number in range(UPSTREAMS)}
         self.turn_until(False)
 
+    def test_upstreams_that_are_heard_of_while_connections_fail(self) -> None:
+        # Guards against an instance that is cut off as its upstreams end a silence.
+        heard_rounds = 2
+        last = 1 + heard_rounds * PROBED_UPSTREAMS
+
+        def hear(address: str, until: timedelta) -> Steps[bool]:
+            self.connects.append(address)
+            if 1 < len(self.connects) <= last:
+                yield from sleep_until(self.loop.clock.monotonic() + MOMENT)
+                self.connectivity.heard()
+            return False
+
+        self.connect = hear  # type: ignore[method-assign]
+        self.probes().start()
+        self.turn_until(False, rounds=last)
+        self.turn_until(True)
+        self.assertGreater(len(self.connects), last)
+
     def test_the_only_upstream_says_nothing_of_links(self) -> None:
         # Guards against an upstream that is down and passes for lost links.
         self.directory = Directory()
