A wait for connections leaves a caller time for its next try

The share of its time that a request may wait was looked at before an attempt, but the attempt itself could last for 0.7 s more; the pause before it was not bounded either.

The pause, and the attempts after one, now end with the time for the wait; an attempt has at least 50 ms. Requests that had to hold out are as before, and so are attempts before the first pause.

--- a/packages/ashhoist/src/ashhoist/requests/attempt.py
+++ b/packages/ashhoist/src/ashhoist/requests/attempt.py
@@ -33,8 +33,8 @@
     Streaming,
 )
 from .silence_timer import SilenceTimer
+from .silent_connects import CONNECT_TIMEOUT, connects_until
 
-CONNECT_TIMEOUT = timedelta(milliseconds=700)
 MAX_RESPONSE_BYTES = 16_777_216
 OK = 200
 MAX_RESPONSES_READ = 4
@@ -106,7 +106,7 @@
     def _connect(
         self, call: Call, target: Target
     ) -> Steps[UpstreamConnection | NotSent]:
-        until = min(call.deadline, self._clock.monotonic() + CONNECT_TIMEOUT)
+        until = connects_until(call, self._clock.monotonic())
         try:
             return (yield from self._pool.take(target.upstream, target.address, until))
         except StoppingError:
--- a/packages/ashhoist/src/ashhoist/requests/retries.py
+++ b/packages/ashhoist/src/ashhoist/requests/retries.py
@@ -16,7 +16,12 @@
 from .choosers import Chooser
 from .forwarding_chooser import Forwarding
 from .results import Answered, CallerLeft, NotRun, OutOfTime, Result
-from .silent_connects import UNCONNECTED_REASONS, record_attempt, waits_until
+from .silent_connects import (
+    UNCONNECTED_REASONS,
+    asks_until,
+    record_attempt,
+    waits_until,
+)
 from .waiting import CallerWatch, wait_for
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -109,25 +114,22 @@
 
     def _may_ask_again(self, call: Call, refusal: Refusal) -> bool:
         """Return whether a call waits until it may ask for a place again."""
-        if call.holds_out:
-            reasons, until = TEMPORARY_REASONS, call.deadline
-        else:
-            reasons, until = UNCONNECTED_REASONS, waits_until(call)
+        reasons = TEMPORARY_REASONS if call.holds_out else UNCONNECTED_REASONS
         if refusal.reason not in reasons:
             return False
-        return self._clock.monotonic() + MIN_PAUSE < until
+        return self._clock.monotonic() + MIN_PAUSE < asks_until(call)
 
     def _pause(
         self, call: Call, caller: CallerWatch, retry_after: timedelta | None = None
     ) -> Steps[CallerLeft | None]:
-        """Wait after a refusal; the call may ask once more before its deadline.
+        """Wait after a refusal; the call may ask once more before its time is over.
 
         It waits longer each time, unless the refusal says how long.
         """
         least = MIN_PAUSE * 2 ** min(call.pauses, MAX_DOUBLINGS)
         call.pauses += 1
         length = min(max(retry_after or MIN_PAUSE, least), MAX_PAUSE)
-        until = min(self._clock.monotonic() + length, call.deadline - MIN_PAUSE / 2)
+        until = min(self._clock.monotonic() + length, asks_until(call) - MIN_PAUSE / 2)
         return (yield from wait_for(Future(), until, caller, self._clock))
 
     # After an attempt
--- a/packages/ashhoist/src/ashhoist/requests/silent_connects.py
+++ b/packages/ashhoist/src/ashhoist/requests/silent_connects.py
@@ -8,10 +8,13 @@
 
 from ..clock import ZERO
 from ..failures import Reason
-from .attempt import CONNECT_TIMEOUT
 from .call import Call
 from .results import NotRun, Result
 
+CONNECT_TIMEOUT = timedelta(milliseconds=700)
+MIN_CONNECT_TIME = timedelta(milliseconds=50)
+"""The least time for a connection where little is left; that to a sound upstream comes
+up sooner."""
 UNCONNECTED_REASONS = frozenset(
     {Reason.NO_PLACE, Reason.NO_UPSTREAM, Reason.UPSTREAMS_CUT_OFF}
 )
@@ -39,3 +42,20 @@
         return ZERO
     share = (call.deadline - call.received_at) * MAX_WAIT_SHARE
     return min(call.unconnected_since + MAX_WAIT, call.received_at + share)
+
+
+def asks_until(call: Call) -> timedelta:
+    """Return until when a call that was refused may ask again."""
+    return call.deadline if call.holds_out else waits_until(call)
+
+
+def connects_until(call: Call, now: timedelta) -> timedelta:
+    """Return until when an attempt that begins now waits for its connection.
+
+    The attempts after a wait end with the time for that, or the caller would have none
+    left for its next try.
+    """
+    until = min(call.deadline, now + CONNECT_TIMEOUT)
+    if not call.pauses or call.holds_out:
+        return until
+    return min(until, max(waits_until(call), now + MIN_CONNECT_TIME))
--- a/tests/test_silent_connects.py
+++ b/tests/test_silent_connects.py
@@ -14,6 +14,8 @@
 REQUESTS = 8
 TIMEOUT_S = 8.0
 SHORT_TIMEOUT_S = 3.0
+SHORTEST_TIMEOUT_S = 1.5
+"""Two attempts that wait for a connection, and the pause between them, take as long."""
 
 
 class DeafHarness(Harness):
@@ -67,6 +69,15 @@
         self.assertEqual(harness.ask("/unsafe/").status, 503)
         self.assertLess(time.monotonic() - began, SHORT_TIMEOUT_S)
 
+    def test_a_last_attempt_does_not_last_until_the_deadline(self) -> None:
+        # Guards against a caller that has no time left for its next try.
+        harness = DeafHarness(good, timeout=SHORTEST_TIMEOUT_S, attempts=1)
+        self.addCleanup(harness.close)
+        harness.upstreams["upstream-0"].go_deaf()
+        answer = harness.ask("/unsafe/")
+        self.assertEqual(answer.status, 503)
+        self.assertLess(answer.took, SHORTEST_TIMEOUT_S)
+
     def test_a_refused_connection_is_not_waited_for(self) -> None:
         # Guards against requests that wait for an upstream that has ended.
         harness = self.start(good, attempts=1, timeout=TIMEOUT_S)
