--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -20,7 +20,7 @@
 from ..logs import Logger
 from ..loop import Steps
 from ..metrics import Metrics
-from ..routing import Route, RouteTable, Service
+from ..routing import Route, RouteTable
 from .authentication import Authenticator, Identity
 from .call import Call, TokenCounts
 from .call_runner import CallRunner
@@ -230,12 +230,11 @@
     ) -> Steps[None]:
         try:
             call = self._call(admitted, request)
+            chooser = self._chooser(admitted.table, call.service)
         except Exception:
             self._log.exception("unexpected error while admitting a request")
             yield from self._refuse(caller, Reason.INVALID, request)
             return
-        services = admitted.table.configuration.services
-        chooser = self._chooser(services.get(call.service))
         ending = yield from self._call_runner.run(call, caller, chooser)
         self._end_recorder.record(call, ending)
 
@@ -243,7 +242,8 @@
         table = self._table()
         return NO_CONFIGURATION if table is None else table.configuration.version
 
-    def _chooser(self, service: Service | None) -> Chooser:
+    def _chooser(self, table: RouteTable, name: str) -> Chooser:
+        service = table.configuration.services.get(name)
         engine = service is not None and service.engine is not None
         return self._choosers["engine" if engine else "plain"]
 
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -33,9 +33,11 @@
         self.check(harness, "/unsafe/x", 503)
 
     def test_while_the_request_is_admitted(self) -> None:
-        harness = self.start(good)
-        self.break_part(harness.handler, "_service")
-        self.check(harness, "/unsafe/x", 503)
+        for name in ("_service", "_chooser"):
+            with self.subTest(name):
+                harness = self.start(good)
+                self.break_part(harness.handler, name)
+                self.check(harness, "/unsafe/x", 503)
 
     def test_in_the_choice_of_an_upstream(self) -> None:
         harness = self.start(good)
