--- a/packages/ashhoist/src/ashhoist/http/__init__.py
+++ b/packages/ashhoist/src/ashhoist/http/__init__.py
@@ -6,24 +6,26 @@
 built on ``h11`` (see ``docs/design/platform.md``).
 """
 
-from .caller import (
-    CallerConnection,
+from .caller import CallerConnection
+from .closed_connections import ClosedConnections
+from .listener import Listener
+from .numbers import parse_number
+from .pool import Pool
+from .request import (
     CallerGoneError,
+    CallerLimits,
     Headers,
     MalformedRequestError,
     Request,
     StoppingError,
 )
-from .closed_connections import ClosedConnections
-from .listener import Listener
-from .numbers import parse_number
-from .pool import Pool
 from .upstream import Broken, Head, NotSent, UpstreamConnection
 
 __all__ = [
     "Broken",
     "CallerConnection",
     "CallerGoneError",
+    "CallerLimits",
     "ClosedConnections",
     "Head",
     "Headers",
--- a/packages/ashhoist/src/ashhoist/http/caller.py
+++ b/packages/ashhoist/src/ashhoist/http/caller.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from datetime import timedelta
 
 import h11
@@ -12,6 +12,14 @@
 from .headers import encoded
 from .numbers import parse_number
 from .read_size import ReadSize
+from .request import (
+    CallerGoneError,
+    CallerLimits,
+    Headers,
+    MalformedRequestError,
+    Request,
+    StoppingError,
+)
 from .sockets import close, has_bytes, has_left, reset, send_all
 
 READ_SIZE = 65536
@@ -29,67 +37,6 @@
 ENDED = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 """States of a caller whose request is whole."""
 
-Headers = list[tuple[str, str]]
-
-
-class CallerGoneError(Exception):
-    """The caller's connection broke or ended."""
-
-
-class StoppingError(Exception):
-    """The instance ends now; raised where the task of a connection waits."""
-
-
-class MalformedRequestError(Exception):
-    """What came is not an acceptable request.
-
-    Parameters
-    ----------
-    status : int
-        The HTTP status that says so.
-    """
-
-    def __init__(self, status: int, detail: str) -> None:
-        super().__init__(detail)
-        self.status = status
-        self.detail = detail
-
-
-@dataclass(frozen=True, slots=True)
-class Request:
-    """One request as it came.
-
-    Parameters
-    ----------
-    target : str
-        Path and query, unchanged.
-    headers : list of (str, str)
-        In their order and spelling.
-    received_at : timedelta
-        When its first byte was seen, on the monotonic clock.
-    """
-
-    method: str
-    target: str
-    headers: Headers
-    body: bytes
-    received_at: timedelta
-    values: dict[str, str] = field(default_factory=dict)
-
-    def value(self, name: str) -> str:
-        """Return a header's value by its name in lower case, or nothing."""
-        return self.values.get(name, "")
-
-
-@dataclass(frozen=True, slots=True)
-class CallerLimits:
-    """What a caller may send, and how long it may take over it."""
-
-    header_bytes: int = 16384
-    body_bytes: int = 4_194_304
-    header_time: timedelta = timedelta(seconds=3)
-    idle_time: timedelta = timedelta(seconds=15)
-
 
 class CallerConnection:
     """One connection of a caller; used by one task.
@@ -151,7 +98,7 @@
         return (yield from self.read_body(head, limits))
 
     def read_head(self, limits: CallerLimits) -> Steps[Request]:
-        """Read the next request up to its body; see `read_body` and `skip_body`.
+        """Read the next request up to its body; see `read_body`.
 
         Raises
         ------
--- a/packages/ashhoist/src/ashhoist/probes.py
+++ b/packages/ashhoist/src/ashhoist/probes.py
@@ -5,7 +5,7 @@
 
 from .exceptions import AddressInUseError
 from .http import CallerConnection, CallerGoneError, Listener, MalformedRequestError
-from .http.caller import CallerLimits
+from .http.request import CallerLimits
 from .loop import Loop, Steps
 from .metrics import Metrics
 
--- a/packages/ashhoist/src/ashhoist/requests/handler.py
+++ b/packages/ashhoist/src/ashhoist/requests/handler.py
@@ -16,7 +16,7 @@
     StoppingError,
     parse_number,
 )
-from ..http.caller import CallerLimits
+from ..http.request import CallerLimits
 from ..logs import Logger
 from ..loop import Steps
 from ..metrics import Metrics
--- a/tests/test_new_connections.py
+++ b/tests/test_new_connections.py
@@ -8,7 +8,7 @@
 from ashhoist import logs
 from ashhoist.clock import ManualClock
 from ashhoist.http import CallerConnection, CallerGoneError, Listener
-from ashhoist.http.caller import CallerLimits
+from ashhoist.http.request import CallerLimits
 from ashhoist.loop import Loop, Steps
 
 WORK = timedelta(milliseconds=40)
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -6,7 +6,7 @@
 
 from ashhoist.clock import ManualClock
 from ashhoist.http import CallerConnection, CallerGoneError, Head, UpstreamConnection
-from ashhoist.http.caller import Request
+from ashhoist.http.request import Request
 from ashhoist.http.upstream import Broken, End, Event, Piece, Why
 from ashhoist.loop import Steps
 from ashhoist.metrics import Metrics
--- a/tests/test_read_size.py
+++ b/tests/test_read_size.py
@@ -8,8 +8,8 @@
 from unittest import mock
 
 from ashhoist.http import CallerConnection, MalformedRequestError, UpstreamConnection
-from ashhoist.http.caller import CallerLimits
 from ashhoist.http.read_size import LARGE, MAX_EVENTS, SMALL, ReadSize
+from ashhoist.http.request import CallerLimits
 from ashhoist.http.upstream import Head, Piece, Waiting
 from ashhoist.loop import Steps
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 from ashhoist.http import CallerConnection, CallerGoneError
-from ashhoist.http.caller import CallerLimits
+from ashhoist.http.request import CallerLimits
 from ashhoist.routing import Limits
 
 from .loops import new_loop, run
