A test's leftover threads end before the next test

Cause: a process of tests runs one test after the other, and tracemalloc counts all of it. A server that tests.test_border leaves behind reads the rest of a closed connection into a buffer of 10,000,000 bytes.

Change: a worker whose test leaves threads or processes behind runs no further test; another takes its place. Both sides set the worker's process group: one that was ended at once had none yet, kept its own pipe open and was waited for without end. The check and its bound are as they were.

--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+import threading
 import time
 import unittest
 
@@ -70,7 +71,21 @@
         def test_starts_and_stays(self) -> None:
             subprocess.Popen([sys.executable, "-c", "import time; time.sleep(600)"])
 
-    found = (Plain, Dying, Fixed, Broken, Starting)
+    class Leaving(unittest.TestCase):
+        def test_1_leaves_a_thread(self) -> None:
+            threading.Thread(target=time.sleep, args=(600,), daemon=True).start()
+
+        def test_2_has_no_other_thread(self) -> None:
+            self.assertEqual(threading.active_count(), 1)
+
+        def test_3_leaves_a_process(self) -> None:
+            subprocess.Popen([sys.executable, "-c", "import time; time.sleep(600)"])
+
+        def test_4_has_no_other_process(self) -> None:
+            with self.assertRaises(ChildProcessError):
+                os.waitpid(-1, os.WNOHANG)
+
+    found = (Plain, Dying, Fixed, Broken, Starting, Leaving)
     return {kind.__name__: kind for kind in found}
 
 
@@ -83,9 +98,9 @@
         )
         return workers.units(suite)
 
-    def run_all(self, *names: str) -> dict[str, Outcome]:
+    def run_all(self, *names: str, processes: int = PROCESSES) -> dict[str, Outcome]:
         """Run classes of tests; return what became of each by its last name."""
-        found = workers.run(self.units(*names), PROCESSES, lambda _: None)
+        found = workers.run(self.units(*names), processes, lambda _: None)
         return {outcome.test.rpartition(".")[2]: outcome for outcome in found}
 
     def test_each_end_is_told(self) -> None:
@@ -128,6 +143,13 @@
         self.assertEqual(outcome.status, FAILED)
         self.assertIn("no such thing", outcome.output)
 
+    def test_what_a_test_leaves_running_is_gone_in_the_next_one(self) -> None:
+        # Guards against servers of an earlier test whose work and memory count as those
+        # of a later one.
+        found = self.run_all("Leaving", processes=1)
+        outputs = [outcome.output for outcome in found.values() if outcome.output]
+        self.assertEqual((len(found), outputs), (4, []))
+
     def test_what_tests_have_started_ends_with_them_also_when_interrupted(self) -> None:
         def interrupt(_: Outcome) -> None:
             raise KeyboardInterrupt
--- a/tests/workers.py
+++ b/tests/workers.py
@@ -1,7 +1,8 @@
 """Runs units of tests in as many processes as there are cores.
 
 Workers are forked once all tests are loaded, so that none reads them in again. Each has
-a process group of its own: whatever its tests have started ends with it.
+a process group of its own: whatever its tests have started ends with it. A worker whose
+tests leave threads or processes behind runs no further ones.
 """
 
 import contextlib
@@ -9,9 +10,11 @@
 import os
 import signal
 import tempfile
+import threading
 import unittest
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
 from multiprocessing.connection import Connection, wait
 from typing import IO
 
@@ -65,6 +68,14 @@
     )
 
 
+@dataclass(frozen=True)
+class _Report:
+    """What became of a unit, and whether it left threads or processes behind."""
+
+    outcomes: list[Outcome]
+    leftovers: bool
+
+
 class _Worker:
     """One process, and the unit that it runs."""
 
@@ -73,6 +84,9 @@
         self.unit: int | None = None
         self._process = _context.Process(target=_work, args=(theirs, all_units))
         self._process.start()
+        # Both sides set the group, so that it exists whichever runs first.
+        with contextlib.suppress(ProcessLookupError):
+            os.setpgid(self._process.pid or 0, self._process.pid or 0)
         theirs.close()
 
     def run(self, number: int) -> None:
@@ -98,7 +112,7 @@
             pipe.send(_run(all_units[pipe.recv()]))
 
 
-def _run(unit: Unit) -> list[Outcome]:
+def _run(unit: Unit) -> _Report:
     """Run one unit; what it writes is kept for those that fail."""
     recorder = Recorder()
     with tempfile.TemporaryFile() as written:
@@ -110,7 +124,18 @@
     for outcome in outcomes:
         if outcome.status == FAILED:
             outcome.output += text
-    return outcomes
+    return _Report(outcomes, _has_leftovers())
+
+
+def _has_leftovers() -> bool:
+    """Return whether threads or processes of tests still exist."""
+    if threading.active_count() > 1:
+        return True
+    try:
+        os.waitid(os.P_ALL, 0, os.WEXITED | os.WNOHANG | os.WNOWAIT)
+    except ChildProcessError:
+        return False
+    return True
 
 
 @contextlib.contextmanager
@@ -146,32 +171,35 @@
         while busy := [worker for worker in workers if worker.unit is not None]:
             ready = wait([worker.pipe for worker in busy])
             for worker in [one for one in busy if one.pipe in ready]:
-                ended = _take(worker, all_units)
-                outcomes += ended
-                for outcome in ended:
+                report = _take(worker, all_units)
+                outcomes += report.outcomes
+                for outcome in report.outcomes:
                     told(outcome)
-                if worker.unit is None and waiting:
-                    worker.run(waiting.popleft())
-                elif worker.unit is not None:
+                if report.leftovers:
                     workers.remove(worker)
-                    if waiting:
-                        workers.append(_Worker(all_units))
-                        workers[-1].run(waiting.popleft())
+                    worker.end()
+                if not waiting:
+                    continue
+                if report.leftovers:
+                    worker = _Worker(all_units)
+                    workers.append(worker)
+                worker.run(waiting.popleft())
     finally:
         for worker in workers:
             worker.end()
     return outcomes
 
 
-def _take(worker: _Worker, all_units: list[Unit]) -> list[Outcome]:
-    """Return what became of a worker's unit; its `unit` stays if it has died."""
+def _take(worker: _Worker, all_units: list[Unit]) -> _Report:
+    """Return what became of a worker's unit, also if the worker has died."""
     assert worker.unit is not None
     unit = all_units[worker.unit]
+    worker.unit = None
     try:
-        outcomes: list[Outcome] = worker.pipe.recv()
+        report: _Report = worker.pipe.recv()
     except EOFError:
         code = worker.end()
         why = f"the process that ran it ended with code {code}\n"
-        return [Outcome(name_of(test), FAILED, why) for test in unit]
-    worker.unit = None
-    return outcomes
+        failed = [Outcome(name_of(test), FAILED, why) for test in unit]
+        return _Report(failed, leftovers=True)
+    return report
