Tests: streams leave a sound engine that is silent for a second for a dark one

Found while tracing test_streams_of_a_dark_engine_go_on_where_there_is_room, which fails beside load (4 of 20 runs, load average 30 to 50): a stand-in accepts a connection up to 2 s late, the streams that wait for it leave it after 0.6 s for the engine that has been dark for a second and more, have used both attempts, and end with 504 at their deadline of 12 s.

The new test makes that moment certain: one engine is dark, 2 s later the sound one sends nothing for 1.2 s and goes on.

Cause: a search for a place asks which engine has the adapter and takes a connection. A dark one does both. That the requests of this instance have just left it as silent, and that it has sent nothing since, is not asked.

--- a/tests/test_slow_engines.py
+++ b/tests/test_slow_engines.py
@@ -31,6 +31,8 @@
 """How long streams run before an engine pauses."""
 PAUSE_S = 2.0
 LONG_PAUSE_S = 4.0
+SILENCE_S = 1.2
+"""Of an engine that is sound."""
 
 
 def _configuration(slots: int, target_ms: int) -> dict[str, Any]:
@@ -180,6 +182,23 @@
         waits = [stream.longest_wait_s for stream in self.load.received]
         self.assertLess(max(waits), PATIENCE_S)
 
+    def test_streams_stay_at_a_silent_sound_engine_beside_a_dark_one(self) -> None:
+        # Guards against streams that leave a sound engine for one that sends nothing.
+        dark, sound = self.engines
+        self.load.start(STREAMS_PER_S)
+        try:
+            time.sleep(BEFORE_S)
+            self.assertGreater(min(dark.running, sound.running), 0)
+            dark.sends.clear()
+            time.sleep(PAUSE_S)
+            sound.sends.clear()
+            time.sleep(SILENCE_S)
+            sound.sends.set()
+            time.sleep(BEFORE_S)
+        finally:
+            self.load.finish()
+        self.check_none_cut()
+
 
 if __name__ == "__main__":
     unittest.main()
