Tests: streams and retries don't depend on how fast a stand-in answers

The class of the failure of test_a_stream_that_goes_on_elsewhere_is_counted_as _moved: two upstreams, a request that may run again, and a first upstream that has to answer within 1 s, or it is silent and the request rightly leaves it.

A trial that serves each connection of the stand-ins 1.1 s late, over 26 test modules with scripted upstreams, fails in these as well: 2 tests of test_answers_by_close, 4 of test_crashing_requests, 3 of test_streams, and one each of test_interrupted_requests, test_rate_limits, test_resumptions and test_keys.

Change: these 13 tests set a target latency, and but for the one of a stalled stream a gap of events, that is as long as their requests may last. What they expect is unchanged; tests of silence keep the 1 s. Still bound to the time by what they test: the route timeouts of 0.4 and 1 s in test_the_route_timeout_ends_a_stream and test_the_forwarded_deadline_is_limited_by_the_route.

--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -64,6 +64,9 @@
 from .platform_stand_ins.server import Call as UpstreamCall, Handler as Script, Server
 from .request_caller import HEADER_NAMES, HOST, ID, TIMEOUT_S, Answer, Caller
 
+NEVER_SILENT = {"target_latency": TIMEOUT_S, "event_gap": TIMEOUT_S}
+"""Options of a harness for tests in which an upstream must not look silent, as a sound
+one may on a machine that is held up."""
 LONG_AGO = timedelta(hours=1)
 """By then, a process has its whole part of the fixed retry allowance."""
 
--- a/tests/test_answers_by_close.py
+++ b/tests/test_answers_by_close.py
@@ -3,7 +3,7 @@
 import unittest
 
 from .platform_stand_ins.server import Call, Handler
-from .request_harness import event, response_headers
+from .request_harness import NEVER_SILENT, event, response_headers
 from .request_scripts import RequestTestCase, stream
 
 BODY = b"answer without a length"
@@ -35,7 +35,8 @@
         self.assertEqual(len(harness.calls()), 1)
 
     def test_a_stream_that_ends_behind_an_event_is_whole(self) -> None:
-        harness = self.start(streams(event(1), event(2), event(3)), stream(4))
+        script = streams(event(1), event(2), event(3))
+        harness = self.start(script, stream(4), **NEVER_SILENT)
         answer = harness.ask("/stream/x")
         self.assertEqual(answer.body, event(1) + event(2) + event(3))
         self.assertTrue(answer.complete)
@@ -48,7 +49,8 @@
                 first = [event(number) for number in range(1, whole + 1)]
                 rest = range(whole + 1, 6)
                 cut = event(whole + 1)[:-3]
-                harness = self.start(streams(*first, cut), stream(*rest))
+                script = streams(*first, cut)
+                harness = self.start(script, stream(*rest), **NEVER_SILENT)
                 answer = harness.ask("/stream/x")
                 expected = b"".join(event(number) for number in range(1, 6))
                 self.assertEqual(answer.body, expected)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -23,7 +23,7 @@
 from .platform_stand_ins.fleet import CrashingFleet
 from .platform_stand_ins.server import Call, Handler
 from .request_caller import HEADER_NAMES, Answer
-from .request_harness import Harness, event, response_headers
+from .request_harness import NEVER_SILENT, Harness, event, response_headers
 from .request_scripts import good, refuse, reset
 
 CRASH_THRESHOLD = 3
@@ -122,7 +122,7 @@
         return self.sent(harness, RequestInterrupted)[-1].request
 
     def test_all_retries_of_a_caller_have_one_fingerprint(self) -> None:
-        harness = self.start(reset, reset)
+        harness = self.start(reset, reset, **NEVER_SILENT)
         for id in ("first", "second"):
             harness.ask("/safe/x", id=id)
         found = {message.request for message in self.sent(harness, RequestInterrupted)}
@@ -187,7 +187,7 @@
         )
 
     def test_a_request_that_has_run_is_not_reported_as_not_run(self) -> None:
-        harness = self.start(reset, good, attempts=2)
+        harness = self.start(reset, good, attempts=2, **NEVER_SILENT)
         request = self.fingerprint(harness, "/safe/x")
         harness.quarantine.put("whole", Completion(request), 0)
 
@@ -200,7 +200,7 @@
         self.assertEqual(len(harness.calls(1)), 1)
 
     def test_a_stream_that_was_cut_midway_does_not_continue_elsewhere(self) -> None:
-        harness = self.start(good, good)
+        harness = self.start(good, good, **NEVER_SILENT)
         request = ""
 
         def crash(call: Call) -> None:
@@ -226,7 +226,7 @@
         self.assertEqual(self.sent(harness, RequestInterrupted), [])
 
     def test_a_complete_answer_is_reported_only_for_a_suspect_request(self) -> None:
-        harness = self.start(reset, good)
+        harness = self.start(reset, good, **NEVER_SILENT)
         self.assertEqual(harness.ask("/safe/x").status, 200)
         self.assertEqual(self.sent(harness, RequestCompleted), [])
         [cut] = self.sent(harness, RequestInterrupted)
--- a/tests/test_cut_streams.py
+++ b/tests/test_cut_streams.py
@@ -5,7 +5,7 @@
 
 from ashhoist.failures import Reason
 
-from .request_caller import TIMEOUT_S
+from .request_harness import NEVER_SILENT
 from .request_scripts import RequestTestCase, good, stream
 
 SOON_S = 10
@@ -42,13 +42,7 @@
 
     def test_a_stream_that_goes_on_elsewhere_is_counted_as_moved(self) -> None:
         # Guards against moves that nobody sees as long as they succeed.
-        # On a machine that is held up, a sound upstream may look silent.
-        harness = self.start(
-            stream(1, 2, end=False),
-            stream(3),
-            target_latency=TIMEOUT_S,
-            event_gap=TIMEOUT_S,
-        )
+        harness = self.start(stream(1, 2, end=False), stream(3), **NEVER_SILENT)
         answer = harness.ask("/stream/")
         self.assertTrue(answer.complete)
         self.assertEqual(
--- a/tests/test_interrupted_requests.py
+++ b/tests/test_interrupted_requests.py
@@ -21,7 +21,13 @@
 
 from .platform_stand_ins.server import Call
 from .request_caller import HEADER_NAMES, HOST, ID, Answer, Caller
-from .request_harness import Harness, ListChooser, event, response_headers
+from .request_harness import (
+    NEVER_SILENT,
+    Harness,
+    ListChooser,
+    event,
+    response_headers,
+)
 from .request_scripts import RequestTestCase, good
 
 LATE = 10.0
@@ -306,7 +312,7 @@
         for path in ("/stream/x", "/once/x"):
             with self.subTest(path):
                 upstream = Held(event(1), event(2) + b"id: 3\ndata: ha")
-                harness = self.start(upstream, good)
+                harness = self.start(upstream, good, **NEVER_SILENT)
                 with harness.connect() as caller:
                     caller.send(path)
                     self.assertTrue(upstream.has_begun.wait(LATE))
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -21,7 +21,7 @@
 )
 
 from .platform_stand_ins.server import Call
-from .request_harness import HEADER_NAMES, HOST, ID, Harness
+from .request_harness import HEADER_NAMES, HOST, ID, NEVER_SILENT, Harness
 from .request_scripts import RequestTestCase, good, refuse, reset, silent
 
 KEY, NAME = HEADER_NAMES.key, HEADER_NAMES.customer
@@ -133,7 +133,7 @@
             harness.table = RouteTable(without_alice)
             reset(call)
 
-        harness = self.entry(remove_key, good)
+        harness = self.entry(remove_key, good, **NEVER_SILENT)
         answer = harness.ask("/safe/x", headers=WITH_KEY)
         self.assertEqual(answer.status, 502)
         self.assertEqual(harness.calls(1), [])
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -37,7 +37,11 @@
 from .control_world import World
 from .loops import finish
 from .platform_stand_ins.server import Call as UpstreamCall
-from .request_harness import HEADER_NAMES as HARNESS_HEADER_NAMES, response_headers
+from .request_harness import (
+    HEADER_NAMES as HARNESS_HEADER_NAMES,
+    NEVER_SILENT,
+    response_headers,
+)
 from .request_scripts import ConnectedCaller, RequestTestCase, good
 
 SECOND = timedelta(seconds=1)
@@ -217,7 +221,7 @@
                 200, b"ok", response_headers(call, **{HARNESS_HEADER_NAMES.limit: "1"})
             )
 
-        harness = self.start(limited, good)
+        harness = self.start(limited, good, **NEVER_SILENT)
         self.assertEqual(harness.ask("/safe/", id="first").status, 200)
         [named_limit] = [
             m for m in harness.control_messages if isinstance(m, StatedLimit)
--- a/tests/test_resumptions.py
+++ b/tests/test_resumptions.py
@@ -9,7 +9,13 @@
 from ashhoist.streams import FoundVersion, StreamBegan, VersionLookup, VersionSource
 
 from .platform_stand_ins.server import Call
-from .request_harness import HEADER_NAMES, Harness, event, response_headers
+from .request_harness import (
+    HEADER_NAMES,
+    NEVER_SILENT,
+    Harness,
+    event,
+    response_headers,
+)
 from .request_scripts import RequestTestCase, stream
 
 RESUMES = HEADER_NAMES.resumes
@@ -157,7 +163,7 @@
         self.assertIn(StreamBegan("id-1", "service", NEW), harness.control_messages)
 
     def test_a_stream_that_broke_off_is_not_continued_at_another_version(self) -> None:
-        harness = self.start(breaks_off, stream(2, 3))
+        harness = self.start(breaks_off, stream(2, 3), **NEVER_SILENT)
         harness.list_upstreams(OLD, NEW)
         answer = harness.ask("/stream/")
         self.assertEqual((answer.body, answer.complete), (event(1), False))
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -9,7 +9,14 @@
 from ashhoist.position import Position
 
 from .platform_stand_ins.server import Call
-from .request_harness import HEADER_NAMES, ID, event, response_headers
+from .request_caller import TIMEOUT_S
+from .request_harness import (
+    HEADER_NAMES,
+    ID,
+    NEVER_SILENT,
+    event,
+    response_headers,
+)
 from .request_scripts import RequestTestCase, good, silent, stream
 
 NOT_RUN = HEADER_NAMES.not_run
@@ -98,7 +105,7 @@
             call.chunk(event(1))
             silent(call)
 
-        harness = self.start(stall, stream(2, 3))
+        harness = self.start(stall, stream(2, 3), target_latency=TIMEOUT_S)
         answer = harness.ask("/stream/", deadline_ms=60_000)
         self.assertEqual(answer.body, event(1) + event(2) + event(3))
         self.assertTrue(answer.complete)
@@ -148,7 +155,8 @@
                 call.chunk(event(number))
             call.end_stream()
 
-        harness = self.start(stream(1, 2, end=False, cut=b"id: 3\ndata: ha"), other)
+        broken = stream(1, 2, end=False, cut=b"id: 3\ndata: ha")
+        harness = self.start(broken, other, **NEVER_SILENT)
         answer = harness.ask("/stream/")
         self.assertEqual(answer.body, b"".join(map(event, (1, 2, 3, 4))))
         self.assertTrue(answer.complete)
@@ -162,7 +170,7 @@
         self.assertEqual(answer.body, b"".join(map(event, (1, 2, 3))))
 
     def test_a_stream_with_a_gap_is_not_reported_as_complete(self) -> None:
-        harness = self.start(stream(1, 2, end=False), stream(4, 5))
+        harness = self.start(stream(1, 2, end=False), stream(4, 5), **NEVER_SILENT)
         answer = harness.ask("/stream/")
         self.assertEqual(answer.body, event(1) + event(2))
         self.assertFalse(answer.complete)
