Tests: a failure of streams at slow engines names what engines got

Change: the message has the connections that each engine has accepted and the streams that it has run, so that the first of these can be told apart.

--- a/tests/test_slow_engines.py
+++ b/tests/test_slow_engines.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from .platform_process import PlatformProcess, ProcessTestCase
-from .platform_stand_ins.worker import ModelWorker
+from .platform_stand_ins.worker import ID, ModelWorker
 from .stream_load import REFUSED, WHOLE, StreamLoad
 from .test_platform import CONFIGURATION, MODEL
 
@@ -129,11 +129,21 @@
         finally:
             self.load.finish()
 
+    def _arrived(self) -> dict[str, tuple[int, list[str]]]:
+        """Return the connections that engines accepted and the streams they ran."""
+        return {
+            engine.state.id: (
+                engine.server.connections,
+                [call.headers[ID.lower()] for call in engine.ran],
+            )
+            for engine in self.engines
+        }
+
     def check_none_cut(self) -> None:
         """Check that each stream was whole, or refused as not run."""
         ends = self.load.ends()
         self.assertGreater(ends[WHOLE], 0)
-        self.assertLessEqual(set(ends), {WHOLE, REFUSED}, ends)
+        self.assertLessEqual(set(ends), {WHOLE, REFUSED}, (ends, self._arrived()))
 
 
 class PausedEngineTests(SlowEngineTestCase):
@@ -178,7 +188,8 @@
             time.sleep(PAUSE_S)
         finally:
             self.load.finish()
-        self.assertEqual(self.load.ends(), {WHOLE: len(self.load.received)})
+        whole = {WHOLE: len(self.load.received)}
+        self.assertEqual(self.load.ends(), whole, self._arrived())
         waits = [stream.longest_wait_s for stream in self.load.received]
         self.assertLess(max(waits), PATIENCE_S)
 
