Tests: traffic to an address whose listener has ended reaches no other test

Cause: cross-talk between processes of tests. When a test ends, its instances are killed one after the other, and the ports of each are let go at once. Those that still run dial the killed ones again (websocket handshake, GET / without a request id). The system has given a port to another process of tests meanwhile: a proxy of test_many_lost_links forwards the handshake to a plain upstream, which runs it.

Change: each process of tests takes its addresses from tests/ports.py: a loopback address of its own, made of the process id, and no port again that is among the last 4,096. No check is eased: a request without an id from an instance of the test itself still fails. The test certificate is checked against the name that it was issued to, as before.

--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -14,7 +14,7 @@
 
 from ashhoist.http.client import Client
 
-from . import ROOT
+from . import ROOT, ports
 from .loops import new_loop, run
 from .platform_stand_ins.store import StoreServer
 from .test_platform import CONFIGURATION, HOST, SOON
@@ -47,9 +47,9 @@
     ) -> None:
         self._retries = retries
         self._bounds = bounds
-        self._reserved = [reserve_port() for _ in range(4)]
+        self._reserved = [ports.reserve() for _ in range(4)]
         self.callers, self.readiness, self.instances, self.metrics = [
-            f"127.0.0.1:{held.getsockname()[1]}" for held in self._reserved
+            ports.address_of(held) for held in self._reserved
         ]
         self.settings = folder / f"{name}.ini"
         self.settings.write_text(self._text(name, store))
@@ -151,19 +151,6 @@
     return host, int(port)
 
 
-def reserve_port() -> socket.socket:
-    """Return a socket that keeps a port for a process which this test starts.
-
-    A port that is only looked up is free until the process has started: another test
-    at the same time may be given it. This socket does not listen, so a process that
-    reuses addresses may.
-    """
-    held = socket.socket()
-    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    held.bind(("127.0.0.1", 0))
-    return held
-
-
 class ProcessTestCase(unittest.TestCase):
     """Whole processes beside the platform's store, on loopback and the real clock.
 
--- a/tests/platform_stand_ins/server.py
+++ b/tests/platform_stand_ins/server.py
@@ -8,6 +8,8 @@
 
 import h11
 
+from .. import ports
+
 
 class Call:
     """One request at a stand-in, and its connection."""
@@ -89,9 +91,8 @@
         self.handler = handler
         self.calls: list[Call] = []
         self.connections = 0
-        self._listening = socket.create_server(("127.0.0.1", 0))
-        host, port = self._listening.getsockname()
-        self.address = f"{host}:{port}"
+        self._listening = ports.listen()
+        self.address = ports.address_of(self._listening)
         self._peers: list[socket.socket] = []
         threading.Thread(target=self._run, daemon=True).start()
 
--- a/tests/request_harness.py
+++ b/tests/request_harness.py
@@ -60,6 +60,7 @@
     Upstream,
 )
 
+from . import ports
 from .loops import ThreadLoop
 from .platform_stand_ins.server import Call as UpstreamCall, Handler as Script, Server
 from .request_caller import HEADER_NAMES, HOST, ID, TIMEOUT_S, Answer, Caller
@@ -199,7 +200,7 @@
 
     def _listen(self, max_connections: int) -> None:
         self.listener = Listener(
-            "127.0.0.1:0",
+            ports.free_address(),
             self.handler.serve,
             lambda: self.handler.limits().idle_time,
             max_connections,
--- a/tests/test_border.py
+++ b/tests/test_border.py
@@ -29,8 +29,12 @@
 from ashhoist_cli import Answer, Client
 from ashhoist_standins import EngineTiming
 
+from . import ports
+
 COMPLETIONS = "/v1/completions"
 DATA = Path(__file__).parent / "data"
+CERTIFIED_HOST = "127.0.0.1"
+"""Whom the test certificate is issued to."""
 
 
 def paused_bytes(core: Instance) -> int:
@@ -45,7 +49,7 @@
 class TlsTests(unittest.TestCase):
     def test_callers_are_answered_over_tls(self) -> None:
         server = HttpServer(
-            "127.0.0.1:0",
+            ports.free_address(),
             Response("over TLS"),
             2,
             timedelta(seconds=5),
@@ -57,7 +61,7 @@
         context = ssl.create_default_context(cafile=DATA / "test-certificate.pem")
         host, port = server.address.split(":")
         with socket.create_connection((host, int(port))) as plain:
-            with context.wrap_socket(plain, server_hostname=host) as secure:
+            with context.wrap_socket(plain, server_hostname=CERTIFIED_HOST) as secure:
                 secure.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
                 found = b""
                 while part := secure.recv(4096):
--- a/tests/test_endless_links.py
+++ b/tests/test_endless_links.py
@@ -18,6 +18,7 @@
 from ashhoist.links import Links, news
 from ashhoist.types import Endpoint
 
+from . import ports
 from .endless_senders import BLOCK_BYTES, SEND_BUFFER, TIMEOUT_S
 from .loops import new_loop
 
@@ -124,7 +125,7 @@
 
     def links(self) -> Links:
         self.events: list[Any] = []
-        own = Endpoint("own", "zone", "region", "127.0.0.1:0")
+        own = Endpoint("own", "zone", "region", ports.free_address())
         links = Links(
             self.loop,
             own,
@@ -152,10 +153,10 @@
         self, links: Links, begin: Callable[[socket.socket], None], unit: bytes
     ) -> Sender:
         """Return another side that `links` has connected to."""
-        listening = socket.create_server(("127.0.0.1", 0))
+        listening = ports.listen()
         self.addCleanup(listening.close)
-        host, port = listening.getsockname()
-        links.set_peers([Endpoint("other", "", "", f"{host}:{port}")], True)
+        address = ports.address_of(listening)
+        links.set_peers([Endpoint("other", "", "", address)], True)
         listening.settimeout(0)
         peers: list[socket.socket] = []
 
--- a/tests/test_interrupted_requests.py
+++ b/tests/test_interrupted_requests.py
@@ -19,6 +19,7 @@
 from ashhoist.requests.choosers import Choice, Chooser
 from ashhoist.requests.waiting import CallerWatch
 
+from . import ports
 from .platform_stand_ins.server import Call
 from .request_caller import HEADER_NAMES, HOST, ID, Answer, Caller
 from .request_harness import Harness, ListChooser, event, response_headers
@@ -179,7 +180,7 @@
 
     def test_a_request_whose_connection_is_being_opened_is_refused(self) -> None:
         # A request counts as sent from before its connection is open.
-        with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+        with ports.listen(backlog=0) as full:
             host, port = full.getsockname()
             for _ in range(4):
                 filler = socket.socket()
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -29,6 +29,7 @@
 from ashhoist.http.upstream import Broken, Why
 from ashhoist.orders import LeaseTiming, Order, OrderAnswer, OrderKind
 
+from . import ports
 from .control_world import TICK, TIMING, World
 from .loops import LONGEST, new_loop, run
 from .platform_stand_ins.server import Call, Handler, Server
@@ -194,7 +195,7 @@
     def test_no_order_is_sent_if_the_token_expires_while_connecting(self) -> None:
         loop = new_loop()
         self.addCleanup(loop.close)
-        engine = socket.create_server(("127.0.0.1", 0))
+        engine = ports.listen()
         self.addCleanup(engine.close)
         engine.setblocking(False)
 
@@ -210,7 +211,7 @@
         done: list[Any] = []
         control = EngineControl(WorkerProtocol(), may_order, done.append, loop)
         self.addCleanup(control.forget, "e")
-        address = f"127.0.0.1:{engine.getsockname()[1]}"
+        address = ports.address_of(engine)
         control.order(Order("e", address, OrderKind.LOAD, Adapter("base", "a1"), 0))
         while not done:
             loop.run_turn()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -21,6 +21,7 @@
 from ashhoist.loop import Loop
 from ashhoist.types import Endpoint
 
+from . import ports
 from .loops import new_loop
 
 TOKEN = "token"
@@ -35,7 +36,7 @@
         self.name = name
         self.events: list[Any] = []
         self.close_reasons: list[str] = []
-        own = Endpoint(name, "zone", "region", "127.0.0.1:0")
+        own = Endpoint(name, "zone", "region", ports.free_address())
         self.links = Links(
             loop,
             own,
@@ -207,10 +208,10 @@
 
     def test_unreachable_peer_does_not_link(self) -> None:
         one = self.instance("one")
-        unused = socket.create_server(("127.0.0.1", 0))
-        host, port = unused.getsockname()
+        unused = ports.listen()
+        address = ports.address_of(unused)
         unused.close()
-        one.links.set_peers([Endpoint("two", "", "", f"{host}:{port}")], True)
+        one.links.set_peers([Endpoint("two", "", "", address)], True)
         self.run_for(SETTLE_TIME)
         self.assertFalse(one.linked)
 
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -19,6 +19,7 @@
 from pathlib import Path
 from random import Random
 
+from . import ports
 from .cut_off_names import LINKS_VARIABLE
 from .platform_process import PlatformProcess, ProcessTestCase, with_route_timeout
 from .platform_stand_ins.worker import ID, ModelWorker, PlainWorker
@@ -48,9 +49,8 @@
 
     def __init__(self, upstream: str) -> None:
         self._upstream = upstream
-        self._listening = socket.create_server(("127.0.0.1", 0))
-        host, port = self._listening.getsockname()
-        self.address = f"{host}:{port}"
+        self._listening = ports.listen()
+        self.address = ports.address_of(self._listening)
         self._open = threading.Event()
         self._open.set()
         self._sockets: list[socket.socket] = []
--- a/tests/test_new_connections.py
+++ b/tests/test_new_connections.py
@@ -11,6 +11,8 @@
 from ashhoist.http.request import CallerLimits
 from ashhoist.loop import Loop, Steps
 
+from . import ports
+
 WORK = timedelta(milliseconds=40)
 """Processor time of a request: 25 can be answered in a second."""
 ARRIVAL_INTERVAL = timedelta(milliseconds=10)
@@ -53,7 +55,7 @@
         self.clock = ManualClock()
         self.loop = Loop(self.clock, logs.get("loop"))
         self.listener = Listener(
-            "127.0.0.1:0", self.serve, lambda: LONG, 4096, self.loop
+            ports.free_address(), self.serve, lambda: LONG, 4096, self.loop
         )
         self.listener.start()
         self.addCleanup(self.loop.close)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -19,12 +19,11 @@
 from ashhoist import process_settings
 from ashhoist.process import Platform, Process
 
-from . import ROOT
+from . import ROOT, ports
 from .loops import new_loop
 from .platform_process import (
     PlatformProcess,
     ProcessTestCase,
-    reserve_port,
 )
 from .platform_stand_ins.worker import ModelWorker, PlainWorker
 from .test_platform import CONFIGURATION, MODEL, SOON
@@ -131,10 +130,10 @@
 
     def test_a_control_task_that_does_not_answer_is_not_settled(self) -> None:
         # It raised here before, and the process then hung past its limit.
-        reserved = [reserve_port() for _ in range(4)]
+        reserved = [ports.reserve() for _ in range(4)]
         for held in reserved:
             self.addCleanup(held.close)
-        addresses = [f"127.0.0.1:{held.getsockname()[1]}" for held in reserved]
+        addresses = [ports.address_of(held) for held in reserved]
         fields = ("callers", "readiness", "instances", "metrics")
         text = "\n".join(
             [
@@ -247,7 +246,7 @@
     """
 
     def setUp(self) -> None:
-        self.held = reserve_port()
+        self.held = ports.reserve()
         self.addCleanup(self.held.close)
         self.address = self.held.getsockname()
 
--- a/tests/test_readiness_server.py
+++ b/tests/test_readiness_server.py
@@ -5,8 +5,8 @@
 from ashhoist.metrics import Metrics
 from ashhoist.probes import ProbeServer
 
+from . import ports
 from .loops import ThreadLoop
-from .platform_process import reserve_port
 from .request_caller import HOST, Caller
 
 
@@ -14,9 +14,9 @@
     def setUp(self) -> None:
         self.thread = ThreadLoop()
         self.addCleanup(self.thread.close)
-        held = reserve_port()
+        held = ports.reserve()
         self.addCleanup(held.close)
-        self.address = f"127.0.0.1:{held.getsockname()[1]}"
+        self.address = ports.address_of(held)
         self.server = ProbeServer(
             self.address, None, "/ready", lambda: True, Metrics(), self.thread.loop
         )
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -10,6 +10,7 @@
 from ashhoist.http.request import CallerLimits
 from ashhoist.routing import Limits
 
+from . import ports
 from .loops import new_loop, run
 from .platform_stand_ins.server import Call
 from .request_harness import HEADER_NAMES, HOST, ID, Harness, event, response_headers
@@ -305,7 +306,7 @@
     def test_a_connection_answered_before_the_body_was_sent_is_not_reused(
         self,
     ) -> None:
-        listening = socket.create_server(("127.0.0.1", 0))
+        listening = ports.listen()
         self.addCleanup(listening.close)
         seen: list[bytes] = []
 
@@ -322,9 +323,8 @@
 
         threading.Thread(target=respond_early, daemon=True).start()
         harness = self.start(good, attempts=1)
-        host, port = listening.getsockname()
         harness.upstreams["upstream-0"].close()
-        harness.upstreams = {"early": _AddressOnly(f"{host}:{port}")}  # type: ignore[dict-item]
+        harness.upstreams = {"early": _AddressOnly(ports.address_of(listening))}  # type: ignore[dict-item]
         harness.list_upstreams()
         for _ in range(2):
             self.assertEqual(harness.ask("/unsafe/", body=b"x" * 2_000_000).status, 503)
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from . import ports
 from .platform_stand_ins.server import Call
 from .request_harness import ID, Harness, event, response_headers
 from .request_scripts import RequestTestCase, good
@@ -95,12 +96,13 @@
 
     def test_a_response_before_a_long_body_is_read(self) -> None:
         # Guards against a next request where the rest of a body is due.
-        listening = socket.create_server(("127.0.0.1", 0))
+        listening = ports.listen()
         self.addCleanup(listening.close)
         harness = self.start(good, attempts=1)
-        host, port = listening.getsockname()
         harness.upstreams["upstream-0"].close()
-        harness.upstreams["upstream-0"] = _EarlyServer(listening, f"{host}:{port}")
+        harness.upstreams["upstream-0"] = _EarlyServer(
+            listening, ports.address_of(listening)
+        )
         server = harness.upstreams["upstream-0"]
         harness.list_upstreams()
         for path in ("/unsafe/", "/safe/"):
