Tests: a closed proxy of test_lost_links no longer listens

Cause: a listening socket that is closed while a thread waits in accept stays open until the next connection. That one would still be forwarded to the proxy's upstream address, whoever has it by then.

Change: the proxy shuts its listening socket down before it closes it, as the stand-ins do. The new test of tests/test_ports.py failed before ("ConnectionRefusedError not raised").

Measured: tests.test_ports and tests.test_lost_links pass (9 tests).

--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -99,6 +99,9 @@
     def close(self) -> None:
         """End all connections."""
         self._open.set()
+        # Closed alone, it would listen for as long as a thread waits in accept.
+        with contextlib.suppress(OSError):
+            self._listening.shutdown(socket.SHUT_RDWR)
         self._listening.close()
         self.reset()
 
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -75,3 +75,11 @@
                 continue
             with self.subTest(file=file.name):
                 self.assertNotRegex(file.read_text(), FIXED_LISTENER)
+
+    def test_a_closed_proxy_accepts_no_connection(self) -> None:
+        # Guards against a proxy of an earlier test that forwards to its old upstream.
+        proxy = Proxy("127.0.0.1:1")
+        host, _, port = proxy.address.rpartition(":")
+        proxy.close()
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection((host, int(port)))
