Tests: a worker is ended once

A worker that had died was ended twice, by who read its report and by who replaced it. Its process group was signalled again after its id had been given back, so that another process might have been met. Read in the code; no run showed it.

Change: ending it again only returns its exit code.

--- a/tests/workers.py
+++ b/tests/workers.py
@@ -82,6 +82,7 @@
     def __init__(self, all_units: list[Unit]) -> None:
         self.pipe, theirs = _context.Pipe()
         self.unit: int | None = None
+        self._is_ended = False
         self._process = _context.Process(target=_work, args=(theirs, all_units))
         self._process.start()
         # Both sides set the group, so that it exists whichever runs first.
@@ -96,6 +97,10 @@
 
     def end(self) -> int | None:
         """End it and all that its tests have started; return its exit code."""
+        if self._is_ended:
+            # Its id may belong to another process by now.
+            return self._process.exitcode
+        self._is_ended = True
         self.pipe.close()
         with contextlib.suppress(ProcessLookupError):
             os.killpg(self._process.pid or 0, signal.SIGKILL)
@@ -180,7 +185,7 @@
                     worker.end()
                 if not waiting:
                     continue
-                if report.leftovers:
+                if worker not in workers:
                     worker = _Worker(all_units)
                     workers.append(worker)
                 worker.run(waiting.popleft())
