--- a/review/second.py
+++ b/review/second.py
@@ -717,6 +717,8 @@
     lines += [f"{name}: {value}" for name, value in headers]
     if method == "POST":
         lines.append(f"Content-Length: {len(body)}")
+    else:
+        body = b""
     case.record.add("sent", id=id, to=instance.name, path=path)
     until = time.monotonic() + deadline_ms / 1000
     data, end = b"", "closed"
@@ -743,6 +745,68 @@
     return status, whole
 
 
+KEPT_S = 12.0
+"""Four fifths of the idle time that the configuration sets."""
+
+
+class Client:
+    """Sends one request after another; keeps its connection for as long as it may."""
+
+    def __init__(self, case):
+        self.case = case
+        self._peer, self._instance = None, None
+        self._used_at = 0.0
+
+    def ask(self, instance, id, method, path, deadline_ms, headers=(), body=b"", patience_s=None):
+        """Send one client attempt; return its status and whether its answer was whole."""
+        rested = time.monotonic() - self._used_at
+        kept = self._peer is not None and self._instance is instance and rested < KEPT_S
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {id}",
+                 f"X-Deadline-Ms: {deadline_ms}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        else:
+            body = b""
+        until = time.monotonic() + deadline_ms / 1000
+        data, end, whole = b"", "closed", False
+        try:
+            if not kept:
+                self.close()
+                self._peer = socket.create_connection(pair(instance.callers), 1)
+                self._instance = instance
+            self.case.record.add("sent", id=id, to=instance.name, path=path, kept=kept)
+            self._peer.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            while not whole:
+                left = until - time.monotonic()
+                if left <= 0:
+                    end = "deadline"
+                    break
+                self._peer.settimeout(left if patience_s is None else min(left, patience_s))
+                part = self._peer.recv(65536)
+                if not part:
+                    break
+                data += part
+                whole = is_whole(data)
+        except TimeoutError:
+            end = "gave up" if time.monotonic() < until else "deadline"
+        except OSError as error:
+            end = type(error).__name__
+        status = data[9:12].decode("latin-1") if data.startswith(b"HTTP/1.1 ") else "none"
+        if whole:
+            end = "answered"
+        if not whole or b"connection: close" in data.partition(b"\r\n\r\n")[0].lower():
+            self.close()
+        self._used_at = time.monotonic()
+        self.case.record.add("answered", id=id, status=status, end=end.replace(" ", "-"), whole=whole)
+        return status, whole
+
+    def close(self):
+        if self._peer is not None:
+            self._peer.close()
+        self._peer = None
+
+
 def is_whole(data):
     head, _, body = data.partition(b"\r\n\r\n")
     lower = head.lower()
