--- a/review/second.py
+++ b/review/second.py
@@ -86,6 +86,7 @@
     def __init__(self, handle):
         self._handle = handle
         self._listening = listen()
+        self._peers = set()
         self.address = address_of(self._listening)
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -96,8 +97,23 @@
             except OSError:
                 return
             peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._peers.add(peer)
             threading.Thread(target=self._serve, args=(peer,), daemon=True).start()
 
+    def crash(self):
+        """Stop listening, and reset all connections."""
+        try:
+            self._listening.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._listening.close()
+        for peer in list(self._peers):
+            try:
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                peer.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def _serve(self, peer):
         reader = peer.makefile("rb")
         try:
@@ -113,6 +129,7 @@
         except Exception:
             traceback.print_exc()
         finally:
+            self._peers.discard(peer)
             reader.close()
             peer.close()
 
@@ -318,11 +335,12 @@
     """
 
     def __init__(self, id, record, batch=16, queue=48, places=10, event_tokens=8,
-                 event_s=0.041, prefill_s=0.02, load_s=0.288, warm_s=0.029):
+                 event_s=0.041, prefill_s=0.02, load_s=0.288, warm_s=0.029, room_mb=None, adapter_mb=14.0):
         self.id, self.record = id, record
         self.batch, self.queue, self.places = batch, queue, places
         self.event_tokens, self.event_s, self.prefill_s = event_tokens, event_s, prefill_s
         self.load_s, self.warm_s = load_s, warm_s
+        self.room_mb, self.adapter_mb = room_mb, adapter_mb
         self.pace = 1.0
         self.newest = {}
         self.fell = ""
@@ -381,13 +399,23 @@
             return 202
         if len(self._coming) >= 4:
             return 409
-        if len(set(self._adapters) | set(self._coming) | {name}) > self.places:
-            self.fell = f"ordered to hold {name} beyond its places"
+        held = set(self._adapters) | set(self._coming) | {name}
+        if len(held) > self.places:
+            self._fall(f"{len(held)} adapters for {self.places} places")
+        elif self.room_mb is not None and len(held) * self.adapter_mb > self.room_mb:
+            needed = len(held) * self.adapter_mb
+            self._fall(f"{len(held)} adapters need {needed:g} MB beside the model; there are {self.room_mb:g}")
         self._sequence += 1
         warm = self._had.get(name) == version
         self._coming[name] = [version, None, self.warm_s if warm else self.load_s]
         return 202
 
+    def _fall(self, why):
+        """End at once: the worker was ordered to load more than it can hold."""
+        self.fell = why
+        self.record.add("falls", at_worker=self.id, why=why.replace(" ", "-"))
+        threading.Thread(target=self.server.crash, daemon=True).start()
+
     def _unload(self, name):
         if name in self._going:
             return 202
@@ -826,11 +854,11 @@
     } | {key.replace("_", "-"): value for key, value in more.items()}
 
 
-def engine_service(name, batch, adapter_slots, loads_per_s=2.1, adapters=3000):
-    model = {"name": MODEL, "weights-mb": 16100.0, "load-s": 0.6, "adapters": adapters, "adapter-mb": 14.0}
+def engine_service(name, batch, adapter_slots, loads_per_s=2.1, adapters=3000, weights_mb=16500.0, adapter_mb=14.0):
+    model = {"name": MODEL, "weights-mb": 16100.0, "load-s": 0.6, "adapters": adapters, "adapter-mb": adapter_mb}
     return {
         "name": name, "health-path": "/health", "max-conns": 500,
-        "engine": {"slots": batch, "models": [model], "weights-mb": 16500.0,
+        "engine": {"slots": batch, "models": [model], "weights-mb": weights_mb,
                    "adapter-slots": adapter_slots, "loads-per-s": loads_per_s},
     }
 
