--- a/review/second.py
+++ b/review/second.py
@@ -109,7 +109,9 @@
         self._listening.close()
         for peer in list(self._peers):
             try:
-                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                peer.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
                 peer.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
@@ -301,7 +303,9 @@
             return
         try:
             with self._free:
-                self.record.add("runs", id=request.headers["x-attempt-id"], at_worker=self.id)
+                self.record.add(
+                    "runs", id=request.headers["x-attempt-id"], at_worker=self.id
+                )
                 time.sleep(self.work_s)
         finally:
             with self._lock:
@@ -321,7 +325,10 @@
         "sequence": 1,
     }
     if models:
-        entry |= {"stage": "both", "models": [{"name": m, "version": 1, "adapters": []} for m in models]}
+        entry |= {
+            "stage": "both",
+            "models": [{"name": m, "version": 1, "adapters": []} for m in models],
+        }
     return entry
 
 
@@ -334,13 +341,32 @@
         How many times as long as usual everything takes, at the moment.
     """
 
-    def __init__(self, id, record, batch=16, queue=48, places=10, event_tokens=8,
-                 event_s=0.041, prefill_s=0.02, load_s=0.288, warm_s=0.029, room_mb=None, adapter_mb=14.0):
+    def __init__(
+        self,
+        id,
+        record,
+        batch=16,
+        queue=48,
+        places=10,
+        event_tokens=8,
+        event_s=0.041,
+        prefill_s=0.02,
+        load_s=0.288,
+        warm_s=0.029,
+        room_mb=None,
+        adapter_mb=14.0,
+    ):
         self.id, self.record = id, record
         self.batch, self.queue, self.places = batch, queue, places
-        self.event_tokens, self.event_s, self.prefill_s = event_tokens, event_s, prefill_s
+        self.event_tokens, self.event_s, self.prefill_s = (
+            event_tokens,
+            event_s,
+            prefill_s,
+        )
         self.load_s, self.warm_s = load_s, warm_s
         self.room_mb, self.adapter_mb = room_mb, adapter_mb
+        self.speaks = threading.Event()
+        self.speaks.set()
         self.pace = 1.0
         self.newest = {}
         self.fell = ""
@@ -360,6 +386,7 @@
         return entry_of(self.server.address, service, zone, self.batch, [MODEL])
 
     def _handle(self, request):
+        self.speaks.wait()
         if request.target.startswith("/health"):
             request.answer(200, b"", [("X-Instance-Id", self.id)])
         elif request.headers.get("x-expect-instance", self.id) != self.id:
@@ -404,7 +431,9 @@
             self._fall(f"{len(held)} adapters for {self.places} places")
         elif self.room_mb is not None and len(held) * self.adapter_mb > self.room_mb:
             needed = len(held) * self.adapter_mb
-            self._fall(f"{len(held)} adapters need {needed:g} MB beside the model; there are {self.room_mb:g}")
+            self._fall(
+                f"{len(held)} adapters need {needed:g} MB beside the model; there are {self.room_mb:g}"
+            )
         self._sequence += 1
         warm = self._had.get(name) == version
         self._coming[name] = [version, None, self.warm_s if warm else self.load_s]
@@ -497,7 +526,9 @@
                 self._running += 1
                 self._users[name] = self._users.get(name, 0) + 1
                 version = self._adapters.get(name, 1)
-                self.record.add("begins", id=id, at_worker=self.id, adapter=name, version=version)
+                self.record.add(
+                    "begins", id=id, at_worker=self.id, adapter=name, version=version
+                )
             self._changed.notify_all()
         if status == "left":
             request.keep = False
@@ -528,7 +559,11 @@
 
     def _stream(self, request, name, version):
         time.sleep(self.prefill_s * self.pace)
-        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        head = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
         head += [f"{n}: {v}" for n, v in seal_of(request, self.id)]
         head.append(f"X-Weight-Versions: {version}")
         try:
@@ -539,6 +574,7 @@
                 if request.has_left():
                     request.keep = False
                     return
+                self.speaks.wait()
                 event = f"id: {number}\ndata: {name}.{version}.{number}\n\n".encode()
                 request.peer.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 time.sleep(self.event_s * self.pace)
@@ -611,7 +647,10 @@
         output = open(self.case.folder / f"{self.name}.{self.starts}.log", "wb")
         self.process = subprocess.Popen(
             ["python3", "-S", "platform/start.py"],
-            cwd=ROOT, env=environment, stdout=output, stderr=subprocess.STDOUT,
+            cwd=ROOT,
+            env=environment,
+            stdout=output,
+            stderr=subprocess.STDOUT,
         )
         output.close()
 
@@ -619,7 +658,9 @@
         try:
             with socket.create_connection(pair(self.readiness), 1) as peer:
                 peer.settimeout(1)
-                peer.sendall(b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                peer.sendall(
+                    b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                )
                 return b" 200 " in peer.recv(64)
         except OSError:
             return False
@@ -627,7 +668,9 @@
     def resident_mb(self):
         """Return the resident memory of the process; 0 if it has ended."""
         try:
-            for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            for line in (
+                Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+            ):
                 if line.startswith("VmRSS:"):
                     return int(line.split()[1]) / 1024
         except (OSError, AttributeError):
@@ -684,7 +727,9 @@
         self.instances = []
 
     def add_instances(self, count, bounds):
-        self.instances = [Instance(self, f"node-{n}", bounds=bounds) for n in range(count)]
+        self.instances = [
+            Instance(self, f"node-{n}", bounds=bounds) for n in range(count)
+        ]
         seeds = [one.control for one in self.instances[:3]]
         for one in self.instances:
             one.write_settings(seeds)
@@ -732,7 +777,9 @@
 # Clients
 
 
-def ask(case, instance, id, method, path, deadline_ms, headers=(), body=b"", patience_s=None):
+def ask(
+    case, instance, id, method, path, deadline_ms, headers=(), body=b"", patience_s=None
+):
     """Send one client attempt on a new connection, and record what came of it.
 
     Parameters
@@ -740,8 +787,13 @@
     patience_s : float or None
         The longest gap without a byte after which the client leaves; None is none.
     """
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {id}",
-             f"X-Deadline-Ms: {deadline_ms}", "Connection: close"]
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Attempt-Id: {id}",
+        f"X-Deadline-Ms: {deadline_ms}",
+        "Connection: close",
+    ]
     lines += [f"{name}: {value}" for name, value in headers]
     if method == "POST":
         lines.append(f"Content-Length: {len(body)}")
@@ -769,7 +821,9 @@
         end = type(error).__name__
     status = data[9:12].decode("latin-1") if data.startswith(b"HTTP/1.1 ") else "none"
     whole = is_whole(data)
-    case.record.add("answered", id=id, status=status, end=end.replace(" ", "-"), whole=whole)
+    case.record.add(
+        "answered", id=id, status=status, end=end.replace(" ", "-"), whole=whole
+    )
     return status, whole
 
 
@@ -785,12 +839,26 @@
         self._peer, self._instance = None, None
         self._used_at = 0.0
 
-    def ask(self, instance, id, method, path, deadline_ms, headers=(), body=b"", patience_s=None):
+    def ask(
+        self,
+        instance,
+        id,
+        method,
+        path,
+        deadline_ms,
+        headers=(),
+        body=b"",
+        patience_s=None,
+    ):
         """Send one client attempt; return its status and whether its answer was whole."""
         rested = time.monotonic() - self._used_at
         kept = self._peer is not None and self._instance is instance and rested < KEPT_S
-        lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {id}",
-                 f"X-Deadline-Ms: {deadline_ms}"]
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"X-Attempt-Id: {id}",
+            f"X-Deadline-Ms: {deadline_ms}",
+        ]
         lines += [f"{name}: {value}" for name, value in headers]
         if method == "POST":
             lines.append(f"Content-Length: {len(body)}")
@@ -810,7 +878,9 @@
                 if left <= 0:
                     end = "deadline"
                     break
-                self._peer.settimeout(left if patience_s is None else min(left, patience_s))
+                self._peer.settimeout(
+                    left if patience_s is None else min(left, patience_s)
+                )
                 part = self._peer.recv(65536)
                 if not part:
                     break
@@ -820,13 +890,17 @@
             end = "gave up" if time.monotonic() < until else "deadline"
         except OSError as error:
             end = type(error).__name__
-        status = data[9:12].decode("latin-1") if data.startswith(b"HTTP/1.1 ") else "none"
+        status = (
+            data[9:12].decode("latin-1") if data.startswith(b"HTTP/1.1 ") else "none"
+        )
         if whole:
             end = "answered"
         if not whole or b"connection: close" in data.partition(b"\r\n\r\n")[0].lower():
             self.close()
         self._used_at = time.monotonic()
-        self.case.record.add("answered", id=id, status=status, end=end.replace(" ", "-"), whole=whole)
+        self.case.record.add(
+            "answered", id=id, status=status, end=end.replace(" ", "-"), whole=whole
+        )
         return status, whole
 
     def close(self):
@@ -848,24 +922,57 @@
 
 def route(name, kind, timeout_ms, aim_ms, priority, service, attempts, **more):
     return {
-        "name": name, "host": HOST, "path-prefix": f"/{name}/", "kind": kind,
-        "timeout-ms": timeout_ms, "target-latency-ms": aim_ms, "priority": priority,
-        "service": service, "max-attempts": attempts,
+        "name": name,
+        "host": HOST,
+        "path-prefix": f"/{name}/",
+        "kind": kind,
+        "timeout-ms": timeout_ms,
+        "target-latency-ms": aim_ms,
+        "priority": priority,
+        "service": service,
+        "max-attempts": attempts,
     } | {key.replace("_", "-"): value for key, value in more.items()}
 
 
-def engine_service(name, batch, adapter_slots, loads_per_s=2.1, adapters=3000, weights_mb=16500.0, adapter_mb=14.0):
-    model = {"name": MODEL, "weights-mb": 16100.0, "load-s": 0.6, "adapters": adapters, "adapter-mb": adapter_mb}
+def engine_service(
+    name,
+    batch,
+    adapter_slots,
+    loads_per_s=2.1,
+    adapters=3000,
+    weights_mb=16500.0,
+    adapter_mb=14.0,
+):
+    model = {
+        "name": MODEL,
+        "weights-mb": 16100.0,
+        "load-s": 0.6,
+        "adapters": adapters,
+        "adapter-mb": adapter_mb,
+    }
     return {
-        "name": name, "health-path": "/health", "max-conns": 500,
-        "engine": {"slots": batch, "models": [model], "weights-mb": weights_mb,
-                   "adapter-slots": adapter_slots, "loads-per-s": loads_per_s},
+        "name": name,
+        "health-path": "/health",
+        "max-conns": 500,
+        "engine": {
+            "slots": batch,
+            "models": [model],
+            "weights-mb": weights_mb,
+            "adapter-slots": adapter_slots,
+            "loads-per-s": loads_per_s,
+        },
     }
 
 
 def configuration(routes, services):
     return {
-        "version": 3, "routes": routes, "services": services,
-        "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304,
-                   "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+        "version": 3,
+        "routes": routes,
+        "services": services,
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 4194304,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
     }
