--- a/review/second.py
+++ b/review/second.py
@@ -570,6 +570,7 @@
             request.peer.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
             first = int(request.headers.get("last-event-id", "0")) + 1
             most = int(request.headers["x-token-count"].partition(",")[2])
+            due = time.monotonic()
             for number in range(first, -(-most // self.event_tokens) + 1):
                 if request.has_left():
                     request.keep = False
@@ -577,7 +578,8 @@
                 self.speaks.wait()
                 event = f"id: {number}\ndata: {name}.{version}.{number}\n\n".encode()
                 request.peer.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-                time.sleep(self.event_s * self.pace)
+                due += self.event_s * self.pace
+                time.sleep(max(due - time.monotonic(), 0))
             request.peer.sendall(b"0\r\n\r\n")
         except OSError:
             request.keep = False
